--- /dev/null
+++ b/src/app/laburnumctl/commands.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "httpclient.h"
+#include "options.h"
+
+namespace LaburnumFlow::Ctl {
+
+/// Runs the command that the arguments name and returns the exit code.
+int runCommand(const Options &options);
+
+/// Runs "settings ..."; arguments begin behind the word "settings".
+int runSettingsCommand(const Options &options, const std::vector<std::string> &arguments);
+
+/// Prints an answer that is not a success and returns the exit code for it.
+int reportFailure(const Options &options, const HttpReply &reply);
+
+/// Prints why no entry answered and returns the exit code for it.
+int reportUnreachable(const Unreachable &error);
+
+/// The request's URL at the entry.
+std::string urlOf(const Options &options, const std::string &path);
+
+} // namespace LaburnumFlow::Ctl
--- a/src/libs/httpapi/httpserver.h
+++ b/src/libs/httpapi/httpserver.h
@@ -55,8 +55,9 @@
     /// Open requests are answered first; new connections are refused.
     void stop();
 
-private:
     struct Private;
+
+private:
     std::unique_ptr<Private> d;
 };
 
--- /dev/null
+++ b/src/libs/httpapi/requestregistry.cpp
@@ -0,0 +1,76 @@
+#include "requestregistry.h"
+
+#include <utility>
+
+namespace LaburnumFlow::HttpApi::Internal {
+
+Events::RequestId RequestRegistry::nextId()
+{
+    const std::lock_guard lock(mutex_);
+    return next_++;
+}
+
+void RequestRegistry::suspend(OpenRequest &request, MHD_Connection *connection)
+{
+    const std::lock_guard lock(mutex_);
+    request.suspended = true;
+    waiting_.emplace(request.id, Waiting{&request, connection});
+    MHD_suspend_connection(connection);
+}
+
+bool RequestRegistry::answer(Events::RequestId id, Response response)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = waiting_.find(id);
+    if (found == waiting_.end()) {
+        return false;
+    }
+    found->second.request->response = std::move(response);
+    MHD_resume_connection(found->second.connection);
+    waiting_.erase(found);
+    if (waiting_.empty()) {
+        empty_.notify_all();
+    }
+    return true;
+}
+
+std::optional<Response> RequestRegistry::takeResponse(OpenRequest &request)
+{
+    const std::lock_guard lock(mutex_);
+    return std::exchange(request.response, std::nullopt);
+}
+
+bool RequestRegistry::remove(Events::RequestId id)
+{
+    const std::lock_guard lock(mutex_);
+    const bool removed = waiting_.erase(id) > 0;
+    if (waiting_.empty()) {
+        empty_.notify_all();
+    }
+    return removed;
+}
+
+bool RequestRegistry::waitEmpty(std::chrono::steady_clock::duration limit)
+{
+    std::unique_lock lock(mutex_);
+    return empty_.wait_for(lock, limit, [this] { return waiting_.empty(); });
+}
+
+void RequestRegistry::answerAll(const Response &response)
+{
+    const std::lock_guard lock(mutex_);
+    for (auto &[id, waiting] : waiting_) {
+        waiting.request->response = response;
+        MHD_resume_connection(waiting.connection);
+    }
+    waiting_.clear();
+    empty_.notify_all();
+}
+
+std::size_t RequestRegistry::waiting() const
+{
+    const std::lock_guard lock(mutex_);
+    return waiting_.size();
+}
+
+} // namespace LaburnumFlow::HttpApi::Internal
