--- a/tests/auto/system/childprocess.cpp
+++ b/tests/auto/system/childprocess.cpp
@@ -69,10 +69,7 @@
     kill();
 }
 
-ChildProcess::ChildProcess(ChildProcess &&other) noexcept
-    : pid_(std::exchange(other.pid_, -1))
-    , exitCode_(other.exitCode_)
-    , values_(std::move(other.values_))
+ChildProcess::ChildProcess(ChildProcess &&other) noexcept : pid_(std::exchange(other.pid_, -1)), exitCode_(other.exitCode_), values_(std::move(other.values_))
 {
 }
 
@@ -143,9 +140,7 @@
 
 int ChildProcess::waitExit(int limitSeconds)
 {
-    const bool ended = waitFor(limitSeconds, [this] {
-        return !running();
-    });
+    const bool ended = waitFor(limitSeconds, [this] { return !running(); });
     return ended ? exitCode_ : -1;
 }
 
--- a/tests/auto/system/httpcall.cpp
+++ b/tests/auto/system/httpcall.cpp
@@ -59,9 +59,7 @@
                                   const std::vector<std::string> &headers,
                                   long timeoutMs)
 {
-    return std::async(std::launch::async, [=] {
-        return call(method, endpoint, path, body, headers, timeoutMs);
-    });
+    return std::async(std::launch::async, [=] { return call(method, endpoint, path, body, headers, timeoutMs); });
 }
 
 } // namespace SystemTest
--- a/tests/standins/faultproxy/main.cpp
+++ b/tests/standins/faultproxy/main.cpp
@@ -1,6 +1,7 @@
 // Forwards TCP and UDP on one port to a target and injects faults, as POST /control on a second port tells it.
 
 #include "faults.h"
+#include "loopback.h"
 #include "tcpforwarder.h"
 #include "udpforwarder.h"
 
@@ -20,6 +21,7 @@
 
 using FaultProxy::Clock;
 using FaultProxy::FaultControl;
+using FaultProxy::loopback;
 
 constexpr int maxBindTries = 50;
 constexpr std::chrono::milliseconds longestWait{20}; ///< faults that changed meanwhile come into force after this
@@ -30,15 +32,6 @@
     std::uint16_t port = 0;
 };
 
-sockaddr_in loopback(std::uint16_t port)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return address;
-}
-
 bool listenOn(std::uint16_t port, Listening &listening)
 {
     sockaddr_in address = loopback(port);
@@ -93,10 +86,10 @@
     return static_cast<int>(wait.count());
 }
 
-[[noreturn]] void forward(const Listening &listening, const sockaddr_in &target, std::uint64_t seed, const FaultControl &control)
+[[noreturn]] void forward(const Listening &listening, std::uint64_t seed, const FaultControl &control)
 {
-    FaultProxy::TcpForwarder tcp(listening.tcp, target);
-    FaultProxy::UdpForwarder udp(listening.udp, target, seed);
+    FaultProxy::TcpForwarder tcp(listening.tcp);
+    FaultProxy::UdpForwarder udp(listening.udp, seed);
     while (true) {
         std::vector<pollfd> polled;
         tcp.collect(polled);
@@ -117,7 +110,7 @@
     int seed = 1;
     const poptOption table[] = {
         {"port", 0, POPT_ARG_INT, &port, 0, "port to listen on; 0 lets the kernel choose", "PORT"},
-        {"target-port", 0, POPT_ARG_INT, &targetPort, 0, "loopback port to forward to", "PORT"},
+        {"target-port", 0, POPT_ARG_INT, &targetPort, 0, "loopback port to forward to; may be set later by /control", "PORT"},
         {"seed", 0, POPT_ARG_INT, &seed, 0, "seed of the losses", "NUMBER"},
         POPT_AUTOHELP POPT_TABLEEND,
     };
@@ -132,6 +125,9 @@
         listening = {};
     }
     FaultControl control;
+    if (targetPort != 0) {
+        control.apply("{\"targetPort\":" + std::to_string(targetPort) + "}");
+    }
     sockaddr_in controlAddress = loopback(0);
     MHD_Daemon *daemon = MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD,
                                           0,
@@ -150,5 +146,5 @@
         return EXIT_FAILURE;
     }
     std::cout << "port=" << listening.port << " control=" << MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT)->port << std::endl;
-    forward(listening, loopback(static_cast<std::uint16_t>(targetPort)), static_cast<std::uint64_t>(seed), control);
+    forward(listening, static_cast<std::uint64_t>(seed), control);
 }
--- a/tests/standins/faultproxy/tcpforwarder.cpp
+++ b/tests/standins/faultproxy/tcpforwarder.cpp
@@ -1,5 +1,7 @@
 #include "tcpforwarder.h"
 
+#include "loopback.h"
+
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -29,7 +31,7 @@
 
 } // namespace
 
-TcpForwarder::TcpForwarder(int listener, const sockaddr_in &target) : listener_(listener), target_(target)
+TcpForwarder::TcpForwarder(int listener) : listener_(listener)
 {
     setNonBlocking(listener_);
 }
@@ -54,7 +56,9 @@
             return;
         }
         const int server = socket(AF_INET, SOCK_STREAM, 0);
-        const bool connected = !faults.refuseNew && connect(server, reinterpret_cast<const sockaddr *>(&target_), sizeof target_) == 0;
+        const sockaddr_in target = loopback(faults.targetPort);
+        const bool wanted = !faults.refuseNew && faults.targetPort != 0;
+        const bool connected = wanted && connect(server, reinterpret_cast<const sockaddr *>(&target), sizeof target) == 0;
         if (!connected) {
             close(server);
             close(client);
--- a/tests/standins/faultproxy/udpforwarder.cpp
+++ b/tests/standins/faultproxy/udpforwarder.cpp
@@ -1,5 +1,7 @@
 #include "udpforwarder.h"
 
+#include "loopback.h"
+
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -15,7 +17,7 @@
 
 } // namespace
 
-UdpForwarder::UdpForwarder(int socket, const sockaddr_in &target, std::uint64_t seed) : socket_(socket), target_(target), random_(seed) { }
+UdpForwarder::UdpForwarder(int socket, std::uint64_t seed) : socket_(socket), random_(seed) { }
 
 void UdpForwarder::collect(std::vector<pollfd> &polled) const
 {
@@ -64,8 +66,8 @@
         if (size < 0) {
             return;
         }
-        if (!faults.blockForward) {
-            schedule(faults, upstreamFor(source), target_, std::string(buffer.data(), static_cast<std::size_t>(size)));
+        if (!faults.blockForward && faults.targetPort != 0) {
+            schedule(faults, upstreamFor(source), loopback(faults.targetPort), std::string(buffer.data(), static_cast<std::size_t>(size)));
         }
     }
 }
--- a/tests/standins/faultproxy/udpforwarder.h
+++ b/tests/standins/faultproxy/udpforwarder.h
@@ -19,7 +19,7 @@
 class UdpForwarder
 {
 public:
-    UdpForwarder(int socket, const sockaddr_in &target, std::uint64_t seed);
+    UdpForwarder(int socket, std::uint64_t seed);
 
     void collect(std::vector<pollfd> &polled) const;
     void process(const Faults &faults);
@@ -39,7 +39,6 @@
     void receiveBackward(const Faults &faults);
 
     int socket_;
-    sockaddr_in target_;
     std::mt19937_64 random_;
     std::map<std::pair<std::uint32_t, std::uint16_t>, int> upstream_; ///< a socket towards the target for each source
     std::deque<Pending> pending_;
