--- /dev/null
+++ b/src/tools/laburnumload/runner.cpp
@@ -0,0 +1,259 @@
+#include "runner.h"
+
+#include "base/timerservice.h"
+#include "base/uuid.h"
+
+#include <curl/curl.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <memory>
+#include <queue>
+#include <random>
+#include <unordered_map>
+
+namespace LaburnumFlow::Load {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr long answerSlackMs = 10'000; ///< beyond the deadline before the tool gives a job up
+constexpr int maxPollMs = 100;
+constexpr int roundTripSamples = 51;
+constexpr long maxConnections = 4'000;
+
+enum class CallPurpose : std::uint8_t {
+    Submit,
+    Resubmit,
+    Cancel,
+};
+
+struct DueCall {
+    Clock::time_point at;
+    std::size_t job = 0;
+    CallPurpose purpose = CallPurpose::Submit;
+
+    bool operator<(const DueCall &other) const
+    {
+        return at > other.at;
+    }
+};
+
+struct OpenCall {
+    std::size_t job = 0;
+    CallPurpose purpose = CallPurpose::Submit;
+    std::string url;
+    std::string sent;
+    std::string received;
+    curl_slist *headers = nullptr;
+};
+
+std::size_t append(char *data, std::size_t size, std::size_t count, void *target)
+{
+    static_cast<std::string *>(target)->append(data, size * count);
+    return size * count;
+}
+
+std::string bodyOf(const Scenario &scenario, const PlannedJob &job)
+{
+    nlohmann::json body{{"deadlineMs", scenario.deadlineMs}, {"tasks", nlohmann::json::array()}};
+    for (const double runMs : job.runMs) {
+        body["tasks"].push_back({{"kind", scenario.mix[job.workClass].kind}, {"payload", {{"runMs", std::lround(std::max(runMs, 1.0))}}}});
+    }
+    return body.dump();
+}
+
+JobEnd endOf(long status, const nlohmann::json &json)
+{
+    if (status == 200) {
+        return JobEnd::Succeeded;
+    }
+    if (json.value("reason", std::string()) == "cancelled") {
+        return JobEnd::Cancelled;
+    }
+    const std::string outcome = json.value("outcome", std::string());
+    if (outcome == "not-run") {
+        return JobEnd::Refused;
+    }
+    return outcome == "unknown" ? JobEnd::Unknown : JobEnd::Failed;
+}
+
+class Runner
+{
+public:
+    Runner(const Scenario &scenario, const std::vector<PlannedJob> &jobs, const std::vector<std::string> &entries, std::uint64_t seed)
+        : scenario_(scenario), jobs_(jobs), entries_(entries), multi_(curl_multi_init()), random_(seed), results_(jobs.size())
+    {
+        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, maxConnections);
+    }
+
+    ~Runner()
+    {
+        curl_multi_cleanup(multi_);
+    }
+
+    Runner(const Runner &) = delete;
+    Runner &operator=(const Runner &) = delete;
+
+    std::vector<JobResult> run()
+    {
+        start_ = Clock::now();
+        for (std::size_t i = 0; i < jobs_.size(); ++i) {
+            planJob(i);
+        }
+        while (!due_.empty() || !open_.empty()) {
+            sendDue();
+            int running = 0;
+            curl_multi_perform(multi_, &running);
+            collect();
+            curl_multi_poll(multi_, nullptr, 0, pollMs(), nullptr);
+        }
+        return std::move(results_);
+    }
+
+private:
+    void planJob(std::size_t index)
+    {
+        const PlannedJob &job = jobs_[index];
+        results_[index].id
+            = Base::toString(Base::makeUuidV7(Base::wallNow() + std::chrono::milliseconds(std::lround(job.atSeconds * 1000)), random_(), random_()));
+        const Clock::time_point at = intended(index);
+        due_.push({at, index, CallPurpose::Submit});
+        if (job.resubmit) {
+            due_.push({at, index, CallPurpose::Resubmit});
+        }
+        if (job.cancel) {
+            due_.push({at + std::chrono::microseconds(std::lround(idealMs(scenario_, job) * 500)), index, CallPurpose::Cancel});
+        }
+    }
+
+    Clock::time_point intended(std::size_t index) const
+    {
+        return start_ + std::chrono::microseconds(std::lround(jobs_[index].atSeconds * 1e6));
+    }
+
+    int pollMs() const
+    {
+        if (due_.empty()) {
+            return maxPollMs;
+        }
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(due_.top().at - Clock::now()).count();
+        return static_cast<int>(std::clamp<long>(wait, 0, maxPollMs));
+    }
+
+    void sendDue()
+    {
+        while (!due_.empty() && due_.top().at <= Clock::now()) {
+            send(due_.top());
+            due_.pop();
+        }
+    }
+
+    void send(const DueCall &call)
+    {
+        const PlannedJob &job = jobs_[call.job];
+        const std::size_t entry = call.purpose == CallPurpose::Resubmit ? (job.entry + 1) % entries_.size() : job.entry;
+        auto open = std::make_unique<OpenCall>();
+        open->job = call.job;
+        open->purpose = call.purpose;
+        open->url = "http://" + entries_[entry] + "/v1/teams/" + scenario_.team + "/jobs";
+        CURL *handle = curl_easy_init();
+        if (call.purpose == CallPurpose::Cancel) {
+            open->url += "/" + results_[call.job].id;
+            curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, "DELETE");
+        } else {
+            open->sent = bodyOf(scenario_, job);
+            open->headers = curl_slist_append(open->headers, ("Idempotency-Key: " + results_[call.job].id).c_str());
+            curl_easy_setopt(handle, CURLOPT_HTTPHEADER, open->headers);
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDS, open->sent.data());
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(open->sent.size()));
+        }
+        curl_easy_setopt(handle, CURLOPT_URL, open->url.c_str());
+        curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, scenario_.deadlineMs + answerSlackMs);
+        curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &append);
+        curl_easy_setopt(handle, CURLOPT_WRITEDATA, &open->received);
+        curl_multi_add_handle(multi_, handle);
+        open_.emplace(handle, std::move(open));
+    }
+
+    void collect()
+    {
+        int left = 0;
+        while (const CURLMsg *message = curl_multi_info_read(multi_, &left)) {
+            if (message->msg == CURLMSG_DONE) {
+                finish(message->easy_handle, message->data.result);
+            }
+        }
+    }
+
+    void finish(CURL *handle, CURLcode code)
+    {
+        const auto found = open_.find(handle);
+        const std::unique_ptr<OpenCall> open = std::move(found->second);
+        open_.erase(found);
+        if (open->purpose == CallPurpose::Submit) {
+            record(*open, handle, code);
+        }
+        curl_multi_remove_handle(multi_, handle);
+        curl_easy_cleanup(handle);
+        curl_slist_free_all(open->headers);
+    }
+
+    void record(const OpenCall &open, CURL *handle, CURLcode code)
+    {
+        JobResult &result = results_[open.job];
+        const std::chrono::duration<double, std::milli> latency = Clock::now() - intended(open.job);
+        result.latencyMs = latency.count() + 2 * scenario_.clientDelayMs;
+        if (code != CURLE_OK) {
+            result.reason = curl_easy_strerror(code);
+            return;
+        }
+        long status = 0;
+        curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+        const nlohmann::json json = status == 200 ? nlohmann::json::object() : nlohmann::json::parse(open.received, nullptr, false);
+        result.end = endOf(status, json.is_discarded() ? nlohmann::json::object() : json);
+        result.reason = json.is_object() ? json.value("reason", std::string()) : std::string();
+    }
+
+    const Scenario &scenario_;
+    const std::vector<PlannedJob> &jobs_;
+    const std::vector<std::string> &entries_;
+    CURLM *multi_;
+    std::mt19937_64 random_;
+    Clock::time_point start_;
+    std::priority_queue<DueCall> due_;
+    std::unordered_map<CURL *, std::unique_ptr<OpenCall>> open_;
+    std::vector<JobResult> results_;
+};
+
+} // namespace
+
+std::vector<JobResult> runSchedule(const Scenario &scenario, const std::vector<PlannedJob> &jobs, const std::vector<std::string> &entries, std::uint64_t seed)
+{
+    return Runner(scenario, jobs, entries, seed).run();
+}
+
+double measureRoundTripMs(const std::string &entry)
+{
+    const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> handle(curl_easy_init(), &curl_easy_cleanup);
+    std::string received;
+    curl_easy_setopt(handle.get(), CURLOPT_URL, ("http://" + entry + "/v1/health").c_str());
+    curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, &append);
+    curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &received);
+    curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, 5'000L);
+    std::vector<double> times;
+    for (int i = 0; i < roundTripSamples; ++i) {
+        const Clock::time_point begin = Clock::now();
+        if (curl_easy_perform(handle.get()) == CURLE_OK) {
+            times.push_back(std::chrono::duration<double, std::milli>(Clock::now() - begin).count());
+        }
+    }
+    std::sort(times.begin(), times.end());
+    return times.empty() ? 0 : times[times.size() / 2];
+}
+
+} // namespace LaburnumFlow::Load
