Add parsing of daemon settings and team settings

The daemons and the settings service need checked values, and operators need every fault of a text at once with its place.

A schema reader over yaml-cpp collects faults with path, line, column and accepted range; daemon settings and team settings share it. Texts that are not UTF-8 are refused, since yaml-cpp replaces malformed characters silently and the JSON form in the store cannot hold them.

--- /dev/null
+++ b/src/libs/settings/schemareader.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "settingsfault.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Typed reading of YAML maps that collects every fault with its place.
+namespace LaburnumFlow::Settings::Internal {
+
+/// Collects the faults of one text.
+class FaultCollector
+{
+public:
+    void add(std::string path, const YAML::Mark &place, std::string problem, std::string accepted = {});
+
+    bool empty() const
+    {
+        return faults_.empty();
+    }
+
+    /// The faults in the order of the text.
+    SettingsFaults take();
+
+private:
+    std::vector<SettingsFault> faults_;
+};
+
+std::string joinPath(std::string_view path, std::string_view key);
+
+/// Lowercase letters, digits and '-', starting with a letter or digit, at most 63 characters.
+bool isName(std::string_view text);
+constexpr std::string_view acceptedNames = "1 to 63 of a-z, 0-9 and '-', not starting with '-'";
+
+/// Loads the only document of a text; an empty text gives a null node. Adds a fault and returns nothing on a syntax
+/// error, malformed UTF-8 or more than one document.
+std::optional<YAML::Node> loadDocument(std::string_view yaml, FaultCollector &faults);
+
+/// Calls visit for each distinct key of a map. Adds faults for a node of another type (null counts as an empty map), keys
+/// that are no scalars and duplicate keys.
+using EntryVisitor = std::function<void(const std::string &key, const YAML::Node &keyNode, const YAML::Node &value)>;
+void forEachEntry(const YAML::Node &node, std::string_view path, FaultCollector &faults, const EntryVisitor &visit);
+
+/// Reads the known keys of one map. A key that is absent leaves its target unchanged and is no fault unless required.
+class MapReader
+{
+public:
+    MapReader(const YAML::Node &node, std::string path, FaultCollector &faults);
+
+    /// Each returns whether the key is present with an accepted value.
+    bool boolean(std::string_view key, bool &target);
+    bool real(std::string_view key, double &target, double min, double max);
+    bool text(std::string_view key, std::string &target, std::size_t maxLength = 255);
+    bool choice(std::string_view key, std::string &target, std::span<const std::string_view> choices);
+
+    template<class Unsigned>
+    bool number(std::string_view key, Unsigned &target, std::uint64_t min, std::uint64_t max = std::numeric_limits<Unsigned>::max())
+    {
+        std::uint64_t value = 0;
+        if (!unsignedNumber(key, value, min, max)) {
+            return false;
+        }
+        target = static_cast<Unsigned>(value);
+        return true;
+    }
+
+    /// The value of a key that the caller reads itself.
+    std::optional<YAML::Node> node(std::string_view key);
+
+    void require(std::string_view key);
+    void fault(std::string_view key, std::string problem, std::string accepted = {});
+
+    /// Adds a fault for each key that no call has asked for, except after a fault of the map itself.
+    void finish(std::string_view acceptedKeys = {});
+
+    std::string pathOf(std::string_view key) const
+    {
+        return joinPath(path_, key);
+    }
+
+    FaultCollector &faults()
+    {
+        return faults_;
+    }
+
+private:
+    struct Entry {
+        YAML::Node keyNode;
+        YAML::Node value;
+        bool known = false;
+    };
+
+    Entry *find(std::string_view key);
+    const YAML::Node *scalar(std::string_view key, bool plain, std::string_view expected);
+    bool unsignedNumber(std::string_view key, std::uint64_t &target, std::uint64_t min, std::uint64_t max);
+
+    std::string path_;
+    YAML::Mark place_;
+    FaultCollector &faults_;
+    std::map<std::string, Entry, std::less<>> entries_;
+    std::vector<std::string> asked_;
+};
+
+} // namespace LaburnumFlow::Settings::Internal
