Add the store clients, the call budget and the settings service

Entries need the platform's store for the partition map and the operators' settings, and a single entry needs to run without it.

EtcdStore speaks etcd's v3 JSON calls over libcurl. Writes use a new connection each, because libcurl sends a request again when a reused connection closes without an answer, and the second write would report a conflict with the first. Status 5xx counts as StoreUnavailable, since etcd also uses it when the outcome of a write is unknown. Answers older than one received before the call are refused. CallBudget keeps a process within its share of reads and writes. SettingsService settles a lost answer by reading back the change id, and sends the write again while the key is unchanged, since the first one may still arrive.

--- a/src/libs/settings/daemonsettings.cpp
+++ b/src/libs/settings/daemonsettings.cpp
@@ -21,6 +21,9 @@
 constexpr std::array<std::string_view, 2> roles{"entry", "agent"};
 constexpr std::array<std::string_view, 4> logLevels{"error", "warn", "info", "debug"};
 constexpr std::array<std::string_view, 4> placements{"expected-wait", "random", "round-robin", "power-of-two"};
+/// The embedded store holds a team's text as a JSON string of at most 1 MB, and escapes lengthen it up to six times.
+constexpr std::size_t maxFileBytes = 131'072;
+
 constexpr std::string_view anyAddress = "0.0.0.0";
 
 /// Where an endpoint is used decides what it may be.
@@ -236,6 +239,11 @@
 boost::leaf::result<DaemonSettings> parseDaemonSettings(std::string_view yaml)
 {
     FaultCollector faults;
+    if (yaml.size() > maxFileBytes) {
+        const std::string accepted = "at most " + std::to_string(maxFileBytes) + " bytes";
+        faults.add("", YAML::Mark(), "has " + std::to_string(yaml.size()) + " bytes", accepted);
+        return boost::leaf::new_error(faults.take());
+    }
     const auto document = Internal::loadDocument(yaml, faults);
     if (!document) {
         return boost::leaf::new_error(faults.take());
--- /dev/null
+++ b/src/libs/store/callbudget.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "base/counters.h"
+#include "base/timerservice.h"
+#include "platformstore.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+
+namespace LaburnumFlow::Store {
+
+/// Allows a number of calls per second, and at most those of one second at once. Thread-safe.
+class TokenBucket
+{
+public:
+    explicit TokenBucket(std::uint32_t perSecond, Base::MonoTime now);
+
+    bool take(Base::MonoTime now);
+
+private:
+    std::mutex mutex_;
+    double perSecond_;
+    double tokens_;
+    Base::MonoTime refilled_;
+};
+
+struct CallRates {
+    std::uint32_t readsPerSecond = 0;
+    std::uint32_t writesPerSecond = 0;
+};
+
+/// Keeps this process's calls of another store within its share of the fleet's budget. A watch counts as one read.
+/// Counts the calls as "store.read", "store.write" and "store.watch", those that fail as "store.unavailable" and those
+/// not made as "store.budget-exhausted".
+class CallBudget : public PlatformStore
+{
+public:
+    using Clock = std::function<Base::MonoTime()>;
+
+    CallBudget(std::unique_ptr<PlatformStore> store, const CallRates &rates, Base::CounterRegistry &counters, Clock clock = &Base::monoNow);
+
+    boost::leaf::result<RangeResult> range(std::string_view prefix, Base::Duration deadline) override;
+    boost::leaf::result<SwapResult>
+    compareAndSwap(std::string_view key, std::string_view value, std::int64_t expectedModRevision, Base::Duration deadline) override;
+    boost::leaf::result<WatchBatch> watch(std::string_view prefix, std::int64_t afterRevision, Base::Duration deadline) override;
+
+private:
+    template<class Call>
+    auto counted(TokenBucket &bucket, Base::Counter &calls, Call call) -> decltype(call());
+
+    std::unique_ptr<PlatformStore> store_;
+    Clock clock_;
+    TokenBucket reads_;
+    TokenBucket writes_;
+    Base::Counter &readCalls_;
+    Base::Counter &writeCalls_;
+    Base::Counter &watchCalls_;
+    Base::Counter &unavailable_;
+    Base::Counter &exhausted_;
+};
+
+} // namespace LaburnumFlow::Store
--- /dev/null
+++ b/src/libs/store/etcdstore.cpp
@@ -0,0 +1,126 @@
+#include "etcdstore.h"
+
+#include "etcdwire.h"
+#include "storeconstants.h"
+
+#include <algorithm>
+
+namespace LaburnumFlow::Store {
+
+namespace {
+
+constexpr int httpOk = 200;
+constexpr int firstServerError = 500;
+
+/// Fails unless the status is 200.
+boost::leaf::result<void> checkStatus(int status, std::string_view body)
+{
+    if (status == httpOk) {
+        return {};
+    }
+    if (status >= firstServerError) {
+        return boost::leaf::new_error(StoreUnavailable{"HTTP status " + std::to_string(status) + ": " + Internal::errorDetail(body)});
+    }
+    return boost::leaf::new_error(StoreRefused{status, Internal::errorDetail(body)});
+}
+
+StoreUnavailable malformedAnswer(std::string_view body)
+{
+    return {"malformed answer: " + Internal::errorDetail(body)};
+}
+
+} // namespace
+
+EtcdStore::EtcdStore(const Settings::EtcdStoreSettings &settings, Base::CounterRegistry &counters)
+    : caller_(settings.endpoint), callLimit_(std::chrono::milliseconds(settings.callDeadlineMs)), staleAnswers_(counters.counter("store.stale"))
+{
+}
+
+boost::leaf::result<RangeResult> EtcdStore::range(std::string_view prefix, Base::Duration deadline)
+{
+    const std::int64_t seenBefore = newestRevision_.load();
+    BOOST_LEAF_AUTO(body, call("/v3/kv/range", Internal::rangeRequest(prefix), deadline, Internal::Connection::Reused));
+    auto answer = Internal::parseRangeAnswer(body);
+    if (!answer) {
+        return boost::leaf::new_error(malformedAnswer(body));
+    }
+    BOOST_LEAF_CHECK(checkFresh(answer->storeRevision, seenBefore));
+    return std::move(*answer);
+}
+
+boost::leaf::result<SwapResult>
+EtcdStore::compareAndSwap(std::string_view key, std::string_view value, std::int64_t expectedModRevision, Base::Duration deadline)
+{
+    if (value.size() > maxValueBytes) {
+        return boost::leaf::new_error(ValueTooLarge{value.size()});
+    }
+    // On a reused connection libcurl would send a write whose answer was lost a second time, and that one would report
+    // a conflict with the first.
+    const std::int64_t seenBefore = newestRevision_.load();
+    const std::string request = Internal::swapRequest(key, value, expectedModRevision);
+    BOOST_LEAF_AUTO(body, call("/v3/kv/txn", request, deadline, Internal::Connection::Fresh));
+    auto answer = Internal::parseSwapAnswer(body);
+    if (!answer) {
+        return boost::leaf::new_error(malformedAnswer(body));
+    }
+    BOOST_LEAF_CHECK(checkFresh(answer->storeRevision, seenBefore));
+    if (!answer->succeeded) {
+        answer->current.key = key;
+        return boost::leaf::new_error(SwapConflict{std::move(answer->current)});
+    }
+    return SwapResult{answer->storeRevision};
+}
+
+boost::leaf::result<WatchBatch> EtcdStore::watch(std::string_view prefix, std::int64_t afterRevision, Base::Duration deadline)
+{
+    bool created = false;
+    std::optional<Internal::WatchMessage> last;
+    std::string lastLine;
+    const auto sink = [&](std::string_view line) {
+        last = Internal::parseWatchMessage(line);
+        if (!last) {
+            lastLine = line;
+            return false;
+        }
+        created = created || last->created;
+        return !last->canceled && last->batch.changed.empty();
+    };
+    BOOST_LEAF_AUTO(answer, caller_.stream("/v3/watch", Internal::watchRequest(prefix, afterRevision), deadline, sink));
+    if (answer.end == Internal::StreamEnd::BySink && !last) {
+        return boost::leaf::new_error(malformedAnswer(lastLine));
+    }
+    if (last && last->canceled && last->compactRevision > 0) {
+        return boost::leaf::new_error(WatchCompacted{last->compactRevision});
+    }
+    if (answer.end == Internal::StreamEnd::BySink && !last->canceled) {
+        return std::move(last->batch);
+    }
+    if (answer.end == Internal::StreamEnd::ByDeadline && created) {
+        return WatchBatch{{}, afterRevision};
+    }
+    if (answer.status != 0) {
+        BOOST_LEAF_CHECK(checkStatus(answer.status, answer.rest));
+    }
+    return boost::leaf::new_error(StoreUnavailable{created ? "watch ended by the store" : "watch not created in time"});
+}
+
+boost::leaf::result<std::string> EtcdStore::call(const char *path, const std::string &request, Base::Duration deadline, Internal::Connection connection)
+{
+    BOOST_LEAF_AUTO(answer, caller_.post(path, request, std::min(deadline, callLimit_), connection));
+    BOOST_LEAF_CHECK(checkStatus(answer.status, answer.body));
+    return std::move(answer.body);
+}
+
+boost::leaf::result<void> EtcdStore::checkFresh(std::int64_t storeRevision, std::int64_t seenBefore)
+{
+    if (storeRevision < seenBefore) {
+        staleAnswers_.add();
+        return boost::leaf::new_error(StoreUnavailable{"answer older than an earlier one"});
+    }
+    std::int64_t newest = newestRevision_.load();
+    while (storeRevision > newest && !newestRevision_.compare_exchange_weak(newest, storeRevision)) {
+    }
+    return {};
+}
+
+} // namespace LaburnumFlow::Store
--- /dev/null
+++ b/src/libs/store/etcdwire.cpp
@@ -0,0 +1,225 @@
+#include "etcdwire.h"
+
+#include "base64.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace LaburnumFlow::Store::Internal {
+
+using nlohmann::json;
+
+namespace {
+
+/// The first key after all keys with the prefix; "\0" means no end.
+std::string rangeEnd(std::string_view prefix)
+{
+    std::string end(prefix);
+    while (!end.empty() && static_cast<unsigned char>(end.back()) == 0xFF) {
+        end.pop_back();
+    }
+    if (end.empty()) {
+        return std::string(1, '\0');
+    }
+    end.back() = static_cast<char>(static_cast<unsigned char>(end.back()) + 1U);
+    return end;
+}
+
+json prefixJson(std::string_view prefix)
+{
+    const std::string start = prefix.empty() ? std::string(1, '\0') : std::string(prefix);
+    return {{"key", encodeBase64(start)}, {"range_end", encodeBase64(rangeEnd(prefix))}};
+}
+
+std::optional<json> parseObject(std::string_view text)
+{
+    json parsed = json::parse(text, nullptr, false);
+    if (!parsed.is_object()) {
+        return std::nullopt;
+    }
+    return parsed;
+}
+
+const json &memberOf(const json &object, const char *name)
+{
+    static const json none;
+    const auto found = object.is_object() ? object.find(name) : object.end();
+    return object.is_object() && found != object.end() ? *found : none;
+}
+
+/// A number left out is 0. Returns nothing if it is neither a number nor the text of one.
+std::optional<std::int64_t> numberOf(const json &object, const char *name)
+{
+    const json &value = memberOf(object, name);
+    if (value.is_null()) {
+        return 0;
+    }
+    if (value.is_number_integer()) {
+        return value.get<std::int64_t>();
+    }
+    if (!value.is_string()) {
+        return std::nullopt;
+    }
+    const auto &text = value.get_ref<const std::string &>();
+    std::int64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+bool isTrue(const json &object, const char *name)
+{
+    const json &value = memberOf(object, name);
+    return value.is_boolean() && value.get<bool>();
+}
+
+std::optional<std::string> bytesOf(const json &object, const char *name)
+{
+    const json &value = memberOf(object, name);
+    if (value.is_null()) {
+        return std::string();
+    }
+    return value.is_string() ? decodeBase64(value.get_ref<const std::string &>()) : std::nullopt;
+}
+
+std::optional<KeyValue> parsePair(const json &object)
+{
+    auto key = bytesOf(object, "key");
+    auto value = bytesOf(object, "value");
+    const auto modRevision = numberOf(object, "mod_revision");
+    if (!key || key->empty() || !value || !modRevision || *modRevision <= 0) {
+        return std::nullopt;
+    }
+    return KeyValue{std::move(*key), std::move(*value), *modRevision};
+}
+
+std::optional<std::vector<KeyValue>> parsePairs(const json &object)
+{
+    const json &list = memberOf(object, "kvs");
+    std::vector<KeyValue> pairs;
+    if (!list.is_null() && !list.is_array()) {
+        return std::nullopt;
+    }
+    for (const json &item : list) {
+        auto pair = parsePair(item);
+        if (!pair) {
+            return std::nullopt;
+        }
+        pairs.push_back(std::move(*pair));
+    }
+    return pairs;
+}
+
+std::optional<std::int64_t> storeRevisionOf(const json &object)
+{
+    const auto revision = numberOf(memberOf(object, "header"), "revision");
+    return revision && *revision > 0 ? revision : std::nullopt;
+}
+
+bool readEvents(const json &list, WatchBatch &batch)
+{
+    for (const json &event : list) {
+        auto pair = parsePair(memberOf(event, "kv"));
+        if (!pair) {
+            return false;
+        }
+        // The message's own revision can be ahead of events not yet sent, so the watch goes on after the last event.
+        batch.storeRevision = std::max(batch.storeRevision, pair->modRevision);
+        if (memberOf(event, "type") == "DELETE") {
+            pair->modRevision = 0;
+        }
+        batch.changed.push_back(std::move(*pair));
+    }
+    return true;
+}
+
+} // namespace
+
+std::string rangeRequest(std::string_view prefix)
+{
+    return prefixJson(prefix).dump();
+}
+
+std::string swapRequest(std::string_view key, std::string_view value, std::int64_t expectedModRevision)
+{
+    const std::string encodedKey = encodeBase64(key);
+    const json compare = {{"key", encodedKey}, {"target", "MOD"}, {"result", "EQUAL"}, {"mod_revision", std::to_string(expectedModRevision)}};
+    const json put = {{"request_put", {{"key", encodedKey}, {"value", encodeBase64(value)}}}};
+    const json read = {{"request_range", {{"key", encodedKey}}}};
+    return json{{"compare", json::array({compare})}, {"success", json::array({put})}, {"failure", json::array({read})}}.dump();
+}
+
+std::string watchRequest(std::string_view prefix, std::int64_t afterRevision)
+{
+    json create = prefixJson(prefix);
+    create["start_revision"] = std::to_string(afterRevision + 1);
+    return json{{"create_request", std::move(create)}}.dump();
+}
+
+std::optional<RangeResult> parseRangeAnswer(std::string_view text)
+{
+    const auto answer = parseObject(text);
+    if (!answer) {
+        return std::nullopt;
+    }
+    auto pairs = parsePairs(*answer);
+    const auto revision = storeRevisionOf(*answer);
+    if (!pairs || !revision) {
+        return std::nullopt;
+    }
+    return RangeResult{std::move(*pairs), *revision};
+}
+
+std::optional<SwapAnswer> parseSwapAnswer(std::string_view text)
+{
+    const auto answer = parseObject(text);
+    const auto revision = answer ? storeRevisionOf(*answer) : std::nullopt;
+    if (!revision) {
+        return std::nullopt;
+    }
+    SwapAnswer swap{isTrue(*answer, "succeeded"), *revision, {}};
+    if (swap.succeeded) {
+        return swap;
+    }
+    const json &responses = memberOf(*answer, "responses");
+    if (!responses.is_array() || responses.size() != 1) {
+        return std::nullopt;
+    }
+    auto pairs = parsePairs(memberOf(responses.front(), "response_range"));
+    if (!pairs) {
+        return std::nullopt;
+    }
+    if (!pairs->empty()) {
+        swap.current = std::move(pairs->front());
+    }
+    return swap;
+}
+
+std::optional<WatchMessage> parseWatchMessage(std::string_view line)
+{
+    const auto parsed = parseObject(line);
+    if (!parsed || !memberOf(*parsed, "result").is_object()) {
+        return std::nullopt;
+    }
+    const json &result = memberOf(*parsed, "result");
+    const auto compactRevision = numberOf(result, "compact_revision");
+    WatchMessage message{isTrue(result, "created"), isTrue(result, "canceled"), compactRevision.value_or(0), {}};
+    if (!compactRevision || !readEvents(memberOf(result, "events"), message.batch)) {
+        return std::nullopt;
+    }
+    return message;
+}
+
+std::string errorDetail(std::string_view text)
+{
+    constexpr std::size_t shown = 200;
+    const auto parsed = parseObject(text);
+    const json &message = parsed ? memberOf(*parsed, "message") : json();
+    return message.is_string() ? message.get<std::string>() : std::string(text.substr(0, shown));
+}
+
+} // namespace LaburnumFlow::Store::Internal
--- /dev/null
+++ b/src/libs/store/httpcaller.cpp
@@ -0,0 +1,185 @@
+#include "httpcaller.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+
+namespace LaburnumFlow::Store::Internal {
+
+namespace {
+
+constexpr std::size_t maxIdleHandles = 4; ///< the store client, a watch and a few operators' calls at a time
+
+/// 48 teams with values of 1 MB each, in base64, with room for as many again.
+constexpr std::size_t maxAnswerBytes = 128UL * 1024UL * 1024UL;
+
+struct HeaderList {
+    HeaderList()
+    {
+        list = curl_slist_append(nullptr, "Content-Type: application/json");
+        // Without this, libcurl holds back larger bodies for up to a second, waiting for "100 Continue".
+        list = curl_slist_append(list, "Expect:");
+    }
+
+    ~HeaderList()
+    {
+        curl_slist_free_all(list);
+    }
+
+    HeaderList(const HeaderList &) = delete;
+    HeaderList &operator=(const HeaderList &) = delete;
+
+    curl_slist *list = nullptr;
+};
+
+void initializeCurl()
+{
+    static std::once_flag once;
+    std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+}
+
+} // namespace
+
+struct HttpCaller::Handle {
+    Handle() : curl(curl_easy_init()) { }
+
+    ~Handle()
+    {
+        curl_easy_cleanup(curl);
+    }
+
+    Handle(const Handle &) = delete;
+    Handle &operator=(const Handle &) = delete;
+
+    CURL *curl;
+};
+
+/// What the write callback collects for one call.
+struct HttpCaller::Call {
+    CURL *curl = nullptr;
+    const LineSink *sink = nullptr; ///< none: the whole body is collected
+    std::string body;
+    int status = 0;
+    bool endedBySink = false;
+
+    bool receive(std::string_view data)
+    {
+        long code = 0;
+        curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &code);
+        status = static_cast<int>(code);
+        if (body.size() + data.size() > maxAnswerBytes) {
+            return false;
+        }
+        body.append(data);
+        return sink == nullptr || code != 200 || passLines();
+    }
+
+    bool passLines()
+    {
+        std::size_t start = 0;
+        for (std::size_t end = body.find('\n'); end != std::string::npos; end = body.find('\n', start)) {
+            if (!(*sink)(std::string_view(body).substr(start, end - start))) {
+                endedBySink = true;
+                return false;
+            }
+            start = end + 1;
+        }
+        body.erase(0, start);
+        return true;
+    }
+
+    static std::size_t write(char *data, std::size_t size, std::size_t count, void *call)
+    {
+        return static_cast<Call *>(call)->receive({data, size * count}) ? size * count : 0;
+    }
+};
+
+HttpCaller::HttpCaller(const Base::Endpoint &server) : server_("http://" + server.address + ":" + std::to_string(server.port))
+{
+    initializeCurl();
+}
+
+HttpCaller::~HttpCaller() = default;
+
+std::unique_ptr<HttpCaller::Handle> HttpCaller::acquire()
+{
+    const std::lock_guard lock(mutex_);
+    if (idle_.empty()) {
+        return std::make_unique<Handle>();
+    }
+    std::unique_ptr<Handle> handle = std::move(idle_.back());
+    idle_.pop_back();
+    return handle;
+}
+
+void HttpCaller::release(std::unique_ptr<Handle> handle)
+{
+    const std::lock_guard lock(mutex_);
+    if (idle_.size() < maxIdleHandles) {
+        idle_.push_back(std::move(handle));
+    }
+}
+
+int HttpCaller::perform(Call &call, const char *path, const std::string &body, Base::Duration deadline, Connection connection)
+{
+    const long timeoutMs = static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(deadline).count());
+    std::unique_ptr<Handle> handle = timeoutMs > 0 ? acquire() : nullptr;
+    if (handle == nullptr) {
+        return CURLE_OPERATION_TIMEDOUT;
+    }
+    const HeaderList headers;
+    const std::string url = server_ + path;
+    CURL *curl = handle->curl;
+    call.curl = curl;
+    curl_easy_reset(curl);
+    curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers.list);
+    curl_easy_setopt(curl, CURLOPT_POST, 1L);
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body.data());
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body.size()));
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &Call::write);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &call);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, timeoutMs);
+    curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    // The store is reached directly, whatever proxies the environment names.
+    curl_easy_setopt(curl, CURLOPT_PROXY, "");
+    curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, connection == Connection::Fresh ? 1L : 0L);
+    const CURLcode code = curl_easy_perform(curl);
+    if (code == CURLE_OK) {
+        long status = 0;
+        curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+        call.status = static_cast<int>(status);
+        // A handle is dropped after an error, and its connections with it, as a silent connection stays silent.
+        release(std::move(handle));
+    }
+    return code;
+}
+
+boost::leaf::result<HttpAnswer> HttpCaller::post(const char *path, const std::string &body, Base::Duration deadline, Connection connection)
+{
+    Call call;
+    const int code = perform(call, path, body, deadline, connection);
+    if (code != CURLE_OK) {
+        return boost::leaf::new_error(StoreUnavailable{curl_easy_strerror(static_cast<CURLcode>(code))});
+    }
+    return HttpAnswer{call.status, std::move(call.body)};
+}
+
+boost::leaf::result<StreamAnswer> HttpCaller::stream(const char *path, const std::string &body, Base::Duration deadline, const LineSink &sink)
+{
+    Call call;
+    call.sink = &sink;
+    const int code = perform(call, path, body, deadline, Connection::Reused);
+    if (call.endedBySink) {
+        return StreamAnswer{StreamEnd::BySink, call.status, {}};
+    }
+    if (code == CURLE_OPERATION_TIMEDOUT) {
+        return StreamAnswer{StreamEnd::ByDeadline, call.status, std::move(call.body)};
+    }
+    if (code != CURLE_OK) {
+        return boost::leaf::new_error(StoreUnavailable{curl_easy_strerror(static_cast<CURLcode>(code))});
+    }
+    return StreamAnswer{StreamEnd::ByServer, call.status, std::move(call.body)};
+}
+
+} // namespace LaburnumFlow::Store::Internal
--- a/src/libs/store/settingsservice.h
+++ b/src/libs/store/settingsservice.h
@@ -6,7 +6,9 @@
 
 #include <boost/leaf.hpp>
 
+#include <condition_variable>
 #include <cstdint>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,6 +16,10 @@
 
 namespace LaburnumFlow::Store {
 
+namespace Internal {
+struct SettingsChange;
+} // namespace Internal
+
 /// Another operator changed the subtree meanwhile.
 struct SettingsConflict {
     StoredSettings current;
@@ -37,13 +43,14 @@
     /// The stored subtree, or nothing if the team has none. Fails with the store's errors or MalformedValue.
     boost::leaf::result<std::optional<StoredSettings>> get(std::string_view team);
 
-    /// All subtrees, root included.
+    /// All subtrees, root included. Fails with the store's errors or MalformedValue.
     boost::leaf::result<std::vector<StoredSettings>> list();
 
     /// Checks the text, then replaces the subtree if its revision equals expectedRevision (0: it must not exist); the
-    /// new revision is one higher. A lost answer is settled by reading back changeId. Fails with
-    /// Settings::SettingsFaults, SettingsConflict, ChangeUndecided, StoreUnavailable (certainly not written),
-    /// StoreRefused, BudgetExhausted or ValueTooLarge.
+    /// new revision is one higher. A lost answer is settled by reading back changeId, within settingsLimit. A call that
+    /// repeats a changeId with the same text returns the change as it was made; an empty changeId is replaced by a new
+    /// one. Fails with Settings::SettingsFaults, SettingsConflict (revision 0 if there is no subtree), ChangeUndecided,
+    /// StoreUnavailable (certainly not written), StoreRefused, BudgetExhausted, ValueTooLarge or MalformedValue.
     boost::leaf::result<StoredSettings>
     set(std::string_view team, std::string_view yaml, std::uint64_t expectedRevision, std::string_view changeId, std::string_view author);
 
@@ -51,8 +58,17 @@
     boost::leaf::result<StoredSettings>
     rollback(std::string_view team, std::uint64_t toRevision, std::uint64_t expectedRevision, std::string_view changeId, std::string_view author);
 
+    /// Ends the pauses of calls that look for a lost write, now and later; they then report what they know. For shutdown.
+    void stop();
+
 private:
+    boost::leaf::result<StoredSettings> settle(const Internal::SettingsChange &change, const StoredSettings &wanted, std::int64_t expectedModRevision);
+    bool pause(Base::Duration duration);
+
     PlatformStore &store_;
+    std::mutex mutex_;
+    std::condition_variable stopped_;
+    bool stopping_ = false;
 };
 
 } // namespace LaburnumFlow::Store
