--- /dev/null
+++ b/src/libs/cluster/agents.cpp
@@ -0,0 +1,244 @@
+#include "agents.h"
+
+#include "clusterconstants.h"
+#include "ownership.h"
+#include "steps.h"
+#include "takeover.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace LaburnumFlow::Cluster {
+
+namespace Internal {
+
+namespace {
+
+/// Leases that were renewed by an echo received by the agent end by then.
+Base::MonoTime fencedFrom(const AgentInfo &agent)
+{
+    return agent.lastEchoedTokenReceivedAt + Protocol::leaseTime + Protocol::leaseMargin;
+}
+
+bool mayEcho(const ClusterState &state, const AgentInfo &agent)
+{
+    return agent.linkUp || state.now - agent.linkDownSince <= echoAfterLinkLoss;
+}
+
+bool heard(const ClusterState &state, const AgentInfo &agent)
+{
+    return state.now - agent.tokenReceivedAt < Protocol::agentQuietLimit;
+}
+
+void noteToken(const ClusterState &state, AgentInfo &agent, const Protocol::ClockToken &token)
+{
+    if (token.agentIncarnation != agent.id.incarnation || token.agentMonoUs <= agent.token.agentMonoUs) {
+        return;
+    }
+    agent.token = token;
+    agent.tokenReceivedAt = state.now;
+    if (mayEcho(state, agent)) {
+        // Counted as echoed at once, since a start may carry it before the next EntryHello.
+        agent.lastEchoedToken = token;
+        agent.lastEchoedTokenReceivedAt = state.now;
+        agent.fenced = false;
+    }
+}
+
+void updateUsable(const ClusterState &state, Step &step, AgentInfo &agent)
+{
+    const bool usable = agent.linkUp && heard(state, agent) && !agent.fenced;
+    if (usable == agent.usable) {
+        return;
+    }
+    agent.usable = usable;
+    if (usable) {
+        step.changes.emplace_back(AgentUsable{agent.id.name});
+        log(step, "agent-usable", {{"agent", agent.id.name}});
+    } else {
+        count(step, agent.linkUp ? "agents.suspect-silent" : "agents.suspect-link-down");
+        step.changes.emplace_back(AgentSuspect{agent.id.name});
+        log(step, "agent-suspect", {{"agent", agent.id.name}, {"reason", agent.linkUp ? "silent" : "link-down"}});
+    }
+}
+
+/// The former process's ledger is gone, and its attempts are lost once their leases have ended.
+void retireProcess(ClusterState &state, Step &step, AgentInfo &agent)
+{
+    count(step, "agents.restarted");
+    log(step, "agent-restarted", {{"agent", agent.id.name}, {"former", std::to_string(agent.id.incarnation)}});
+    state.ledgerLostAt = state.wall;
+    fenceLinkLost(state, agent.id.name);
+    if (state.takeover) {
+        state.takeover->agentsAsked.erase(agent.id.name);
+        state.takeover->agentsAnswered.erase(agent.id.name);
+    }
+    if (!agent.fenced) {
+        state.formerAgents.push_back({agent.id, fencedFrom(agent)});
+    }
+    if (agent.usable) {
+        step.changes.emplace_back(AgentSuspect{agent.id.name});
+    }
+    step.effects.emplace_back(Events::DisconnectAgent{agent.id.name});
+}
+
+AgentInfo *agentFor(ClusterState &state, Step &step, const Protocol::AgentHeartbeat &heartbeat)
+{
+    AgentInfo &agent = state.agents[heartbeat.from.name];
+    if (agent.id == heartbeat.from) {
+        return &agent;
+    }
+    if (contains(agent.formerIncarnations, heartbeat.from.incarnation)) {
+        count(step, "agents.former-incarnation");
+        return nullptr;
+    }
+    std::vector<std::uint64_t> former = std::move(agent.formerIncarnations);
+    if (!agent.id.name.empty()) {
+        retireProcess(state, step, agent);
+        rememberIncarnation(former, agent.id.incarnation, formerIncarnationsKept);
+    }
+    agent = AgentInfo{};
+    agent.id = heartbeat.from;
+    agent.linkDownSince = state.now;
+    agent.formerIncarnations = std::move(former);
+    count(step, "agents.known");
+    log(step, "agent-known", {{"agent", agent.id.name}, {"incarnation", std::to_string(agent.id.incarnation)}, {"worker", heartbeat.worker}});
+    return &agent;
+}
+
+void answer(const ClusterState &state, Step &step, const AgentInfo &agent)
+{
+    Protocol::EntryHello hello;
+    hello.from = state.self.id;
+    hello.mapEpoch = state.map ? state.map->epoch : 0;
+    hello.echo = agent.lastEchoedToken;
+    if (state.map) {
+        for (const Protocol::EntryRecord &entry : state.map->entries) {
+            hello.entries.push_back(entry.peer);
+        }
+    }
+    if (std::find(hello.entries.begin(), hello.entries.end(), state.self.peer) == hello.entries.end()) {
+        hello.entries.push_back(state.self.peer);
+    }
+    step.effects.emplace_back(Events::SendDatagram{agent.udp, std::move(hello)});
+}
+
+void update(AgentInfo &agent, const Protocol::AgentHeartbeat &heartbeat)
+{
+    agent.tcp = heartbeat.tcp;
+    agent.udp = heartbeat.udp;
+    agent.failureDomain = heartbeat.failureDomain;
+    agent.worker = heartbeat.worker;
+    agent.kinds = heartbeat.kinds;
+    agent.load = heartbeat.load;
+    agent.state = heartbeat.state;
+}
+
+void fenceSilent(ClusterState &state, Step &step, AgentInfo &agent)
+{
+    if (agent.fenced || state.now < fencedFrom(agent)) {
+        return;
+    }
+    agent.fenced = true;
+    updateUsable(state, step, agent);
+    count(step, "agents.fenced");
+    log(step, "agent-fenced", {{"agent", agent.id.name}, {"incarnation", std::to_string(agent.id.incarnation)}});
+    step.changes.emplace_back(AgentFenced{agent.id});
+}
+
+void fenceFormer(ClusterState &state, Step &step)
+{
+    std::erase_if(state.formerAgents, [&](const FormerAgent &former) {
+        if (state.now < former.fencedFrom) {
+            return false;
+        }
+        count(step, "agents.fenced-former");
+        step.changes.emplace_back(AgentFenced{former.id});
+        return true;
+    });
+}
+
+void forgetSilent(ClusterState &state, Step &step)
+{
+    std::erase_if(state.agents, [&](const auto &each) {
+        const AgentInfo &agent = each.second;
+        if (!agent.fenced || state.now - agent.tokenReceivedAt <= agentForgetAfter) {
+            return false;
+        }
+        log(step, "agent-forgotten", {{"agent", agent.id.name}});
+        step.effects.emplace_back(Events::DisconnectAgent{agent.id.name});
+        return true;
+    });
+}
+
+} // namespace
+
+void handleAgentHeartbeat(ClusterState &state, Step &step, const Protocol::AgentHeartbeat &heartbeat)
+{
+    AgentInfo *agent = agentFor(state, step, heartbeat);
+    if (agent == nullptr) {
+        return;
+    }
+    if (heartbeat.token.agentMonoUs <= agent->token.agentMonoUs) {
+        // A reply on the link came first. The echo is due all the same, as it renews leases.
+        count(step, "agents.heartbeat-out-of-order");
+        answer(state, step, *agent);
+        return;
+    }
+    if (agent->state != heartbeat.state) {
+        log(step, "agent-state", {{"agent", agent->id.name}, {"state", std::string(Protocol::toString(heartbeat.state))}});
+    }
+    update(*agent, heartbeat);
+    noteToken(state, *agent, heartbeat.token);
+    updateUsable(state, step, *agent);
+    answer(state, step, *agent);
+    if (!agent->linkUp) {
+        step.effects.emplace_back(Events::ConnectAgent{agent->id, agent->tcp});
+    }
+}
+
+void handleAgentLink(ClusterState &state, Step &step, const Events::AgentLinkChanged &change)
+{
+    const auto found = state.agents.find(change.agent.name);
+    if (found == state.agents.end() || found->second.id != change.agent || found->second.linkUp == change.up) {
+        return;
+    }
+    AgentInfo &agent = found->second;
+    agent.linkUp = change.up;
+    if (!change.up) {
+        agent.linkDownSince = state.now;
+        fenceLinkLost(state, change.agent.name);
+    }
+    updateUsable(state, step, agent);
+}
+
+void noteAgentReply(ClusterState &state, const Base::ProcessId &id, const Protocol::ClockToken &token, const Protocol::AgentLoad *load)
+{
+    const auto found = state.agents.find(id.name);
+    if (found == state.agents.end() || found->second.id != id) {
+        return;
+    }
+    noteToken(state, found->second, token);
+    if (load != nullptr) {
+        found->second.load = *load;
+    }
+}
+
+void agentsTick(ClusterState &state, Step &step)
+{
+    for (auto &[name, agent] : state.agents) {
+        updateUsable(state, step, agent);
+        fenceSilent(state, step, agent);
+    }
+    fenceFormer(state, step);
+    forgetSilent(state, step);
+}
+
+} // namespace Internal
+
+bool acceptsWork(const ClusterState &state, const AgentInfo &agent)
+{
+    return agent.state == Protocol::AgentState::Active && agent.linkUp && !agent.fenced && Internal::heard(state, agent);
+}
+
+} // namespace LaburnumFlow::Cluster
--- a/src/libs/cluster/cluster.h
+++ b/src/libs/cluster/cluster.h
@@ -59,7 +59,8 @@
     std::vector<Protocol::Partition> partitions;
 };
 
-/// A graceful leave: the map without this entry stands. Dispatch gives its records by ledgerFor().
+/// This entry, leaving or not, was the owner until the present map. Dispatch gives its records by ledgerFor(); the
+/// PartitionsLost for the same partitions follows.
 struct HandoverDue {
     std::string newOwner;
     std::vector<Protocol::Partition> partitions;
--- a/src/libs/cluster/clusterstate.h
+++ b/src/libs/cluster/clusterstate.h
@@ -32,6 +32,15 @@
     bool linkUp = false;
     Base::MonoTime linkDownSince{};
     bool fenced = false; ///< leases of all attempts there have ended; AgentFenced was emitted
+    bool usable = false; ///< AgentUsable was emitted, and no AgentSuspect since
+    Protocol::ClockToken lastEchoedToken;
+    std::vector<std::uint64_t> formerIncarnations; ///< delayed heartbeats of these are ignored
+};
+
+/// An agent's process that a later one has replaced.
+struct FormerAgent {
+    Base::ProcessId id;
+    Base::MonoTime fencedFrom{}; ///< all its leases have ended from then on
 };
 
 /// What this entry knows of another entry.
@@ -43,8 +52,17 @@
     std::int64_t lastSentMonoUs = 0; ///< newest sentMonoUs received, to be echoed
     Base::MonoTime heardAt{}; ///< last heartbeat received
     Base::MonoTime echoedAt{}; ///< newest time of the own clock that the peer has echoed
+    Base::MonoTime watchedSince{}; ///< silence before this time does not count as missing
     bool leaving = false;
     bool linkUp = false;
+    Base::MonoTime linkDownSince{};
+    std::vector<std::uint64_t> formerIncarnations; ///< delayed heartbeats of these are ignored
+};
+
+/// The highest epoch that an entry's process is known to have adopted.
+struct Acknowledgement {
+    Protocol::Epoch epoch = 0;
+    Base::Endpoint peer;
 };
 
 /// Progress of a takeover of partitions by this entry.
@@ -56,6 +74,16 @@
     std::optional<Base::MonoTime> acknowledgedAt; ///< last needed acknowledgement
     std::set<std::string> agentsAsked;
     std::set<std::string> agentsAnswered;
+    std::map<std::string, std::vector<Protocol::AttemptRecord>, std::less<>> recovered; ///< by agent, reported at the end
+    bool formerProcessEnded = false; ///< the former owner was on an embedded store, so no authority is left to wait for
+};
+
+/// Partitions that this entry no longer owns and whose ledger goes to the new owner.
+struct Handover {
+    Protocol::Epoch epoch = 0;
+    std::vector<Protocol::Partition> partitions;
+    Base::MonoTime since{};
+    bool sent = false; ///< HandoverDue and PartitionsLost were reported
 };
 
 /// What an owner may do with a partition at the moment.
@@ -69,7 +97,8 @@
 /// For ids older than a takeover: whether an id that no agent reported is known to be fresh.
 struct TakeoverRecord {
     Base::WallTime at{};
-    bool complete = false; ///< every agent of the last membership answered
+    bool complete = false; ///< every known agent answered
+    Base::WallTime freshFrom{}; ///< agents that ran older ids may have gone before this entry could ask them
 };
 
 /// Everything that cluster owns. Made by initialState() in cluster.h.
@@ -79,6 +108,7 @@
     bool embeddedStore = false;
     Base::MonoTime now{};
     Base::WallTime wall{};
+    std::optional<Base::WallTime> startedWall; ///< wall time of the first TimePassed
     std::mt19937_64 random;
 
     std::optional<Protocol::PartitionMap> map;
@@ -88,17 +118,26 @@
     bool storeCallPending = false;
     Base::MonoTime nextStoreRead{};
     std::optional<Protocol::PartitionMap> mapWritePending;
+    bool mapWriteUndecided = false; ///< the answer to mapWritePending was lost; the next read settles it
+    std::optional<Base::MonoTime> joinWantedSince;
+    bool everMember = false; ///< a map has listed this incarnation
+    std::set<std::string> confirmDead; ///< "name/incarnation" that an operator confirmed as dead, not yet in the map
 
     std::map<std::string, PeerInfo, std::less<>> peers; ///< by name, without self
     std::map<std::string, AgentInfo, std::less<>> agents; ///< by name
-    std::map<std::string, Protocol::Epoch, std::less<>> acknowledged; ///< by entry name: highest epoch acknowledged
-    std::map<std::string, std::uint64_t, std::less<>> acknowledgedIncarnation;
+    std::map<Base::ProcessId, Acknowledgement> acknowledged;
+    std::vector<FormerAgent> formerAgents; ///< not yet fenced
+    std::optional<Base::WallTime> agentsKnownFrom; ///< this entry was listed in a map, so agents announce themselves to it
+    Base::WallTime ledgerLostAt{}; ///< when an agent was last seen replaced by a new process, whose ledger starts empty
 
-    std::optional<Takeover> takeover;
-    std::set<Protocol::Partition> awaitingHandover;
+    std::optional<Takeover> takeover; ///< of the current map; its partitions may be empty
+    std::map<std::string, Handover, std::less<>> handovers; ///< by new owner, until acknowledged
+    std::map<std::string, std::vector<Protocol::LedgerRecord>, std::less<>> handoverParts; ///< received, by former owner
     std::map<Protocol::Partition, TakeoverRecord> takeovers; ///< newest takeover of each owned partition
     bool leaving = false;
-    bool left = false; ///< the map without this entry stands
+    Base::MonoTime leaveRequestedAt{};
+    bool left = false; ///< nothing is left to hand over, or the bounded wait for it is over
+    bool suspended = false; ///< as last logged
     Base::MonoTime nextHeartbeat{};
 
     std::map<std::string, Protocol::SettingsSubtree, std::less<>> subtrees; ///< by team, "" is the root
--- /dev/null
+++ b/src/libs/cluster/mapadoption.cpp
@@ -0,0 +1,134 @@
+#include "mapadoption.h"
+
+#include "clusterconstants.h"
+#include "handover.h"
+#include "mapstore.h"
+#include "ownership.h"
+#include "peers.h"
+#include "steps.h"
+#include "takeover.h"
+
+#include <algorithm>
+#include <set>
+
+namespace LaburnumFlow::Cluster::Internal {
+
+namespace {
+
+using Partitions = std::vector<Protocol::Partition>;
+
+struct Difference {
+    std::set<Protocol::Partition> recovering; ///< owned, but another entry may have acted as the owner before
+    Partitions lost; ///< were served by this entry
+    Partitions elsewhere; ///< neither map lists this entry as the owner, and the owner changed
+};
+
+Difference difference(const ClusterState &state, const std::optional<Protocol::PartitionMap> &old, const Protocol::PartitionMap &map)
+{
+    Difference result;
+    const Base::ProcessId &self = state.self.id;
+    for (Protocol::Partition partition = 0; partition < Protocol::partitionCount; ++partition) {
+        const bool was = old && owns(*old, self, partition);
+        const bool is = owns(map, self, partition);
+        const bool kept = was && is && heldThroughout(*old, map, self, partition);
+        const bool recovered = state.takeover && state.takeover->partitions.contains(partition);
+        if (is && (!kept || recovered)) {
+            result.recovering.insert(partition);
+        }
+        if (was && !kept && !recovered) {
+            result.lost.push_back(partition);
+        }
+        if (!was && !is) {
+            const Protocol::EntryRecord *before = old ? ownerRecord(*old, partition) : nullptr;
+            const Protocol::EntryRecord *after = ownerRecord(map, partition);
+            if (after != nullptr && (before == nullptr || before->id != after->id)) {
+                result.elsewhere.push_back(partition);
+            }
+        }
+    }
+    return result;
+}
+
+/// True if the store never held a map before, so that nobody can have been an owner.
+bool isFirstStart(const ClusterState &state, const std::optional<Protocol::PartitionMap> &old, const Protocol::PartitionMap &map)
+{
+    return !old && !state.embeddedStore && state.mapWritePending && state.mapWritePending->writeId == map.writeId && map.unfenced.empty();
+}
+
+bool listed(const Protocol::PartitionMap &map, const std::string &dead)
+{
+    const auto isDead = [&](const Protocol::EntryRecord &entry) { return deadName(entry.id) == dead; };
+    return std::any_of(map.entries.begin(), map.entries.end(), isDead) || std::any_of(map.unfenced.begin(), map.unfenced.end(), [&](const auto &set) {
+               return std::any_of(set.entries.begin(), set.entries.end(), isDead);
+           });
+}
+
+void forgetSettled(ClusterState &state, const Protocol::PartitionMap &map)
+{
+    std::erase_if(state.confirmDead, [&](const std::string &dead) {
+        return !listed(map, dead) || std::find(map.confirmedDead.begin(), map.confirmedDead.end(), dead) != map.confirmedDead.end();
+    });
+    if (map.unfenced.empty()) {
+        std::erase_if(state.acknowledged, [&](const auto &each) { return !isMember(map, each.first); });
+    }
+}
+
+void noteMembership(ClusterState &state, const Protocol::PartitionMap &map)
+{
+    watchMembers(state, map);
+    noteAcknowledgement(state, state.self, map.epoch);
+    forgetSettled(state, map);
+    if (isMember(map, state.self.id)) {
+        state.everMember = true;
+        state.joinWantedSince.reset();
+        if (!state.agentsKnownFrom) {
+            // Agents announce themselves within a few heartbeats once entries list this one to them.
+            state.agentsKnownFrom = state.wall + std::chrono::duration_cast<Base::WallTime>(Protocol::agentQuietLimit);
+        }
+    }
+}
+
+void takeOver(ClusterState &state, Step &step, Difference &change, bool firstStart)
+{
+    if (firstStart) {
+        step.changes.emplace_back(PartitionsGained{Partitions(change.recovering.begin(), change.recovering.end())});
+        change.recovering.clear();
+    }
+    const bool formerProcessEnded = state.embeddedStore && state.map->entries.size() == 1 && state.map->unfenced.empty();
+    beginTakeover(state, step, std::move(change.recovering), formerProcessEnded);
+}
+
+} // namespace
+
+void adoptMap(ClusterState &state, Step &step, const Protocol::PartitionMap &map)
+{
+    Difference change = difference(state, state.map, map);
+    const bool firstStart = isFirstStart(state, state.map, map);
+    const bool direct = state.map && map.epoch == state.map->epoch + 1;
+    state.map = map;
+    noteMembership(state, map);
+
+    count(step, "map.adopted");
+    log(step, "map-changed", {{"epoch", std::to_string(map.epoch)}, {"entries", std::to_string(map.entries.size())}, {"writeId", map.writeId}});
+    for (const auto &[name, peer] : state.peers) {
+        if (peer.linkUp) {
+            announceMap(state, step, name);
+        }
+    }
+    beginHandovers(state, step, change.lost, direct);
+    takeOver(state, step, change, firstStart);
+    if (!change.elsewhere.empty()) {
+        step.changes.emplace_back(OwnerChanged{std::move(change.elsewhere)});
+    }
+}
+
+void refreshMap(ClusterState &state, Step &step, const Protocol::PartitionMap &map)
+{
+    if (map.unfenced.empty() && !state.map->unfenced.empty()) {
+        log(step, "map-fenced", {{"epoch", std::to_string(map.epoch)}});
+    }
+    state.map = map;
+    forgetSettled(state, map);
+}
+
+} // namespace LaburnumFlow::Cluster::Internal
--- /dev/null
+++ b/src/libs/cluster/mapstore.cpp
@@ -0,0 +1,146 @@
+#include "mapstore.h"
+
+#include "clusterconstants.h"
+#include "mapadoption.h"
+#include "mapproposal.h"
+#include "ownership.h"
+#include "steps.h"
+
+#include <algorithm>
+
+namespace LaburnumFlow::Cluster::Internal {
+
+namespace {
+
+void confirm(ClusterState &state, Base::MonoTime sentAt, std::int64_t modRevision)
+{
+    state.mapConfirmed = true;
+    state.confirmedAt = std::max(state.confirmedAt, sentAt);
+    state.mapModRevision = modRevision;
+}
+
+/// True if the store's map is known afterwards and the present one is confirmed by it.
+bool takeStored(ClusterState &state, Step &step, const Protocol::PartitionMap &map, std::int64_t modRevision)
+{
+    if (!state.map || map.epoch > state.map->epoch) {
+        adoptMap(state, step, map);
+        return true;
+    }
+    if (map.epoch < state.map->epoch) {
+        count(step, "map.older-ignored");
+        return false;
+    }
+    if (modRevision > state.mapModRevision) {
+        refreshMap(state, step, map);
+    }
+    return modRevision >= state.mapModRevision;
+}
+
+void write(ClusterState &state, Step &step, Protocol::PartitionMap map, std::int64_t expectedModRevision)
+{
+    count(step, "map.proposed");
+    state.mapWriteUndecided = false;
+    step.effects.emplace_back(Events::WriteMap{map, expectedModRevision});
+    state.mapWritePending = std::move(map);
+}
+
+void propose(ClusterState &state, Step &step, const Events::MapRead &read)
+{
+    if (state.mapWritePending) {
+        return;
+    }
+    if (read.map) {
+        if (std::optional<Protocol::PartitionMap> next = nextMap(state, *read.map)) {
+            write(state, step, std::move(*next), read.modRevision);
+        }
+    } else if (!state.leaving) {
+        write(state, step, firstMap(state), 0);
+    }
+}
+
+/// A write whose answer was lost has taken effect if its id is read back. Otherwise it is given up: should it still
+/// take effect later, it is read like another entry's map.
+void settleWrite(ClusterState &state, Step &step, const Events::MapRead &read)
+{
+    if (!state.mapWritePending || !state.mapWriteUndecided) {
+        return;
+    }
+    const bool written = read.map && read.map->writeId == state.mapWritePending->writeId;
+    count(step, written ? "map.write-settled" : "map.write-lost");
+    state.mapWritePending.reset();
+    state.mapWriteUndecided = false;
+}
+
+} // namespace
+
+void storeTick(ClusterState &state, Step &step)
+{
+    if (state.storeCallPending || state.now < state.nextStoreRead) {
+        return;
+    }
+    state.storeCallPending = true;
+    state.nextStoreRead = state.now + Protocol::storeReadInterval;
+    step.effects.emplace_back(Events::ReadMap{});
+}
+
+void handleMapRead(ClusterState &state, Step &step, const Events::MapRead &read)
+{
+    state.storeCallPending = false;
+    if (!read.ok) {
+        count(step, "map.read-failed");
+        return;
+    }
+    if (read.map) {
+        if (!takeStored(state, step, *read.map, read.modRevision)) {
+            return;
+        }
+        confirm(state, read.sentAt, read.modRevision);
+    }
+    settleWrite(state, step, read);
+    propose(state, step, read);
+}
+
+void handleMapWritten(ClusterState &state, Step &step, const Events::MapWritten &written)
+{
+    switch (written.outcome) {
+    case Events::SwapOutcome::Written:
+        if (takeStored(state, step, written.map, written.modRevision)) {
+            confirm(state, written.sentAt, written.modRevision);
+        }
+        break;
+    case Events::SwapOutcome::Conflict:
+        count(step, "map.write-conflict");
+        break;
+    case Events::SwapOutcome::Refused:
+        count(step, "map.write-refused");
+        break;
+    case Events::SwapOutcome::Undecided:
+        count(step, "map.write-undecided");
+        state.mapWriteUndecided = true;
+        state.nextStoreRead = state.now;
+        return;
+    }
+    state.mapWritePending.reset();
+    state.mapWriteUndecided = false;
+    state.nextStoreRead = state.now;
+}
+
+void handleMapAnnounce(ClusterState &state, Step &step, const Base::ProcessId &from, const Protocol::MapAnnounce &announce)
+{
+    if (!state.map || announce.map.epoch > state.map->epoch) {
+        adoptMap(state, step, announce.map);
+        state.mapModRevision = 0;
+    } else if (announce.map.epoch < state.map->epoch) {
+        announceMap(state, step, from.name);
+    }
+    step.effects.emplace_back(Events::SendPeer{from.name, Protocol::MapAck{state.self.id, state.self.peer, state.map->epoch}});
+}
+
+void announceMap(const ClusterState &state, Step &step, const std::string &peer)
+{
+    if (state.map) {
+        step.effects.emplace_back(Events::SendPeer{peer, Protocol::MapAnnounce{*state.map}});
+    }
+}
+
+} // namespace LaburnumFlow::Cluster::Internal
--- /dev/null
+++ b/src/libs/cluster/ownership.cpp
@@ -0,0 +1,134 @@
+#include "ownership.h"
+
+#include "cluster.h"
+#include "clusterconstants.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace LaburnumFlow::Cluster {
+
+namespace Internal {
+
+std::uint16_t rendezvousOwner(std::span<const Protocol::EntryRecord> entries, Protocol::Partition partition)
+{
+    std::uint16_t best = 0;
+    XXH64_hash_t bestWeight = 0;
+    for (std::uint16_t i = 0; i < entries.size(); ++i) {
+        const std::string &name = entries[i].id.name;
+        const XXH64_hash_t weight = XXH64(name.data(), name.size(), partition);
+        if (i == 0 || weight > bestWeight || (weight == bestWeight && name < entries[best].id.name)) {
+            best = i;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+void assignOwners(Protocol::PartitionMap &map)
+{
+    for (Protocol::Partition partition = 0; partition < Protocol::partitionCount; ++partition) {
+        map.owner[partition] = rendezvousOwner(map.entries, partition);
+    }
+}
+
+const Protocol::EntryRecord *ownerRecord(const Protocol::PartitionMap &map, Protocol::Partition partition)
+{
+    if (partition >= Protocol::partitionCount || map.owner[partition] >= map.entries.size()) {
+        return nullptr;
+    }
+    return &map.entries[map.owner[partition]];
+}
+
+bool owns(const Protocol::PartitionMap &map, const Base::ProcessId &id, Protocol::Partition partition)
+{
+    const Protocol::EntryRecord *owner = ownerRecord(map, partition);
+    return owner != nullptr && owner->id == id;
+}
+
+const Protocol::EntryRecord *memberNamed(const Protocol::PartitionMap &map, std::string_view name)
+{
+    const auto found = std::find_if(map.entries.begin(), map.entries.end(), [&](const auto &entry) { return entry.id.name == name; });
+    return found == map.entries.end() ? nullptr : &*found;
+}
+
+bool isMember(const Protocol::PartitionMap &map, const Base::ProcessId &id)
+{
+    const Protocol::EntryRecord *member = memberNamed(map, id.name);
+    return member != nullptr && member->id == id;
+}
+
+bool heldThroughout(const Protocol::PartitionMap &older, const Protocol::PartitionMap &newer, const Base::ProcessId &id, Protocol::Partition partition)
+{
+    if (!owns(older, id, partition) || !owns(newer, id, partition) || newer.epoch <= older.epoch || newer.epoch - older.epoch > newer.unfenced.size() + 1) {
+        return false;
+    }
+    for (Protocol::Epoch epoch = older.epoch + 1; epoch < newer.epoch; ++epoch) {
+        const auto set = std::find_if(newer.unfenced.begin(), newer.unfenced.end(), [&](const auto &each) { return each.epoch == epoch; });
+        if (set == newer.unfenced.end() || set->entries.empty() || set->entries[rendezvousOwner(set->entries, partition)].id != id) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::string deadName(const Base::ProcessId &id)
+{
+    return id.name + "/" + std::to_string(id.incarnation);
+}
+
+bool confirmedByStore(const ClusterState &state)
+{
+    return state.mapConfirmed && state.now - state.confirmedAt < Protocol::confirmBound;
+}
+
+bool backedByMajority(const ClusterState &state)
+{
+    std::size_t backing = 0;
+    for (const Protocol::EntryRecord &member : state.map->entries) {
+        if (member.id == state.self.id) {
+            ++backing;
+            continue;
+        }
+        const auto peer = state.peers.find(member.id.name);
+        if (peer == state.peers.end() || peer->second.record.id != member.id || peer->second.mapEpoch > state.map->epoch) {
+            continue;
+        }
+        // A peer that has echoed nothing yet has echoedAt 0, which may be recent by a clock that started at 0.
+        if (peer->second.echoedAt > Base::MonoTime{} && state.now - peer->second.echoedAt < Protocol::heardBound) {
+            ++backing;
+        }
+    }
+    return backing >= state.map->entries.size() / 2 + 1;
+}
+
+} // namespace Internal
+
+Authority authority(const ClusterState &state, Protocol::Partition partition)
+{
+    if (!state.map || !Internal::owns(*state.map, state.self.id, partition)) {
+        return Authority::NotOwner;
+    }
+    if (state.takeover && state.takeover->partitions.contains(partition)) {
+        return Authority::Recovering;
+    }
+    return Internal::confirmedByStore(state) || Internal::backedByMajority(state) ? Authority::Serving : Authority::Suspended;
+}
+
+std::optional<std::string> ownerOf(const ClusterState &state, Protocol::Partition partition)
+{
+    const Protocol::EntryRecord *owner = state.map ? Internal::ownerRecord(*state.map, partition) : nullptr;
+    return owner != nullptr ? std::optional(owner->id.name) : std::nullopt;
+}
+
+bool knownFresh(const ClusterState &state, Protocol::Partition partition, Base::WallTime submissionTime)
+{
+    const auto found = state.takeovers.find(partition);
+    if (found == state.takeovers.end() || submissionTime > found->second.at + Protocol::clockSkewBound) {
+        return true;
+    }
+    return found->second.complete && submissionTime > found->second.freshFrom + Protocol::clockSkewBound;
+}
+
+} // namespace LaburnumFlow::Cluster
--- /dev/null
+++ b/src/libs/cluster/takeover.cpp
@@ -0,0 +1,214 @@
+#include "takeover.h"
+
+#include "clusterconstants.h"
+#include "ownership.h"
+#include "steps.h"
+
+#include <algorithm>
+
+namespace LaburnumFlow::Cluster::Internal {
+
+namespace {
+
+bool acknowledgedBy(const ClusterState &state, const Protocol::EntryRecord &member, Protocol::Epoch epoch)
+{
+    const auto &dead = state.map->confirmedDead;
+    if (std::find(dead.begin(), dead.end(), deadName(member.id)) != dead.end()) {
+        return true;
+    }
+    return std::any_of(state.acknowledged.begin(), state.acknowledged.end(), [&](const auto &each) {
+        const auto &[id, acknowledgement] = each;
+        // Two processes can't hold one address: a process at the member's address has replaced it.
+        const bool same = id == member.id || (id.name == member.id.name && acknowledgement.peer == member.peer);
+        return same && acknowledgement.epoch > epoch;
+    });
+}
+
+bool allSetsAcknowledged(const ClusterState &state)
+{
+    const auto &sets = state.map->unfenced;
+    return std::all_of(sets.begin(), sets.end(), [&](const auto &set) { return acknowledgements(state, set) >= (set.entries.size() + 1) / 2; });
+}
+
+/// The moment from which no former owner has authority; nothing while acknowledgements are missing.
+std::optional<Base::MonoTime> authorityEnd(const Takeover &takeover)
+{
+    if (takeover.formerProcessEnded) {
+        return takeover.swappedAt;
+    }
+    if (!takeover.acknowledgedAt) {
+        return std::nullopt;
+    }
+    return std::max(takeover.swappedAt + withDrift(Protocol::confirmBound), *takeover.acknowledgedAt + withDrift(Protocol::heardBound));
+}
+
+/// From then on, agents also refuse starts that former owners sent earlier.
+std::optional<Base::MonoTime> fenceEnd(const Takeover &takeover)
+{
+    const std::optional<Base::MonoTime> end = authorityEnd(takeover);
+    return end ? std::optional(*end + withDrift(Protocol::tokenLimit)) : std::nullopt;
+}
+
+bool allAgentsAnswered(const ClusterState &state)
+{
+    return std::all_of(state.agents.begin(), state.agents.end(), [&](const auto &agent) { return state.takeover->agentsAnswered.contains(agent.first); });
+}
+
+void askAgents(ClusterState &state, Step &step)
+{
+    Takeover &takeover = *state.takeover;
+    if (takeover.partitions.empty()) {
+        return;
+    }
+    for (const auto &[name, agent] : state.agents) {
+        if (agent.linkUp && takeover.agentsAsked.insert(name).second) {
+            const std::vector<Protocol::Partition> partitions(takeover.partitions.begin(), takeover.partitions.end());
+            step.effects.emplace_back(Events::SendAgent{name, Protocol::FenceQuery{takeover.epoch, partitions}});
+            count(step, "takeover.fence-queries");
+        }
+    }
+}
+
+TakeoverRecord recordOf(const ClusterState &state)
+{
+    const Takeover &takeover = *state.takeover;
+    TakeoverRecord record;
+    if (takeover.formerProcessEnded) {
+        record.at = state.startedWall.value_or(state.wall);
+        return record;
+    }
+    // Former owners may accept ids up to the end of their authority, which the swap does not end at once.
+    const Base::MonoTime since = state.now - authorityEnd(takeover).value_or(state.now);
+    record.at = state.wall - std::chrono::duration_cast<Base::WallTime>(since);
+    record.complete = allAgentsAnswered(state);
+    record.freshFrom = std::max(state.agentsKnownFrom.value_or(state.wall), state.ledgerLostAt);
+    return record;
+}
+
+void reportRecovered(Step &step, Takeover &takeover)
+{
+    for (auto &[agent, records] : takeover.recovered) {
+        std::erase_if(records, [&](const auto &record) { return !takeover.partitions.contains(record.partition); });
+        if (!records.empty()) {
+            step.changes.emplace_back(AttemptsRecovered{agent, std::move(records)});
+        }
+    }
+    takeover.recovered.clear();
+}
+
+void finish(ClusterState &state, Step &step)
+{
+    Takeover &takeover = *state.takeover;
+    const TakeoverRecord record = recordOf(state);
+    std::size_t missing = 0;
+    for (const auto &[name, agent] : state.agents) {
+        missing += takeover.agentsAnswered.contains(name) ? 0 : 1;
+    }
+    reportRecovered(step, takeover);
+    for (const Protocol::Partition partition : takeover.partitions) {
+        state.takeovers[partition] = record;
+    }
+    count(step, "takeover.finished");
+    if (missing > 0) {
+        step.effects.emplace_back(Events::Count{"takeover.agents-missing", missing});
+    }
+    log(step,
+        "takeover-finished",
+        {{"epoch", std::to_string(takeover.epoch)}, {"partitions", std::to_string(takeover.partitions.size())}, {"agentsMissing", std::to_string(missing)}});
+    step.changes.emplace_back(PartitionsGained{{takeover.partitions.begin(), takeover.partitions.end()}});
+    takeover.partitions.clear();
+}
+
+} // namespace
+
+std::size_t acknowledgements(const ClusterState &state, const Protocol::UnfencedSet &set)
+{
+    return static_cast<std::size_t>(
+        std::count_if(set.entries.begin(), set.entries.end(), [&](const auto &member) { return acknowledgedBy(state, member, set.epoch); }));
+}
+
+void noteAcknowledgement(ClusterState &state, const Protocol::EntryRecord &from, Protocol::Epoch epoch)
+{
+    if (epoch == 0) {
+        return;
+    }
+    Acknowledgement &known = state.acknowledged[from.id];
+    known.epoch = std::max(known.epoch, epoch);
+    known.peer = from.peer;
+}
+
+void beginTakeover(ClusterState &state, Step &step, std::set<Protocol::Partition> partitions, bool formerProcessEnded)
+{
+    Takeover takeover;
+    takeover.epoch = state.map->epoch;
+    takeover.partitions = std::move(partitions);
+    takeover.swappedAt = state.now;
+    takeover.swappedWall = state.wall;
+    takeover.formerProcessEnded = formerProcessEnded;
+    if (!takeover.partitions.empty()) {
+        count(step, "takeover.started");
+        log(step, "takeover-started", {{"epoch", std::to_string(takeover.epoch)}, {"partitions", std::to_string(takeover.partitions.size())}});
+    }
+    state.takeover = std::move(takeover);
+    takeoverTick(state, step);
+}
+
+void takeoverTick(ClusterState &state, Step &step)
+{
+    if (!state.takeover) {
+        return;
+    }
+    Takeover &takeover = *state.takeover;
+    if (!takeover.acknowledgedAt && allSetsAcknowledged(state)) {
+        takeover.acknowledgedAt = state.now;
+    }
+    askAgents(state, step);
+    const std::optional<Base::MonoTime> end = fenceEnd(takeover);
+    if (!end || state.now < *end) {
+        return;
+    }
+    const bool repliesDue = state.now >= takeover.swappedAt + Protocol::fenceReplyLimit;
+    if (!takeover.partitions.empty() && (repliesDue || allAgentsAnswered(state))) {
+        finish(state, step);
+    }
+    if (takeover.partitions.empty() && state.map->unfenced.empty()) {
+        state.takeover.reset();
+    }
+}
+
+void handleFenceReply(ClusterState &state, Step &step, const Base::ProcessId &agent, const Protocol::FenceReply &reply)
+{
+    const auto known = state.agents.find(agent.name);
+    const bool awaited = state.takeover && reply.epoch == state.takeover->epoch && state.takeover->agentsAsked.contains(agent.name);
+    if (!awaited || state.takeover->partitions.empty() || known == state.agents.end() || known->second.id != agent) {
+        count(step, "takeover.reply-ignored");
+        return;
+    }
+    std::vector<Protocol::AttemptRecord> &records = state.takeover->recovered[agent.name];
+    records.insert(records.end(), reply.records.begin(), reply.records.end());
+    if (reply.last) {
+        state.takeover->agentsAnswered.insert(agent.name);
+        takeoverTick(state, step);
+    }
+}
+
+void fenceLinkLost(ClusterState &state, const std::string &agent)
+{
+    if (state.takeover && !state.takeover->agentsAnswered.contains(agent)) {
+        state.takeover->agentsAsked.erase(agent);
+        state.takeover->recovered.erase(agent);
+    }
+}
+
+bool mayClearUnfenced(const ClusterState &state)
+{
+    if (!state.takeover || state.takeover->epoch != state.map->epoch || !isMember(*state.map, state.self.id)) {
+        return false;
+    }
+    const auto self = std::find_if(state.map->entries.begin(), state.map->entries.end(), [&](const auto &entry) { return entry.id == state.self.id; });
+    const auto rank = self - state.map->entries.begin();
+    const std::optional<Base::MonoTime> end = fenceEnd(*state.takeover);
+    return end && state.now >= *end + clearStagger * rank;
+}
+
+} // namespace LaburnumFlow::Cluster::Internal
--- a/src/libs/protocol/membership.h
+++ b/src/libs/protocol/membership.h
@@ -58,7 +58,7 @@
     std::vector<EntryRecord> entries;
     std::array<std::uint16_t, partitionCount> owner{}; ///< index into entries
     std::vector<UnfencedSet> unfenced;
-    std::vector<std::string> confirmedDead; ///< entry names that an operator confirmed as dead
+    std::vector<std::string> confirmedDead; ///< entries ("name/incarnation") that an operator confirmed as dead
     std::string writeId; ///< unique id of the write, to settle a lost answer
 
     bool operator==(const PartitionMap &) const = default;
--- /dev/null
+++ b/tests/auto/cluster/simulation.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "cluster/cluster.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Several ClusterStates with simple agents, a store and a network that fails by a seeded schedule.
+namespace LaburnumFlow::ClusterTest {
+
+using Microseconds = std::int64_t;
+constexpr Microseconds millisecond = 1000;
+constexpr Microseconds second = 1'000'000;
+constexpr Protocol::Partition watchedPartitions = 16; ///< submissions fall into these
+
+/// A submission of one task that must not be started twice.
+struct Submission {
+    std::uint64_t id = 0;
+    Protocol::Partition partition = 0;
+    Base::WallTime time{}; ///< as its UUIDv7 says
+};
+
+/// An entry's process. A restarted or replaced entry is another process.
+struct EntryProcess {
+    Cluster::ClusterState state;
+    bool alive = true;
+    bool confirmable = false; ///< will never come back
+    Microseconds pausedUntil = 0;
+    Microseconds clockOffset = 0;
+    double clockRate = 1.0;
+    Microseconds wallOffset = 0;
+    std::vector<Events::Event> inbox; ///< arrived while it was paused
+    std::map<Protocol::Partition, std::set<std::uint64_t>> ledger; ///< started submissions, as dispatch keeps them
+};
+
+struct AgentProcess {
+    Base::ProcessId id;
+    std::uint16_t port = 0;
+    bool alive = true;
+    Microseconds pausedUntil = 0;
+    Microseconds clockOffset = 0;
+    std::array<Protocol::Epoch, Protocol::partitionCount> epochs{};
+    std::map<std::uint64_t, Protocol::Partition> ledger;
+};
+
+struct StartMessage {
+    Protocol::Epoch epoch = 0;
+    Protocol::ClockToken token;
+    Submission submission;
+};
+
+class Simulation
+{
+public:
+    Simulation(std::uint64_t seed, std::size_t entries, std::size_t agents);
+
+    /// Runs with faults for the given time, then without, until all partitions are served again or the limit is over.
+    void run(Microseconds faulty, Microseconds quietLimit);
+
+    /// Empty if no rule was violated.
+    const std::string &violation() const
+    {
+        return violation_;
+    }
+
+    std::size_t started() const
+    {
+        return accepted_.size();
+    }
+
+    std::size_t takeovers() const
+    {
+        return takeovers_;
+    }
+
+    std::size_t handovers() const
+    {
+        return handovers_;
+    }
+
+private:
+    using Node = std::pair<bool, std::size_t>; ///< is agent, index
+
+    struct Link {
+        Microseconds blockedSince = -1;
+        std::array<Microseconds, 2> lastDelivery{}; ///< keeps the order in each direction
+    };
+
+    bool chance(double probability);
+    Microseconds between(Microseconds low, Microseconds high);
+    Base::MonoTime clock(const EntryProcess &entry) const;
+    void fail(const std::string &what);
+
+    void step();
+    void passTime(std::size_t entry);
+    void deliver(std::size_t entry, const Events::Event &event);
+    void handle(std::size_t entry, const Events::Event &event);
+    void perform(std::size_t entry, const Events::Effect &effect);
+    void apply(std::size_t entry, const Cluster::Change &change);
+    void at(Microseconds delay, std::function<void()> action);
+
+    bool blocked(Node from, Node to) const;
+    Microseconds networkDelay();
+    void sendDatagram(Node from, const Base::Endpoint &to, const Protocol::Datagram &datagram);
+    void sendOnLink(Node from, Node to, std::function<void()> action, Microseconds extraDelay = 0);
+    void connect(Node entry, Node other);
+    void linkChanged(Node entry, Node other, bool up);
+    void checkLinks();
+    bool living(Node node) const;
+    std::optional<std::size_t> entryNamed(const std::string &name) const;
+    std::optional<std::size_t> agentNamed(const std::string &name) const;
+
+    void readStore(std::size_t entry);
+    void writeStore(std::size_t entry, const Events::WriteMap &write);
+    void agentHeartbeats();
+    void agentRequest(std::size_t entry, std::size_t agent, const Protocol::AgentRequest &request);
+    void agentStart(std::size_t agent, const StartMessage &start);
+    Protocol::ClockToken tokenOf(const AgentProcess &agent) const;
+
+    void submit();
+    void offer(std::size_t entry, const Submission &submission);
+    void checkServing();
+    bool allServed();
+
+    std::size_t addEntry(const std::string &name, std::uint16_t port);
+    std::size_t addAgent(const std::string &name, std::uint16_t port);
+    void injectFault();
+    void entryFault();
+    void agentFault();
+    void confirmGone();
+
+    std::mt19937_64 random_;
+    std::vector<EntryProcess> entries_;
+    std::vector<AgentProcess> agents_;
+    std::vector<Base::Endpoint> seeds_;
+    std::uint64_t nextIncarnation_ = 100;
+    std::uint64_t nextSubmission_ = 1;
+    std::uint16_t nextPort_ = 1000;
+    Microseconds now_ = 0;
+    bool faulty_ = true;
+    double loss_ = 0;
+    std::multimap<Microseconds, std::function<void()>> queue_;
+    std::map<std::pair<Node, Node>, Microseconds> blockedUntil_;
+    std::map<std::pair<Node, Node>, Link> links_; ///< entry first; of two entries the lower index
+
+    std::optional<Protocol::PartitionMap> stored_;
+    std::int64_t storedRevision_ = 0;
+    Microseconds storeDownUntil_ = 0;
+
+    std::vector<Submission> submissions_;
+    std::set<std::uint64_t> accepted_; ///< started at some agent
+    std::map<Protocol::Partition, std::pair<Protocol::Epoch, std::size_t>> gained_; ///< newest epoch of a gain and by whom
+    std::size_t takeovers_ = 0;
+    std::size_t handovers_ = 0;
+    std::string violation_;
+};
+
+} // namespace LaburnumFlow::ClusterTest
