Add the dispatch library

Cause: the entry's reducer had no part that serves callers. Change: add ledger, acceptance, admission, task queues, placement, retries, order, worker health, relay and recovery as parts of one pure reducer.

--- /dev/null
+++ b/src/libs/dispatch/dispatch.cpp
@@ -0,0 +1,255 @@
+#include "dispatch.h"
+
+#include "attempts.h"
+#include "jobs.h"
+#include "ledger.h"
+#include "placement.h"
+#include "recovery.h"
+#include "relay.h"
+#include "retries.h"
+#include "scheduler.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace LaburnumFlow::Dispatch {
+
+namespace {
+
+using namespace Internal;
+
+template<typename Messages>
+void sendAgents(Context &context, Messages &messages)
+{
+    for (auto &[agent, message] : messages) {
+        message.epoch = context.epoch();
+        context.effects.emplace_back(Events::SendAgent{agent, std::move(message)});
+    }
+}
+
+/// Starts go before cancellations, as a task may be started and cancelled in one call.
+Events::Effects finish(Context &context)
+{
+    schedule(context);
+    sendAgents(context, context.starts);
+    sendAgents(context, context.queries);
+    sendAgents(context, context.cancels);
+    return std::move(context.effects);
+}
+
+void fireTimer(Context &context, const Timer &timer)
+{
+    switch (timer.kind) {
+    case TimerKind::JobClosing:
+        closingDue(context, timer.task.submission);
+        break;
+    case TimerKind::JobDeadline:
+        deadlineDue(context, timer.task.submission);
+        break;
+    case TimerKind::RequestDeadline:
+        requestDeadlineDue(context, timer.number);
+        break;
+    case TimerKind::StatusDeadline:
+        statusDeadlineDue(context, timer.number);
+        break;
+    case TimerKind::TaskRetry:
+        retryDue(context, timer.task, timer.number);
+        break;
+    case TimerKind::TaskHedge:
+        hedgeDue(context, timer.task, timer.number);
+        break;
+    case TimerKind::OrderRelease:
+        orderReleaseDue(context, timer.task);
+        break;
+    case TimerKind::LedgerExpiry:
+        expire(context, timer.task.submission);
+        break;
+    }
+}
+
+struct EventHandler {
+    Context &context;
+
+    void operator()(const Events::TimePassed &event) const
+    {
+        DispatchState &state = context.state;
+        state.now = std::max(state.now, event.mono);
+        state.wall = event.wall;
+        if (state.now >= state.nextRefresh) {
+            refreshAgents(context);
+            unpark(context);
+            pruneRelays(state);
+        }
+        while (!state.timers.empty() && state.timers.top().at <= state.now) {
+            const Timer timer = state.timers.top();
+            state.timers.pop();
+            fireTimer(context, timer);
+        }
+    }
+
+    void operator()(const Events::JobSubmitted &event) const
+    {
+        submitJob(context, event);
+    }
+
+    void operator()(const Events::JobStatusRequested &event) const
+    {
+        requestStatus(context, event);
+    }
+
+    void operator()(const Events::JobCancelRequested &event) const
+    {
+        requestCancel(context, event);
+    }
+
+    void operator()(const Events::RequestAbandoned &event) const
+    {
+        abandonRequest(context, event.request);
+    }
+
+    void operator()(const Events::DrainRequested &) const
+    {
+        context.state.draining = true;
+    }
+
+    void operator()(const Events::DatagramReceived &event) const
+    {
+        if (const auto *heartbeat = std::get_if<Protocol::AgentHeartbeat>(&event.datagram)) {
+            reopenAgent(context, heartbeat->from.name);
+        }
+    }
+
+    void operator()(const Events::PeerMessageReceived &event) const
+    {
+        const std::string &peer = event.peer.name;
+        if (const auto *job = std::get_if<Protocol::RelayJob>(&event.message)) {
+            handleRelayJob(context, peer, *job);
+        } else if (const auto *answer = std::get_if<Protocol::RelayAnswer>(&event.message)) {
+            handleRelayAnswer(context, *answer);
+        } else if (const auto *cancel = std::get_if<Protocol::RelayCancel>(&event.message)) {
+            handleRelayCancel(context, peer, *cancel);
+        } else if (const auto *request = std::get_if<Protocol::RelayStatus>(&event.message)) {
+            handleRelayStatus(context, peer, *request);
+        } else if (const auto *status = std::get_if<Protocol::RelayStatusAnswer>(&event.message)) {
+            handleRelayStatusAnswer(context, *status);
+        }
+    }
+
+    void operator()(const Events::AgentReplyReceived &event) const
+    {
+        if (const auto *updates = std::get_if<Protocol::TaskUpdates>(&event.reply)) {
+            handleUpdates(context, event.agent, *updates);
+        }
+    }
+
+    template<typename Other>
+    void operator()(const Other &) const
+    {
+    }
+};
+
+struct ChangeHandler {
+    Context &context;
+
+    void operator()(const Cluster::PartitionsGained &change) const
+    {
+        queryRecovered(context, change.partitions);
+        reroute(context, change.partitions);
+        unpark(context);
+    }
+
+    void operator()(const Cluster::PartitionsLost &change) const
+    {
+        detachRequests(context, change.partitions);
+        forgetPartitions(context, change.partitions);
+        reroute(context, change.partitions);
+    }
+
+    void operator()(const Cluster::AttemptsRecovered &change) const
+    {
+        recoverAttempts(context, change);
+    }
+
+    void operator()(const Cluster::LedgerReceived &change) const
+    {
+        receiveLedger(context, change);
+    }
+
+    void operator()(const Cluster::AgentUsable &change) const
+    {
+        queryAgent(context, change.agent);
+        refreshAgents(context);
+    }
+
+    void operator()(const Cluster::AgentFenced &change) const
+    {
+        loseAttempts(context, change.agent);
+    }
+
+    void operator()(const Cluster::OwnerChanged &change) const
+    {
+        reroute(context, change.partitions);
+    }
+
+    template<typename Other>
+    void operator()(const Other &) const
+    {
+    }
+};
+
+} // namespace
+
+DispatchState initialState(const DispatchConfig &config)
+{
+    DispatchState state;
+    state.self = config.self;
+    state.placement = config.placement;
+    state.random.seed(config.seed);
+    return state;
+}
+
+Events::Effects reduce(DispatchState &state, const Cluster::ClusterState &cluster, const Events::Event &event)
+{
+    Context context{state, cluster, {}, {}, {}, {}};
+    std::visit(EventHandler{context}, event);
+    return finish(context);
+}
+
+Events::Effects apply(DispatchState &state, const Cluster::ClusterState &cluster, const Cluster::Change &change)
+{
+    Context context{state, cluster, {}, {}, {}, {}};
+    std::visit(ChangeHandler{context}, change);
+    return finish(context);
+}
+
+std::vector<Protocol::LedgerRecord> ledgerFor(const DispatchState &state, std::span<const Protocol::Partition> partitions)
+{
+    std::vector<Protocol::LedgerRecord> records;
+    for (const Protocol::Partition partition : partitions) {
+        const auto found = state.byPartition.find(partition);
+        if (found == state.byPartition.end()) {
+            continue;
+        }
+        for (const Base::Uuid &id : found->second) {
+            records.push_back(handoverRecord(state, state.ledger.at(id)));
+        }
+    }
+    return records;
+}
+
+bool idle(const DispatchState &state)
+{
+    return state.requests.empty() && state.openJobs == 0 && state.totalLive == 0;
+}
+
+std::vector<Events::StatusRow> statusRows(const DispatchState &state)
+{
+    std::vector<Events::StatusRow> rows;
+    for (const auto &[name, team] : state.teams) {
+        rows.push_back({"queue", name, {{"queued", std::to_string(team.queued)}, {"running", std::to_string(team.running)}}});
+    }
+    return rows;
+}
+
+} // namespace LaburnumFlow::Dispatch
--- /dev/null
+++ b/src/libs/dispatch/relay.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "context.h"
+
+#include <span>
+
+namespace LaburnumFlow::Dispatch::Internal {
+
+// ---- requests of this entry's callers ----
+
+void submitJob(Context &context, const Events::JobSubmitted &event);
+void requestStatus(Context &context, const Events::JobStatusRequested &event);
+void requestCancel(Context &context, const Events::JobCancelRequested &event);
+void abandonRequest(Context &context, Events::RequestId request);
+
+// ---- messages of other entries ----
+
+void handleRelayJob(Context &context, const std::string &peer, const Protocol::RelayJob &job);
+void handleRelayAnswer(Context &context, const Protocol::RelayAnswer &answer);
+void handleRelayCancel(Context &context, const std::string &peer, const Protocol::RelayCancel &cancel);
+void handleRelayStatus(Context &context, const std::string &peer, const Protocol::RelayStatus &status);
+void handleRelayStatusAnswer(Context &context, const Protocol::RelayStatusAnswer &answer);
+
+/// Routes the open requests of these partitions again: to the own ledger or to the new owner.
+void reroute(Context &context, std::span<const Protocol::Partition> partitions);
+
+/// The partitions are forgotten: requests that waited for the own ledger wait for the new owner.
+void detachRequests(Context &context, std::span<const Protocol::Partition> partitions);
+
+void answerWaiter(Context &context, const Waiter &waiter, const Base::Uuid &submission, const Protocol::JobAnswer &answer);
+void requestDeadlineDue(Context &context, Events::RequestId request);
+void statusDeadlineDue(Context &context, std::uint64_t number);
+
+/// Drops refusals kept for relays whose deadline has passed.
+void pruneRelays(DispatchState &state);
+
+} // namespace LaburnumFlow::Dispatch::Internal
--- /dev/null
+++ b/src/libs/dispatch/taskqueue.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "context.h"
+
+namespace LaburnumFlow::Dispatch::Internal {
+
+TeamState &teamOf(DispatchState &state, const Settings::TeamRules *rules, const std::string &team);
+
+/// Run time at reference speed in ms: learned, or declared while there are few samples.
+double expectedRunMs(const DispatchState &state, const Settings::TeamRules *rules, std::string_view team, std::string_view kind);
+
+/// Long work waits behind short work; urgent kinds never count as long.
+bool isLongWork(const DispatchState &state, const Settings::TeamRules *rules, std::string_view team, std::string_view kind);
+
+/// Counts a task that waits for its start in the team's bounds. Every waiting phase counts, not only Queued.
+void addWaiting(Context &context, Submission &submission, std::uint16_t index);
+void removeWaiting(DispatchState &state, const Submission &submission, std::uint16_t index);
+
+/// Puts a waiting task into the queue of its kind, in front for tasks that were queued before.
+void enqueue(Context &context, Submission &submission, std::uint16_t index, bool front = false);
+
+/// Takes a task out of the phase Queued; its entry in the queue is dropped later.
+void dequeue(DispatchState &state, Submission &submission, std::uint16_t index, TaskPhase next);
+
+struct Selection {
+    std::string team;
+    std::string kind;
+    Base::TaskKey key;
+};
+
+/// The next task by weighted fair queueing between teams, short before aged long work within a team.
+/// Teams at their quota and kinds blocked in this round are left out. The task stays queued.
+std::optional<Selection> selectNext(Context &context);
+
+/// Charges a start to the team's virtual time.
+void chargeStart(DispatchState &state, const Settings::TeamRules *rules, TeamState &team, double costMs);
+
+/// Learns from an ended run.
+void learnRunTime(DispatchState &state, std::string_view team, std::string_view kind, double runMs);
+
+} // namespace LaburnumFlow::Dispatch::Internal
--- /dev/null
+++ b/src/libs/dispatch/workerhealth.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "context.h"
+
+namespace LaburnumFlow::Dispatch::Internal {
+
+/// Records how a run ended at an agent; ejects an agent that fails far more often than the others do.
+void recordOutcome(Context &context, const std::string &agent, bool ok, bool probe);
+
+/// The share of an agent's slots that it may get: 1 if healthy, less during the slow start, 0 if ejected.
+double healthShare(const DispatchState &state, const AgentWork &work);
+
+/// True if an ejected agent is due for a single probe.
+bool probeDue(const DispatchState &state, const AgentWork &work);
+
+} // namespace LaburnumFlow::Dispatch::Internal
