--- /dev/null
+++ b/src/libs/agent/backendcall.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "agentevents.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <curl/curl.h>
+
+namespace LaburnumFlow::Agent::Internal {
+
+/// The id of an attempt at the backend server: submission, index and attempt, joined by hyphens.
+std::string attemptId(const Base::AttemptKey &key);
+
+enum class CallKind : std::uint8_t {
+    Start,
+    Renew,
+    Stop,
+    Throttle,
+    Checkpoint,
+    Status,
+};
+
+/// One HTTP call to the backend server. Must not move while its handle is in use.
+class BackendCall
+{
+public:
+    BackendCall(CallKind kind, const Base::AttemptKey &key, std::string_view method, std::string url, std::string body);
+    ~BackendCall();
+    BackendCall(const BackendCall &) = delete;
+    BackendCall &operator=(const BackendCall &) = delete;
+
+    CallKind kind() const
+    {
+        return kind_;
+    }
+
+    const Base::AttemptKey &key() const
+    {
+        return key_;
+    }
+
+    CURL *handle() const
+    {
+        return handle_;
+    }
+
+    long httpStatus() const;
+
+    /// How an ended start call ended.
+    BackendTaskEnded taskEnded(CURLcode code) const;
+
+    /// What an ended status call says.
+    BackendStatus status(CURLcode code) const;
+
+    /// True once the whole request may have reached the backend server.
+    bool sent() const
+    {
+        return bodyOffset_ == body_.size();
+    }
+
+private:
+    static std::size_t readBody(char *to, std::size_t size, std::size_t count, void *self);
+    static std::size_t writeResponse(char *from, std::size_t size, std::size_t count, void *self);
+    BackendOutcome outcomeOf(std::string &result) const;
+
+    CallKind kind_;
+    Base::AttemptKey key_;
+    std::string body_;
+    std::size_t bodyOffset_ = 0;
+    std::string response_;
+    bool tooLarge_ = false;
+    CURL *handle_ = nullptr;
+    curl_slist *headers_ = nullptr;
+};
+
+} // namespace LaburnumFlow::Agent::Internal
