--- /dev/null
+++ b/src/libs/net/backoff.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "base/types.h"
+
+#include <random>
+
+namespace LaburnumFlow::Net::Internal {
+
+/// Delays between attempts to connect: none after success, then doubling from backoffFirst up to backoffLast, with
+/// jitter so that many processes don't reconnect to a restarted one at the same moment.
+class Backoff
+{
+public:
+    Base::Duration next(std::mt19937_64 &random);
+    void reset()
+    {
+        current_ = Base::Duration(0);
+    }
+
+private:
+    Base::Duration current_{};
+};
+
+} // namespace LaburnumFlow::Net::Internal
--- /dev/null
+++ b/src/libs/net/socket.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "base/types.h"
+
+#include <boost/leaf.hpp>
+
+#include <sys/socket.h>
+
+#include <cstdint>
+#include <optional>
+#include <utility>
+
+namespace LaburnumFlow::Net::Internal {
+
+/// Owns a file descriptor.
+class FileDescriptor
+{
+public:
+    FileDescriptor() = default;
+    explicit FileDescriptor(int fd) : fd_(fd) { }
+    ~FileDescriptor();
+    FileDescriptor(FileDescriptor &&other) noexcept : fd_(std::exchange(other.fd_, -1)) { }
+    FileDescriptor &operator=(FileDescriptor &&other) noexcept
+    {
+        std::swap(fd_, other.fd_);
+        return *this;
+    }
+    FileDescriptor(const FileDescriptor &) = delete;
+    FileDescriptor &operator=(const FileDescriptor &) = delete;
+
+    int get() const
+    {
+        return fd_;
+    }
+    bool valid() const
+    {
+        return fd_ >= 0;
+    }
+
+private:
+    int fd_ = -1;
+};
+
+struct Address {
+    sockaddr_storage storage{};
+    socklen_t length = sizeof(sockaddr_storage);
+
+    const sockaddr *get() const
+    {
+        return reinterpret_cast<const sockaddr *>(&storage);
+    }
+    sockaddr *get()
+    {
+        return reinterpret_cast<sockaddr *>(&storage);
+    }
+};
+
+/// Nothing unless the address is numeric IPv4 or IPv6.
+std::optional<Address> toAddress(const Base::Endpoint &endpoint);
+Base::Endpoint toEndpoint(const Address &address);
+
+struct BoundSockets {
+    FileDescriptor tcp; ///< listening
+    FileDescriptor udp;
+    std::uint16_t port = 0;
+};
+
+/// Non-blocking sockets on the same port number. Fails with BindFailed.
+boost::leaf::result<BoundSockets> bindSockets(const Base::Endpoint &listen);
+
+/// A non-blocking socket that is connecting; invalid if that failed at once.
+FileDescriptor startConnect(const Base::Endpoint &to);
+
+/// The pending error of a socket, or 0.
+int takeSocketError(int fd);
+
+void setNoDelay(int fd);
+
+} // namespace LaburnumFlow::Net::Internal
