--- /dev/null
+++ b/src/libs/runtime/reducerthread.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "base/timerservice.h"
+
+#include <pthread.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+
+/// What the runtimes of the entry and the agent share.
+namespace LaburnumFlow::Runtime {
+
+constexpr Base::Duration tickInterval = std::chrono::milliseconds(10);
+
+/// The event queue and the thread named "reducer". Each batch of events, and each tick, begins with TimePassed.
+template<class Event, class TimePassed>
+class ReducerThread
+{
+public:
+    using Handle = std::function<void(const Event &)>;
+
+    explicit ReducerThread(Handle handle) : handle_(std::move(handle)) { }
+
+    ~ReducerThread()
+    {
+        stop();
+    }
+
+    ReducerThread(const ReducerThread &) = delete;
+    ReducerThread &operator=(const ReducerThread &) = delete;
+
+    /// Events that were posted before are handled first.
+    void start()
+    {
+        thread_ = std::thread([this] {
+            pthread_setname_np(pthread_self(), "reducer");
+            run();
+        });
+        tickSubscription_ = timer_.subscribe(tickInterval, [this] { tick(); });
+    }
+
+    /// Thread-safe.
+    void post(Event event)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            events_.push_back(std::move(event));
+        }
+        changed_.notify_one();
+    }
+
+    /// Events that are still queued are dropped.
+    void stop()
+    {
+        if (!thread_.joinable()) {
+            return;
+        }
+        timer_.unsubscribe(tickSubscription_);
+        {
+            const std::lock_guard lock(mutex_);
+            stopping_ = true;
+        }
+        changed_.notify_one();
+        thread_.join();
+    }
+
+private:
+    void tick()
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            tickDue_ = true;
+        }
+        changed_.notify_one();
+    }
+
+    void run()
+    {
+        std::vector<Event> batch;
+        while (takeBatch(batch)) {
+            handle_(TimePassed{Base::monoNow(), Base::wallNow()});
+            for (const Event &event : batch) {
+                handle_(event);
+            }
+            batch.clear();
+        }
+    }
+
+    bool takeBatch(std::vector<Event> &batch)
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait(lock, [this] { return stopping_ || tickDue_ || !events_.empty(); });
+        tickDue_ = false;
+        batch.swap(events_);
+        return !stopping_;
+    }
+
+    Handle handle_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::vector<Event> events_;
+    bool tickDue_ = false;
+    bool stopping_ = false;
+    std::thread thread_;
+    Base::TimerService timer_;
+    Base::TimerService::Subscription tickSubscription_ = 0;
+};
+
+} // namespace LaburnumFlow::Runtime
