Add contract tests of the network library

Each fault case of a link needs a check: cut, silent, malformed, doubled, slow and replaced links, and datagrams.

--- a/src/libs/net/networkloop.cpp
+++ b/src/libs/net/networkloop.cpp
@@ -294,6 +294,7 @@
         shutdown(link->fd(), SHUT_WR);
     }
     links_.clear();
+    sockets_ = {};
 }
 
 } // namespace LaburnumFlow::Net::Internal
--- /dev/null
+++ b/tests/auto/net/rawpeer.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "net/linkframes.h"
+#include "net/socket.h"
+#include "protocol/messages.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace LaburnumFlow::NetTest {
+
+/// A blocking connection that sends exactly the bytes that a test wants.
+class RawConnection
+{
+public:
+    explicit RawConnection(Net::Internal::FileDescriptor socketFd);
+
+    /// Connects to a port on loopback.
+    static RawConnection to(std::uint16_t port);
+
+    void sendBytes(const std::vector<std::uint8_t> &bytes) const;
+    void sendMessage(const Protocol::LinkMessage &message) const;
+    void sendHello(const std::string &name, std::uint64_t incarnation) const;
+
+    /// The next message; nothing once the other side has closed.
+    std::optional<Protocol::LinkMessage> receive();
+
+    /// The number of the next numbered() message, pings and the hello passed over; nothing once closed.
+    std::optional<std::uint64_t> receiveNumber();
+
+    /// Reads until the other side closes; false if it does not.
+    bool waitForEnd();
+
+private:
+    Net::Internal::FileDescriptor socket_;
+    Net::Internal::FrameReader reader_;
+};
+
+/// A listening socket on loopback.
+class RawListener
+{
+public:
+    RawListener();
+    RawConnection accept() const;
+
+    std::uint16_t port = 0;
+
+private:
+    Net::Internal::FileDescriptor socket_;
+};
+
+std::vector<std::uint8_t> frameOf(const std::vector<std::uint8_t> &body);
+
+} // namespace LaburnumFlow::NetTest
