--- a/src/app/laburnumctl/commands.cpp
+++ b/src/app/laburnumctl/commands.cpp
@@ -126,7 +126,8 @@
         for (const std::string &section : sections) {
             const Json rows = status.value(section, Json::array());
             std::vector<std::string> columns{"name"};
-            for (const auto &[name, value] : (rows.empty() ? Json::object() : rows.front()).items()) {
+            const Json first = rows.empty() ? Json::object() : rows.front();
+            for (const auto &[name, value] : first.items()) {
                 if (name != "name") {
                     columns.push_back(name);
                 }
