--- a/src/libs/store/etcdstore.cpp
+++ b/src/libs/store/etcdstore.cpp
@@ -44,7 +44,9 @@
     if (!answer) {
         return boost::leaf::new_error(malformedAnswer(body));
     }
-    BOOST_LEAF_CHECK(checkFresh(answer->storeRevision, seenBefore));
+    if (auto checked = checkFresh(answer->storeRevision, seenBefore); !checked) {
+        return checked.error();
+    }
     return std::move(*answer);
 }
 
@@ -63,7 +65,9 @@
     if (!answer) {
         return boost::leaf::new_error(malformedAnswer(body));
     }
-    BOOST_LEAF_CHECK(checkFresh(answer->storeRevision, seenBefore));
+    if (auto checked = checkFresh(answer->storeRevision, seenBefore); !checked) {
+        return checked.error();
+    }
     if (!answer->succeeded) {
         answer->current.key = key;
         return boost::leaf::new_error(SwapConflict{std::move(answer->current)});
@@ -99,7 +103,9 @@
         return WatchBatch{{}, afterRevision};
     }
     if (answer.status != 0) {
-        BOOST_LEAF_CHECK(checkStatus(answer.status, answer.rest));
+        if (auto checked = checkStatus(answer.status, answer.rest); !checked) {
+            return checked.error();
+        }
     }
     return boost::leaf::new_error(StoreUnavailable{created ? "watch ended by the store" : "watch not created in time"});
 }
@@ -107,7 +113,9 @@
 boost::leaf::result<std::string> EtcdStore::call(const char *path, const std::string &request, Base::Duration deadline, Internal::Connection connection)
 {
     BOOST_LEAF_AUTO(answer, caller_.post(path, request, std::min(deadline, callLimit_), connection));
-    BOOST_LEAF_CHECK(checkStatus(answer.status, answer.body));
+    if (auto checked = checkStatus(answer.status, answer.body); !checked) {
+        return checked.error();
+    }
     return std::move(answer.body);
 }
 
--- a/src/libs/store/settingsservice.cpp
+++ b/src/libs/store/settingsservice.cpp
@@ -69,7 +69,9 @@
 {
     return boost::leaf::try_handle_some(
         [&]() -> boost::leaf::result<SwapOutcome> {
-            BOOST_LEAF_CHECK(store.compareAndSwap(settingsKey(wanted.subtree.team), toJson(wanted), expectedModRevision, deadline));
+            if (auto written = store.compareAndSwap(settingsKey(wanted.subtree.team), toJson(wanted), expectedModRevision, deadline); !written) {
+                return written.error();
+            }
             return SwapOutcome(Swapped{});
         },
         [](const SwapConflict &conflict) -> boost::leaf::result<SwapOutcome> { return SwapOutcome(Overtaken{conflict.current}); },
@@ -229,7 +231,9 @@
     if (yaml.size() > maxValueBytes) {
         return boost::leaf::new_error(ValueTooLarge{yaml.size()});
     }
-    BOOST_LEAF_CHECK(Settings::checkSubtree(team, yaml));
+    if (auto checked = Settings::checkSubtree(team, yaml); !checked) {
+        return checked.error();
+    }
     const std::string id = changeId.empty() ? newChangeId() : std::string(changeId);
     const SettingsChange change{std::string(team), std::string(yaml), expectedRevision, id, std::string(author), Base::monoNow() + settingsLimit};
     BOOST_LEAF_AUTO(stored, read(store_, team, change.callDeadline()));
@@ -237,7 +241,7 @@
     if (made) {
         return std::move(*made);
     }
-    const StoredSettings wanted = withChange(stored.settings, change);
+    StoredSettings wanted = withChange(stored.settings, change);
     BOOST_LEAF_AUTO(outcome, trySwap(store_, wanted, stored.modRevision, change.callDeadline()));
     if (std::holds_alternative<Swapped>(outcome)) {
         return wanted;
