--- a/src/libs/cluster/agents.cpp
+++ b/src/libs/cluster/agents.cpp
@@ -88,7 +88,8 @@
     if (agent.id == heartbeat.from) {
         return &agent;
     }
-    if (contains(agent.formerIncarnations, heartbeat.from.incarnation)) {
+    // A delayed heartbeat of an unknown former process may have displaced the present one, which then returns.
+    if (contains(agent.formerIncarnations, heartbeat.from.incarnation) && heard(state, agent)) {
         count(step, "agents.former-incarnation");
         return nullptr;
     }
@@ -100,6 +101,7 @@
     agent = AgentInfo{};
     agent.id = heartbeat.from;
     agent.linkDownSince = state.now;
+    agent.linkUp = state.agentLinks.contains(agent.id);
     agent.formerIncarnations = std::move(former);
     count(step, "agents.known");
     log(step, "agent-known", {{"agent", agent.id.name}, {"incarnation", std::to_string(agent.id.incarnation)}, {"worker", heartbeat.worker}});
@@ -199,6 +201,11 @@
 
 void handleAgentLink(ClusterState &state, Step &step, const Events::AgentLinkChanged &change)
 {
+    if (change.up) {
+        state.agentLinks.insert(change.agent);
+    } else {
+        state.agentLinks.erase(change.agent);
+    }
     const auto found = state.agents.find(change.agent.name);
     if (found == state.agents.end() || found->second.id != change.agent || found->second.linkUp == change.up) {
         return;
--- a/src/libs/cluster/clusterstate.h
+++ b/src/libs/cluster/clusterstate.h
@@ -125,6 +125,8 @@
 
     std::map<std::string, PeerInfo, std::less<>> peers; ///< by name, without self
     std::map<std::string, AgentInfo, std::less<>> agents; ///< by name
+    std::set<Base::ProcessId> peerLinks; ///< links that are up, also to processes that peers does not list
+    std::set<Base::ProcessId> agentLinks;
     std::map<Base::ProcessId, Acknowledgement> acknowledged;
     std::vector<FormerAgent> formerAgents; ///< not yet fenced
     std::optional<Base::WallTime> agentsKnownFrom; ///< this entry was listed in a map, so agents announce themselves to it
--- a/src/libs/cluster/mapadoption.cpp
+++ b/src/libs/cluster/mapadoption.cpp
@@ -75,7 +75,6 @@
 
 void noteMembership(ClusterState &state, const Protocol::PartitionMap &map)
 {
-    watchMembers(state, map);
     noteAcknowledgement(state, state.self, map.epoch);
     forgetSettled(state, map);
     if (isMember(map, state.self.id)) {
@@ -105,6 +104,7 @@
     Difference change = difference(state, state.map, map);
     const bool firstStart = isFirstStart(state, state.map, map);
     const bool direct = state.map && map.epoch == state.map->epoch + 1;
+    watchMembers(state, state.map ? &*state.map : nullptr, map);
     state.map = map;
     noteMembership(state, map);
 
--- a/src/libs/cluster/peers.cpp
+++ b/src/libs/cluster/peers.cpp
@@ -26,6 +26,7 @@
     peer.record = record;
     peer.watchedSince = state.now;
     peer.linkDownSince = state.now;
+    peer.linkUp = state.peerLinks.contains(record.id);
     peer.formerIncarnations = std::move(former);
 }
 
@@ -36,7 +37,9 @@
     if (peer.record.id == record.id) {
         return &peer;
     }
-    if (contains(peer.formerIncarnations, record.id.incarnation)) {
+    // A delayed heartbeat of an unknown former process may have displaced the present one, which then returns.
+    const bool silent = state.now - std::max(peer.heardAt, peer.watchedSince) > Protocol::entryDeadAfter;
+    if (contains(peer.formerIncarnations, record.id.incarnation) && !silent) {
         count(step, "entries.former-incarnation");
         return nullptr;
     }
@@ -127,20 +130,23 @@
 
 } // namespace
 
-void watchMembers(ClusterState &state, const Protocol::PartitionMap &map)
+void watchMembers(ClusterState &state, const Protocol::PartitionMap *former, const Protocol::PartitionMap &map)
 {
     for (const Protocol::EntryRecord &member : map.entries) {
         if (member.id.name == state.self.id.name) {
             continue;
         }
         PeerInfo &peer = state.peers[member.id.name];
-        if (peer.record.id == member.id) {
-            if (peer.record.peer.address.empty()) {
-                peer.record = member;
-            }
-        } else if (!contains(peer.formerIncarnations, member.id.incarnation)) {
+        const bool heard = peer.heardAt > Base::MonoTime{};
+        if (peer.record.id == member.id && !heard) {
+            peer.record = member;
+        } else if (peer.record.id != member.id && !heard) {
             replaceProcess(state, peer, member);
         }
+        // A process that was heard is kept: the map may list one that has ended since, or one that announces itself soon.
+        if (former == nullptr || !isMember(*former, member.id)) {
+            peer.watchedSince = state.now;
+        }
     }
 }
 
@@ -174,14 +180,16 @@
 
 void handlePeerLink(ClusterState &state, Step &step, const Events::PeerLinkChanged &change)
 {
+    const bool changed = change.up ? state.peerLinks.insert(change.peer).second : state.peerLinks.erase(change.peer) > 0;
     const auto known = state.peers.find(change.peer.name);
-    if (!change.up && (known == state.peers.end() || known->second.record.id != change.peer)) {
+    const bool present = known != state.peers.end() && known->second.record.id == change.peer;
+    if (!changed || change.peer.name == state.self.id.name || (!change.up && !present)) {
         return;
     }
     Protocol::EntryRecord record;
     record.id = change.peer;
-    PeerInfo *peer = change.peer.name == state.self.id.name ? nullptr : peerFor(state, step, record);
-    if (peer == nullptr || peer->linkUp == change.up) {
+    PeerInfo *peer = peerFor(state, step, record);
+    if (peer == nullptr) {
         return;
     }
     peer->linkUp = change.up;
--- a/src/libs/cluster/peers.h
+++ b/src/libs/cluster/peers.h
@@ -5,8 +5,8 @@
 /// Other entries: heartbeats and links.
 namespace LaburnumFlow::Cluster::Internal {
 
-/// Starts to watch members of the map that are not known yet.
-void watchMembers(ClusterState &state, const Protocol::PartitionMap &map);
+/// Starts to watch members of the map that the former map, if any, did not list.
+void watchMembers(ClusterState &state, const Protocol::PartitionMap *former, const Protocol::PartitionMap &map);
 
 /// Silence while this process was stopped says nothing about the others.
 void restartWatch(ClusterState &state);
