Test dispatch in seeded schedules

Cause: the invariants of starts and answers need checks that do not rely on the reducer's own records. A retry whose kind is flipped to not idempotent during the backoff now fails, and an ordered task waits for the limit of a lost attempt that is not idempotent.

--- a/src/libs/dispatch/attempts.cpp
+++ b/src/libs/dispatch/attempts.cpp
@@ -97,7 +97,8 @@
     }
 }
 
-/// A lost attempt can run on: an idempotent one until its lease ends, another one up to its limit.
+/// A lost attempt can run on: an idempotent one until its lease ends, another one up to its limit. One that is not
+/// idempotent may even start later from the queue of a cut-off agent, up to the job's deadline.
 void holdOrder(Context &context, const Submission &submission, Task &task, std::uint16_t index, const Attempt &attempt, AttemptState state)
 {
     if (state != AttemptState::Lost || !task.ordered) {
@@ -106,7 +107,8 @@
     const auto *kind = kindRules(Cluster::rulesFor(context.cluster, submission.team), submission.body->tasks[index].kind);
     const Base::Duration limit = std::chrono::milliseconds(kind != nullptr ? kind->limitMs : defaultLimitMs);
     const Base::Duration lease = Protocol::leaseTime + Protocol::leaseMargin;
-    task.orderHoldUntil = context.state.now + (attempt.idempotent ? lease : std::max(limit, lease));
+    task.orderHoldUntil
+        = attempt.idempotent ? context.state.now + lease : std::max(context.state.now + lease, submission.deadline + Protocol::tokenLimit) + limit;
 }
 
 void succeedTask(Context &context, Submission &submission, std::uint16_t index, const Protocol::TaskUpdate &update)
--- a/src/libs/dispatch/retries.cpp
+++ b/src/libs/dispatch/retries.cpp
@@ -116,6 +116,7 @@
     }
     ++task.ran;
     const bool endKnown = update.state == AttemptState::Failed;
+    task.lost = task.lost || !endKnown;
     const Outcome outcome = endKnown ? Outcome::Failed : Outcome::Unknown;
     if (update.state == AttemptState::Stopped && update.reason == AgentReason::RunTimeLimit) {
         failJob(context, submission, Outcome::Failed, {Reason::RunTimeLimit, index, 0, update.result});
--- a/src/libs/dispatch/scheduler.cpp
+++ b/src/libs/dispatch/scheduler.cpp
@@ -46,6 +46,12 @@
         closeJob(context, submission, {rules == nullptr ? Protocol::Reason::UnknownTeam : Protocol::Reason::UnknownKind, index, 0, {}});
         return true;
     }
+    if (task.ran > 0 && !kind->idempotent) {
+        // The rule was flipped after the retry had been decided.
+        const auto outcome = task.lost ? Protocol::Outcome::Unknown : Protocol::Outcome::Failed;
+        failJob(context, submission, outcome, {task.lost ? Protocol::Reason::AttemptLost : Protocol::Reason::TaskFailed, index, 0, task.last.result});
+        return true;
+    }
     const double cost = expectedRunMs(state, rules, selection.team, selection.kind);
     if (remainingMs(submission.deadline, state.now) < neededTimeShare * cost) {
         closeJob(context, submission, {Protocol::Reason::DeadlineExceeded, index, 0, "too little time was left to run the task"});
--- /dev/null
+++ b/tests/auto/dispatch/fakecluster.cpp
@@ -0,0 +1,42 @@
+// The questions that dispatch asks cluster, answered from plain fields of ClusterState that the tests set.
+
+#include "cluster/cluster.h"
+
+#include "protocol/protocolconstants.h"
+
+namespace LaburnumFlow::Cluster {
+
+Authority authority(const ClusterState &state, Protocol::Partition partition)
+{
+    if (ownerOf(state, partition) != state.self.id.name) {
+        return Authority::NotOwner;
+    }
+    if ((state.takeover && state.takeover->partitions.contains(partition)) || state.awaitingHandover.contains(partition)) {
+        return Authority::Recovering;
+    }
+    return state.mapConfirmed ? Authority::Serving : Authority::Suspended;
+}
+
+std::optional<std::string> ownerOf(const ClusterState &state, Protocol::Partition partition)
+{
+    return state.map ? std::optional(state.map->entries[state.map->owner[partition]].id.name) : std::nullopt;
+}
+
+bool acceptsWork(const ClusterState &state, const AgentInfo &agent)
+{
+    return agent.state == Protocol::AgentState::Active && agent.linkUp && !agent.fenced && state.now - agent.tokenReceivedAt < Protocol::agentQuietLimit;
+}
+
+bool knownFresh(const ClusterState &state, Protocol::Partition partition, Base::WallTime submissionTime)
+{
+    const auto found = state.takeovers.find(partition);
+    return found == state.takeovers.end() || found->second.complete || submissionTime > found->second.at + Protocol::clockSkewBound;
+}
+
+const Settings::TeamRules *rulesFor(const ClusterState &state, std::string_view team)
+{
+    const auto found = state.rules.teams.find(team);
+    return found == state.rules.teams.end() ? nullptr : &found->second;
+}
+
+} // namespace LaburnumFlow::Cluster
--- /dev/null
+++ b/tests/auto/dispatch/harness.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "dispatch/dispatch.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace LaburnumFlow::DispatchTest {
+
+using namespace std::chrono_literals;
+
+/// One entry: a hand-made ClusterState, the reducer under test and what it asked for.
+class Harness
+{
+public:
+    explicit Harness(std::uint64_t seed = 1, Dispatch::PlacementPolicy policy = Dispatch::ExpectedWait{});
+
+    Settings::TeamRules &team(const std::string &name);
+    Settings::KindRules &kind(const std::string &teamName, const std::string &name, bool idempotent = true);
+    Cluster::AgentInfo &agent(const std::string &name, std::uint16_t slots = 8, std::uint64_t incarnation = 1);
+
+    /// Makes the entry named here the owner of a partition.
+    void setOwner(Protocol::Partition partition, const std::string &entry);
+
+    /// Advances both clocks in ticks of 10 ms; agents are heard of at each tick.
+    void pass(Base::Duration time);
+    void send(const Events::Event &event);
+    void change(const Cluster::Change &event);
+
+    /// Submits a job; the request number is returned.
+    Events::RequestId submit(Protocol::JobBody body, std::optional<Base::Uuid> id = std::nullopt);
+    Events::RequestId submit(const std::string &teamName, const std::string &kindName, std::size_t tasks = 1, std::uint32_t deadlineMs = 0);
+    static Protocol::JobBody body(const std::string &teamName, const std::string &kindName, std::size_t tasks = 1, std::uint32_t deadlineMs = 0);
+    Base::Uuid newId(Base::WallTime offset = {});
+    /// An id of the present that falls into the partition.
+    Base::Uuid idIn(Protocol::Partition partition);
+
+    void update(const std::string &agentName,
+                const Base::AttemptKey &key,
+                Protocol::AttemptState state,
+                Protocol::AgentReason reason = {},
+                std::string result = "1",
+                std::uint32_t runMs = 100);
+    /// Ends every attempt that was sent since the last call; returns how many.
+    std::size_t finishAll(Protocol::AttemptState state = Protocol::AttemptState::Succeeded, const std::string &onlyAgent = {});
+
+    /// The failure that a request was answered with; an empty one with reason None if it succeeded. Fails if unanswered.
+    Protocol::JobFailed failure(Events::RequestId request) const;
+    bool answered(Events::RequestId request) const;
+    std::uint64_t counter(const std::string &name) const;
+
+    struct SentStart {
+        std::string agent;
+        Protocol::StartTask task;
+    };
+
+    template<typename Message>
+    std::vector<Message> peerMessages() const
+    {
+        std::vector<Message> messages;
+        for (const Events::SendPeer &sent : peerSends) {
+            if (const auto *message = std::get_if<Message>(&sent.message)) {
+                messages.push_back(*message);
+            }
+        }
+        return messages;
+    }
+
+    Cluster::ClusterState cluster;
+    Dispatch::DispatchState state;
+    std::vector<SentStart> starts; ///< not yet ended by finishAll()
+    std::size_t startCount = 0;
+    std::vector<Events::SendAgent> agentSends; ///< cancellations and queries
+    std::vector<Events::SendPeer> peerSends;
+    std::map<Events::RequestId, std::vector<Protocol::JobAnswer>> answers;
+    std::map<Events::RequestId, Base::Uuid> ids;
+    std::vector<Events::AnswerStatus> statuses;
+
+private:
+    void take(Events::Effects effects);
+
+    std::map<std::string, std::uint64_t> counters_;
+    Events::RequestId lastRequest_ = 0;
+};
+
+} // namespace LaburnumFlow::DispatchTest
--- /dev/null
+++ b/tests/auto/dispatch/tst_admission.cpp
@@ -0,0 +1,1 @@
+#include "harness.h"
