Test the backend client against the stand-in

The client's account of how a start ended decides whether a task is started again, and nothing checked it. Ten contract tests run the stand-in as a child process; one uses a server that breaks a kept connection, on which libcurl would repeat a PUT by itself.

--- a/tests/auto/agent/tst_backendclient.cpp
+++ b/tests/auto/agent/tst_backendclient.cpp
@@ -1,1 +1,406 @@
-int x;
+#include "agentharness.h"
+#include "childprocess.h"
+
+#include "agent/backendclient.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <mutex>
+#include <set>
+#include <thread>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::Agent;
+
+namespace {
+
+constexpr auto patience = 60s; ///< generous; no verdict depends on how long something takes
+
+BackendStart startOf(const Base::AttemptKey &key, const std::string &payload, std::uint32_t leaseMs = 120'000)
+{
+    return {key, "fold-preview", payload, leaseMs};
+}
+
+const std::string endless = R"({"runMs":600000})";
+
+/// A client and the events that it has posted.
+class Client
+{
+public:
+    explicit Client(std::uint16_t port) : client_(makeBackendClient({"127.0.0.1", port}, [this](const Event &event) { post(event); })) { }
+
+    ~Client()
+    {
+        client_.reset();
+    }
+
+    Client(const Client &) = delete;
+    Client &operator=(const Client &) = delete;
+
+    BackendServer *operator->()
+    {
+        return client_.get();
+    }
+
+    BackendTaskEnded waitEnd(const Base::AttemptKey &key)
+    {
+        std::optional<BackendTaskEnded> found;
+        waitUntil([&] {
+            for (const BackendTaskEnded &ended : ended_) {
+                found = ended.key == key ? ended : found;
+            }
+            return found.has_value();
+        });
+        return *found;
+    }
+
+    BackendStatus status()
+    {
+        std::size_t before = 0;
+        {
+            const std::lock_guard lock(mutex_);
+            before = statuses_.size();
+        }
+        client_->queryStatus();
+        waitUntil([&] { return statuses_.size() > before; });
+        const std::lock_guard lock(mutex_);
+        return statuses_.back();
+    }
+
+    std::size_t endCount()
+    {
+        const std::lock_guard lock(mutex_);
+        return ended_.size();
+    }
+
+private:
+    void post(const Event &event)
+    {
+        const std::lock_guard lock(mutex_);
+        if (const auto *ended = std::get_if<BackendTaskEnded>(&event)) {
+            ended_.push_back(*ended);
+        } else {
+            statuses_.push_back(std::get<BackendStatus>(event));
+        }
+        changed_.notify_all();
+    }
+
+    void waitUntil(const std::function<bool()> &condition)
+    {
+        std::unique_lock lock(mutex_);
+        CPPUNIT_ASSERT_MESSAGE("event missing", changed_.wait_for(lock, patience, condition));
+    }
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::vector<BackendTaskEnded> ended_;
+    std::vector<BackendStatus> statuses_;
+    std::unique_ptr<BackendServer> client_;
+};
+
+/// A stand-in with its record of starts, ends and stops.
+struct Standin {
+    explicit Standin(const std::vector<std::string> &arguments = {})
+        : record(std::filesystem::temp_directory_path() / ("backendclient-" + std::to_string(::getpid()) + ".record"))
+        , process("backendserver", withRecord(arguments))
+    {
+    }
+
+    std::vector<std::string> withRecord(std::vector<std::string> arguments) const
+    {
+        std::filesystem::remove(record);
+        arguments.insert(arguments.end(), {"--record", record.string()});
+        return arguments;
+    }
+
+    std::size_t recorded(const std::string &word) const
+    {
+        std::ifstream file(record);
+        std::size_t n = 0;
+        for (std::string line; std::getline(file, line);) {
+            n += line.starts_with(word + " ") ? 1U : 0U;
+        }
+        return n;
+    }
+
+    /// Each status call takes a round trip, which paces the wait.
+    void waitRecorded(Client &client, const std::string &word, std::size_t n) const
+    {
+        const auto limit = std::chrono::steady_clock::now() + patience;
+        while (recorded(word) < n && std::chrono::steady_clock::now() < limit) {
+            client.status();
+        }
+        CPPUNIT_ASSERT_EQUAL(n, recorded(word));
+    }
+
+    std::filesystem::path record;
+    ChildProcess process;
+};
+
+/// Accepts one connection at a time, answers the first request on it and breaks it after having read the second.
+class BreakingServer
+{
+public:
+    BreakingServer() : listener_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        auto *generic = reinterpret_cast<sockaddr *>(&address);
+        CPPUNIT_ASSERT(::bind(listener_, generic, size) == 0 && ::listen(listener_, 8) == 0 && ::getsockname(listener_, generic, &size) == 0);
+        port_ = ntohs(address.sin_port);
+        thread_ = std::thread([this] { serve(); });
+    }
+
+    ~BreakingServer()
+    {
+        ::shutdown(listener_, SHUT_RDWR);
+        thread_.join();
+        ::close(listener_);
+    }
+
+    BreakingServer(const BreakingServer &) = delete;
+    BreakingServer &operator=(const BreakingServer &) = delete;
+
+    std::uint16_t port() const
+    {
+        return port_;
+    }
+
+    int requests() const
+    {
+        return requests_;
+    }
+
+private:
+    void serve()
+    {
+        for (int connection = 0; (connection = ::accept(listener_, nullptr, nullptr)) >= 0;) {
+            if (readRequest(connection)) {
+                const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"result\":1}";
+                CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(answer.size()), ::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL));
+                readRequest(connection);
+            }
+            ::close(connection);
+        }
+    }
+
+    bool readRequest(int connection)
+    {
+        std::string text;
+        char buffer[4096];
+        // The last field of every start request in these tests.
+        while (text.find("\"leaseMs\":120000}") == std::string::npos) {
+            const ssize_t n = ::recv(connection, buffer, sizeof(buffer), 0);
+            if (n <= 0) {
+                return false;
+            }
+            text.append(buffer, static_cast<std::size_t>(n));
+        }
+        ++requests_;
+        return true;
+    }
+
+    int listener_;
+    std::uint16_t port_ = 0;
+    std::atomic<int> requests_{0};
+    std::thread thread_;
+};
+
+std::string nameOf(BackendOutcome outcome)
+{
+    constexpr const char *names[] = {"succeeded", "failed", "not started", "stopped", "lost"};
+    return names[static_cast<std::size_t>(outcome)];
+}
+
+void expectEnd(Client &client, const Base::AttemptKey &key, BackendOutcome outcome)
+{
+    CPPUNIT_ASSERT_EQUAL(nameOf(outcome), nameOf(client.waitEnd(key).outcome));
+}
+
+} // namespace
+
+class TestBackendClient : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestBackendClient);
+    CPPUNIT_TEST(outcomes);
+    CPPUNIT_TEST(leaseRenewal);
+    CPPUNIT_TEST(refusals);
+    CPPUNIT_TEST(manyAtOnce);
+    CPPUNIT_TEST(stopRightAfterStart);
+    CPPUNIT_TEST(noServer);
+    CPPUNIT_TEST(killedServer);
+    CPPUNIT_TEST(hungServer);
+    CPPUNIT_TEST(noRepetition);
+    CPPUNIT_TEST(gracefulEnd);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a wrong account of how a task ended.
+    void outcomes()
+    {
+        struct Row {
+            std::string payload;
+            std::uint32_t leaseMs;
+            BackendOutcome outcome;
+        };
+        const Row rows[] = {
+            {R"({"runMs":5,"sheet":"A7"})", 120'000, BackendOutcome::Succeeded},
+            {R"({"runMs":5,"fail":true})", 120'000, BackendOutcome::Failed},
+            {endless, 20, BackendOutcome::Stopped},
+            {"{malformed", 120'000, BackendOutcome::Failed},
+            {"", 120'000, BackendOutcome::Succeeded},
+        };
+        const Standin server({"--kind", "fold-preview=5", "--speed", "2"});
+        Client client(server.process.port());
+        std::uint8_t n = 0;
+        for (const Row &row : rows) {
+            const Base::AttemptKey key = keyOf(++n);
+            client->start(startOf(key, row.payload, row.leaseMs));
+            expectEnd(client, key, row.outcome);
+        }
+        const std::string result = client.waitEnd(keyOf(1)).result;
+        CPPUNIT_ASSERT_MESSAGE(result, result.find(R"("sheet":"A7")") != std::string::npos && result.find(R"("kind":"fold-preview")") != std::string::npos);
+        CPPUNIT_ASSERT(client.waitEnd(keyOf(2)).result.find("failed on request") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, server.recorded("start"));
+    }
+
+    /// Guards against renewals that do not reach the task.
+    void leaseRenewal()
+    {
+        const Standin server;
+        Client client(server.process.port());
+        client->start(startOf(keyOf(1), R"({"runMs":3000})", 2000));
+        server.waitRecorded(client, "start", 1);
+        client->renew({keyOf(1), 120'000});
+        client->throttle({keyOf(1), 0.5});
+        client->throttle({keyOf(1), 1.0});
+        client->checkpoint({keyOf(1)});
+        expectEnd(client, keyOf(1), BackendOutcome::Succeeded);
+    }
+
+    /// Guards against a refused task that is taken for lost, and against overlooked states.
+    void refusals()
+    {
+        const Standin server({"--slots", "1", "--kind", "fold-preview=5", "--announce-kinds"});
+        Client client(server.process.port());
+        client->start(startOf(keyOf(1), endless));
+        server.waitRecorded(client, "start", 1);
+        client->start(startOf(keyOf(2), ""));
+        expectEnd(client, keyOf(2), BackendOutcome::NotStarted);
+        BackendStatus status = client.status();
+        CPPUNIT_ASSERT(status.state == BackendState::Serving && status.slots == 1 && status.kinds == std::vector<std::string>{"fold-preview"});
+        server.process.signal(SIGTERM);
+        while ((status = client.status()).state == BackendState::Serving) {
+        }
+        CPPUNIT_ASSERT(status.state == BackendState::Leaving);
+        client->start(startOf(keyOf(3), ""));
+        expectEnd(client, keyOf(3), BackendOutcome::NotStarted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.recorded("start"));
+    }
+
+    /// Guards against tasks that wait for one another's connections.
+    void manyAtOnce()
+    {
+        const Standin server({"--slots", "64"});
+        Client client(server.process.port());
+        for (std::uint8_t n = 0; n < 64; ++n) {
+            client->start(startOf(keyOf(n), endless));
+        }
+        server.waitRecorded(client, "start", 64);
+        for (std::uint8_t n = 0; n < 64; ++n) {
+            client->stop({keyOf(n)});
+        }
+        for (std::uint8_t n = 0; n < 64; ++n) {
+            expectEnd(client, keyOf(n), BackendOutcome::Stopped);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{64}, client.endCount());
+    }
+
+    /// Guards against a task that runs on because its stop came first, on another connection.
+    void stopRightAfterStart()
+    {
+        const Standin server;
+        Client client(server.process.port());
+        for (std::uint8_t n = 0; n < 50; ++n) {
+            client->start(startOf(keyOf(n), endless));
+            client->stop({keyOf(n)});
+            expectEnd(client, keyOf(n), BackendOutcome::Stopped);
+        }
+    }
+
+    /// Guards against reporting a task as lost that certainly did not start.
+    void noServer()
+    {
+        std::uint16_t port = 0;
+        {
+            const BreakingServer closed;
+            port = closed.port();
+        }
+        Client client(port);
+        client->start(startOf(keyOf(1), endless));
+        expectEnd(client, keyOf(1), BackendOutcome::NotStarted);
+        CPPUNIT_ASSERT(client.status().state == BackendState::Unreachable);
+    }
+
+    /// Guards against reporting a task as not started that ran when its backend server died.
+    void killedServer()
+    {
+        Standin server;
+        Client client(server.process.port());
+        client->start(startOf(keyOf(1), endless));
+        server.waitRecorded(client, "start", 1);
+        server.process.signal(SIGKILL);
+        expectEnd(client, keyOf(1), BackendOutcome::Lost);
+        CPPUNIT_ASSERT_EQUAL(-1, server.process.wait());
+        client->start(startOf(keyOf(2), endless));
+        expectEnd(client, keyOf(2), BackendOutcome::NotStarted);
+    }
+
+    /// Guards against a status call that waits for good.
+    void hungServer()
+    {
+        const Standin server({"--hang"});
+        Client client(server.process.port());
+        client->start(startOf(keyOf(1), endless));
+        CPPUNIT_ASSERT(client.status().state == BackendState::Unreachable);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, client.endCount());
+    }
+
+    /// Guards against libcurl's own repetition of a request whose kept connection breaks, which starts a task twice.
+    void noRepetition()
+    {
+        const BreakingServer server;
+        Client client(server.port());
+        client->start(startOf(keyOf(1), "1"));
+        expectEnd(client, keyOf(1), BackendOutcome::Succeeded);
+        client->start(startOf(keyOf(2), "2"));
+        expectEnd(client, keyOf(2), BackendOutcome::Lost);
+        CPPUNIT_ASSERT_EQUAL(2, server.requests());
+    }
+
+    /// Guards against a stand-in that interrupts tasks on SIGTERM, which would hide faults of the agent's drain.
+    void gracefulEnd()
+    {
+        Standin server;
+        Client client(server.process.port());
+        client->start(startOf(keyOf(1), R"({"runMs":500})"));
+        server.waitRecorded(client, "start", 1);
+        server.process.signal(SIGTERM);
+        expectEnd(client, keyOf(1), BackendOutcome::Succeeded);
+        CPPUNIT_ASSERT_EQUAL(0, server.process.wait());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestBackendClient);
