--- a/tests/auto/cluster/simulation.h
+++ b/tests/auto/cluster/simulation.h
@@ -57,6 +57,10 @@
     Submission submission;
 };
 
+/// The id in the form that messages carry.
+Base::Uuid uuidOf(std::uint64_t id);
+std::uint64_t idOf(const Base::Uuid &uuid);
+
 class Simulation
 {
 public:
--- a/tests/auto/cluster/tst_membership.cpp
+++ b/tests/auto/cluster/tst_membership.cpp
@@ -0,0 +1,414 @@
+#include "cluster/ownership.h"
+#include "harness.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::Cluster;
+using namespace LaburnumFlow::ClusterTest;
+
+namespace {
+
+Protocol::PartitionMap mapOf(const std::vector<Protocol::EntryRecord> &entries, Protocol::Epoch epoch = 10)
+{
+    Protocol::PartitionMap map;
+    map.epoch = epoch;
+    map.entries = entries;
+    map.writeId = "w" + std::to_string(epoch);
+    Internal::assignOwners(map);
+    return map;
+}
+
+const Protocol::EntryRecord a = entryRecord("ea");
+const Protocol::EntryRecord b = entryRecord("eb");
+const Protocol::EntryRecord c = entryRecord("ec");
+
+/// An entry "ea" that serves its part of the map at store revision 1.
+Entry serving(const std::vector<Protocol::EntryRecord> &entries)
+{
+    Entry entry("ea");
+    const Protocol::PartitionMap map = mapOf(entries);
+    entry.read(map, 1);
+    for (int i = 0; i < 100; ++i) { // past the takeover that a map of unknown age needs
+        for (const Protocol::EntryRecord &each : entries) {
+            if (each.id != a.id) {
+                entry.hear(each, map.epoch);
+            }
+        }
+        entry.advance(50);
+    }
+    entry.read(map, 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), entry.owned(Authority::Recovering));
+    entry.forget();
+    return entry;
+}
+
+std::set<std::string> names(const std::vector<Protocol::EntryRecord> &entries)
+{
+    std::set<std::string> result;
+    for (const Protocol::EntryRecord &entry : entries) {
+        result.insert(entry.id.name);
+    }
+    return result;
+}
+
+/// Lets members other than "ea" be heard or not for the given time, then reads the map.
+void passHearing(Entry &entry, const std::vector<Protocol::EntryRecord> &heard, std::int64_t milliseconds)
+{
+    const Protocol::PartitionMap map = *entry.state.map;
+    for (std::int64_t passed = 0; passed < milliseconds; passed += 50) {
+        for (const Protocol::EntryRecord &each : heard) {
+            entry.hear(each, map.epoch);
+        }
+        entry.advance(50);
+    }
+    entry.read(map, 1);
+}
+
+} // namespace
+
+class TestMembership : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestMembership);
+    CPPUNIT_TEST(firstMap);
+    CPPUNIT_TEST(lostEmbeddedStore);
+    CPPUNIT_TEST(movesFewPartitions);
+    CPPUNIT_TEST(lostSwapAnswer);
+    CPPUNIT_TEST(joining);
+    CPPUNIT_TEST(replacedEntryStaysOut);
+    CPPUNIT_TEST(removal);
+    CPPUNIT_TEST(authorityConditions);
+    CPPUNIT_TEST(higherEpochStepsDown);
+    CPPUNIT_TEST(takeoverWaits);
+    CPPUNIT_TEST(fenceQueries);
+    CPPUNIT_TEST(confirmDead);
+    CPPUNIT_TEST(leaving);
+    CPPUNIT_TEST(leavingWithoutOthers);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a first start that fences nobody for seconds.
+    void firstMap()
+    {
+        Entry entry("ea");
+        entry.read(std::nullopt, 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<Events::WriteMap>().size());
+        const Protocol::PartitionMap map = entry.all<Events::WriteMap>()[0]->map;
+        CPPUNIT_ASSERT_EQUAL(static_cast<Protocol::Epoch>(startWallMs + 1000), map.epoch);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), entry.owned(Authority::Serving));
+        entry.answerWrite(Events::SwapOutcome::Written, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(256), entry.owned(Authority::Serving));
+        CPPUNIT_ASSERT(knownFresh(entry.state, 0, Base::WallTime(startWallMs - 60'000)));
+    }
+
+    /// Guards against starting again what an earlier process started, whose map went with its embedded store.
+    void lostEmbeddedStore()
+    {
+        Entry entry("ea", true);
+        entry.read(std::nullopt, 0);
+        entry.answerWrite(Events::SwapOutcome::Written, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(256), entry.owned(Authority::Recovering));
+        entry.advance(2100);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(256), entry.owned(Authority::Serving));
+        CPPUNIT_ASSERT(!knownFresh(entry.state, 0, Base::WallTime(startWallMs)));
+        CPPUNIT_ASSERT(knownFresh(entry.state, 0, Base::WallTime(startWallMs + 3100)));
+        Entry next("ea", true, 2);
+        next.advance(5000);
+        next.read(std::nullopt, 0);
+        CPPUNIT_ASSERT(next.all<Events::WriteMap>()[0]->map.epoch > entry.state.map->epoch);
+    }
+
+    /// Guards against a membership change that moves partitions between entries that stay.
+    void movesFewPartitions()
+    {
+        std::vector<Protocol::EntryRecord> entries;
+        for (std::size_t n = 1; n <= 12; ++n) {
+            const Protocol::PartitionMap before = entries.empty() ? Protocol::PartitionMap{} : mapOf(entries);
+            entries.push_back(entryRecord("entry" + std::to_string(n)));
+            const Protocol::PartitionMap after = mapOf(entries);
+            std::size_t moved = 0;
+            for (Protocol::Partition partition = 0; n > 1 && partition < Protocol::partitionCount; ++partition) {
+                const bool same = before.owner[partition] == after.owner[partition];
+                CPPUNIT_ASSERT(same || after.owner[partition] == n - 1);
+                moved += same ? 0 : 1;
+            }
+            CPPUNIT_ASSERT(n == 1 || (moved > 128 / n && moved < 512 / n));
+        }
+    }
+
+    /// Guards against an entry that never finds out whether its write took effect.
+    void lostSwapAnswer()
+    {
+        for (const bool written : {true, false}) {
+            Entry entry("ea");
+            entry.read(std::nullopt, 0);
+            const Protocol::PartitionMap map = *entry.state.mapWritePending;
+            entry.answerWrite(Events::SwapOutcome::Undecided);
+            entry.forget();
+            entry.read(written ? std::optional(map) : std::nullopt, written ? 1 : 0);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), entry.counted(written ? "map.write-settled" : "map.write-lost"));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(written ? 256 : 0), entry.owned(Authority::Serving));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(written ? 0 : 1), entry.all<Events::WriteMap>().size());
+        }
+    }
+
+    /// Guards against joining while heartbeats get through one way only, which would have the entry removed again.
+    void joining()
+    {
+        const struct {
+            std::vector<Protocol::EntryRecord> members;
+            std::int64_t echoAgeMs;
+            std::int64_t waitMs;
+            bool joins;
+        } table[] = {
+            {{b, c}, 100, 100, true},
+            {{b, c}, 1600, 100, false},
+            {{b, c}, -1, 100, false},
+            {{b, c}, -1, 5200, true},
+            {{entryRecord("ea", 7), b, c}, 100, 100, true},
+        };
+        for (const auto &row : table) {
+            Entry entry("ea");
+            const Protocol::PartitionMap map = mapOf(row.members);
+            entry.advance(2000);
+            entry.read(map, 5);
+            CPPUNIT_ASSERT(entry.all<Events::WriteMap>().empty());
+            entry.advance(row.waitMs);
+            entry.hear(b, map.epoch, row.echoAgeMs);
+            entry.hear(c, map.epoch, row.echoAgeMs);
+            entry.read(map, 5);
+            CPPUNIT_ASSERT_EQUAL(row.joins, !entry.all<Events::WriteMap>().empty());
+            if (row.joins) {
+                const Events::WriteMap write = *entry.all<Events::WriteMap>()[0];
+                CPPUNIT_ASSERT_EQUAL(std::int64_t(5), write.expectedModRevision);
+                CPPUNIT_ASSERT_EQUAL(map.epoch + 1, write.map.epoch);
+                CPPUNIT_ASSERT(Internal::isMember(write.map, a.id) && write.map.entries.size() == 3);
+                CPPUNIT_ASSERT(write.map.unfenced.back() == (Protocol::UnfencedSet{map.epoch, map.entries}));
+                entry.answerWrite(Events::SwapOutcome::Written, 6);
+                CPPUNIT_ASSERT(entry.owned(Authority::Recovering) > 0 && entry.owned(Authority::Serving) == 0);
+            }
+        }
+    }
+
+    /// Guards against two processes of one name that replace each other in the map for ever.
+    void replacedEntryStaysOut()
+    {
+        Entry entry = serving({a, b});
+        const Protocol::PartitionMap map = mapOf({entryRecord("ea", 2), b}, 11);
+        entry.read(map, 2);
+        entry.advance(6000);
+        entry.hear(b, 11);
+        entry.read(map, 2);
+        CPPUNIT_ASSERT(entry.all<Events::WriteMap>().empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(256), entry.owned(Authority::NotOwner));
+    }
+
+    /// Guards against early removals, and against a minority that removes the majority.
+    void removal()
+    {
+        const struct {
+            std::vector<Protocol::EntryRecord> members;
+            std::vector<Protocol::EntryRecord> heard;
+            std::int64_t silentMs;
+            std::set<std::string> left; ///< empty if no map is written
+        } table[] = {
+            {{a, b, c}, {b, c}, 3000, {}},
+            {{a, b, c}, {b}, 1900, {}},
+            {{a, b, c}, {b}, 2100, {"ea", "eb"}},
+            {{a, b, c}, {}, 2100, {}},
+            {{a, b}, {}, 2100, {"ea"}},
+            {{a, b}, {entryRecord("eb", 2)}, 2100, {"ea"}},
+        };
+        for (const auto &row : table) {
+            Entry entry = serving(row.members);
+            passHearing(entry, row.heard, row.silentMs);
+            const auto writes = entry.all<Events::WriteMap>();
+            CPPUNIT_ASSERT_EQUAL(row.left.empty(), writes.empty());
+            CPPUNIT_ASSERT(row.left.empty() || names(writes[0]->map.entries) == row.left);
+        }
+    }
+
+    /// Guards against authority that outlives its proof, by the store or by the majority.
+    void authorityConditions()
+    {
+        const struct {
+            std::int64_t afterReadMs;
+            std::int64_t echoAgeMs; ///< at that time; negative: no heartbeat
+            Protocol::Epoch peerEpoch;
+            std::uint64_t peerIncarnation;
+            Authority expected;
+        } table[] = {
+            {1900, -1, 10, 1, Authority::Serving},
+            {2000, -1, 10, 1, Authority::Suspended},
+            {3600, 1400, 10, 1, Authority::Serving},
+            {3600, 1500, 10, 1, Authority::Suspended},
+            {3600, 100, 11, 1, Authority::Suspended},
+            {3600, 100, 9, 1, Authority::Serving},
+            {3600, 100, 10, 2, Authority::Suspended},
+        };
+        for (const auto &row : table) {
+            Entry entry = serving({a, b, c});
+            const std::size_t all = entry.owned(Authority::Serving);
+            entry.advance(row.afterReadMs);
+            if (row.echoAgeMs >= 0) {
+                entry.hear(entryRecord("eb", row.peerIncarnation), row.peerEpoch, row.echoAgeMs);
+            }
+            CPPUNIT_ASSERT_EQUAL(all, entry.owned(row.expected));
+        }
+    }
+
+    /// Guards against an old owner that goes on under a map that has been replaced.
+    void higherEpochStepsDown()
+    {
+        Entry entry = serving({a, b});
+        entry.link(b);
+        entry.forget();
+        const std::size_t owned = entry.owned(Authority::Serving);
+        const Protocol::PartitionMap next = mapOf({b}, 11);
+        entry.message(b, Protocol::MapAnnounce{next});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(256), entry.owned(Authority::NotOwner));
+        CPPUNIT_ASSERT_EQUAL(Protocol::Epoch(11), entry.sent<Protocol::MapAck>().at(0).epoch);
+        CPPUNIT_ASSERT_EQUAL(owned, entry.all<PartitionsLost>().at(0)->partitions.size());
+        entry.read(mapOf({a, b}), 1); // a read that was answered late
+        CPPUNIT_ASSERT_EQUAL(std::size_t(256), entry.owned(Authority::NotOwner));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), entry.counted("map.older-ignored"));
+    }
+
+    /// Guards against serving before the former owner's authority and its delayed starts have ended.
+    void takeoverWaits()
+    {
+        const struct {
+            std::int64_t acknowledgedAfterMs; ///< by "ec", the second of the set of three besides "ea"
+            std::int64_t servingAfterMs;
+        } table[] = {{0, 3850}, {400, 3850}, {1000, 4300}, {5000, 8300}};
+        for (const auto &row : table) {
+            Entry entry = serving({a, b, c});
+            Protocol::PartitionMap next = mapOf({a, c}, 11);
+            next.unfenced = {{10, {a, b, c}}};
+            entry.read(next, 2);
+            const std::size_t recovering = entry.owned(Authority::Recovering);
+            entry.advance(row.acknowledgedAfterMs);
+            entry.message(c, Protocol::MapAck{c.id, c.peer, 11});
+            for (std::int64_t passed = row.acknowledgedAfterMs; passed < row.servingAfterMs - 50; passed += 50) {
+                entry.advance(50);
+            }
+            CPPUNIT_ASSERT_EQUAL(recovering, entry.owned(Authority::Recovering));
+            entry.advance(50);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), entry.owned(Authority::Recovering));
+            CPPUNIT_ASSERT_EQUAL(recovering, entry.all<PartitionsGained>().at(0)->partitions.size());
+        }
+    }
+
+    /// Guards against a takeover that forgets what agents started, or that takes an agent's silence for "nothing".
+    void fenceQueries()
+    {
+        for (const bool answers : {true, false}) {
+            Entry entry = serving({a, b});
+            entry.hearAgent();
+            entry.feed(Events::AgentLinkChanged{{"a", 1}, true});
+            entry.forget();
+            const Protocol::PartitionMap next = mapOf({a}, 11);
+            entry.read(next, 2);
+            const auto query = std::get<Protocol::FenceQuery>(entry.all<Events::SendAgent>().at(0)->request);
+            CPPUNIT_ASSERT_EQUAL(entry.owned(Authority::Recovering), query.partitions.size());
+            entry.feed(Events::AgentLinkChanged{{"a", 1}, false});
+            entry.feed(Events::AgentLinkChanged{{"a", 1}, true});
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.all<Events::SendAgent>().size()); // asked again on the new link
+            Protocol::FenceReply reply;
+            reply.epoch = answers ? 11 : 10;
+            reply.records.resize(2);
+            reply.records[0].partition = query.partitions.at(0);
+            reply.records[1].partition = static_cast<Protocol::Partition>(query.partitions.at(0) + 1);
+            reply.last = false;
+            entry.feed(Events::AgentReplyReceived{{"a", 1}, reply});
+            reply.last = true;
+            entry.feed(Events::AgentReplyReceived{{"a", 1}, reply});
+            entry.forget();
+            entry.advance(4000);
+            const auto recovered = entry.all<AttemptsRecovered>();
+            CPPUNIT_ASSERT_EQUAL(std::size_t(answers ? 1 : 0), recovered.size());
+            const auto isGain = [](const Change &change) { return std::holds_alternative<PartitionsGained>(change); };
+            const auto gain = std::find_if(entry.changes.begin(), entry.changes.end(), isGain);
+            CPPUNIT_ASSERT(gain != entry.changes.end());
+            CPPUNIT_ASSERT(!answers || std::holds_alternative<AttemptsRecovered>(*std::prev(gain)));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(answers ? 0 : 1), entry.counted("takeover.agents-missing"));
+            const Base::WallTime before = entry.state.takeovers.at(query.partitions.at(0)).at;
+            CPPUNIT_ASSERT_EQUAL(answers, knownFresh(entry.state, query.partitions.at(0), before));
+            CPPUNIT_ASSERT(knownFresh(entry.state, query.partitions.at(0), before + Base::WallTime(2001)));
+        }
+    }
+
+    /// Guards against a takeover that waits for ever for dead members, and against confirming a living one.
+    void confirmDead()
+    {
+        Entry entry = serving({a, b, c});
+        passHearing(entry, {c}, 100);
+        entry.feed(Events::ConfirmDeadRequested{1, "ec"});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), entry.counted("entries.confirm-dead-refused"));
+        passHearing(entry, {}, 2500);
+        CPPUNIT_ASSERT(entry.all<Events::WriteMap>().empty()); // two of three are missing
+        entry.feed(Events::ConfirmDeadRequested{2, "eb"});
+        CPPUNIT_ASSERT_EQUAL(std::string("pending"), entry.all<Events::AnswerOperator>().back()->rows.at(0).values.at(0).second);
+        entry.read(*entry.state.map, 1);
+        const Protocol::PartitionMap written = entry.all<Events::WriteMap>().at(0)->map;
+        CPPUNIT_ASSERT(names(written.entries) == std::set<std::string>{"ea"});
+        CPPUNIT_ASSERT(written.confirmedDead == std::vector<std::string>{"eb/1"});
+        entry.answerWrite(Events::SwapOutcome::Written, 2);
+        entry.advance(4000); // "ea" and the confirmed "eb" are two of three
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), entry.owned(Authority::Recovering));
+        entry.forget();
+        entry.read(written, 2);
+        CPPUNIT_ASSERT(entry.all<Events::WriteMap>().at(0)->map.unfenced.empty());
+    }
+
+    /// Guards against a leaving owner that drops its ledger, or exits before the new owner has it.
+    void leaving()
+    {
+        Entry entry = serving({a, b});
+        entry.link(b);
+        entry.state.takeovers.clear(); // an incomplete takeover within the horizon would forbid the handover
+        entry.feed(Events::DrainRequested{});
+        entry.hear(b, 10);
+        entry.read(*entry.state.map, 1);
+        const Protocol::PartitionMap written = entry.all<Events::WriteMap>().at(0)->map;
+        CPPUNIT_ASSERT(names(written.entries) == std::set<std::string>{"eb"});
+        entry.forget();
+        entry.answerWrite(Events::SwapOutcome::Written, 2);
+        entry.advance(100);
+        CPPUNIT_ASSERT(!entry.state.left);
+        CPPUNIT_ASSERT(std::holds_alternative<HandoverDue>(entry.changes.at(0)) && std::holds_alternative<PartitionsLost>(entry.changes.at(1)));
+
+        Entry heir("eb");
+        heir.read(mapOf({a, b}), 1);
+        heir.read(written, 2);
+        Protocol::LedgerHandover handover;
+        handover.from = a.id;
+        handover.epoch = written.epoch;
+        handover.partitions = entry.all<HandoverDue>().at(0)->partitions;
+        heir.message(a, handover);
+        CPPUNIT_ASSERT_EQUAL(handover.partitions.size(), heir.owned(Authority::Serving));
+        heir.message(a, handover);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), heir.counted("handover.too-late"));
+        entry.message(b, heir.sent<Protocol::HandoverAck>().at(0));
+        CPPUNIT_ASSERT(entry.state.left);
+    }
+
+    /// Guards against a drain that never ends.
+    void leavingWithoutOthers()
+    {
+        Entry alone = serving({a});
+        alone.feed(Events::DrainRequested{});
+        alone.advance(50);
+        CPPUNIT_ASSERT(alone.state.left);
+        Entry storeDown = serving({a, b});
+        storeDown.feed(Events::DrainRequested{});
+        storeDown.advance(4900);
+        CPPUNIT_ASSERT(!storeDown.state.left);
+        storeDown.advance(100);
+        CPPUNIT_ASSERT(storeDown.state.left);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestMembership);
