--- a/tests/auto/dispatch/tst_scheduling.cpp
+++ b/tests/auto/dispatch/tst_scheduling.cpp
@@ -1,1 +1,281 @@
 #include "harness.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::DispatchTest;
+using Protocol::AgentReason;
+using Protocol::AttemptState;
+using Protocol::Outcome;
+using Protocol::Reason;
+
+class TestScheduling : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestScheduling);
+    CPPUNIT_TEST(ordersTasks);
+    CPPUNIT_TEST(sharesByWeightAndQuota);
+    CPPUNIT_TEST(servesShortWorkFirst);
+    CPPUNIT_TEST(followsEndOfAttempt);
+    CPPUNIT_TEST(boundsRetries);
+    CPPUNIT_TEST(confirmsBeforeNotRun);
+    CPPUNIT_TEST(ejectsFailingWorkers);
+    CPPUNIT_TEST(hedgesWithinBudget);
+    CPPUNIT_TEST(placesByPolicy);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against ordered tasks that overlap, also across submissions, and against unrelated keys that wait.
+    void ordersTasks()
+    {
+        Harness harness;
+        harness.kind("t", "line", false).ordered = true;
+        harness.agent("a", 20);
+        Protocol::JobBody body = Harness::body("t", "line", 2);
+        body.orderingKey = "k1";
+        harness.submit(body);
+        harness.submit(body);
+        body.orderingKey = "k2";
+        harness.submit(body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.starts.size());
+        std::vector<std::size_t> counts;
+        while (harness.finishAll() > 0) {
+            counts.push_back(harness.starts.size());
+        }
+        CPPUNIT_ASSERT((counts == std::vector<std::size_t>{2, 1, 1, 0}));
+        CPPUNIT_ASSERT(Dispatch::idle(harness.state) && harness.state.orders.empty());
+    }
+
+    /// Guards against a team that takes more than its quota or its weight under contention.
+    void sharesByWeightAndQuota()
+    {
+        Harness harness;
+        harness.kind("heavy", "x");
+        harness.kind("light", "x");
+        harness.kind("small", "x");
+        harness.team("heavy").weight = 3;
+        harness.team("small").quota = 0.1;
+        harness.agent("a", 20);
+        harness.submit("small", "x", 20);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.starts.size());
+        harness.submit("heavy", "x", 400, 60'000);
+        harness.submit("light", "x", 400, 60'000);
+        std::map<std::string, int> started;
+        for (int round = 0; round < 10; ++round) {
+            CPPUNIT_ASSERT(harness.state.teams["small"].running <= 2);
+            harness.finishAll();
+            for (const auto &start : harness.starts) {
+                ++started[start.task.team];
+            }
+        }
+        CPPUNIT_ASSERT(started["heavy"] > 2.5 * started["light"] && started["heavy"] < 3.5 * started["light"]);
+    }
+
+    /// Guards against short work that waits behind long work, and against long work that never gets its turn.
+    void servesShortWorkFirst()
+    {
+        Harness harness;
+        harness.kind("t", "long").expectedMs = 5000;
+        harness.kind("t", "short").expectedMs = 50;
+        harness.agent("a", 4);
+        harness.submit("t", "long", 20, 60'000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, harness.starts.size()); // a quarter of the slots stays free of long work
+        harness.submit("t", "short", 10, 60'000);
+        CPPUNIT_ASSERT_EQUAL(std::string("short"), harness.starts.back().task.kind);
+        harness.update("a", harness.starts[0].task.key, AttemptState::Succeeded);
+        CPPUNIT_ASSERT_EQUAL(std::string("short"), harness.starts.back().task.kind);
+        harness.pass(600ms);
+        harness.update("a", harness.starts[1].task.key, AttemptState::Succeeded);
+        CPPUNIT_ASSERT_EQUAL(std::string("long"), harness.starts.back().task.kind);
+    }
+
+    /// Guards against repeating what must not be repeated, and against failing what may be.
+    void followsEndOfAttempt()
+    {
+        struct Case {
+            bool idempotent;
+            AttemptState state;
+            AgentReason reason;
+            Reason expected; ///< None: another attempt
+            Outcome outcome;
+        };
+        const Case cases[] = {
+            {true, AttemptState::Refused, AgentReason::QueueFull, Reason::None, {}},
+            {false, AttemptState::Refused, AgentReason::QueueFull, Reason::None, {}},
+            {false, AttemptState::Refused, AgentReason::Fenced, Reason::None, {}},
+            {true, AttemptState::Refused, AgentReason::DeadlinePast, Reason::DeadlineExceeded, Outcome::NotRun},
+            {true, AttemptState::Lost, AgentReason::BackendLost, Reason::None, {}},
+            {false, AttemptState::Lost, AgentReason::BackendLost, Reason::AttemptLost, Outcome::Unknown},
+            {true, AttemptState::Stopped, AgentReason::LeaseEnded, Reason::None, {}},
+            {false, AttemptState::Stopped, AgentReason::LeaseEnded, Reason::AttemptLost, Outcome::Unknown},
+            {true, AttemptState::Stopped, AgentReason::RunTimeLimit, Reason::RunTimeLimit, Outcome::Failed},
+            {true, AttemptState::Failed, AgentReason::BackendError, Reason::None, {}},
+            {false, AttemptState::Failed, AgentReason::BackendError, Reason::TaskFailed, Outcome::Failed},
+        };
+        for (const Case &test : cases) {
+            for (const bool flipped : {false, true}) {
+                Harness harness;
+                harness.kind("t", "x", test.idempotent);
+                harness.agent("a");
+                harness.agent("b");
+                const auto request = harness.submit("t", "x", 2);
+                const auto first = harness.starts.at(0);
+                // An attempt sent as not idempotent stays so when the rule is flipped while it runs.
+                harness.kind("t", "x", test.idempotent || flipped);
+                harness.update(first.agent, first.task.key, test.state, test.reason);
+                harness.pass(3s);
+                if (test.expected == Reason::None) {
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, harness.starts.size());
+                    CPPUNIT_ASSERT(harness.starts[2].task.key.attempt == 2 && harness.starts[2].agent != first.agent);
+                    continue;
+                }
+                CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.starts.size());
+                const auto other = harness.starts.at(1);
+                CPPUNIT_ASSERT(std::holds_alternative<Protocol::CancelTasks>(harness.agentSends.at(0).request));
+                harness.update(other.agent, other.task.key, AttemptState::Refused, AgentReason::Cancelled);
+                const auto failed = harness.failure(request);
+                CPPUNIT_ASSERT(failed.reason == test.expected && failed.outcome == test.outcome);
+            }
+        }
+    }
+
+    /// Guards against retry storms: attempts per task and retries per team are bounded.
+    void boundsRetries()
+    {
+        for (const double budget : {0.0, 0.1, 1.0}) {
+            Harness harness;
+            harness.kind("t", "x");
+            harness.team("t").retryBudget = budget;
+            harness.agent("a", 100);
+            constexpr std::size_t jobs = 100;
+            for (std::size_t i = 0; i < jobs; ++i) {
+                harness.submit("t", "x");
+            }
+            for (int round = 0; round < 20; ++round) {
+                harness.finishAll(AttemptState::Failed);
+                harness.pass(500ms);
+            }
+            const std::size_t retries = harness.startCount - jobs;
+            const double allowed = budget == 0 ? 0 : 10 + budget * static_cast<double>(harness.startCount);
+            CPPUNIT_ASSERT(static_cast<double>(retries) <= allowed && retries <= 3 * jobs);
+            CPPUNIT_ASSERT(budget == 0 || retries >= 10);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{jobs}, harness.counter("failed.retries-exhausted"));
+            CPPUNIT_ASSERT(Dispatch::idle(harness.state));
+        }
+    }
+
+    /// Guards against a not-run answer while an agent may still start the task, and against cancellations that are lost.
+    void confirmsBeforeNotRun()
+    {
+        struct Case {
+            AttemptState state;
+            Outcome outcome;
+        };
+        for (const Case &test : {Case{AttemptState::Refused, Outcome::NotRun}, Case{AttemptState::Stopped, Outcome::Failed}}) {
+            Harness harness;
+            harness.kind("t", "x", false);
+            harness.agent("a", 2);
+            const auto request = harness.submit("t", "x", 10);
+            const auto starts = harness.starts;
+            harness.send(Events::JobCancelRequested{50, "t", starts[0].task.key.task.submission, {}});
+            CPPUNIT_ASSERT(!harness.answered(request) && harness.agentSends.size() == 1);
+            harness.change(Cluster::AgentUsable{"a"});
+            CPPUNIT_ASSERT(harness.agentSends.size() == 2 && std::holds_alternative<Protocol::CancelTasks>(harness.agentSends.back().request));
+            for (const auto &start : starts) {
+                CPPUNIT_ASSERT(!harness.answered(request));
+                harness.update("a", start.task.key, test.state, AgentReason::Cancelled);
+            }
+            const auto failed = harness.failure(request);
+            CPPUNIT_ASSERT(failed.reason == Reason::Cancelled && failed.outcome == test.outcome);
+            CPPUNIT_ASSERT_EQUAL(starts.size(), harness.startCount);
+        }
+    }
+
+    /// Guards against a worker that draws work by failing it fast, against ejecting the fleet for a bad kind, and against
+    /// a worker that never comes back.
+    void ejectsFailingWorkers()
+    {
+        for (const int failing : {1, 6, 10}) {
+            Harness harness;
+            harness.kind("t", "x");
+            harness.team("t").retryBudget = 1;
+            for (int i = 0; i < 10; ++i) {
+                harness.agent("w" + std::to_string(i), 4);
+            }
+            harness.pass(60ms);
+            runRounds(harness, failing, 200);
+            CPPUNIT_ASSERT_EQUAL(failing == 1 ? 1U : failing == 6 ? 3U : 0U, harness.state.ejected);
+            runRounds(harness, 0, 1500);
+            CPPUNIT_ASSERT_EQUAL(0U, harness.state.ejected);
+            CPPUNIT_ASSERT_EQUAL(harness.counter("agent.ejected"), harness.counter("agent.readmitted"));
+        }
+    }
+
+    /// Guards against hedges that a team did not allow, of kinds that must not run twice, or beyond the budget.
+    void hedgesWithinBudget()
+    {
+        struct Case {
+            double budget;
+            bool idempotent;
+            std::size_t hedges;
+        };
+        for (const Case &test : {Case{0, true, 0}, Case{0.5, true, 2}, Case{0.5, false, 0}}) {
+            Harness harness;
+            harness.kind("t", "x", test.idempotent);
+            harness.team("t").hedgeBudget = test.budget;
+            harness.agent("a");
+            harness.agent("b");
+            for (int i = 0; i < 20; ++i) {
+                harness.submit("t", "x");
+                harness.finishAll();
+            }
+            const auto request = harness.submit("t", "x", 6);
+            harness.pass(400ms);
+            CPPUNIT_ASSERT_EQUAL(6 + test.hedges, harness.starts.size());
+            harness.finishAll();
+            CPPUNIT_ASSERT(harness.failure(request).reason == Reason::None);
+            CPPUNIT_ASSERT(Dispatch::idle(harness.state));
+        }
+    }
+
+    /// Guards against a policy that piles work on one agent, ignores room, or uses agents that take no work.
+    void placesByPolicy()
+    {
+        const Dispatch::PlacementPolicy policies[] = {Dispatch::ExpectedWait{}, Dispatch::Random{}, Dispatch::RoundRobin{}, Dispatch::PowerOfTwo{}};
+        for (const auto &policy : policies) {
+            Harness harness(3, policy);
+            harness.kind("t", "x");
+            for (const char *name : {"a", "b", "c", "left", "down", "other"}) {
+                harness.agent(name, 8);
+            }
+            harness.cluster.agents["left"].state = Protocol::AgentState::Leaving;
+            harness.cluster.agents["down"].linkUp = false;
+            harness.cluster.agents["other"].kinds = {"y"};
+            harness.submit("t", "x", 100);
+            std::map<std::string, int> starts;
+            for (const auto &start : harness.starts) {
+                ++starts[start.agent];
+            }
+            CPPUNIT_ASSERT((starts == std::map<std::string, int>{{"a", 10}, {"b", 10}, {"c", 10}}));
+        }
+    }
+
+private:
+    /// Rounds of new jobs, of which the first agents fail every task.
+    static void runRounds(Harness &harness, int failing, int rounds)
+    {
+        for (int round = 0; round < rounds; ++round) {
+            for (int i = 0; i < 12; ++i) {
+                harness.submit("t", "x");
+            }
+            harness.pass(20ms);
+            for (int i = 0; i < 10; ++i) {
+                harness.finishAll(i < failing ? AttemptState::Failed : AttemptState::Succeeded, "w" + std::to_string(i));
+            }
+            CPPUNIT_ASSERT(harness.state.ejected <= 3);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestScheduling);
