Let a full quota set no bound on running tasks

Change: bound running tasks only for quotas below 1; name parameters alike in declarations and definitions.

--- a/src/libs/dispatch/placement.h
+++ b/src/libs/dispatch/placement.h
@@ -25,7 +25,7 @@
 void refreshAgents(Context &context);
 
 /// Lists the agent again if it has room, after it reported or an attempt ended there.
-void reopenAgent(Context &context, const std::string &agent);
+void reopenAgent(Context &context, const std::string &name);
 
 /// True if some known agent runs the kind, or no agent is known yet.
 bool placeable(const DispatchState &state, std::string_view kind);
--- a/src/libs/dispatch/taskqueue.cpp
+++ b/src/libs/dispatch/taskqueue.cpp
@@ -41,8 +41,8 @@
 
 bool atQuota(const DispatchState &state, const Settings::TeamRules *rules, const TeamState &team)
 {
-    const double quota = rules == nullptr ? 1.0 : rules->quota;
-    return team.running >= std::max(1.0, std::floor(quota * state.totalSlots));
+    // A full quota sets no bound, since agents take a few more tasks than they have slots.
+    return rules != nullptr && rules->quota < 1 && team.running >= std::max(1.0, std::floor(rules->quota * state.totalSlots));
 }
 
 /// The kind to serve next: short or aged work by age, then long work by age.
--- a/src/libs/dispatch/taskqueue.h
+++ b/src/libs/dispatch/taskqueue.h
@@ -4,7 +4,7 @@
 
 namespace LaburnumFlow::Dispatch::Internal {
 
-TeamState &teamOf(DispatchState &state, const Settings::TeamRules *rules, const std::string &team);
+TeamState &teamOf(DispatchState &state, const Settings::TeamRules *rules, const std::string &name);
 
 /// Run time at reference speed in ms: learned, or declared while there are few samples.
 double expectedRunMs(const DispatchState &state, const Settings::TeamRules *rules, std::string_view team, std::string_view kind);
@@ -36,6 +36,6 @@
 void chargeStart(DispatchState &state, const Settings::TeamRules *rules, TeamState &team, double costMs);
 
 /// Learns from an ended run.
-void learnRunTime(DispatchState &state, std::string_view team, std::string_view kind, double runMs);
+void learnRunTime(DispatchState &state, std::string_view teamName, std::string_view kindName, double runMs);
 
 } // namespace LaburnumFlow::Dispatch::Internal
--- a/tests/auto/dispatch/harness.h
+++ b/tests/auto/dispatch/harness.h
@@ -29,7 +29,7 @@
     void change(const Cluster::Change &event);
 
     /// Submits a job; the request number is returned.
-    Events::RequestId submit(Protocol::JobBody body, std::optional<Base::Uuid> id = std::nullopt);
+    Events::RequestId submit(Protocol::JobBody job, std::optional<Base::Uuid> id = std::nullopt);
     Events::RequestId submit(const std::string &teamName, const std::string &kindName, std::size_t tasks = 1, std::uint32_t deadlineMs = 0);
     static Protocol::JobBody body(const std::string &teamName, const std::string &kindName, std::size_t tasks = 1, std::uint32_t deadlineMs = 0);
     Base::Uuid newId(Base::WallTime offset = {});
@@ -38,12 +38,12 @@
 
     void update(const std::string &agentName,
                 const Base::AttemptKey &key,
-                Protocol::AttemptState state,
+                Protocol::AttemptState attemptState,
                 Protocol::AgentReason reason = {},
                 std::string result = "1",
                 std::uint32_t runMs = 100);
     /// Ends every attempt that was sent since the last call; returns how many.
-    std::size_t finishAll(Protocol::AttemptState state = Protocol::AttemptState::Succeeded, const std::string &onlyAgent = {});
+    std::size_t finishAll(Protocol::AttemptState attemptState = Protocol::AttemptState::Succeeded, const std::string &onlyAgent = {});
 
     /// The failure that a request was answered with; an empty one with reason None if it succeeded. Fails if unanswered.
     Protocol::JobFailed failure(Events::RequestId request) const;
--- a/tests/auto/dispatch/tst_admission.cpp
+++ b/tests/auto/dispatch/tst_admission.cpp
@@ -6,7 +6,6 @@
 
 using namespace LaburnumFlow;
 using namespace LaburnumFlow::DispatchTest;
-using Protocol::AttemptState;
 using Protocol::Outcome;
 using Protocol::Reason;
 
@@ -134,7 +133,7 @@
         const auto late = harness.failure(harness.submit("survey", "fold", 1, 150));
         CPPUNIT_ASSERT(late.reason == Reason::Overloaded && late.outcome == Outcome::NotRun && late.retryAfterMs > 0);
         CPPUNIT_ASSERT(harness.state.teams["survey"].queued <= 30);
-        CPPUNIT_ASSERT(harness.counter("refused.overloaded") == 2);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, harness.counter("refused.overloaded"));
     }
 
     /// Guards against a second run of a submission that the caller sends again, and against answers to another body.
--- a/tests/auto/dispatch/tst_schedules.cpp
+++ b/tests/auto/dispatch/tst_schedules.cpp
@@ -204,12 +204,12 @@
     void enterOrder(const Job &job)
     {
         truth_.orderOf[job.id] = job.body.team;
-        for (std::uint16_t i = 0; i < job.body.tasks.size(); ++i) {
-            truth_.orderPosition[{job.id, i}] = ++position_;
+        for (std::size_t i = 0; i < job.body.tasks.size(); ++i) {
+            truth_.orderPosition[{job.id, static_cast<std::uint16_t>(i)}] = ++position_;
         }
     }
 
-    void post(std::size_t agent, std::variant<Protocol::AgentRequest, Protocol::AgentReply> content)
+    void post(std::size_t agent, const std::variant<Protocol::AgentRequest, Protocol::AgentReply> &content)
     {
         const std::size_t copies = chance(15) ? 2 : 1;
         for (std::size_t copy = 0; copy < copies; ++copy) {
@@ -322,8 +322,8 @@
                 truth_.faults.emplace_back("an answer is incomplete or out of order");
             }
         } else if (std::get<Protocol::JobFailed>(found->second.front()).outcome == Outcome::NotRun) {
-            for (std::uint16_t i = 0; i < job.body.tasks.size(); ++i) {
-                if (truth_.starts.contains({job.id, i})) {
+            for (std::size_t i = 0; i < job.body.tasks.size(); ++i) {
+                if (truth_.starts.contains({job.id, static_cast<std::uint16_t>(i)})) {
                     truth_.faults.emplace_back("a job answered as not run had started");
                 }
             }
