--- a/tests/auto/net/tst_network.cpp
+++ b/tests/auto/net/tst_network.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <thread>
 #include <vector>
 
@@ -165,7 +166,16 @@
             a.network.send("b", false, sized(messageBytes));
         }
         CPPUNIT_ASSERT(a.waitForCounter("net.messages.sent", count));
-        std::thread stopper([&a] { a.network.stop(); });
+        // Is taken in a later round, so the writes of the earlier ones have blocked by then.
+        a.network.send("b", false, numbered(1));
+        CPPUNIT_ASSERT(a.waitForCounter("net.messages.sent", count + 1));
+        std::atomic<bool> stopping{false};
+        std::thread stopper([&] {
+            stopping = true;
+            stopping.notify_one();
+            a.network.stop();
+        });
+        stopping.wait(false);
         CPPUNIT_ASSERT(peer.waitForEnd());
         stopper.join();
         CPPUNIT_ASSERT(peer.bytesAtEnd > count * messageBytes);
