--- a/src/libs/entryruntime/settingswatcher.cpp
+++ b/src/libs/entryruntime/settingswatcher.cpp
@@ -1,12 +1,11 @@
 #include "settingswatcher.h"
 
-#include "storeworkerconstants.h"
-
 #include "base/timerservice.h"
 #include "store/storecodec.h"
 
 #include <pthread.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -14,8 +13,12 @@
 
 namespace leaf = boost::leaf;
 
-SettingsWatcher::SettingsWatcher(Store::PlatformStore &store, Base::Duration callDeadline, Base::CounterRegistry &counters, PostEvent post)
-    : store_(store), callDeadline_(callDeadline), counters_(counters), post_(std::move(post)), thread_([this] {
+SettingsWatcher::SettingsWatcher(Store::PlatformStore &store,
+                                 Base::Duration callDeadline,
+                                 Base::CounterRegistry &counters,
+                                 PostEvent post,
+                                 Base::Duration readInterval)
+    : store_(store), callDeadline_(callDeadline), readInterval_(readInterval), counters_(counters), post_(std::move(post)), thread_([this] {
         pthread_setname_np(pthread_self(), "store-watch");
         run();
     })
@@ -43,7 +46,7 @@
 {
     Base::MonoTime nextRead{};
     while (waitUntil(nextRead)) {
-        nextRead = Base::monoNow() + settingsReadInterval;
+        nextRead = Base::monoNow() + readInterval_;
         const auto storeRevision = readAll();
         if (storeRevision) {
             watchFrom(*storeRevision);
--- a/src/libs/entryruntime/settingswatcher.h
+++ b/src/libs/entryruntime/settingswatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mapworker.h"
+#include "storeworkerconstants.h"
 
 #include "base/counters.h"
 #include "base/types.h"
@@ -21,7 +22,12 @@
 class SettingsWatcher
 {
 public:
-    SettingsWatcher(Store::PlatformStore &store, Base::Duration callDeadline, Base::CounterRegistry &counters, PostEvent post);
+    /// readInterval is the least time between two reads of all settings while watches fail.
+    SettingsWatcher(Store::PlatformStore &store,
+                    Base::Duration callDeadline,
+                    Base::CounterRegistry &counters,
+                    PostEvent post,
+                    Base::Duration readInterval = settingsReadInterval);
     ~SettingsWatcher();
     SettingsWatcher(const SettingsWatcher &) = delete;
     SettingsWatcher &operator=(const SettingsWatcher &) = delete;
@@ -40,6 +46,7 @@
 
     Store::PlatformStore &store_;
     Base::Duration callDeadline_;
+    Base::Duration readInterval_;
     Base::CounterRegistry &counters_;
     PostEvent post_;
     std::mutex mutex_;
