--- a/tests/auto/dispatch/tst_scheduling.cpp
+++ b/tests/auto/dispatch/tst_scheduling.cpp
@@ -15,6 +15,7 @@
 {
     CPPUNIT_TEST_SUITE(TestScheduling);
     CPPUNIT_TEST(ordersTasks);
+    CPPUNIT_TEST(holdsOrderAfterLoss);
     CPPUNIT_TEST(sharesByWeightAndQuota);
     CPPUNIT_TEST(servesShortWorkFirst);
     CPPUNIT_TEST(followsEndOfAttempt);
@@ -47,6 +48,26 @@
         CPPUNIT_ASSERT(Dispatch::idle(harness.state) && harness.state.orders.empty());
     }
 
+    /// Guards against an ordered task that starts while a lost one, whose lease the owner can't end, may still run.
+    void holdsOrderAfterLoss()
+    {
+        Harness harness;
+        harness.kind("t", "line", false).ordered = true;
+        harness.kind("t", "line", false).limitMs = 1000;
+        harness.agent("a");
+        Protocol::JobBody body = Harness::body("t", "line", 1, 2000);
+        body.orderingKey = "k";
+        const auto request = harness.submit(body);
+        body.deadlineMs = 20'000;
+        harness.submit(body);
+        harness.change(Cluster::AgentFenced{{"a", 1}});
+        CPPUNIT_ASSERT(harness.failure(request).reason == Reason::AttemptLost);
+        harness.pass(4400ms); // the start may reach the agent up to tokenLimit late, and then runs up to the limit
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.startCount);
+        harness.pass(200ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.startCount);
+    }
+
     /// Guards against a team that takes more than its quota or its weight under contention.
     void sharesByWeightAndQuota()
     {
