Fix findings of clang-tidy in the agent library and its tests

clang-tidy reported seven findings in the library and its tests, among them a body copied with memcpy and a URL passed by value. The heartbeat test did not notice entries taken from an older map; it lists two of them now.

--- a/src/libs/agent/agentstate.h
+++ b/src/libs/agent/agentstate.h
@@ -3,13 +3,13 @@
 #include "agentevents.h"
 
 #include <array>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -56,7 +56,10 @@
     Base::MonoTime rank{};
     Base::AttemptKey key;
 
-    auto operator<=>(const QueuePosition &) const = default;
+    bool operator<(const QueuePosition &other) const
+    {
+        return std::tie(rank, key) < std::tie(other.rank, other.key);
+    }
 };
 
 struct Expiry {
--- a/src/libs/agent/backendcall.cpp
+++ b/src/libs/agent/backendcall.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstring>
 #include <utility>
 
 namespace LaburnumFlow::Agent::Internal {
@@ -67,7 +66,7 @@
     return Base::toString(key.task.submission) + "-" + std::to_string(key.task.index) + "-" + std::to_string(key.attempt);
 }
 
-BackendCall::BackendCall(CallKind kind, const Base::AttemptKey &key, std::string_view method, std::string url, std::string body)
+BackendCall::BackendCall(CallKind kind, const Base::AttemptKey &key, std::string_view method, const std::string &url, std::string body)
     : kind_(kind), key_(key), body_(std::move(body)), handle_(curl_easy_init())
 {
     curl_easy_setopt(handle_, CURLOPT_URL, url.c_str());
@@ -111,8 +110,7 @@
     if (n == 0) {
         return CURL_READFUNC_ABORT;
     }
-    std::memcpy(to, call->body_.data() + call->bodyOffset_, n);
-    call->bodyOffset_ += n;
+    call->bodyOffset_ += call->body_.copy(to, n, call->bodyOffset_);
     return n;
 }
 
--- a/src/libs/agent/backendcall.h
+++ b/src/libs/agent/backendcall.h
@@ -27,7 +27,7 @@
 class BackendCall
 {
 public:
-    BackendCall(CallKind kind, const Base::AttemptKey &key, std::string_view method, std::string url, std::string body);
+    BackendCall(CallKind kind, const Base::AttemptKey &key, std::string_view method, const std::string &url, std::string body);
     ~BackendCall();
     BackendCall(const BackendCall &) = delete;
     BackendCall &operator=(const BackendCall &) = delete;
--- a/tests/auto/agent/childprocess.cpp
+++ b/tests/auto/agent/childprocess.cpp
@@ -31,6 +31,7 @@
     std::vector<std::string> words{std::string(folder == nullptr ? "." : folder) + "/" + program};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char *> argv;
+    argv.reserve(words.size() + 1);
     for (std::string &word : words) {
         argv.push_back(word.data());
     }
--- a/tests/auto/agent/tst_reducer.cpp
+++ b/tests/auto/agent/tst_reducer.cpp
@@ -54,7 +54,7 @@
 
 void fillAgent(Harness &agent)
 {
-    for (std::uint8_t i = 0; i < 2 + 2 * queuedPerSlot; ++i) {
+    for (std::size_t i = 0; i < 2 + 2 * queuedPerSlot; ++i) {
         agent.start(taskOf(keyOf(static_cast<std::uint8_t>(100 + i))));
     }
 }
@@ -491,7 +491,7 @@
     {
         Harness agent;
         agent.feed(EntryHelloReceived{{}, {{"a", 1}, 7, agent.token(), {{"10.0.0.1", 1}, {"10.0.0.2", 1}}}});
-        agent.feed(EntryHelloReceived{{}, {{"old", 1}, 6, agent.token(), {{"10.0.0.9", 1}}}});
+        agent.feed(EntryHelloReceived{{}, {{"old", 1}, 6, agent.token(), {{"10.0.0.8", 1}, {"10.0.0.9", 1}}}});
         agent.all.clear();
         agent.advance(Protocol::heartbeatInterval);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, agent.allOf<SendHeartbeat>().size());
--- a/tests/auto/agent/tst_schedules.cpp
+++ b/tests/auto/agent/tst_schedules.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint16_t slots = 3;
 constexpr std::uint16_t reserved = 1;
 constexpr std::size_t partitions = 4;
-constexpr int schedules = 3000;
+constexpr std::size_t schedules = 3000;
 constexpr int stepsPerSchedule = 200;
 
 const std::array<std::string, 3> entryNames{"a", "b", "c"};
@@ -243,8 +243,8 @@
     void randomSchedules()
     {
         std::size_t starts = 0;
-        for (int seed = 1; seed <= schedules; ++seed) {
-            starts += Schedule(static_cast<std::uint64_t>(seed)).run();
+        for (std::size_t seed = 1; seed <= schedules; ++seed) {
+            starts += Schedule(seed).run();
         }
         std::cout << schedules << " schedules, " << starts << " starts\n";
         CPPUNIT_ASSERT_MESSAGE("schedules that start little test little", starts > 10 * schedules);
