Settle lost writes sooner and keep the error's type in the call budget

A new error returned from a LEAF handler is replaced by the handled one of the same type, so a StoreUnavailable that passed through CallBudget reached its caller without a type. The budget now passes the error on under its own id.

SettingsService looked for a lost write only after a pause of 20 ms. With ten operators racing, the history had moved on by more than ten revisions by then and the change stayed undecided. The first look now follows at once.

Both were found by the tests that follow (TestCallBudget::countsCalls, TestSettingsService::raceEtcd) and pass after the change.

--- a/src/libs/store/callbudget.cpp
+++ b/src/libs/store/callbudget.cpp
@@ -45,9 +45,10 @@
         return boost::leaf::new_error(BudgetExhausted{});
     }
     calls.add();
-    return boost::leaf::try_handle_some(call, [this](const StoreUnavailable &error) -> Result {
+    // The error is passed on under its own id; LEAF would replace a new error of the same type with the handled one.
+    return boost::leaf::try_handle_some(call, [this](const boost::leaf::error_info &info, const StoreUnavailable &) -> Result {
         unavailable_.add();
-        return boost::leaf::new_error(error);
+        return info.error();
     });
 }
 
--- a/src/libs/store/settingsservice.cpp
+++ b/src/libs/store/settingsservice.cpp
@@ -268,9 +268,8 @@
 /// so it is sent again: whichever arrives second finds the other's modRevision.
 boost::leaf::result<StoredSettings> SettingsService::settle(const SettingsChange &change, const StoredSettings &wanted, std::int64_t expectedModRevision)
 {
-    Base::Duration wait = firstRetryPause;
-    while (change.end - Base::monoNow() > wait && pause(wait)) {
-        wait = std::min(2 * wait, longestRetryPause);
+    // The first look follows at once, before the history has moved on.
+    for (Base::Duration wait = firstRetryPause;; wait = std::min(2 * wait, longestRetryPause)) {
         const SwapOutcome outcome = look(store_, change, wanted, expectedModRevision);
         if (std::holds_alternative<Swapped>(outcome)) {
             return wanted;
@@ -278,8 +277,10 @@
         if (const auto *overtaken = std::get_if<Overtaken>(&outcome)) {
             return judge(change, overtaken->current, Sent::Before);
         }
+        if (change.end - Base::monoNow() <= wait || !pause(wait)) {
+            return boost::leaf::new_error(ChangeUndecided{change.changeId});
+        }
     }
-    return boost::leaf::new_error(ChangeUndecided{change.changeId});
 }
 
 bool SettingsService::pause(Base::Duration duration)
