--- a/src/libs/cluster/ownership.cpp
+++ b/src/libs/cluster/ownership.cpp
@@ -15,11 +15,11 @@
 {
     std::uint16_t best = 0;
     XXH64_hash_t bestWeight = 0;
-    for (std::uint16_t i = 0; i < entries.size(); ++i) {
+    for (std::size_t i = 0; i < entries.size(); ++i) {
         const std::string &name = entries[i].id.name;
         const XXH64_hash_t weight = XXH64(name.data(), name.size(), partition);
         if (i == 0 || weight > bestWeight || (weight == bestWeight && name < entries[best].id.name)) {
-            best = i;
+            best = static_cast<std::uint16_t>(i);
             bestWeight = weight;
         }
     }
--- a/tests/auto/cluster/tst_membership.cpp
+++ b/tests/auto/cluster/tst_membership.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(removal);
     CPPUNIT_TEST(authorityConditions);
     CPPUNIT_TEST(higherEpochStepsDown);
+    CPPUNIT_TEST(skippedEpochs);
     CPPUNIT_TEST(takeoverWaits);
     CPPUNIT_TEST(fenceQueries);
     CPPUNIT_TEST(confirmDead);
@@ -276,6 +277,36 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), entry.counted("map.older-ignored"));
     }
 
+    /// Guards against keeping partitions that another entry may have served under a map that was never seen.
+    void skippedEpochs()
+    {
+        const struct {
+            Protocol::Epoch epoch;
+            std::vector<Protocol::UnfencedSet> unfenced;
+            bool kept;
+        } table[] = {
+            {11, {}, true},
+            {12, {}, false},
+            {12, {{10, {a, b}}, {11, {a, b, c}}}, true},
+            {12, {{10, {a, b}}, {11, {b, c}}}, false},
+            {12, {{10, {a, b}}, {11, {entryRecord("ea", 2), b}}}, false},
+            {13, {{10, {a, b}}, {11, {a, b, c}}}, false},
+        };
+        for (const auto &row : table) {
+            Entry entry = serving({a, b});
+            entry.link(b);
+            entry.link(c);
+            entry.state.takeovers.clear();
+            Protocol::PartitionMap next = mapOf({a, b, c}, row.epoch);
+            next.unfenced = row.unfenced;
+            entry.read(next, 2);
+            CPPUNIT_ASSERT_EQUAL(row.kept, entry.owned(Authority::Serving) > 0);
+            CPPUNIT_ASSERT_EQUAL(!row.kept, entry.owned(Authority::Recovering) > 0);
+            // The ledger of what moved goes to the new owner only under the next epoch.
+            CPPUNIT_ASSERT_EQUAL(row.epoch == 11, !entry.all<HandoverDue>().empty());
+        }
+    }
+
     /// Guards against serving before the former owner's authority and its delayed starts have ended.
     void takeoverWaits()
     {
@@ -387,6 +418,10 @@
         handover.from = a.id;
         handover.epoch = written.epoch;
         handover.partitions = entry.all<HandoverDue>().at(0)->partitions;
+        handover.epoch = written.epoch - 1;
+        heir.message(a, handover);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), heir.counted("handover.epoch-mismatch"));
+        handover.epoch = written.epoch;
         heir.message(a, handover);
         CPPUNIT_ASSERT_EQUAL(handover.partitions.size(), heir.owned(Authority::Serving));
         heir.message(a, handover);
