Add tests and examples of settings and store

Operators' texts, the store clients and the settings service had no tests.

Tables of faulty texts with path, line and column; inheritance, explain and 48 teams; one contract for EmbeddedStore and EtcdStore, the latter against the stand-in as a child process with faults; lost answers and ten racing operators for SettingsService. The examples are parsed by tests.

Sanitizer builds were not run.

--- /dev/null
+++ b/tests/auto/settings/settingscases.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "settings/settingsfault.h"
+
+#include <boost/leaf.hpp>
+#include <cppunit/TestAssert.h>
+
+#include <fstream>
+#include <sstream>
+#include <string>
+
+/// Helpers for tables of faulty settings texts.
+namespace LaburnumFlow::Settings {
+
+/// A text and the faults that it has, as "LINE:COLUMN PATH" joined by "; ".
+struct FaultCase {
+    std::string yaml;
+    std::string faults;
+    std::string accepted; ///< of the first fault; empty means not checked
+};
+
+/// The result's faults; none if it is a value.
+template<class Parse>
+SettingsFaults faultsOf(Parse parse)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<SettingsFaults> {
+            auto parsed = parse();
+            if (!parsed) {
+                return parsed.error();
+            }
+            return SettingsFaults{};
+        },
+        [](const SettingsFaults &faults) { return faults; },
+        [] {
+            CPPUNIT_FAIL("an error of another type");
+            return SettingsFaults{};
+        });
+}
+
+inline std::string placesOf(const SettingsFaults &faults)
+{
+    std::string places;
+    for (const SettingsFault &fault : faults.faults) {
+        places += (places.empty() ? "" : "; ") + std::to_string(fault.line) + ":" + std::to_string(fault.column) + " " + fault.path;
+    }
+    return places;
+}
+
+/// Checks one case; parse takes the text.
+template<class Parse>
+void checkCase(const FaultCase &expected, Parse parse)
+{
+    const SettingsFaults faults = faultsOf([&] { return parse(expected.yaml); });
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(expected.yaml, expected.faults, placesOf(faults));
+    if (!expected.accepted.empty()) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(expected.yaml, expected.accepted, faults.faults.front().accepted);
+    }
+}
+
+inline std::string readExample(const std::string &name)
+{
+    std::ifstream file(std::string(EXAMPLES_DIR "/") + name);
+    CPPUNIT_ASSERT_MESSAGE(name, file.is_open());
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace LaburnumFlow::Settings
