--- a/tests/auto/dispatch/tst_relay.cpp
+++ b/tests/auto/dispatch/tst_relay.cpp
@@ -254,10 +254,10 @@
 
         Harness after;
         prepare(after, "self");
-        after.cluster.awaitingHandover = {partition};
+        after.cluster.takeover.emplace().partitions = {partition};
         const auto early = after.submit(body, done);
         after.change(Cluster::LedgerReceived{records});
-        after.cluster.awaitingHandover.clear();
+        after.cluster.takeover.reset();
         after.change(Cluster::PartitionsGained{partitions});
         const auto late = after.submit(body, open);
         CPPUNIT_ASSERT(after.failure(early).reason == Reason::None && !after.answered(late));
