--- a/src/libs/httpapi/httpserver.cpp
+++ b/src/libs/httpapi/httpserver.cpp
@@ -281,7 +281,7 @@
 }
 
 HttpServer::HttpServer(const HttpConfig &config, EventSink &sink, Store::SettingsService &settings, Base::CounterRegistry &counters)
-    : d(std::make_unique<Private>(config, sink, settings, counters))
+    : d_(std::make_unique<Private>(config, sink, settings, counters))
 {
 }
 
@@ -294,72 +294,72 @@
 {
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_port = htons(d->config.listen.port);
-    if (inet_pton(AF_INET, d->config.listen.address.c_str(), &address.sin_addr) != 1) {
-        return boost::leaf::new_error(ListenFailed{d->config.listen});
+    address.sin_port = htons(d_->config.listen.port);
+    if (inet_pton(AF_INET, d_->config.listen.address.c_str(), &address.sin_addr) != 1) {
+        return boost::leaf::new_error(ListenFailed{d_->config.listen});
     }
     const unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
-    d->daemon = MHD_start_daemon(flags,
-                                 d->config.listen.port,
+    d_->daemon = MHD_start_daemon(flags,
+                                 d_->config.listen.port,
                                  nullptr,
                                  nullptr,
                                  &onRequest,
-                                 d.get(),
+                                 d_.get(),
                                  MHD_OPTION_SOCK_ADDR,
                                  &address,
                                  MHD_OPTION_THREAD_POOL_SIZE,
-                                 d->config.threads,
+                                 d_->config.threads,
                                  MHD_OPTION_CONNECTION_LIMIT,
-                                 d->config.maxConnections,
+                                 d_->config.maxConnections,
                                  MHD_OPTION_CONNECTION_TIMEOUT,
                                  idleTimeoutSeconds,
                                  MHD_OPTION_NOTIFY_COMPLETED,
                                  &onEnded,
-                                 d.get(),
+                                 d_.get(),
                                  MHD_OPTION_END);
-    if (d->daemon == nullptr) {
-        return boost::leaf::new_error(ListenFailed{d->config.listen});
+    if (d_->daemon == nullptr) {
+        return boost::leaf::new_error(ListenFailed{d_->config.listen});
     }
-    d->port = portOf(d->daemon);
+    d_->port = portOf(d_->daemon);
     return {};
 }
 
 std::uint16_t HttpServer::port() const
 {
-    return d->port;
+    return d_->port;
 }
 
 void HttpServer::answer(const Events::AnswerJob &effect)
 {
-    d->requests.answer(effect.request, Internal::makeResponse(effect));
+    d_->requests.answer(effect.request, Internal::makeResponse(effect));
 }
 
 void HttpServer::answer(const Events::AnswerStatus &effect)
 {
-    d->requests.answer(effect.request, Internal::makeResponse(effect));
+    d_->requests.answer(effect.request, Internal::makeResponse(effect));
 }
 
 void HttpServer::answer(const Events::AnswerOperator &effect)
 {
-    d->requests.answer(effect.request, Internal::makeResponse(effect));
+    d_->requests.answer(effect.request, Internal::makeResponse(effect));
 }
 
 void HttpServer::stop()
 {
-    if (d->daemon == nullptr) {
+    if (d_->daemon == nullptr) {
         return;
     }
-    d->quiesced = MHD_quiesce_daemon(d->daemon);
-    if (!d->requests.waitEmpty(std::chrono::seconds(stopTimeoutSeconds))) {
+    d_->quiesced = MHD_quiesce_daemon(d_->daemon);
+    if (!d_->requests.waitEmpty(std::chrono::seconds(stopTimeoutSeconds))) {
         Protocol::JobFailed failure;
         failure.outcome = Protocol::Outcome::Unknown;
         failure.reason = Protocol::Reason::Draining;
-        d->requests.answerAll(problemResponse(failure, {}));
+        d_->requests.answerAll(problemResponse(failure, {}));
     }
-    MHD_stop_daemon(d->daemon);
-    d->daemon = nullptr;
-    if (d->quiesced != MHD_INVALID_SOCKET) {
-        close(d->quiesced);
+    MHD_stop_daemon(d_->daemon);
+    d_->daemon = nullptr;
+    if (d_->quiesced != MHD_INVALID_SOCKET) {
+        close(d_->quiesced);
     }
 }
 
--- a/src/libs/httpapi/httpserver.h
+++ b/src/libs/httpapi/httpserver.h
@@ -58,7 +58,7 @@
     struct Private;
 
 private:
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> d_;
 };
 
 } // namespace LaburnumFlow::HttpApi
--- a/src/libs/net/network.cpp
+++ b/src/libs/net/network.cpp
@@ -24,7 +24,7 @@
 };
 
 Network::Network(NetworkConfig config, NetworkHandler &handler, Base::CounterRegistry &counters)
-    : d(std::make_unique<Private>(std::move(config), handler, counters))
+    : d_(std::make_unique<Private>(std::move(config), handler, counters))
 {
 }
 
@@ -35,15 +35,15 @@
 
 boost::leaf::result<std::uint16_t> Network::bind()
 {
-    BOOST_LEAF_AUTO(sockets, Internal::bindSockets(d->config.listen));
+    BOOST_LEAF_AUTO(sockets, Internal::bindSockets(d_->config.listen));
     const std::uint16_t port = sockets.port;
-    d->loop = std::make_unique<Internal::NetworkLoop>(d->config, d->handler, d->counters, std::move(sockets));
+    d_->loop = std::make_unique<Internal::NetworkLoop>(d_->config, d_->handler, d_->counters, std::move(sockets));
     return port;
 }
 
 void Network::start()
 {
-    d->thread = std::thread([loop = d->loop.get()] {
+    d_->thread = std::thread([loop = d_->loop.get()] {
         pthread_setname_np(pthread_self(), "net");
         loop->run();
     });
@@ -51,30 +51,30 @@
 
 void Network::stop()
 {
-    if (d->thread.joinable()) {
-        d->loop->requestStop();
-        d->thread.join();
+    if (d_->thread.joinable()) {
+        d_->loop->requestStop();
+        d_->thread.join();
     }
 }
 
 void Network::connect(const Base::ProcessId &peer, bool isAgent, const Base::Endpoint &to)
 {
-    d->loop->post(Internal::ConnectCommand{{isAgent, peer.name}, peer.incarnation, to});
+    d_->loop->post(Internal::ConnectCommand{{isAgent, peer.name}, peer.incarnation, to});
 }
 
 void Network::disconnect(const std::string &name, bool isAgent)
 {
-    d->loop->post(Internal::DisconnectCommand{{isAgent, name}});
+    d_->loop->post(Internal::DisconnectCommand{{isAgent, name}});
 }
 
 void Network::send(const std::string &name, bool isAgent, Protocol::LinkMessage message)
 {
-    d->loop->post(Internal::SendCommand{{isAgent, name}, std::move(message)});
+    d_->loop->post(Internal::SendCommand{{isAgent, name}, std::move(message)});
 }
 
 void Network::sendDatagram(const Base::Endpoint &to, Protocol::Datagram datagram)
 {
-    d->loop->post(Internal::DatagramCommand{to, std::move(datagram)});
+    d_->loop->post(Internal::DatagramCommand{to, std::move(datagram)});
 }
 
 } // namespace LaburnumFlow::Net
