Remove three races from the system tests

The tests now wait until every thread stands still and until every job has started, and cancel at once.

--- a/tests/auto/system/childprocess.cpp
+++ b/tests/auto/system/childprocess.cpp
@@ -9,7 +9,10 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <sstream>
 #include <stdexcept>
 #include <utility>
@@ -41,6 +44,15 @@
     _exit(127);
 }
 
+bool isStopped(const std::filesystem::path &task)
+{
+    std::ifstream file(task / "stat");
+    std::string text;
+    std::getline(file, text);
+    const std::size_t name = text.rfind(") ");
+    return name != std::string::npos && text.compare(name + 2, 1, "T") == 0;
+}
+
 } // namespace
 
 ChildProcess::ChildProcess(std::string_view program, const std::vector<std::string> &arguments, const std::string &logPath)
@@ -115,6 +127,19 @@
     }
 }
 
+void ChildProcess::freeze() const
+{
+    signal(SIGSTOP);
+    // The signal takes effect some time after kill() returns, on each thread.
+    const bool frozen = waitFor(generousSeconds, [this] {
+        const std::filesystem::directory_iterator tasks("/proc/" + std::to_string(pid_) + "/task");
+        return std::all_of(begin(tasks), end(tasks), [](const std::filesystem::directory_entry &task) { return isStopped(task.path()); });
+    });
+    if (!frozen) {
+        throw std::runtime_error("the process does not stop");
+    }
+}
+
 void ChildProcess::kill()
 {
     if (pid_ > 0) {
--- a/tests/auto/system/childprocess.h
+++ b/tests/auto/system/childprocess.h
@@ -26,6 +26,9 @@
 
     void signal(int number) const;
 
+    /// Stops the process as a paused VM does; returns once all its threads stand still.
+    void freeze() const;
+
     /// Ends the process at once, as the loss of its VM does.
     void kill();
 
--- a/tests/auto/system/tst_ownership.cpp
+++ b/tests/auto/system/tst_ownership.cpp
@@ -129,7 +129,7 @@
         const std::string body = job("glass-order", 6, 400, 60'000);
         auto first = fleet.submitAsync(0, id, body);
         CPPUNIT_ASSERT(waitStarted(fleet, id));
-        fleet.entry(0).signal(SIGSTOP);
+        fleet.entry(0).freeze();
         const HttpResult taken = submitUntilFinal(fleet, 1, id, body);
         fleet.entry(0).signal(SIGCONT);
         first.get();
@@ -149,9 +149,11 @@
             std::vector<std::future<HttpResult>> answers;
             for (int i = 0; i < 12; ++i) {
                 ids.push_back(newId());
-                answers.push_back(fleet.submitAsync(i % 3, ids.back(), job("glass-order", 2, 400)));
+                answers.push_back(fleet.submitAsync(i % 3, ids.back(), job("glass-order", 2, 1'000)));
+            }
+            for (const std::string &id : ids) {
+                CPPUNIT_ASSERT(waitStarted(fleet, id));
             }
-            CPPUNIT_ASSERT(waitStarted(fleet, ids.back()));
             fleet.entry(entry).signal(SIGTERM);
             for (std::size_t i = 0; i < answers.size(); ++i) {
                 const HttpResult answer = answers[i].get();
--- a/tests/auto/system/tst_settings.cpp
+++ b/tests/auto/system/tst_settings.cpp
@@ -157,7 +157,7 @@
         Fleet fleet({.entries = 3});
         const std::string without = replaced(std::string(adireSettings), "  fold-preview: {idempotent: true, expectedMs: 50}\n", "");
         std::vector<std::future<HttpResult>> answers;
-        fleet.entry(0).signal(SIGSTOP);
+        fleet.entry(0).freeze();
         std::vector<std::string> ids;
         for (int i = 0; i < 10; ++i) {
             ids.push_back(newId());
--- a/tests/auto/system/tst_workers.cpp
+++ b/tests/auto/system/tst_workers.cpp
@@ -148,11 +148,12 @@
         std::vector<std::future<HttpResult>> answers;
         for (int i = 0; i < 40; ++i) {
             ids.push_back(newId());
-            answers.push_back(fleet.submitAsync(i % 2, ids.back(), job("fold-plan", 4, 5'000)));
+            answers.push_back(fleet.submitAsync(i % 2, ids.back(), job("fold-plan", 4, 20'000)));
         }
         workerOf(fleet, ids.front());
+        std::vector<std::future<HttpResult>> cancellations;
         for (std::size_t i = 0; i < ids.size(); ++i) {
-            call("DELETE", fleet.http(static_cast<int>(i % 2)), "/v1/teams/adire/jobs/" + ids[i]);
+            cancellations.push_back(callAsync("DELETE", fleet.http(static_cast<int>(i % 2)), "/v1/teams/adire/jobs/" + ids[i]));
         }
         for (auto &answer : answers) {
             const HttpResult result = answer.get();
