--- a/src/libs/entryruntime/entryruntime.cpp
+++ b/src/libs/entryruntime/entryruntime.cpp
@@ -148,6 +148,7 @@
 {
     if (std::holds_alternative<Events::DrainRequested>(event)) {
         lifecycle.drainStarted();
+        httpServer.beginDrain();
     }
     for (Events::Effect &effect : Entry::reduce(state, event)) {
         std::visit([this](auto &concrete) { carryOut(concrete); }, effect);
--- a/src/libs/httpapi/httpserver.cpp
+++ b/src/libs/httpapi/httpserver.cpp
@@ -17,6 +17,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 
+#include <atomic>
 #include <string>
 #include <utility>
 
@@ -34,6 +35,7 @@
     MHD_Daemon *daemon = nullptr;
     MHD_socket quiesced = MHD_INVALID_SOCKET;
     std::uint16_t port = 0;
+    std::atomic<bool> draining{false};
 
     MHD_Result begin(OpenRequest &request, MHD_Connection *connection);
     MHD_Result receive(OpenRequest &request, const char *data, std::size_t *size);
@@ -220,6 +222,9 @@
 
 MHD_Result HttpServer::Private::handleRoute(OpenRequest & /*request*/, MHD_Connection *connection, const HealthRoute & /*route*/)
 {
+    if (draining) {
+        return reply(connection, Response{503, R"({"status":"draining"})"});
+    }
     return reply(connection, Response{200, R"({"status":"ok"})"});
 }
 
@@ -300,23 +305,23 @@
     }
     const unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
     d_->daemon = MHD_start_daemon(flags,
-                                 d_->config.listen.port,
-                                 nullptr,
-                                 nullptr,
-                                 &onRequest,
-                                 d_.get(),
-                                 MHD_OPTION_SOCK_ADDR,
-                                 &address,
-                                 MHD_OPTION_THREAD_POOL_SIZE,
-                                 d_->config.threads,
-                                 MHD_OPTION_CONNECTION_LIMIT,
-                                 d_->config.maxConnections,
-                                 MHD_OPTION_CONNECTION_TIMEOUT,
-                                 idleTimeoutSeconds,
-                                 MHD_OPTION_NOTIFY_COMPLETED,
-                                 &onEnded,
-                                 d_.get(),
-                                 MHD_OPTION_END);
+                                  d_->config.listen.port,
+                                  nullptr,
+                                  nullptr,
+                                  &onRequest,
+                                  d_.get(),
+                                  MHD_OPTION_SOCK_ADDR,
+                                  &address,
+                                  MHD_OPTION_THREAD_POOL_SIZE,
+                                  d_->config.threads,
+                                  MHD_OPTION_CONNECTION_LIMIT,
+                                  d_->config.maxConnections,
+                                  MHD_OPTION_CONNECTION_TIMEOUT,
+                                  idleTimeoutSeconds,
+                                  MHD_OPTION_NOTIFY_COMPLETED,
+                                  &onEnded,
+                                  d_.get(),
+                                  MHD_OPTION_END);
     if (d_->daemon == nullptr) {
         return boost::leaf::new_error(ListenFailed{d_->config.listen});
     }
@@ -344,6 +349,11 @@
     d_->requests.answer(effect.request, Internal::makeResponse(effect));
 }
 
+void HttpServer::beginDrain()
+{
+    d_->draining = true;
+}
+
 void HttpServer::stop()
 {
     if (d_->daemon == nullptr) {
--- a/src/libs/httpapi/httpserver.h
+++ b/src/libs/httpapi/httpserver.h
@@ -52,6 +52,9 @@
     void answer(const Events::AnswerStatus &effect);
     void answer(const Events::AnswerOperator &effect);
 
+    /// From now on GET /v1/health answers 503, so that a load balancer sends callers elsewhere. Thread-safe.
+    void beginDrain();
+
     /// Open requests are answered first; new connections are refused.
     void stop();
 
