Send queued answers before the HTTP server stops; fix lint findings

A drained entry stopped its HTTP server once every waiting request had an answer queued, and the stop closed connections whose answer was not sent yet: system.ownership gracefulRestartLosesNothing failed twice under load with a broken connection. The server now waits until every request has ended. The cancellation test waited for one job that need not be the first to start.

--- a/src/app/laburnumflowd/laburnumflowd.cpp
+++ b/src/app/laburnumflowd/laburnumflowd.cpp
@@ -33,7 +33,10 @@
 {
     return leaf::try_handle_all(
         [&]() -> leaf::result<bool> {
-            BOOST_LEAF_CHECK(runtime.start());
+            leaf::result<void> started = runtime.start();
+            if (!started) {
+                return started.error();
+            }
             return true;
         },
         [](const Net::BindFailed &failed) {
--- a/src/libs/agentruntime/agentruntime.cpp
+++ b/src/libs/agentruntime/agentruntime.cpp
@@ -185,7 +185,7 @@
 }
 
 AgentRuntime::AgentRuntime(Settings::AgentSettings settings, Base::CounterRegistry &counters, Runtime::Lifecycle lifecycle)
-    : d(std::make_unique<Private>(std::move(settings), counters, std::move(lifecycle)))
+    : d_(std::make_unique<Private>(std::move(settings), counters, std::move(lifecycle)))
 {
 }
 
@@ -196,34 +196,34 @@
 
 leaf::result<void> AgentRuntime::start()
 {
-    BOOST_LEAF_AUTO(port, d->network.bind());
-    d->endpoint = Runtime::withPort(d->settings.listen, port);
-    d->started = true;
-    d->state = initialState(d->agentConfig());
-    d->backend = makeBackendClient(d->settings.backend, [this](Event event) { d->reducer.post(std::move(event)); });
-    d->network.start();
-    d->reducer.start();
+    BOOST_LEAF_AUTO(port, d_->network.bind());
+    d_->endpoint = Runtime::withPort(d_->settings.listen, port);
+    d_->started = true;
+    d_->state = initialState(d_->agentConfig());
+    d_->backend = makeBackendClient(d_->settings.backend, [this](Event event) { d_->reducer.post(std::move(event)); });
+    d_->network.start();
+    d_->reducer.start();
     return {};
 }
 
 void AgentRuntime::stop()
 {
-    if (!std::exchange(d->started, false)) {
+    if (!std::exchange(d_->started, false)) {
         return;
     }
-    d->reducer.stop();
-    d->backend.reset();
-    d->network.stop();
+    d_->reducer.stop();
+    d_->backend.reset();
+    d_->network.stop();
 }
 
 void AgentRuntime::requestDrain()
 {
-    d->reducer.post(DrainRequested{});
+    d_->reducer.post(DrainRequested{});
 }
 
 Base::Endpoint AgentRuntime::listen() const
 {
-    return d->endpoint;
+    return d_->endpoint;
 }
 
 } // namespace LaburnumFlow::Agent
--- a/src/libs/entryruntime/entryruntime.cpp
+++ b/src/libs/entryruntime/entryruntime.cpp
@@ -259,7 +259,7 @@
                            std::unique_ptr<Store::PlatformStore> store,
                            Base::CounterRegistry &counters,
                            Runtime::Lifecycle lifecycle)
-    : d(std::make_unique<Private>(std::move(settings), std::move(store), counters, std::move(lifecycle), *this))
+    : d_(std::make_unique<Private>(std::move(settings), std::move(store), counters, std::move(lifecycle), *this))
 {
 }
 
@@ -270,47 +270,50 @@
 
 leaf::result<void> EntryRuntime::start()
 {
-    BOOST_LEAF_AUTO(peerPort, d->network.bind());
-    d->peerEndpoint = Runtime::withPort(d->settings.peer, peerPort);
-    BOOST_LEAF_CHECK(d->httpServer.start());
-    d->httpEndpoint = Runtime::withPort(d->settings.http, d->httpServer.port());
-    d->started = true;
+    BOOST_LEAF_AUTO(peerPort, d_->network.bind());
+    d_->peerEndpoint = Runtime::withPort(d_->settings.peer, peerPort);
+    leaf::result<void> listening = d_->httpServer.start();
+    if (!listening) {
+        return listening.error();
+    }
+    d_->httpEndpoint = Runtime::withPort(d_->settings.http, d_->httpServer.port());
+    d_->started = true;
 
     const PostEvent postEvent = [this](Events::Event event) { post(std::move(event)); };
-    const Base::Duration deadline = callDeadlineOf(d->settings.store);
-    d->state = d->initialState();
-    d->mapWorker.emplace(*d->store, deadline, d->counters, postEvent);
-    d->settingsWatcher.emplace(*d->store, deadline, d->counters, postEvent);
-    d->network.start();
-    d->reducer.start();
+    const Base::Duration deadline = callDeadlineOf(d_->settings.store);
+    d_->state = d_->initialState();
+    d_->mapWorker.emplace(*d_->store, deadline, d_->counters, postEvent);
+    d_->settingsWatcher.emplace(*d_->store, deadline, d_->counters, postEvent);
+    d_->network.start();
+    d_->reducer.start();
     return {};
 }
 
 void EntryRuntime::stop()
 {
-    if (!std::exchange(d->started, false)) {
+    if (!std::exchange(d_->started, false)) {
         return;
     }
-    d->httpServer.stop();
-    d->reducer.stop();
-    d->settingsWatcher->stop();
-    d->mapWorker->stop();
-    d->network.stop();
+    d_->httpServer.stop();
+    d_->reducer.stop();
+    d_->settingsWatcher->stop();
+    d_->mapWorker->stop();
+    d_->network.stop();
 }
 
 void EntryRuntime::post(Events::Event event)
 {
-    d->post(std::move(event));
+    d_->post(std::move(event));
 }
 
 Base::Endpoint EntryRuntime::http() const
 {
-    return d->httpEndpoint;
+    return d_->httpEndpoint;
 }
 
 Base::Endpoint EntryRuntime::peer() const
 {
-    return d->peerEndpoint;
+    return d_->peerEndpoint;
 }
 
 } // namespace LaburnumFlow::Entry
--- a/src/libs/entryruntime/entryruntime.h
+++ b/src/libs/entryruntime/entryruntime.h
@@ -40,7 +40,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> d_;
 };
 
 } // namespace LaburnumFlow::Entry
--- a/src/libs/httpapi/httpserver.cpp
+++ b/src/libs/httpapi/httpserver.cpp
@@ -26,6 +26,11 @@
 using Internal::OpenRequest;
 
 struct HttpServer::Private {
+    Private(const HttpConfig &httpConfig, EventSink &eventSink, Store::SettingsService &settingsService, Base::CounterRegistry &registry)
+        : config(httpConfig), sink(eventSink), settings(settingsService), counters(registry)
+    {
+    }
+
     HttpConfig config;
     EventSink &sink;
     Store::SettingsService &settings;
@@ -132,7 +137,7 @@
 
 MHD_Result HttpServer::Private::begin(OpenRequest &request, MHD_Connection * /*connection*/)
 {
-    request.id = requests.nextId();
+    request.id = requests.begin();
     request.begun = std::chrono::steady_clock::now();
     return MHD_YES;
 }
@@ -169,7 +174,7 @@
 
 void HttpServer::Private::ended(OpenRequest &request)
 {
-    if (requests.remove(request.id)) {
+    if (requests.end(request.id)) {
         sink.post(Events::RequestAbandoned{request.id});
     }
 }
@@ -360,12 +365,14 @@
         return;
     }
     d_->quiesced = MHD_quiesce_daemon(d_->daemon);
-    if (!d_->requests.waitEmpty(std::chrono::seconds(stopTimeoutSeconds))) {
+    if (!d_->requests.waitAnswered(std::chrono::seconds(stopTimeoutSeconds))) {
         Protocol::JobFailed failure;
         failure.outcome = Protocol::Outcome::Unknown;
         failure.reason = Protocol::Reason::Draining;
         d_->requests.answerAll(problemResponse(failure, {}));
     }
+    // An answer that is queued but not sent yet is lost when the daemon stops.
+    d_->requests.waitEnded(std::chrono::seconds(sendTimeoutSeconds));
     MHD_stop_daemon(d_->daemon);
     d_->daemon = nullptr;
     if (d_->quiesced != MHD_INVALID_SOCKET) {
--- a/src/libs/httpapi/requestregistry.cpp
+++ b/src/libs/httpapi/requestregistry.cpp
@@ -4,9 +4,10 @@
 
 namespace LaburnumFlow::HttpApi::Internal {
 
-Events::RequestId RequestRegistry::nextId()
+Events::RequestId RequestRegistry::begin()
 {
     const std::lock_guard lock(mutex_);
+    ++open_;
     return next_++;
 }
 
@@ -29,7 +30,7 @@
     MHD_resume_connection(found->second.connection);
     waiting_.erase(found);
     if (waiting_.empty()) {
-        empty_.notify_all();
+        changed_.notify_all();
     }
     return true;
 }
@@ -40,20 +41,24 @@
     return std::exchange(request.response, std::nullopt);
 }
 
-bool RequestRegistry::remove(Events::RequestId id)
+bool RequestRegistry::end(Events::RequestId id)
 {
     const std::lock_guard lock(mutex_);
-    const bool removed = waiting_.erase(id) > 0;
-    if (waiting_.empty()) {
-        empty_.notify_all();
-    }
-    return removed;
+    --open_;
+    changed_.notify_all();
+    return waiting_.erase(id) > 0;
+}
+
+bool RequestRegistry::waitAnswered(std::chrono::steady_clock::duration limit)
+{
+    std::unique_lock lock(mutex_);
+    return changed_.wait_for(lock, limit, [this] { return waiting_.empty(); });
 }
 
-bool RequestRegistry::waitEmpty(std::chrono::steady_clock::duration limit)
+bool RequestRegistry::waitEnded(std::chrono::steady_clock::duration limit)
 {
     std::unique_lock lock(mutex_);
-    return empty_.wait_for(lock, limit, [this] { return waiting_.empty(); });
+    return changed_.wait_for(lock, limit, [this] { return open_ == 0; });
 }
 
 void RequestRegistry::answerAll(const Response &response)
@@ -64,7 +69,7 @@
         MHD_resume_connection(waiting.connection);
     }
     waiting_.clear();
-    empty_.notify_all();
+    changed_.notify_all();
 }
 
 std::size_t RequestRegistry::waiting() const
--- a/src/libs/httpapi/requestregistry.h
+++ b/src/libs/httpapi/requestregistry.h
@@ -33,7 +33,8 @@
 class RequestRegistry
 {
 public:
-    Events::RequestId nextId();
+    /// Numbers a new request.
+    Events::RequestId begin();
 
     /// Suspends the connection until answer() is called for the request.
     void suspend(OpenRequest &request, MHD_Connection *connection);
@@ -44,11 +45,14 @@
     /// The answer, once there is one.
     std::optional<Response> takeResponse(OpenRequest &request);
 
-    /// Forgets a request whose connection has ended. Returns true if it was still waiting.
-    bool remove(Events::RequestId id);
+    /// Forgets a request that has ended. Returns true if it was still waiting.
+    bool end(Events::RequestId id);
 
-    /// Waits until no request waits, at most until the limit. Returns false at the limit.
-    bool waitEmpty(std::chrono::steady_clock::duration limit);
+    /// Waits until no request waits for an answer, at most until the limit. Returns false at the limit.
+    bool waitAnswered(std::chrono::steady_clock::duration limit);
+
+    /// Waits until every request begun has ended, its answer sent. Returns false at the limit.
+    bool waitEnded(std::chrono::steady_clock::duration limit);
 
     /// Answers all waiting requests alike.
     void answerAll(const Response &response);
@@ -62,9 +66,10 @@
     };
 
     mutable std::mutex mutex_;
-    std::condition_variable empty_;
+    std::condition_variable changed_;
     std::map<Events::RequestId, Waiting> waiting_;
     Events::RequestId next_ = 1;
+    std::size_t open_ = 0; ///< begun and not ended
 };
 
 } // namespace LaburnumFlow::HttpApi::Internal
--- a/tests/auto/entry/tst_storeworkers.cpp
+++ b/tests/auto/entry/tst_storeworkers.cpp
@@ -16,7 +16,7 @@
 using namespace LaburnumFlow::EntryTest;
 using namespace std::chrono_literals;
 using Events::SwapOutcome;
-using trompeloeil::_;
+using trompeloeil::_; // NOLINT(bugprone-reserved-identifier): the name that Trompeloeil documents
 
 namespace leaf = boost::leaf;
 
@@ -50,7 +50,7 @@
 
 std::vector<SwapCase> swapCases()
 {
-    const auto conflict = [](Store::KeyValue current) { return [current]() -> SwapAnswer { return leaf::new_error(Store::SwapConflict{current}); }; };
+    const auto conflict = [](const Store::KeyValue &current) { return [current]() -> SwapAnswer { return leaf::new_error(Store::SwapConflict{current}); }; };
     const Store::KeyValue malformed{std::string(Store::mapKey), "{", 9};
     return {
         {"written", [] { return Store::SwapResult{6}; }, {}, SwapOutcome::Written, 6, {}},
@@ -84,7 +84,7 @@
 
 std::vector<ReadCase> readCases()
 {
-    const auto pairs = [](std::vector<Store::KeyValue> found) { return [found]() -> RangeAnswer { return Store::RangeResult{found, 9}; }; };
+    const auto pairs = [](const std::vector<Store::KeyValue> &found) { return [found]() -> RangeAnswer { return Store::RangeResult{found, 9}; }; };
     return {
         {"found", [] { return found("other", 4); }, true, 4},
         {"no map yet", pairs({}), true, 0},
--- a/tests/auto/net/tst_network.cpp
+++ b/tests/auto/net/tst_network.cpp
@@ -53,6 +53,7 @@
         a.network.connect({"b", 1}, false, b.endpoint());
         CPPUNIT_ASSERT(a.handler.waitForLinkCount(1));
         std::vector<std::thread> senders;
+        senders.reserve(4);
         for (int i = 0; i < 4; ++i) {
             senders.emplace_back([&a] {
                 for (std::uint64_t n = 0; n < 500; ++n) {
@@ -115,8 +116,8 @@
             Net::Network network(config, handler, counters);
             const bool refused = boost::leaf::try_handle_all(
                 [&]() -> boost::leaf::result<bool> {
-                    BOOST_LEAF_CHECK(network.bind());
-                    return false;
+                    BOOST_LEAF_AUTO(port, network.bind());
+                    return port == 0;
                 },
                 [&](const Net::BindFailed &failed) { return failed.endpoint == listen && failed.errorNumber != 0; },
                 [] { return false; });
--- a/tests/auto/system/childprocess.cpp
+++ b/tests/auto/system/childprocess.cpp
@@ -36,6 +36,7 @@
     const int log = open(logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     dup2(log, STDERR_FILENO);
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string &argument : command) {
         arguments.push_back(const_cast<char *>(argument.c_str()));
     }
--- a/tests/auto/system/tst_ownership.cpp
+++ b/tests/auto/system/tst_ownership.cpp
@@ -48,6 +48,7 @@
         const std::string id = newId();
         const std::string body = job("glass-order", 3, 300);
         std::vector<std::future<HttpResult>> answers;
+        answers.reserve(8);
         for (int i = 0; i < 8; ++i) {
             answers.push_back(fleet.submitAsync(i % 2, id, body));
         }
--- a/tests/auto/system/tst_settings.cpp
+++ b/tests/auto/system/tst_settings.cpp
@@ -75,6 +75,7 @@
         Fleet fleet({});
         constexpr int operators = 10;
         std::vector<std::future<bool>> done;
+        done.reserve(operators);
         for (int i = 0; i < operators; ++i) {
             done.push_back(std::async(std::launch::async, [&fleet, i] {
                 return waitFor(generousSeconds, [&] {
--- a/tests/auto/system/tst_workers.cpp
+++ b/tests/auto/system/tst_workers.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <csignal>
 #include <string>
 
@@ -13,10 +14,16 @@
 /// Index of the worker on which the task's newest attempt started; waits for it.
 int workerOf(const Fleet &fleet, const std::string &id, int index = 0)
 {
-    waitFor(generousSeconds, [&] { return !fleet.startsOf(id, index).empty(); });
+    CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return !fleet.startsOf(id, index).empty(); }));
     return fleet.startsOf(id, index).back().worker;
 }
 
+bool anyStartOf(const Fleet &fleet, std::string_view kind)
+{
+    const std::vector<BackendRecord> records = fleet.records();
+    return std::any_of(records.begin(), records.end(), [kind](const BackendRecord &record) { return record.kind == kind; });
+}
+
 } // namespace
 
 class TestWorkers : public CppUnit::TestFixture
@@ -150,8 +157,9 @@
             ids.push_back(newId());
             answers.push_back(fleet.submitAsync(i % 2, ids.back(), job("fold-plan", 4, 20'000)));
         }
-        workerOf(fleet, ids.front());
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return anyStartOf(fleet, "fold-plan"); }));
         std::vector<std::future<HttpResult>> cancellations;
+        cancellations.reserve(ids.size());
         for (std::size_t i = 0; i < ids.size(); ++i) {
             cancellations.push_back(callAsync("DELETE", fleet.http(static_cast<int>(i % 2)), "/v1/teams/adire/jobs/" + ids[i]));
         }
--- a/tests/standins/faultproxy/faults.h
+++ b/tests/standins/faultproxy/faults.h
@@ -33,7 +33,7 @@
 
     /// Applies a JSON object with the members of Faults; "silence": true and "cut": true concern all connections open
     /// now. Returns false if the text is not of that form.
-    bool apply(std::string_view json);
+    bool apply(std::string_view text);
 
 private:
     mutable std::mutex mutex_;
