--- a/tests/auto/agent/tst_schedules.cpp
+++ b/tests/auto/agent/tst_schedules.cpp
@@ -153,7 +153,8 @@
         }
     }
 
-    void end(const Base::AttemptKey &key, BackendOutcome outcome)
+    /// Takes the key by value, as callers pass elements of open_, which this erases.
+    void end(Base::AttemptKey key, BackendOutcome outcome)
     {
         open_.erase(key);
         model_.taskEnded(key, outcome);
