--- a/src/app/laburnumctl/commands.cpp
+++ b/src/app/laburnumctl/commands.cpp
@@ -38,15 +38,6 @@
         [] { return exitFailed; });
 }
 
-HttpRequest requestOf(const Options &options, const std::string &method, const std::string &path)
-{
-    HttpRequest request;
-    request.method = method;
-    request.url = urlOf(options, path);
-    request.timeoutMs = options.timeoutMs;
-    return request;
-}
-
 std::string jobPath(const Options &options, const std::string &id)
 {
     std::string path = "/v1/teams/" + escaped(options.team) + "/jobs/" + escaped(id);
@@ -164,6 +155,15 @@
     return "http://" + options.entry + path;
 }
 
+HttpRequest requestOf(const Options &options, const std::string &method, const std::string &path)
+{
+    HttpRequest request;
+    request.method = method;
+    request.url = urlOf(options, path);
+    request.timeoutMs = options.timeoutMs;
+    return request;
+}
+
 int reportFailure(const Options &options, const HttpReply &reply)
 {
     const Json problem = parseBody(reply.body);
--- a/src/app/laburnumctl/settingscommands.cpp
+++ b/src/app/laburnumctl/settingscommands.cpp
@@ -27,15 +27,6 @@
     return team == "root" ? "/v1/settings/root" : "/v1/settings/teams/" + escaped(team);
 }
 
-HttpRequest requestOf(const Options &options, const std::string &method, const std::string &path)
-{
-    HttpRequest request;
-    request.method = method;
-    request.url = urlOf(options, path);
-    request.timeoutMs = options.timeoutMs;
-    return request;
-}
-
 std::string newChangeId()
 {
     std::random_device device;
