Submit only once the change is in force at every entry

system.settings changeIsInForceEverywhere failed in 1 of 5 runs with 422. The kept logs of that run show the cause: the job's id was made at 18.702 s, entry 1 applied revision 2 at 18.704 s. The change was still pending, so the owner was allowed to refuse.

--- a/tests/auto/system/tst_settings.cpp
+++ b/tests/auto/system/tst_settings.cpp
@@ -61,6 +61,9 @@
         CPPUNIT_ASSERT_EQUAL(202L, fleet.setSettings(0, "adire", withNewKind, 1).status);
         for (int entry = 0; entry < 3; ++entry) {
             CPPUNIT_ASSERT(waitRevision(fleet, entry, 2));
+        }
+        // Only now: an entry relays to the owner, and the change may be pending there for some milliseconds.
+        for (int entry = 0; entry < 3; ++entry) {
             const HttpResult answer = fleet.submit(entry, newId(), job("new-law", 1, 5));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body, 200L, answer.status);
         }
