--- /dev/null
+++ b/src/app/laburnumnode/agentprocess.cpp
@@ -0,0 +1,363 @@
+#include "agentprocess.h"
+
+#include "nodeconfiguration.h"
+#include "nodeconstants.h"
+#include "signals.h"
+
+#include "base/timerservice.h"
+#include "eventloop/eventloop.h"
+#include "httpio/httpclient.h"
+#include "httpio/httpfront.h"
+#include "net/looplinks.h"
+#include "platform/heartbeats.h"
+#include "platform/storedialect.h"
+#include "platform/workerdialect.h"
+#include "runtime/decisionlog.h"
+#include "taskagent/agentreducer.h"
+#include "taskagent/taskagentconstants.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace LaburnumFlow::Node {
+
+namespace {
+
+using namespace TaskAgent;
+
+std::string text(const Base::Endpoint &endpoint)
+{
+    return endpoint.address + ':' + std::to_string(endpoint.port);
+}
+
+class AgentProcess : public Net::LinkHandler
+{
+public:
+    AgentProcess(const Settings::NodeSettings &settings, std::string settingsFile);
+
+    int run();
+
+private:
+    struct EntryLink {
+        Base::Endpoint endpoint;
+        bool connected = false;
+        Base::MonoTime heardAt{};
+    };
+
+    void linkConnected(Net::LinkId link) override;
+    void linkAccepted(Net::LinkId link) override;
+    void linkFrame(Net::LinkId link, std::span<const std::uint8_t> frame) override;
+    void linkClosed(Net::LinkId link) override;
+
+    void feed(const AgentEvent &event);
+    void carryOut(AgentEffect &effect);
+    void carryOut(CallStart &call);
+    void carryOut(CallStop &call);
+    void carryOut(CallHold &call);
+    void carryOut(SendReport &report);
+    void carryOut(LearnEntries &learn);
+    void carryOut(Decision &decision);
+    void armTimer();
+    void onTimer();
+
+    void handleRequest(const HttpIo::ServerRequest &request);
+    void readEntries();
+    void connectTo(const std::vector<Base::Endpoint> &entries);
+    void dial(const Base::Endpoint &endpoint);
+    void replaceSilentLink();
+    void stop();
+    void finishWhenIdle();
+
+    Settings::NodeSettings settings_;
+    std::string settingsFile_;
+    EventLoop::Loop loop_;
+    Signals signals_;
+    Runtime::DecisionLog log_;
+    HttpIo::HttpClient workerCalls_;
+    HttpIo::HttpClient storeCalls_;
+    HttpIo::HttpFront registration_;
+    Net::LoopLinks links_;
+    AgentState state_;
+    std::string worker_;
+    std::string store_;
+    std::map<Net::LinkId, EntryLink> entries_;
+    std::vector<Base::Endpoint> known_; ///< entries to keep links to
+    EventLoop::TimerId timer_ = 0;
+    bool timerArmed_ = false;
+    Base::MonoTime entriesReadAt_{};
+    bool readingEntries_ = false;
+    bool stopping_ = false;
+    Base::MonoTime stopBy_{};
+};
+
+AgentProcess::AgentProcess(const Settings::NodeSettings &settings, std::string settingsFile)
+    : settings_(settings), settingsFile_(std::move(settingsFile)), signals_(loop_), log_(settings.name, settings.logLinesPerSecond),
+      workerCalls_(loop_, workerConnections), storeCalls_(loop_, 1),
+      registration_(loop_, {std::get<Settings::JobAgentSettings>(settings.role).registration}, [this](const HttpIo::ServerRequest &request) { handleRequest(request); }),
+      links_(loop_, *this), state_(makeAgent(settings.name, Base::monoNow())), worker_(text(std::get<Settings::JobAgentSettings>(settings.role).worker)),
+      store_(text(settings.store.endpoint))
+{
+}
+
+int AgentProcess::run()
+{
+    if (!registration_.start()) {
+        log_.writeAlways("process.failed", {});
+        return EXIT_FAILURE;
+    }
+    signals_.onStop = [this] { stop(); };
+    signals_.onReload = [this] {
+        const bool valid = readConfiguration(settingsFile_).has_value();
+        const std::vector<std::pair<std::string, std::string>> fields{{"valid", valid ? "1" : "0"}};
+        log_.writeAlways("process.reload", fields);
+    };
+    const std::vector<std::pair<std::string, std::string>> fields{{"role", "agent"}};
+    log_.writeAlways("process.start", fields);
+    readEntries();
+    loop_.run();
+    log_.writeAlways("process.stop", {});
+    return EXIT_SUCCESS;
+}
+
+void AgentProcess::feed(const AgentEvent &event)
+{
+    AgentEffects effects = reduce(state_, TimePassed{Base::monoNow()});
+    for (AgentEffect &effect : effects) {
+        carryOut(effect);
+    }
+    effects = reduce(state_, event);
+    for (AgentEffect &effect : effects) {
+        carryOut(effect);
+    }
+    armTimer();
+}
+
+void AgentProcess::carryOut(AgentEffect &effect)
+{
+    std::visit([this](auto &what) { carryOut(what); }, effect);
+}
+
+void AgentProcess::carryOut(CallStart &call)
+{
+    HttpIo::ClientRequest request = Platform::startRequest(worker_, call);
+    request.timeout = startTimeout;
+    call.payload.clear();
+    workerCalls_.send(std::move(request), [this, call = std::move(call)](const HttpIo::ClientResponse &response) { feed(Platform::startAnswer(call, response)); });
+}
+
+void AgentProcess::carryOut(CallStop &call)
+{
+    HttpIo::ClientRequest request = Platform::stopRequest(worker_, call);
+    request.timeout = stopTimeout;
+    workerCalls_.send(std::move(request), [this, call](const HttpIo::ClientResponse &response) { feed(Platform::stopAnswer(call, response)); });
+}
+
+void AgentProcess::carryOut(CallHold &call)
+{
+    HttpIo::ClientRequest request = Platform::holdRequest(worker_, call);
+    request.timeout = call.wait + holdSlack;
+    workerCalls_.send(std::move(request), [this, call](const HttpIo::ClientResponse &response) { feed(Platform::holdAnswer(call, response)); });
+}
+
+void AgentProcess::carryOut(SendReport &report)
+{
+    const auto link = static_cast<Net::LinkId>(std::strtoull(report.entry.c_str(), nullptr, 10));
+    links_.send(link, Jobs::encodeMessage(std::move(report.report)));
+}
+
+void AgentProcess::carryOut(LearnEntries &learn)
+{
+    connectTo(learn.entries);
+}
+
+void AgentProcess::carryOut(Decision &decision)
+{
+    log_.write(decision.event, decision.fields, loop_.now());
+}
+
+void AgentProcess::armTimer()
+{
+    if (timerArmed_) {
+        return;
+    }
+    timerArmed_ = true;
+    loop_.defer([this] {
+        timerArmed_ = false;
+        loop_.cancel(timer_);
+        timer_ = 0;
+        if (const auto due = nextDue(state_)) {
+            timer_ = loop_.callAt(*due, [this] {
+                timer_ = 0;
+                onTimer();
+            });
+        }
+    });
+}
+
+void AgentProcess::onTimer()
+{
+    feed(TimePassed{Base::monoNow()});
+    replaceSilentLink();
+}
+
+void AgentProcess::replaceSilentLink()
+{
+    if (state_.leader.empty()) {
+        return;
+    }
+    const auto link = static_cast<Net::LinkId>(std::strtoull(state_.leader.c_str(), nullptr, 10));
+    const auto found = entries_.find(link);
+    if (found != entries_.end() && loop_.now() - found->second.heardAt > entrySilentLimit) {
+        links_.close(link);
+        linkClosed(link);
+    }
+}
+
+void AgentProcess::handleRequest(const HttpIo::ServerRequest &request)
+{
+    const auto id = Platform::workerIdOf(request.path);
+    if (!id) {
+        registration_.answer(request.id, {404, {}, {}});
+        return;
+    }
+    if (request.method == "DELETE") {
+        feed(WorkerLeft{*id});
+        registration_.answer(request.id, {});
+        return;
+    }
+    const auto beat = request.method == "PUT" ? Platform::parseHeartbeat(*id, request.body) : std::nullopt;
+    if (!beat) {
+        const std::vector<std::pair<std::string, std::string>> fields{{"worker", *id}, {"bytes", std::to_string(request.body.size())}};
+        log_.write("heartbeat.unreadable", fields, loop_.now());
+        registration_.answer(request.id, {400, {}, {}});
+        return;
+    }
+    feed(*beat);
+    registration_.answer(request.id, {200, "{}", {}});
+}
+
+/// An agent without an owner looks for entries in the store; stale reads are cheap and good enough for that.
+void AgentProcess::readEntries()
+{
+    if (stopping_) {
+        return;
+    }
+    loop_.callAfter(entriesReadInterval, [this] { readEntries(); });
+    if (!state_.leader.empty() || readingEntries_) {
+        return;
+    }
+    readingEntries_ = true;
+    HttpIo::ClientRequest request = Platform::rangeRequest(store_, Jobs::clusterPrefix, {}, true);
+    request.timeout = storeTimeoutMost;
+    storeCalls_.send(std::move(request), [this](const HttpIo::ClientResponse &response) {
+        readingEntries_ = false;
+        const auto page = Platform::pageOf(response);
+        if (!page || !state_.leader.empty()) {
+            return;
+        }
+        std::vector<Base::Endpoint> entries;
+        const EntryNode::ClusterRead cluster = Platform::clusterOf(page->items);
+        for (const Jobs::EntryRecord &record : cluster.content->entries) {
+            entries.push_back(record.peers);
+        }
+        // A stale read may lack entries that are linked already.
+        for (const auto &[link, entry] : entries_) {
+            entries.push_back(entry.endpoint);
+        }
+        connectTo(entries);
+    });
+}
+
+void AgentProcess::connectTo(const std::vector<Base::Endpoint> &entries)
+{
+    known_ = entries;
+    std::sort(known_.begin(), known_.end());
+    known_.erase(std::unique(known_.begin(), known_.end()), known_.end());
+    for (const Base::Endpoint &endpoint : known_) {
+        dial(endpoint);
+    }
+}
+
+void AgentProcess::dial(const Base::Endpoint &endpoint)
+{
+    const auto same = [&endpoint](const auto &entry) { return entry.second.endpoint == endpoint; };
+    if (std::any_of(entries_.begin(), entries_.end(), same)) {
+        return;
+    }
+    entries_[links_.dial(endpoint)] = EntryLink{endpoint, false, loop_.now()};
+}
+
+void AgentProcess::linkConnected(Net::LinkId link)
+{
+    EntryLink &entry = entries_[link];
+    entry.connected = true;
+    entry.heardAt = loop_.now();
+    links_.send(link, Jobs::encodeMessage(Jobs::AgentHello{settings_.name, 0}));
+}
+
+void AgentProcess::linkAccepted(Net::LinkId link)
+{
+    links_.close(link);
+}
+
+void AgentProcess::linkFrame(Net::LinkId link, std::span<const std::uint8_t> frame)
+{
+    auto message = Jobs::decodeMessage(frame);
+    auto *orders = message ? std::get_if<Jobs::OwnerOrders>(&*message) : nullptr;
+    if (orders == nullptr) {
+        return;
+    }
+    entries_[link].heardAt = loop_.now();
+    feed(OrdersArrived{std::to_string(link), std::move(*orders)});
+}
+
+void AgentProcess::linkClosed(Net::LinkId link)
+{
+    const auto found = entries_.find(link);
+    if (found == entries_.end()) {
+        return;
+    }
+    const Base::Endpoint endpoint = found->second.endpoint;
+    entries_.erase(found);
+    feed(EntryUnlinked{std::to_string(link)});
+    loop_.callAfter(entryDialRetry, [this, endpoint] {
+        if (std::find(known_.begin(), known_.end(), endpoint) != known_.end()) {
+            dial(endpoint);
+        }
+    });
+}
+
+void AgentProcess::stop()
+{
+    if (stopping_) {
+        loop_.stop();
+        return;
+    }
+    stopping_ = true;
+    stopBy_ = Base::monoNow() + drainMost;
+    log_.writeAlways("process.stopping", {});
+    feed(LeaveRequested{});
+    finishWhenIdle();
+}
+
+void AgentProcess::finishWhenIdle()
+{
+    if (isIdle(state_) || Base::monoNow() >= stopBy_) {
+        // One more round lets the last report leave.
+        loop_.defer([this] { loop_.stop(); });
+        return;
+    }
+    loop_.callAfter(drainCheck, [this] { finishWhenIdle(); });
+}
+
+} // namespace
+
+int runAgent(const Settings::NodeSettings &settings, const std::string &settingsFile)
+{
+    return AgentProcess(settings, settingsFile).run();
+}
+
+} // namespace LaburnumFlow::Node
--- /dev/null
+++ b/src/app/laburnumnode/agentprocess.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "settings/nodesettings.h"
+
+#include <string>
+
+namespace LaburnumFlow::Node {
+
+/// Runs the process beside a worker until it is told to stop. Returns the exit status.
+int runAgent(const Settings::NodeSettings &settings, const std::string &settingsFile);
+
+} // namespace LaburnumFlow::Node
--- /dev/null
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -0,0 +1,295 @@
+#include "entryprocess.h"
+
+#include "nodeconstants.h"
+
+#include "base/timerservice.h"
+
+#include <algorithm>
+
+namespace LaburnumFlow::Node {
+
+void EntryProcess::carryOut(EntryNode::BeginOwning &begin)
+{
+    loading_.owner = begin.record;
+    loading_.ownerRevision = begin.revision;
+    const std::size_t jobs = loading_.jobs.size();
+    owner_ = Jobs::takeOver(std::move(loading_), {begin.formerKnown, begin.formerAgents}, Base::monoNow(), Base::wallNow());
+    loading_ = {};
+    decide("owner.begin",
+           {{"epoch", std::to_string(begin.record.epoch)}, {"jobs", std::to_string(jobs)}, {"former_agents", std::to_string(begin.formerAgents.size())}});
+    if (rules_) {
+        Jobs::RulesChanged changed{rules_->version, {}};
+        for (const Platform::QueueRoute &route : rules_->routes) {
+            changed.queues.push_back(route.rules);
+        }
+        feedOwner(changed);
+    }
+    feedOwner(Jobs::EntriesChanged{entries_});
+    for (const auto &[name, link] : agentLinks_) {
+        feedOwner(Jobs::AgentLinked{name});
+    }
+    auto waiting = std::exchange(waitingForOwner_, {});
+    for (auto &[caller, call] : waiting) {
+        passToOwner(caller, std::move(call));
+    }
+}
+
+void EntryProcess::carryOut(EntryNode::Deposed &deposed)
+{
+    stepDown("epoch " + std::to_string(deposed.epoch));
+}
+
+void EntryProcess::carryOut(EntryNode::DialPeer &dial)
+{
+    const Net::LinkId link = links_.dial(dial.endpoint);
+    peerLinks_[dial.name] = link;
+    peerNames_[link] = dial.name;
+}
+
+void EntryProcess::carryOut(EntryNode::HangUpPeer &hangUp)
+{
+    const auto found = peerLinks_.find(hangUp.name);
+    if (found == peerLinks_.end()) {
+        return;
+    }
+    links_.close(found->second);
+    peerNames_.erase(found->second);
+    peerLinks_.erase(found);
+    updateRoute();
+}
+
+void EntryProcess::carryOut(EntryNode::SendBeat &beat)
+{
+    const auto link = peerLinks_.find(beat.name);
+    if (link != peerLinks_.end()) {
+        links_.send(link->second, Jobs::encodeMessage(std::move(beat.beat)));
+    }
+}
+
+void EntryProcess::carryOut(EntryNode::EntriesKnown &known)
+{
+    entries_ = known.entries;
+    if (owner_) {
+        feedOwner(Jobs::EntriesChanged{entries_});
+    }
+}
+
+void EntryProcess::carryOut(EntryNode::OwnerKnown &known)
+{
+    ownerName_ = known.name;
+    decide("owner.known", {{"owner", known.name}});
+    updateRoute();
+}
+
+void EntryProcess::carryOut(EntryNode::OwnershipDecision &decision)
+{
+    decide(decision.event, decision.fields);
+}
+
+void EntryProcess::feedOwner(const Jobs::OwnerEvent &event)
+{
+    if (!owner_) {
+        return;
+    }
+    Jobs::OwnerEffects effects = Jobs::reduce(*owner_, Jobs::TimePassed{Base::monoNow(), Base::wallNow()});
+    if (!std::holds_alternative<Jobs::TimePassed>(event)) {
+        Jobs::OwnerEffects more = Jobs::reduce(*owner_, event);
+        std::move(more.begin(), more.end(), std::back_inserter(effects));
+    }
+    for (Jobs::OwnerEffect &effect : effects) {
+        // An earlier effect may have ended the ownership.
+        if (!owner_ && !std::holds_alternative<Jobs::Decision>(effect) && !std::holds_alternative<Jobs::Reply>(effect)) {
+            continue;
+        }
+        std::visit([this](auto &what) { carryOut(what); }, effect);
+    }
+    armTimer();
+}
+
+void EntryProcess::carryOut(Jobs::Reply &reply)
+{
+    const auto found = waiting_.find(reply.id);
+    if (found == waiting_.end()) {
+        return;
+    }
+    const Waiting waiting = found->second;
+    waiting_.erase(found);
+    if (const auto *local = std::get_if<LocalCaller>(&waiting)) {
+        carryOut(router_.answered(local->number, reply.answer));
+        return;
+    }
+    const auto &relaying = std::get<RelayingEntry>(waiting);
+    links_.send(relaying.link, Jobs::encodeMessage(Jobs::RelayedAnswer{relaying.number, false, reply.answer}));
+}
+
+void EntryProcess::carryOut(Jobs::SendOrders &orders)
+{
+    const auto link = agentLinks_.find(orders.agent);
+    if (link != agentLinks_.end()) {
+        links_.send(link->second, Jobs::encodeMessage(std::move(orders.orders)));
+    }
+}
+
+void EntryProcess::carryOut(Jobs::StartCommit &commit)
+{
+    const std::uint64_t epoch = owner_->epoch;
+    callStore(Platform::commitRequest(store_, commit.commit), std::nullopt, [this, epoch](const HttpIo::ClientResponse &response) {
+        if (!owner_ || owner_->epoch != epoch) {
+            return;
+        }
+        const bool answered = response.outcome == HttpIo::ClientResponse::Outcome::Answered && response.status < 400;
+        feedOwnership(EntryNode::OwnerProgress{answered, Jobs::agentsInUse(*owner_)});
+        feedOwner(Jobs::CommitEnded{Platform::commitResult(response)});
+    });
+}
+
+void EntryProcess::carryOut(Jobs::StepDown &stepDownEffect)
+{
+    stepDown("epoch " + std::to_string(stepDownEffect.seenEpoch));
+}
+
+void EntryProcess::carryOut(Jobs::Decision &decision)
+{
+    decide(decision.event, decision.fields);
+}
+
+void EntryProcess::passToOwner(Waiting waiting, Jobs::Call call)
+{
+    const Jobs::CallId id = ++lastCall_;
+    waiting_.emplace(id, waiting);
+    feedOwner(Jobs::CallArrived{id, std::move(call)});
+}
+
+void EntryProcess::stepDown(const std::string &reason)
+{
+    if (!owner_ && ownership_.mode != EntryNode::OwnershipState::Mode::Loading) {
+        return;
+    }
+    decide("owner.end", {{"reason", reason}});
+    owner_.reset();
+    resigning_ = false;
+    ownerName_.clear();
+    // Local calls wait in the router; other entries pass theirs on to the next owner.
+    for (const auto &[id, waiting] : waiting_) {
+        if (const auto *relaying = std::get_if<RelayingEntry>(&waiting)) {
+            links_.send(relaying->link, Jobs::encodeMessage(Jobs::RelayedAnswer{relaying->number, true, {}}));
+        }
+    }
+    waiting_.clear();
+    for (const auto &[caller, call] : std::exchange(waitingForOwner_, {})) {
+        const auto &relaying = std::get<RelayingEntry>(caller);
+        links_.send(relaying.link, Jobs::encodeMessage(Jobs::RelayedAnswer{relaying.number, true, {}}));
+    }
+    feedOwnership(EntryNode::SteppedDown{});
+    updateRoute();
+}
+
+void EntryProcess::linkConnected(Net::LinkId link)
+{
+    const auto found = peerNames_.find(link);
+    if (found == peerNames_.end()) {
+        return;
+    }
+    links_.send(link, Jobs::encodeMessage(Jobs::EntryHello{settings_.name, ownership_.self.incarnation}));
+    feedOwnership(EntryNode::PeerLinked{found->second});
+    updateRoute();
+}
+
+void EntryProcess::linkAccepted(Net::LinkId /*link*/) { }
+
+void EntryProcess::linkFrame(Net::LinkId link, std::span<const std::uint8_t> frame)
+{
+    auto message = Jobs::decodeMessage(frame);
+    if (!message) {
+        decide("link.unreadable", {{"bytes", std::to_string(frame.size())}});
+        links_.close(link);
+        linkClosed(link);
+        return;
+    }
+    std::visit([this, link](auto &what) { handle(link, what); }, *message);
+}
+
+void EntryProcess::linkClosed(Net::LinkId link)
+{
+    if (const auto agent = agentNames_.find(link); agent != agentNames_.end()) {
+        const std::string name = agent->second;
+        agentNames_.erase(agent);
+        // A newer link of the same agent stays.
+        if (agentLinks_[name] == link) {
+            agentLinks_.erase(name);
+            feedOwner(Jobs::AgentUnlinked{name});
+        }
+    }
+    entryNames_.erase(link);
+    const auto peer = peerNames_.find(link);
+    if (peer == peerNames_.end()) {
+        return;
+    }
+    const std::string name = peer->second;
+    peerNames_.erase(peer);
+    peerLinks_.erase(name);
+    feedOwnership(EntryNode::PeerUnlinked{name});
+    updateRoute();
+}
+
+void EntryProcess::handle(Net::LinkId link, Jobs::AgentHello &hello)
+{
+    const auto former = agentLinks_.find(hello.name);
+    if (former != agentLinks_.end() && former->second != link) {
+        agentNames_.erase(former->second);
+        links_.close(former->second);
+        feedOwner(Jobs::AgentUnlinked{hello.name});
+    }
+    agentLinks_[hello.name] = link;
+    agentNames_[link] = hello.name;
+    feedOwner(Jobs::AgentLinked{hello.name});
+}
+
+void EntryProcess::handle(Net::LinkId link, Jobs::AgentReport &report)
+{
+    const auto agent = agentNames_.find(link);
+    if (agent != agentNames_.end()) {
+        feedOwner(Jobs::AgentReported{agent->second, std::move(report)});
+    }
+}
+
+void EntryProcess::handle(Net::LinkId link, Jobs::EntryHello &hello)
+{
+    entryNames_[link] = hello.name;
+}
+
+void EntryProcess::handle(Net::LinkId link, Jobs::EntryBeat &beat)
+{
+    const auto entry = entryNames_.find(link);
+    if (entry != entryNames_.end()) {
+        feedOwnership(EntryNode::PeerBeat{entry->second, std::move(beat)});
+    }
+}
+
+void EntryProcess::handle(Net::LinkId link, Jobs::RelayedCall &call)
+{
+    const RelayingEntry relaying{link, call.number};
+    if (owner_ && !resigning_) {
+        passToOwner(relaying, std::move(call.call));
+        return;
+    }
+    if (ownership_.mode == EntryNode::OwnershipState::Mode::Loading) {
+        waitingForOwner_.emplace_back(relaying, std::move(call.call));
+        return;
+    }
+    links_.send(link, Jobs::encodeMessage(Jobs::RelayedAnswer{call.number, true, {}}));
+}
+
+void EntryProcess::handle(Net::LinkId /*link*/, Jobs::RelayedAnswer &answer)
+{
+    if (!answer.notOwner) {
+        carryOut(router_.answered(answer.number, answer.answer));
+        return;
+    }
+    router_.returned(answer.number);
+    loop_.callAfter(notOwnerRetry, [this, number = answer.number] { carryOut(router_.retry(number)); });
+}
+
+void EntryProcess::handle(Net::LinkId /*link*/, Jobs::OwnerOrders & /*orders*/) { }
+
+} // namespace LaburnumFlow::Node
--- /dev/null
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -0,0 +1,212 @@
+#include "entryprocess.h"
+
+#include "nodeconfiguration.h"
+#include "nodeconstants.h"
+
+#include "base/timerservice.h"
+#include "platform/callerdialect.h"
+
+#include <cstdlib>
+#include <random>
+
+namespace LaburnumFlow::Node {
+
+namespace {
+
+Jobs::EntryRecord recordOf(const Settings::NodeSettings &settings)
+{
+    std::random_device random;
+    const std::uint64_t incarnation = (static_cast<std::uint64_t>(random()) << 32U) | random();
+    return {settings.name, incarnation, settings.peers, settings.processorPercent};
+}
+
+} // namespace
+
+EntryProcess::EntryProcess(const Settings::NodeSettings &settings, std::string settingsFile)
+    : settings_(settings), settingsFile_(std::move(settingsFile)), signals_(loop_), log_(settings.name, settings.logLinesPerSecond),
+      storeCalls_(loop_, storeConnections),
+      callers_(loop_, {std::get<Settings::JobEntrySettings>(settings.role).callers}, [this](const HttpIo::ServerRequest &request) { handleRequest(request); }),
+      ready_(loop_, {std::get<Settings::JobEntrySettings>(settings.role).ready}, [this](const HttpIo::ServerRequest &request) { handleReady(request); }),
+      links_(loop_, *this), store_(settings.store.endpoint.address + ':' + std::to_string(settings.store.endpoint.port)),
+      ownership_(EntryNode::makeOwnership(recordOf(settings), std::chrono::milliseconds(settings.store.shortestLeaseMs), Base::monoNow()))
+{
+}
+
+int EntryProcess::run()
+{
+    if (!callers_.start() || !ready_.start() || !links_.listen(settings_.peers)) {
+        log_.writeAlways("process.failed", {});
+        return EXIT_FAILURE;
+    }
+    signals_.onStop = [this] { stop(); };
+    signals_.onReload = [this] {
+        const bool valid = readConfiguration(settingsFile_).has_value();
+        const std::vector<std::pair<std::string, std::string>> fields{{"valid", valid ? "1" : "0"}};
+        log_.writeAlways("process.reload", fields);
+    };
+    const std::vector<std::pair<std::string, std::string>> fields{{"role", "entry"}, {"incarnation", std::to_string(ownership_.self.incarnation)}};
+    log_.writeAlways("process.start", fields);
+    readRules();
+    feedOwnership(EntryNode::ClusterTime{Base::monoNow()});
+    loop_.run();
+    log_.writeAlways("process.stop", {});
+    return EXIT_SUCCESS;
+}
+
+void EntryProcess::handleRequest(const HttpIo::ServerRequest &request)
+{
+    Platform::Decoded decoded = Platform::decodeCall(request, rules_ ? &*rules_ : nullptr);
+    if (auto *response = std::get_if<HttpIo::ServerResponse>(&decoded)) {
+        callers_.answer(request.id, std::move(*response));
+        return;
+    }
+    std::optional<Base::Duration> patience;
+    if (request.deadlineMs && *request.deadlineMs > 0 && *request.deadlineMs < 3'600'000) {
+        patience = std::chrono::milliseconds(*request.deadlineMs);
+    }
+    carryOut(router_.accept(request.id, std::move(std::get<Jobs::Call>(decoded)), patience, loop_.now()));
+    armTimer();
+}
+
+void EntryProcess::handleReady(const HttpIo::ServerRequest &request)
+{
+    const bool ready = rules_ && !ownerName_.empty() && !stopping_;
+    ready_.answer(request.id, {ready ? 200 : 503, {}, {}});
+}
+
+void EntryProcess::carryOut(EntryNode::RouterEffects effects)
+{
+    for (EntryNode::RouterEffect &effect : effects) {
+        std::visit([this](auto &what) { carryOut(what); }, effect);
+    }
+}
+
+void EntryProcess::carryOut(EntryNode::HandleHere &call)
+{
+    passToOwner(LocalCaller{call.number}, std::move(call.call));
+}
+
+void EntryProcess::carryOut(EntryNode::SendToPeer &call)
+{
+    const auto link = peerLinks_.find(call.name);
+    if (link != peerLinks_.end()) {
+        links_.send(link->second, Jobs::encodeMessage(std::move(call.call)));
+    }
+}
+
+void EntryProcess::carryOut(EntryNode::AnswerCaller &answer)
+{
+    callers_.answer(answer.number, Platform::encodeAnswer(answer.answer));
+}
+
+void EntryProcess::updateRoute()
+{
+    EntryNode::Route route = EntryNode::NoRoute{};
+    if (owner_) {
+        if (!resigning_) {
+            route = EntryNode::LocalRoute{};
+        }
+    } else if (peerLinks_.contains(ownerName_) && ownership_.peers.contains(ownerName_) && ownership_.peers.at(ownerName_).linked) {
+        route = EntryNode::PeerRoute{ownerName_};
+    }
+    carryOut(router_.route(std::move(route)));
+}
+
+void EntryProcess::armTimer()
+{
+    if (timerArmed_) {
+        return;
+    }
+    timerArmed_ = true;
+    loop_.defer([this] {
+        timerArmed_ = false;
+        loop_.cancel(timer_);
+        timer_ = 0;
+        std::optional<Base::MonoTime> due = EntryNode::nextDue(ownership_);
+        const auto consider = [&due](const std::optional<Base::MonoTime> &time) {
+            if (time) {
+                due = due ? std::min(*due, *time) : time;
+            }
+        };
+        consider(router_.nextDue());
+        if (owner_) {
+            consider(Jobs::nextDue(*owner_));
+        }
+        if (due) {
+            timer_ = loop_.callAt(*due, [this] {
+                timer_ = 0;
+                onTimer();
+            });
+        }
+    });
+}
+
+void EntryProcess::onTimer()
+{
+    carryOut(router_.expire(loop_.now()));
+    feedOwnership(EntryNode::ClusterTime{Base::monoNow()});
+    if (owner_) {
+        feedOwner(Jobs::TimePassed{Base::monoNow(), Base::wallNow()});
+    }
+    armTimer();
+}
+
+void EntryProcess::stop()
+{
+    if (stopping_) {
+        loop_.stop();
+        return;
+    }
+    stopping_ = true;
+    stopAt_ = Base::monoNow() + entryDrainLeast;
+    stopBy_ = Base::monoNow() + drainMost;
+    log_.writeAlways("process.stopping", {});
+    callers_.closeConnectionsAfterAnswers();
+    feedOwnership(EntryNode::LeaveRequested{});
+    if (owner_) {
+        resigning_ = true;
+        updateRoute();
+        resign();
+    }
+    finishWhenIdle();
+}
+
+/// Gives the jobs up once everything that has gathered is recorded, so that the next owner need not wait for a lapse.
+void EntryProcess::resign()
+{
+    if (!owner_) {
+        return;
+    }
+    const bool recorded = owner_->recorder.waiting() == 0 && !owner_->commitInProgress;
+    if (!recorded && Base::monoNow() < stopBy_ - drainMost + resignLimit) {
+        loop_.callAfter(std::chrono::milliseconds(5), [this] { resign(); });
+        return;
+    }
+    Jobs::OwnerRecord record = owner_->recorder.owner();
+    const EntryNode::Claim vacate{owner_->recorder.revision(), {record.epoch, record.sequence + 1, {}, 0}};
+    callStore(Platform::claimRequest(store_, vacate), std::nullopt, [](const HttpIo::ClientResponse & /*response*/) { });
+    stepDown("stopping");
+}
+
+void EntryProcess::finishWhenIdle()
+{
+    const Base::MonoTime now = Base::monoNow();
+    const bool idle = callers_.openRequests() == 0 && !owner_;
+    if ((idle && now >= stopAt_) || now >= stopBy_) {
+        loop_.defer([this] { loop_.stop(); });
+        return;
+    }
+    loop_.callAfter(drainCheck, [this] { finishWhenIdle(); });
+}
+
+void EntryProcess::decide(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields)
+{
+    log_.write(event, fields, loop_.now());
+}
+
+int runEntry(const Settings::NodeSettings &settings, const std::string &settingsFile)
+{
+    return EntryProcess(settings, settingsFile).run();
+}
+
+} // namespace LaburnumFlow::Node
--- /dev/null
+++ b/src/app/laburnumnode/entryprocess.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "signals.h"
+#include "storetimeout.h"
+
+#include "entrynode/callrouter.h"
+#include "entrynode/ownership.h"
+#include "eventloop/eventloop.h"
+#include "httpio/httpclient.h"
+#include "httpio/httpfront.h"
+#include "jobs/owner.h"
+#include "net/looplinks.h"
+#include "platform/rulesdocument.h"
+#include "platform/storedialect.h"
+#include "runtime/decisionlog.h"
+#include "settings/nodesettings.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace LaburnumFlow::Node {
+
+/// Runs an entry until it is told to stop. Returns the exit status.
+int runEntry(const Settings::NodeSettings &settings, const std::string &settingsFile);
+
+/// Carries out what the entry's reducers decide: who owns the jobs, the owner's work if it is this entry, and the way
+/// of callers' requests to the owner.
+class EntryProcess : public Net::LinkHandler
+{
+public:
+    EntryProcess(const Settings::NodeSettings &settings, std::string settingsFile);
+
+    int run();
+
+private:
+    /// Who waits for the owner's answer to a call.
+    struct LocalCaller {
+        EntryNode::CallNumber number = 0;
+    };
+
+    struct RelayingEntry {
+        Net::LinkId link = 0;
+        std::uint64_t number = 0;
+    };
+
+    using Waiting = std::variant<LocalCaller, RelayingEntry>;
+
+    // Links.
+    void linkConnected(Net::LinkId link) override;
+    void linkAccepted(Net::LinkId link) override;
+    void linkFrame(Net::LinkId link, std::span<const std::uint8_t> frame) override;
+    void linkClosed(Net::LinkId link) override;
+    void handle(Net::LinkId link, Jobs::AgentHello &hello);
+    void handle(Net::LinkId link, Jobs::AgentReport &report);
+    void handle(Net::LinkId link, Jobs::EntryHello &hello);
+    void handle(Net::LinkId link, Jobs::EntryBeat &beat);
+    void handle(Net::LinkId link, Jobs::RelayedCall &call);
+    void handle(Net::LinkId link, Jobs::RelayedAnswer &answer);
+    void handle(Net::LinkId link, Jobs::OwnerOrders &orders);
+
+    // Callers.
+    void handleRequest(const HttpIo::ServerRequest &request);
+    void handleReady(const HttpIo::ServerRequest &request);
+    void carryOut(EntryNode::RouterEffects effects);
+    void carryOut(EntryNode::HandleHere &call);
+    void carryOut(EntryNode::SendToPeer &call);
+    void carryOut(EntryNode::AnswerCaller &answer);
+    void updateRoute();
+
+    // Ownership.
+    void feedOwnership(const EntryNode::OwnershipEvent &event);
+    void carryOut(EntryNode::ReadCluster &read);
+    void carryOut(EntryNode::GrantLease &grant);
+    void carryOut(EntryNode::KeepLease &keep);
+    void carryOut(EntryNode::WritePresence &write);
+    void carryOut(EntryNode::Claim &claim);
+    void carryOut(EntryNode::LoadJobs &load);
+    void carryOut(EntryNode::BeginOwning &begin);
+    void carryOut(EntryNode::Deposed &deposed);
+    void carryOut(EntryNode::DialPeer &dial);
+    void carryOut(EntryNode::HangUpPeer &hangUp);
+    void carryOut(EntryNode::SendBeat &beat);
+    void carryOut(EntryNode::EntriesKnown &known);
+    void carryOut(EntryNode::OwnerKnown &known);
+    void carryOut(EntryNode::OwnershipDecision &decision);
+    void loadPage(std::string prefix, std::string after);
+    void loaded();
+
+    // The owner's work.
+    void feedOwner(const Jobs::OwnerEvent &event);
+    void carryOut(Jobs::Reply &reply);
+    void carryOut(Jobs::SendOrders &orders);
+    void carryOut(Jobs::StartCommit &commit);
+    void carryOut(Jobs::StepDown &stepDown);
+    void carryOut(Jobs::Decision &decision);
+    void passToOwner(Waiting waiting, Jobs::Call call);
+    void stepDown(const std::string &reason);
+
+    // Rules and the store.
+    void readRules();
+    void adoptRules(const Platform::StoreItem &item);
+    void callStore(HttpIo::ClientRequest request, std::optional<Base::Duration> timeout, std::function<void(const HttpIo::ClientResponse &)> handle);
+
+    // Time and the end.
+    void armTimer();
+    void onTimer();
+    void stop();
+    void resign();
+    void finishWhenIdle();
+    void decide(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields);
+
+    Settings::NodeSettings settings_;
+    std::string settingsFile_;
+    EventLoop::Loop loop_;
+    Signals signals_;
+    Runtime::DecisionLog log_;
+    HttpIo::HttpClient storeCalls_;
+    HttpIo::HttpFront callers_;
+    HttpIo::HttpFront ready_;
+    Net::LoopLinks links_;
+    std::string store_;
+    StoreTimeout storeTimeout_;
+
+    EntryNode::OwnershipState ownership_;
+    EntryNode::CallRouter router_;
+    std::string ownerName_; ///< as ownership says; empty if there is none
+    std::optional<Jobs::OwnerState> owner_; ///< while this entry owns the jobs
+    Jobs::StoredJobs loading_;
+    std::vector<std::pair<Waiting, Jobs::Call>> waitingForOwner_; ///< relayed calls that came while the jobs were being read
+
+    std::unordered_map<Jobs::CallId, Waiting> waiting_;
+    Jobs::CallId lastCall_ = 0;
+    std::map<std::string, Net::LinkId> peerLinks_; ///< links that this entry dialed
+    std::map<Net::LinkId, std::string> peerNames_;
+    std::map<std::string, Net::LinkId> agentLinks_;
+    std::map<Net::LinkId, std::string> agentNames_;
+    std::map<Net::LinkId, std::string> entryNames_; ///< of links that other entries dialed
+    std::vector<Base::Endpoint> entries_;
+
+    std::optional<Platform::RulesDocument> rules_;
+    std::int64_t rulesRevision_ = 0;
+    EventLoop::TimerId timer_ = 0;
+    bool timerArmed_ = false;
+    bool stopping_ = false;
+    bool resigning_ = false;
+    Base::MonoTime stopAt_{};
+    Base::MonoTime stopBy_{};
+};
+
+} // namespace LaburnumFlow::Node
--- /dev/null
+++ b/src/app/laburnumnode/entrystore.cpp
@@ -0,0 +1,144 @@
+#include "entryprocess.h"
+
+#include "nodeconstants.h"
+
+#include "base/timerservice.h"
+
+namespace LaburnumFlow::Node {
+
+void EntryProcess::callStore(HttpIo::ClientRequest request, std::optional<Base::Duration> timeout, std::function<void(const HttpIo::ClientResponse &)> handle)
+{
+    request.timeout = timeout.value_or(storeTimeout_.current());
+    const Base::MonoTime begun = Base::monoNow();
+    storeCalls_.send(std::move(request), [this, begun, handle = std::move(handle)](const HttpIo::ClientResponse &response) {
+        if (response.outcome == HttpIo::ClientResponse::Outcome::Answered) {
+            storeTimeout_.answered(Base::monoNow() - begun);
+        } else {
+            storeTimeout_.timedOut();
+        }
+        handle(response);
+    });
+}
+
+void EntryProcess::feedOwnership(const EntryNode::OwnershipEvent &event)
+{
+    EntryNode::OwnershipEffects effects = EntryNode::reduce(ownership_, EntryNode::ClusterTime{Base::monoNow()});
+    for (EntryNode::OwnershipEffect &effect : effects) {
+        std::visit([this](auto &what) { carryOut(what); }, effect);
+    }
+    effects = EntryNode::reduce(ownership_, event);
+    for (EntryNode::OwnershipEffect &effect : effects) {
+        std::visit([this](auto &what) { carryOut(what); }, effect);
+    }
+    armTimer();
+}
+
+void EntryProcess::carryOut(EntryNode::ReadCluster & /*read*/)
+{
+    callStore(Platform::rangeRequest(store_, Jobs::clusterPrefix, {}, false), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+        const auto page = Platform::pageOf(response);
+        feedOwnership(page ? Platform::clusterOf(page->items) : EntryNode::ClusterRead{});
+    });
+}
+
+void EntryProcess::carryOut(EntryNode::GrantLease &grant)
+{
+    callStore(Platform::grantRequest(store_, grant.term), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+        feedOwnership(Platform::grantResult(response));
+    });
+}
+
+void EntryProcess::carryOut(EntryNode::KeepLease &keep)
+{
+    callStore(Platform::keepRequest(store_, keep.lease), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+        feedOwnership(Platform::keepResult(response));
+    });
+}
+
+void EntryProcess::carryOut(EntryNode::WritePresence &write)
+{
+    const Platform::StoreWrite row{Jobs::entryKey(write.record.name), Jobs::encodeRecord(write.record), write.lease};
+    callStore(Platform::writeRequest(store_, {row}), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+        feedOwnership(Platform::presenceResult(response));
+    });
+}
+
+void EntryProcess::carryOut(EntryNode::Claim &claim)
+{
+    callStore(Platform::claimRequest(store_, claim), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+        feedOwnership(Platform::claimResult(response));
+    });
+}
+
+void EntryProcess::carryOut(EntryNode::LoadJobs & /*load*/)
+{
+    loading_ = {};
+    loadPage(std::string(Jobs::jobPrefix), {});
+}
+
+void EntryProcess::loadPage(std::string prefix, std::string after)
+{
+    HttpIo::ClientRequest request = Platform::rangeRequest(store_, prefix, after, false);
+    callStore(std::move(request), loadTimeout, [this, prefix = std::move(prefix)](const HttpIo::ClientResponse &response) {
+        if (ownership_.mode != EntryNode::OwnershipState::Mode::Loading) {
+            return;
+        }
+        const auto page = Platform::pageOf(response);
+        if (!page) {
+            loop_.callAfter(std::chrono::milliseconds(50), [this] { feedOwnership(EntryNode::JobsLoaded{false}); });
+            return;
+        }
+        for (const Platform::StoreItem &item : page->items) {
+            if (prefix == Jobs::jobPrefix) {
+                if (auto record = Jobs::decodeJobRecord(item.value)) {
+                    loading_.jobs.push_back(std::move(*record));
+                }
+            } else if (auto segment = Jobs::decodeFinishedSegment(item.value)) {
+                loading_.finished.push_back({item.key, std::move(*segment)});
+            }
+        }
+        if (page->more && !page->items.empty()) {
+            loadPage(prefix, page->items.back().key);
+        } else if (prefix == Jobs::jobPrefix) {
+            loadPage(std::string(Jobs::finishedPrefix), {});
+        } else {
+            feedOwnership(EntryNode::JobsLoaded{true});
+        }
+    });
+}
+
+void EntryProcess::readRules()
+{
+    callStore(Platform::itemRequest(store_, Platform::rulesKey), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+        bool missing = false;
+        if (const auto item = Platform::itemOf(response, missing); item && item->revision != rulesRevision_) {
+            adoptRules(*item);
+        }
+        loop_.callAfter(rulesReadInterval, [this] { readRules(); });
+    });
+}
+
+void EntryProcess::adoptRules(const Platform::StoreItem &item)
+{
+    auto document = Platform::parseRules(item.value);
+    if (!document) {
+        decide("rules.unreadable", {{"revision", std::to_string(item.revision)}});
+        return;
+    }
+    rulesRevision_ = item.revision;
+    if (rules_ && document->version <= rules_->version) {
+        return;
+    }
+    decide("rules.adopted", {{"version", std::to_string(document->version)}, {"routes", std::to_string(document->routes.size())}});
+    rules_ = std::move(document);
+    if (!owner_) {
+        return;
+    }
+    Jobs::RulesChanged changed{rules_->version, {}};
+    for (const Platform::QueueRoute &route : rules_->routes) {
+        changed.queues.push_back(route.rules);
+    }
+    feedOwner(changed);
+}
+
+} // namespace LaburnumFlow::Node
--- /dev/null
+++ b/src/app/laburnumnode/nodeconstants.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/types.h"
+
+#include <chrono>
+
+namespace LaburnumFlow::Node {
+
+using namespace std::chrono_literals;
+
+constexpr int exitFaultySettings = 2;
+
+constexpr Base::Duration rulesReadInterval = 400ms; ///< between reads of the operator's configuration
+constexpr Base::Duration loadTimeout = 2s; ///< of one page of jobs
+constexpr Base::Duration storeTimeoutLeast = 120ms;
+constexpr Base::Duration storeTimeoutMost = 1s;
+constexpr long storeConnections = 8;
+constexpr long workerConnections = 8;
+constexpr Base::Duration notOwnerRetry = 80ms; ///< before a call is passed on again that its receiver did not take
+constexpr Base::Duration resignLimit = 600ms; ///< for recording what has gathered before the jobs are given up
+constexpr Base::Duration entryDrainLeast = 2500ms; ///< a balancer that checks once a second sends connections until then
+constexpr Base::Duration drainMost = 5s; ///< the platform kills the process after 6 s
+constexpr Base::Duration drainCheck = 100ms;
+constexpr Base::Duration entriesReadInterval = 400ms; ///< by an agent without an owner
+constexpr Base::Duration entryDialRetry = 200ms;
+constexpr Base::Duration entrySilentLimit = 1200ms; ///< an agent replaces the link to an owner that is silent for longer
+
+} // namespace LaburnumFlow::Node
--- a/src/libs/base/timerservice.cpp
+++ b/src/libs/base/timerservice.cpp
@@ -1,6 +1,7 @@
 #include "timerservice.h"
 
 #include <pthread.h>
+#include <time.h>
 
 #include <algorithm>
 
@@ -8,7 +9,10 @@
 
 MonoTime monoNow()
 {
-    return std::chrono::duration_cast<MonoTime>(std::chrono::steady_clock::now().time_since_epoch());
+    // CLOCK_MONOTONIC stops while the machine is suspended; leases and tokens must age then too.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::duration_cast<MonoTime>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 WallTime wallNow()
--- a/src/libs/base/timerservice.h
+++ b/src/libs/base/timerservice.h
@@ -11,7 +11,7 @@
 
 namespace LaburnumFlow::Base {
 
-/// Microseconds of the steady clock.
+/// Microseconds since the machine started, including the time for which it was suspended.
 MonoTime monoNow();
 
 /// Milliseconds of the system clock.
--- /dev/null
+++ b/src/libs/entrynode/callrouter.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "jobs/messages.h"
+
+#include "base/types.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace LaburnumFlow::EntryNode {
+
+using CallNumber = std::uint64_t;
+
+/// Where calls are handled at present.
+struct NoRoute {
+};
+
+struct LocalRoute {
+};
+
+struct PeerRoute {
+    std::string name;
+};
+
+using Route = std::variant<NoRoute, LocalRoute, PeerRoute>;
+
+/// Hands the call to the owner in this process.
+struct HandleHere {
+    CallNumber number = 0;
+    Jobs::Call call;
+};
+
+struct SendToPeer {
+    std::string name;
+    Jobs::RelayedCall call;
+};
+
+/// The final answer for the caller.
+struct AnswerCaller {
+    CallNumber number = 0;
+    Jobs::CallAnswer answer;
+};
+
+using RouterEffect = std::variant<HandleHere, SendToPeer, AnswerCaller>;
+using RouterEffects = std::vector<RouterEffect>;
+
+/// Calls of this entry's clients on their way to the owner. A call is passed on again when the owner changes, as jobs
+/// are known by their IDs; it is answered in time even if no owner can be reached.
+class CallRouter
+{
+public:
+    /// patience: how long the caller waits.
+    RouterEffects accept(CallNumber number, Jobs::Call call, std::optional<Base::Duration> patience, Base::MonoTime now);
+
+    /// Calls that were passed on elsewhere are passed on again.
+    RouterEffects route(Route route);
+
+    RouterEffects answered(CallNumber number, const Jobs::CallAnswer &answer);
+
+    /// The receiver does not own the jobs; the call waits for the next route.
+    void returned(CallNumber number);
+
+    /// Passes a returned call on by the present route.
+    RouterEffects retry(CallNumber number);
+
+    /// Answers the calls whose time has run out.
+    RouterEffects expire(Base::MonoTime now);
+
+    std::optional<Base::MonoTime> nextDue() const;
+
+    std::size_t pending() const
+    {
+        return calls_.size();
+    }
+
+private:
+    struct Pending {
+        Jobs::Call call;
+        Base::MonoTime answerBy{}; ///< the caller stops waiting soon after
+        Base::MonoTime refuseAt{}; ///< if no owner has seen the call by then
+        bool passedOn = false;
+        bool everPassedOn = false;
+    };
+
+    std::optional<RouterEffect> passOn(CallNumber number, Pending &pending) const;
+    Base::MonoTime dueOf(const Pending &pending) const;
+    void forget(CallNumber number);
+
+    Route route_;
+    std::unordered_map<CallNumber, Pending> calls_;
+    std::set<std::pair<Base::MonoTime, CallNumber>> due_;
+};
+
+} // namespace LaburnumFlow::EntryNode
--- /dev/null
+++ b/src/libs/entrynode/entrynodeconstants.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "base/types.h"
+
+#include <chrono>
+
+namespace LaburnumFlow::EntryNode {
+
+using namespace std::chrono_literals;
+
+constexpr Base::Duration clusterReadInterval = 250ms; ///< between reads of the owner record and the entries
+constexpr Base::Duration presenceRenewal = 300ms; ///< between renewals of the presence lease, whose shortest term is 1 s
+constexpr Base::Duration beatInterval = 200ms; ///< from the owner to the other entries
+constexpr Base::Duration ownerQuietLimit = 700ms; ///< an owner without presence that is silent for this long is replaced
+constexpr Base::Duration ownerStuckLimit = 2500ms; ///< the same for one that is present but commits nothing
+constexpr Base::Duration storeFreshLimit = 800ms; ///< the store counts as reachable for this long after an answer
+constexpr Base::Duration ownerCutOffLimit = 600ms; ///< an owner that has not reached the store for this long is replaced
+constexpr Base::Duration claimStagger = 150ms; ///< the longest delay of a claim; entries with more processor come first
+constexpr Base::Duration dialRetry = 200ms;
+
+constexpr Base::Duration submitPatience = 1500ms; ///< a submission that no owner has seen for this long is refused
+constexpr Base::Duration answerMargin = 40ms; ///< answers leave this long before the caller stops waiting
+constexpr Base::Duration defaultPatience = 3s; ///< for callers that do not say how long they wait
+
+} // namespace LaburnumFlow::EntryNode
--- /dev/null
+++ b/src/libs/entrynode/ownership.h
@@ -0,0 +1,257 @@
+#pragma once
+
+#include "jobs/messages.h"
+#include "jobs/records.h"
+
+#include "base/types.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Which entry owns the jobs. The owner record in the platform's store decides; it is replaced by compare-and-swap, so
+/// a claim at the wrong time costs a takeover and never a promise.
+namespace LaburnumFlow::EntryNode {
+
+struct Peer {
+    Jobs::EntryRecord record;
+    bool linked = false;
+    bool dialing = false;
+    bool present = false; ///< its presence key was there at the last read
+    Base::MonoTime dialNotBefore{};
+    Base::MonoTime beatAt{};
+    Jobs::EntryBeat beat;
+    std::vector<std::string> agents; ///< as its last beat with agents named them
+};
+
+struct OwnershipState {
+    Jobs::EntryRecord self;
+    Base::Duration presenceTerm{}; ///< of the lease
+    Base::MonoTime now{};
+
+    enum class Mode : std::uint8_t {
+        Following,
+        Claiming, ///< the compare-and-swap is in progress
+        Confirming, ///< its outcome is unknown; the next read tells
+        Loading, ///< the jobs are being read
+        Owning,
+        Leaving, ///< the process is to stop
+    };
+
+    Mode mode = Mode::Following;
+    std::optional<Jobs::OwnerRecord> owner; ///< as last read; nothing if the key does not exist
+    std::int64_t ownerRevision = 0;
+    bool everRead = false;
+    Base::MonoTime ownerChangedAt{}; ///< when owner was last seen to change
+    Base::MonoTime ownerSeenAt{}; ///< last sign of life of the owner, or when its silence began to count
+    Base::MonoTime cutOffSince{}; ///< since when the owner has said that it cannot reach the store; 0 if it can
+    Base::MonoTime storeAnsweredAt{};
+    Jobs::OwnerRecord claim;
+    std::map<std::string, Peer> peers; ///< without this entry
+
+    std::int64_t lease = 0; ///< of the presence key; 0 if there is none
+    bool presenceWritten = false;
+    bool presenceCallInProgress = false;
+    Base::MonoTime presenceNotBefore{};
+    bool readInProgress = false;
+    Base::MonoTime readNotBefore{};
+    Base::MonoTime beatNotBefore{};
+    std::vector<std::string> agentsInUse; ///< while owning
+};
+
+// Events.
+
+struct ClusterTime {
+    Base::MonoTime now{};
+};
+
+/// What the store holds under clusterPrefix. Nothing if it could not be read.
+struct ClusterRead {
+    struct Content {
+        std::optional<Jobs::OwnerRecord> owner;
+        std::int64_t ownerRevision = 0;
+        std::vector<Jobs::EntryRecord> entries;
+    };
+
+    std::optional<Content> content;
+};
+
+struct LeaseGranted {
+    std::int64_t lease = 0; ///< 0 if the store did not answer
+};
+
+struct LeaseKept {
+    enum class Outcome : std::uint8_t {
+        Kept,
+        Gone,
+        Failed,
+    };
+
+    Outcome outcome = Outcome::Failed;
+};
+
+struct PresenceWritten {
+    enum class Outcome : std::uint8_t {
+        Written,
+        LeaseGone,
+        Failed,
+    };
+
+    Outcome outcome = Outcome::Failed;
+};
+
+struct ClaimEnded {
+    enum class Outcome : std::uint8_t {
+        Won,
+        Lost,
+        Refused, ///< nothing was done
+        Unknown,
+    };
+
+    Outcome outcome = Outcome::Unknown;
+    std::int64_t revision = 0;
+};
+
+struct JobsLoaded {
+    bool complete = false;
+};
+
+struct PeerLinked {
+    std::string name;
+};
+
+struct PeerUnlinked {
+    std::string name;
+};
+
+struct PeerBeat {
+    std::string name;
+    Jobs::EntryBeat beat;
+};
+
+/// The owner's reducer has stepped down.
+struct SteppedDown {
+};
+
+/// The owner's commits are answered, and these agents may run tasks.
+struct OwnerProgress {
+    bool storeAnswered = false;
+    std::vector<std::string> agentsInUse;
+};
+
+struct LeaveRequested {
+};
+
+using OwnershipEvent = std::variant<ClusterTime,
+                                    ClusterRead,
+                                    LeaseGranted,
+                                    LeaseKept,
+                                    PresenceWritten,
+                                    ClaimEnded,
+                                    JobsLoaded,
+                                    PeerLinked,
+                                    PeerUnlinked,
+                                    PeerBeat,
+                                    SteppedDown,
+                                    OwnerProgress,
+                                    LeaveRequested>;
+
+// Effects.
+
+struct ReadCluster {
+};
+
+struct GrantLease {
+    Base::Duration term{};
+};
+
+struct KeepLease {
+    std::int64_t lease = 0;
+};
+
+struct WritePresence {
+    std::int64_t lease = 0;
+    Jobs::EntryRecord record;
+};
+
+/// Replaces the owner record if it still has the revision (0: if there is none).
+struct Claim {
+    std::int64_t expectedRevision = 0;
+    Jobs::OwnerRecord record;
+};
+
+struct LoadJobs {
+};
+
+/// The jobs are read and this entry owns them.
+struct BeginOwning {
+    Jobs::OwnerRecord record;
+    std::int64_t revision = 0;
+    bool formerKnown = false; ///< formerAgents names all agents that may run tasks of the former owner
+    std::vector<std::string> formerAgents;
+};
+
+/// Another entry has claimed the jobs meanwhile; SteppedDown is expected.
+struct Deposed {
+    std::uint64_t epoch = 0;
+};
+
+struct DialPeer {
+    std::string name;
+    Base::Endpoint endpoint;
+};
+
+struct HangUpPeer {
+    std::string name;
+};
+
+struct SendBeat {
+    std::string name;
+    Jobs::EntryBeat beat;
+};
+
+/// The entries' addresses, this one's included, have changed.
+struct EntriesKnown {
+    std::vector<Base::Endpoint> entries;
+};
+
+/// Another entry owns the jobs, or none does.
+struct OwnerKnown {
+    std::string name; ///< empty: none
+};
+
+struct OwnershipDecision {
+    std::string event;
+    std::vector<std::pair<std::string, std::string>> fields;
+};
+
+using OwnershipEffect = std::variant<ReadCluster,
+                                     GrantLease,
+                                     KeepLease,
+                                     WritePresence,
+                                     Claim,
+                                     LoadJobs,
+                                     BeginOwning,
+                                     Deposed,
+                                     DialPeer,
+                                     HangUpPeer,
+                                     SendBeat,
+                                     EntriesKnown,
+                                     OwnerKnown,
+                                     OwnershipDecision>;
+using OwnershipEffects = std::vector<OwnershipEffect>;
+
+OwnershipState makeOwnership(Jobs::EntryRecord self, Base::Duration presenceTerm, Base::MonoTime now);
+
+OwnershipEffects reduce(OwnershipState &state, const OwnershipEvent &event);
+
+/// When ClusterTime is needed next.
+std::optional<Base::MonoTime> nextDue(const OwnershipState &state);
+
+/// Whether the store has answered this entry lately.
+bool storeReachable(const OwnershipState &state);
+
+} // namespace LaburnumFlow::EntryNode
--- a/src/libs/entryruntime/settingswatcher.cpp
+++ b/src/libs/entryruntime/settingswatcher.cpp
@@ -64,7 +64,7 @@
 bool SettingsWatcher::waitUntil(Base::MonoTime time)
 {
     std::unique_lock lock(mutex_);
-    return !changed_.wait_until(lock, std::chrono::steady_clock::time_point(time), [this] { return stopping_; });
+    return !changed_.wait_for(lock, std::max(time - Base::monoNow(), Base::Duration(0)), [this] { return stopping_; });
 }
 
 leaf::result<std::int64_t> SettingsWatcher::readAll()
--- /dev/null
+++ b/src/libs/jobs/admission.cpp
@@ -0,0 +1,69 @@
+#include "admission.h"
+
+#include "jobsconstants.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace LaburnumFlow::Jobs {
+
+namespace {
+
+/// Work of the ready tasks in thousandths of a core and milliseconds.
+double readyWork(const Job &job)
+{
+    if (job.tasks.empty()) {
+        return 0.0;
+    }
+    double work = 0.0;
+    for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+        const StepSpec &spec = job.spec.steps[step];
+        work += static_cast<double>(spec.count) * spec.need.cpuMilli * (spec.estimateMs == 0 ? defaultEstimateMs : spec.estimateMs);
+    }
+    return work * job.readyTasks / static_cast<double>(job.tasks.size());
+}
+
+double capacityMilli(const OwnerState &state, const std::string &service)
+{
+    double capacity = 0.0;
+    for (const Agent &agent : state.agents) {
+        if (takesWork(agent, state.now) && agent.worker->service == service) {
+            capacity += agent.worker->capacity.cpuMilli * expectedSpeed(agent, state.kindSpeeds, state.now);
+        }
+    }
+    return capacity;
+}
+
+} // namespace
+
+Admission admit(const OwnerState &state, const Job &job)
+{
+    if (state.ready.empty()) {
+        return {};
+    }
+    const double capacity = capacityMilli(state, job.rules.service);
+    if (capacity <= 0.0) {
+        return {};
+    }
+    const Base::MonoTime due = job.arrivedAt + job.objective;
+    double before = 0.0;
+    double all = 0.0;
+    for (const auto &[queuedDue, id] : state.ready) {
+        const double work = readyWork(state.jobs.at(id));
+        all += work;
+        if (queuedDue <= due) {
+            before += work;
+        }
+    }
+    const auto waitMs = [capacity](double work) { return std::chrono::milliseconds(std::llround(work / capacity)); };
+    const Base::Duration wait = waitMs(before);
+    const Base::Duration limit = std::chrono::duration_cast<Base::Duration>(job.objective * lateFactor) - std::chrono::milliseconds(job.chainMs);
+    if (wait <= limit) {
+        return {true, wait, 0};
+    }
+    const Base::Duration clearIn = std::max<Base::Duration>(wait - job.objective, waitMs(all) / 2);
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(clearIn).count() + 1;
+    return {false, wait, static_cast<std::uint32_t>(seconds)};
+}
+
+} // namespace LaburnumFlow::Jobs
--- /dev/null
+++ b/src/libs/jobs/fleet.cpp
@@ -0,0 +1,143 @@
+#include "fleet.h"
+
+#include "jobsconstants.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace LaburnumFlow::Jobs {
+
+namespace {
+
+constexpr double sampleWeight = 0.08;
+constexpr double firstSamplesWeight = 0.25;
+constexpr std::uint32_t firstSamples = 8;
+constexpr double kindWeight = 0.02;
+constexpr double recoverySeconds = 4.0;
+
+double logRatio(std::uint32_t estimateMs, std::uint32_t ranMs)
+{
+    return std::log(static_cast<double>(std::max(estimateMs, 1U)) / static_cast<double>(std::max(ranMs, 1U)));
+}
+
+} // namespace
+
+bool takesWork(const Agent &agent, Base::MonoTime now)
+{
+    if (!agent.linked || !agent.reported || !agent.worker || agent.worker->draining) {
+        return false;
+    }
+    if (now - agent.tokenAt > agentQuietLimit || now < agent.health.suspendedUntil) {
+        return false;
+    }
+    return !agent.health.probing || agent.runs.empty();
+}
+
+bool fits(const Agent &agent, const Resources &need)
+{
+    const Resources &capacity = agent.worker->capacity;
+    return agent.used.cpuMilli + need.cpuMilli <= capacity.cpuMilli && agent.used.memoryMb + need.memoryMb <= capacity.memoryMb
+        && agent.used.gpus + need.gpus <= capacity.gpus;
+}
+
+void addRun(Agent &agent, const RunRef &run, const Resources &need)
+{
+    if (!agent.runs.emplace(run, ActiveRun{need, false}).second) {
+        return;
+    }
+    agent.used.cpuMilli += need.cpuMilli;
+    agent.used.memoryMb += need.memoryMb;
+    agent.used.gpus += need.gpus;
+}
+
+bool removeRun(Agent &agent, const RunRef &run)
+{
+    const auto found = agent.runs.find(run);
+    if (found == agent.runs.end()) {
+        return false;
+    }
+    agent.used.cpuMilli -= found->second.need.cpuMilli;
+    agent.used.memoryMb -= found->second.need.memoryMb;
+    agent.used.gpus -= found->second.need.gpus;
+    agent.runs.erase(found);
+    return true;
+}
+
+bool noteEnd(Agent &agent, std::uint64_t number)
+{
+    if (number == 0) {
+        return true;
+    }
+    return number > agent.endsRecorded && agent.ends.emplace(number, false).second;
+}
+
+void settleEnd(Agent &agent, std::uint64_t number)
+{
+    const auto found = agent.ends.find(number);
+    if (found == agent.ends.end()) {
+        return;
+    }
+    found->second = true;
+    while (!agent.ends.empty() && agent.ends.begin()->second && agent.ends.begin()->first == agent.endsRecorded + 1) {
+        ++agent.endsRecorded;
+        agent.ends.erase(agent.ends.begin());
+    }
+}
+
+void learnDone(WorkerHealth &health, std::uint32_t estimateMs, std::uint32_t ranMs, Base::MonoTime now)
+{
+    health.failures = 0;
+    health.suspension = Base::Duration::zero();
+    health.probing = false;
+    if (ranMs == 0) {
+        return;
+    }
+    const double weight = health.samples < firstSamples ? firstSamplesWeight : sampleWeight;
+    health.logSpeed += weight * (logRatio(estimateMs, ranMs) - health.logSpeed);
+    ++health.samples;
+    health.lastSampleAt = now;
+}
+
+void learnFailed(WorkerHealth &health, JobId job, Base::MonoTime now)
+{
+    // The tasks of a job that can never succeed fail on sound workers too.
+    if (health.failures > 0 && health.lastFailedJob == job) {
+        return;
+    }
+    health.lastFailedJob = job;
+    ++health.failures;
+    if (health.failures < failuresToSuspend && !health.probing) {
+        return;
+    }
+    health.suspension = health.suspension == Base::Duration::zero() ? Base::Duration(suspensionFirst) : std::min<Base::Duration>(health.suspension * 2, suspensionLast);
+    health.suspendedUntil = now + health.suspension;
+    health.probing = true;
+}
+
+void KindSpeeds::learn(const std::string &kind, std::uint32_t estimateMs, std::uint32_t ranMs)
+{
+    if (ranMs == 0) {
+        return;
+    }
+    double &speed = logSpeeds_[kind];
+    speed += kindWeight * (logRatio(estimateMs, ranMs) - speed);
+}
+
+double KindSpeeds::logSpeed(const std::string &kind) const
+{
+    const auto found = logSpeeds_.find(kind);
+    return found == logSpeeds_.end() ? 0.0 : found->second;
+}
+
+double expectedSpeed(const Agent &agent, const KindSpeeds &kinds, Base::MonoTime now)
+{
+    const double ofKind = kinds.logSpeed(agent.worker->kind);
+    if (agent.health.samples == 0) {
+        return std::exp(ofKind);
+    }
+    const double own = agent.health.logSpeed;
+    const double idle = std::chrono::duration<double>(now - agent.health.lastSampleAt).count();
+    return std::exp(own + (ofKind - own) * std::clamp(idle / recoverySeconds, 0.0, 1.0));
+}
+
+} // namespace LaburnumFlow::Jobs
--- /dev/null
+++ b/src/libs/jobs/fleet.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "messages.h"
+#include "recorder.h"
+
+#include "base/types.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/// The agents and their workers as the owner sees them.
+namespace LaburnumFlow::Jobs {
+
+/// A run that is, or may be, on a worker.
+struct ActiveRun {
+    Resources need;
+    bool stopping = false;
+};
+
+/// What the ends of a worker's runs say about it.
+struct WorkerHealth {
+    double logSpeed = 0.0; ///< natural logarithm of the estimated over the actual run time, averaged
+    std::uint32_t samples = 0;
+    Base::MonoTime lastSampleAt{};
+    std::uint32_t failures = 0; ///< in succession, of different jobs
+    JobId lastFailedJob = 0;
+    Base::MonoTime suspendedUntil{};
+    Base::Duration suspension{};
+    bool probing = false; ///< gets one run at a time until one is done
+};
+
+struct Agent {
+    std::string name;
+    bool linked = false;
+    bool reported = false; ///< a full report has come under this owner's epoch and on the present link
+    std::int64_t token = 0;
+    Base::MonoTime tokenAt{}; ///< when the youngest token arrived
+    Base::MonoTime ordersAt{}; ///< when orders were sent last
+    std::optional<WorkerInfo> worker;
+    Resources used; ///< by runs
+    std::unordered_map<RunRef, ActiveRun, RunRefHash> runs;
+    std::map<std::uint64_t, bool> ends; ///< not acknowledged yet; true if recorded
+    std::uint64_t endsRecorded = 0;
+    std::uint64_t endsSent = 0; ///< the last endsRecorded that the agent was told
+    WorkerHealth health;
+    OwnerOrders outbox; ///< orders that wait for the end of the reducer's step
+
+    bool hasOrders() const
+    {
+        return !outbox.starts.empty() || !outbox.stops.empty();
+    }
+};
+
+/// Whether the worker may get new runs.
+bool takesWork(const Agent &agent, Base::MonoTime now);
+
+bool fits(const Agent &agent, const Resources &need);
+
+void addRun(Agent &agent, const RunRef &run, const Resources &need);
+
+/// Returns whether the run was known.
+bool removeRun(Agent &agent, const RunRef &run);
+
+/// Notes an end of the worker's list. Returns false if it was noted before.
+bool noteEnd(Agent &agent, std::uint64_t number);
+
+/// Marks an end as recorded and moves endsRecorded on.
+void settleEnd(Agent &agent, std::uint64_t number);
+
+/// Learns from a run that ended as done.
+void learnDone(WorkerHealth &health, std::uint32_t estimateMs, std::uint32_t ranMs, Base::MonoTime now);
+
+/// Learns from a run that failed or stalled; suspends the worker when failures of different jobs follow each other.
+void learnFailed(WorkerHealth &health, JobId job, Base::MonoTime now);
+
+/// Workers by kind of machine, for workers that have not ended a run yet.
+class KindSpeeds
+{
+public:
+    void learn(const std::string &kind, std::uint32_t estimateMs, std::uint32_t ranMs);
+
+    /// 0 if nothing is known about the kind.
+    double logSpeed(const std::string &kind) const;
+
+private:
+    std::unordered_map<std::string, double> logSpeeds_;
+};
+
+/// The worker's expected speed. One that was found slow is given time to recover once no run of it has ended for a
+/// while, as nothing else would show that it has recovered.
+double expectedSpeed(const Agent &agent, const KindSpeeds &kinds, Base::MonoTime now);
+
+} // namespace LaburnumFlow::Jobs
--- /dev/null
+++ b/src/libs/jobs/jobsconstants.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/types.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace LaburnumFlow::Jobs {
+
+using namespace std::chrono_literals;
+
+// Authority of the owner over an agent. Both ends use the same figures.
+constexpr Base::Duration startTokenLimit = 1s; ///< agents refuse starts whose echoed token is older
+constexpr Base::Duration holdTokenLimit = 2500ms; ///< agents stop renewing the worker's lease when the echoed token is older
+constexpr Base::Duration workerLease = 1s; ///< the longest lease that a worker grants
+constexpr double clockDriftFactor = 1.02; ///< a worker's clock may run this much slower
+constexpr Base::Duration leaseSlack = 150ms; ///< for timers that fire late
+
+/// After this time without a younger token nothing that an agent's worker was running can still run.
+constexpr Base::Duration authorityLimit = holdTokenLimit + std::chrono::duration_cast<Base::Duration>(workerLease * clockDriftFactor) + leaseSlack;
+
+constexpr Base::Duration ownerPing = 350ms; ///< the owner echoes each agent's token at least this often
+constexpr Base::Duration agentQuietLimit = 900ms; ///< no new work for an agent not heard of for this long
+
+// Recording in the platform's store.
+constexpr std::size_t maxEntriesPerCommit = 26; ///< the store takes 32 entries; the owner record and the finished segments need some
+constexpr std::size_t maxCommitBytes = 400'000;
+constexpr std::size_t finishedPerSegment = 128; ///< finished jobs per key
+constexpr Base::Duration commitInterval = 12ms; ///< between the starts of two commits; saves calls to the store
+constexpr Base::Duration commitRetryFirst = 20ms;
+constexpr Base::Duration commitRetryLast = 300ms;
+constexpr Base::Duration progressDelay = 400ms; ///< ends of unfinished jobs are recorded after this time, when most jobs have ended
+constexpr Base::Duration finishedKept = 130s; ///< final states are kept for 120 s and some slack
+constexpr Base::Duration storeSickAfter = 700ms; ///< a commit that hangs for longer makes the owner refuse new jobs
+
+constexpr std::uint32_t runsPerEpoch = 4096; ///< runs of a task under one owner; keeps runs rising across owners
+
+// Scheduling.
+constexpr double lateFactor = 3.0; ///< an answer later than this many objectives is worth nothing to its caller
+constexpr std::size_t maxUnplacedScanned = 64; ///< jobs that do not fit and are passed over in one round
+constexpr std::uint32_t defaultEstimateMs = 200; ///< of a task about which nothing is known
+
+// Worker health.
+constexpr std::uint32_t failuresToSuspend = 2; ///< successive failures, of different jobs, that suspend a worker
+constexpr Base::Duration suspensionFirst = 1s;
+constexpr Base::Duration suspensionLast = 8s;
+
+} // namespace LaburnumFlow::Jobs
--- /dev/null
+++ b/src/libs/jobs/messages.h
@@ -0,0 +1,265 @@
+#pragma once
+
+#include "job.h"
+
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Messages between the processes that run stored jobs.
+namespace LaburnumFlow::Jobs {
+
+/// A backend server that runs tasks, as its agent knows it. Before its first heartbeat only bornMs is known.
+struct WorkerInfo {
+    std::string id;
+    std::int64_t bornMs = 0; ///< Unix time of its start; tells incarnations with the same id apart
+    std::string service;
+    std::string failureDomain;
+    std::string kind; ///< of machine; workers of a kind are about as fast
+    std::string rack;
+    std::vector<std::string> labels; ///< including kind and rack
+    Resources capacity;
+    bool draining = false;
+
+    bool operator==(const WorkerInfo &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, bornMs, service, failureDomain, kind, rack, labels, capacity, draining);
+    }
+};
+
+/// The first message on a link from an agent.
+struct AgentHello {
+    std::string name;
+    std::uint64_t incarnation = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(name, incarnation);
+    }
+};
+
+struct RunEnd {
+    std::uint64_t number = 0; ///< the worker's numbering of its ends; 0 if the worker has not listed the end
+    RunRef run;
+    EndKind how = EndKind::Done;
+    std::uint32_t ranMs = 0; ///< 0 if unknown
+
+    bool operator==(const RunEnd &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(number, run, how, ranMs);
+    }
+};
+
+/// A start order that was not carried out and will not be.
+struct RunRefusal {
+    enum class Reason : std::uint8_t {
+        NoRoom,
+        Unhealthy, ///< the worker refuses all work for the moment
+        Stale, ///< the order was too old, or its run not higher than an earlier one
+        NoWorker,
+        NoAnswer, ///< the worker did not answer; the run was then barred from starting
+    };
+
+    RunRef run;
+    Reason reason = Reason::NoRoom;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(run, reason);
+    }
+};
+
+/// What an agent tells the owner.
+struct AgentReport {
+    std::int64_t token = 0; ///< the agent's steady clock at the time of sending, in milliseconds
+    std::uint64_t epoch = 0; ///< the highest owner's epoch that the agent has seen
+    bool full = false; ///< running lists everything that may run, and all ends that are not acknowledged are sent again
+    std::optional<WorkerInfo> worker; ///< sent when full or changed
+    bool workerGone = false; ///< the worker has left or died; nothing of it runs any more
+    std::uint64_t endsAcknowledged = 0; ///< ends up to this number are recorded
+    std::vector<RunRef> running;
+    std::vector<RunEnd> ends;
+    std::vector<RunRefusal> refusals;
+    std::vector<RunRef> stalled; ///< runs that make no progress
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(token, epoch, full, worker, workerGone, endsAcknowledged, running, ends, refusals, stalled);
+    }
+};
+
+/// Runs of one job that are to start on a worker.
+struct StartOrder {
+    std::vector<RunRef> runs;
+    std::string payload;
+
+    bool operator==(const StartOrder &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(runs, payload);
+    }
+};
+
+/// What the owner tells an agent.
+struct OwnerOrders {
+    std::uint64_t epoch = 0; ///< the fence; agents and workers obey the highest that they have seen
+    std::int64_t echo = 0; ///< the youngest token of the agent that the owner has received
+    std::int64_t workerBornMs = 0; ///< the incarnation that starts, stops and endsRecorded are meant for
+    std::vector<StartOrder> starts;
+    std::vector<RunRef> stops;
+    std::uint64_t endsRecorded = 0; ///< ends up to this number are recorded and may be forgotten
+    std::vector<Base::Endpoint> entries; ///< all entries, if they have changed
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(epoch, echo, workerBornMs, starts, stops, endsRecorded, entries);
+    }
+};
+
+/// The first message on a link from an entry.
+struct EntryHello {
+    std::string name;
+    std::uint64_t incarnation = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(name, incarnation);
+    }
+};
+
+/// What entries tell each other at intervals.
+struct EntryBeat {
+    std::uint64_t ownedEpoch = 0; ///< the epoch that the sender owns the jobs with; 0 if it does not
+    bool storeReachable = false; ///< the store has answered the sender lately
+    std::vector<std::string> agents; ///< that may run tasks of the owner; sent by the owner
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(ownedEpoch, storeReachable, agents);
+    }
+};
+
+struct SubmitCall {
+    JobId job = 0;
+    QueueRules rules; ///< as the entry that took the call knows them
+    std::uint64_t rulesVersion = 0;
+    JobSpec spec;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(job, rules, rulesVersion, spec);
+    }
+};
+
+struct QueryCall {
+    JobId job = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(job);
+    }
+};
+
+struct CancelCall {
+    JobId job = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(job);
+    }
+};
+
+/// Asks for the number of a queue's jobs of which no task has started.
+struct CountCall {
+    std::string queue;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(queue);
+    }
+};
+
+using Call = std::variant<SubmitCall, QueryCall, CancelCall, CountCall>;
+
+/// The owner's answer to a call.
+struct CallAnswer {
+    enum class Kind : std::uint8_t {
+        Accepted, ///< the job, or its cancelling, is stored
+        State,
+        Count,
+        Unknown, ///< no such job
+        Overloaded, ///< not accepted and never run
+        Unavailable, ///< not accepted and never run; the owner cannot store it now
+        Unsupported, ///< not accepted and never run; no worker or no code for it
+        Undecided, ///< it may have been accepted
+    };
+
+    Kind kind = Kind::Unavailable;
+    JobState state = JobState::Queued;
+    std::uint32_t count = 0;
+    std::uint32_t retryAfterS = 0; ///< 0: none
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(kind, state, count, retryAfterS);
+    }
+};
+
+struct RelayedCall {
+    std::uint64_t number = 0; ///< the relaying entry's numbering
+    Call call;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(number, call);
+    }
+};
+
+struct RelayedAnswer {
+    std::uint64_t number = 0;
+    bool notOwner = false; ///< the call was not handled, as the receiver does not own the jobs
+    CallAnswer answer;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(number, notOwner, answer);
+    }
+};
+
+using LinkMessage = std::variant<AgentHello, AgentReport, OwnerOrders, EntryHello, EntryBeat, RelayedCall, RelayedAnswer>;
+
+std::vector<std::uint8_t> encodeMessage(const LinkMessage &message);
+
+/// Nothing if the bytes are no message.
+std::optional<LinkMessage> decodeMessage(std::span<const std::uint8_t> bytes);
+
+} // namespace LaburnumFlow::Jobs
--- /dev/null
+++ b/src/libs/jobs/owner.cpp
@@ -0,0 +1,256 @@
+#include "owner.h"
+
+#include "jobsconstants.h"
+#include "ownersteps.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace LaburnumFlow::Jobs {
+
+namespace {
+
+using Internal::Context;
+
+void handle(Context &context, const TimePassed &event)
+{
+    context.state.now = event.now;
+    context.state.wall = event.wall;
+    Internal::expireAgents(context);
+    Internal::resolveUncertain(context);
+    Internal::flushProgress(context);
+}
+
+void handle(Context &context, const CallArrived &event)
+{
+    Internal::handleCall(context, event);
+}
+
+void handle(Context &context, const AgentLinked &event)
+{
+    Agent &agent = Internal::agentNamed(context.state, event.agent);
+    agent.linked = true;
+    agent.reported = false;
+    agent.endsSent = 0;
+    agent.ordersAt = {};
+    agent.outbox = {};
+    agent.outbox.entries = context.state.entries;
+}
+
+void handle(Context &context, const AgentUnlinked &event)
+{
+    Internal::handleUnlinked(context, event.agent);
+}
+
+void handle(Context &context, const AgentReported &event)
+{
+    Internal::handleReport(context, event.agent, event.report);
+}
+
+void handle(Context &context, const CommitEnded &event)
+{
+    OwnerState &state = context.state;
+    state.commitInProgress = false;
+    switch (state.recorder.finish(event.result, state.now)) {
+    case Recorder::Verdict::Recorded:
+        Internal::recorded(context, state.recorder.takeRecorded());
+        return;
+    case Recorder::Verdict::Again:
+        return;
+    case Recorder::Verdict::Deposed:
+        Internal::decide(context, "owner.deposed", {{"epoch", std::to_string(state.epoch)}});
+        context.effects.push_back(StepDown{});
+        return;
+    }
+}
+
+void handle(Context &context, const RulesChanged &event)
+{
+    OwnerState &state = context.state;
+    if (event.version <= state.rulesVersion) {
+        return;
+    }
+    state.rulesVersion = event.version;
+    state.rules.clear();
+    for (const QueueRules &rules : event.queues) {
+        state.rules.emplace(rules.name, rules);
+    }
+    for (auto &[id, job] : state.jobs) {
+        const auto found = state.rules.find(job.rules.name);
+        if (found != state.rules.end()) {
+            job.rules = found->second;
+        }
+    }
+    state.schedulingDue = true;
+}
+
+void handle(Context &context, const EntriesChanged &event)
+{
+    context.state.entries = event.entries;
+    for (Agent &agent : context.state.agents) {
+        agent.outbox.entries = event.entries;
+        agent.ordersAt = {};
+    }
+}
+
+bool ordersDue(const Agent &agent, Base::MonoTime now)
+{
+    if (!agent.linked) {
+        return false;
+    }
+    return agent.hasOrders() || agent.ordersAt == Base::MonoTime{} || now - agent.ordersAt >= ownerPing;
+}
+
+void sendOrders(Context &context)
+{
+    for (Agent &agent : context.state.agents) {
+        if (!ordersDue(agent, context.state.now)) {
+            continue;
+        }
+        OwnerOrders orders = std::exchange(agent.outbox, {});
+        orders.epoch = context.state.epoch;
+        orders.echo = agent.token;
+        orders.workerBornMs = agent.worker ? agent.worker->bornMs : 0;
+        orders.endsRecorded = agent.endsRecorded;
+        agent.endsSent = agent.endsRecorded;
+        agent.ordersAt = context.state.now;
+        context.effects.push_back(SendOrders{agent.name, std::move(orders)});
+    }
+}
+
+void startCommit(Context &context)
+{
+    OwnerState &state = context.state;
+    if (state.commitInProgress) {
+        return;
+    }
+    if (std::optional<Commit> commit = state.recorder.next(state.now, state.wall)) {
+        state.commitInProgress = true;
+        context.effects.push_back(StartCommit{std::move(*commit)});
+    }
+}
+
+Job restoredJob(JobRecord record, Base::MonoTime now, std::size_t &uncertain)
+{
+    Job job = Internal::makeJob(record.id, std::move(record.rules), std::move(record.spec), now);
+    job.stored = true;
+    for (std::size_t flat = 0; flat < job.tasks.size(); ++flat) {
+        Task &task = job.tasks[flat];
+        task.failures = flat < record.failures.size() ? record.failures[flat] : 0;
+        if (flat < record.done.size() && record.done[flat] != 0) {
+            task.phase = Task::Phase::Done;
+            ++job.doneTasks;
+        }
+    }
+    // A former owner may have started every task whose step was open; the others stay blocked until they are.
+    for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+        for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1]; ++flat) {
+            if (job.tasks[flat].phase != Task::Phase::Done) {
+                job.tasks[flat].phase = Task::Phase::Uncertain;
+                ++uncertain;
+            }
+        }
+    }
+    return job;
+}
+
+} // namespace
+
+namespace Internal {
+
+void decide(Context &context, std::string event, std::vector<std::pair<std::string, std::string>> fields)
+{
+    context.effects.push_back(Decision{std::move(event), std::move(fields)});
+}
+
+std::string idText(JobId id)
+{
+    return jobKey(id).substr(jobPrefix.size());
+}
+
+std::string runText(const RunRef &run)
+{
+    return idText(run.task.job) + '.' + std::to_string(run.task.step) + '.' + std::to_string(run.task.index) + '/' + std::to_string(run.run);
+}
+
+} // namespace Internal
+
+OwnerState takeOver(StoredJobs stored, const FormerAgents &former, Base::MonoTime now, Base::WallTime wall)
+{
+    OwnerState state;
+    state.epoch = stored.owner.epoch;
+    state.name = stored.owner.owner;
+    state.now = now;
+    state.wall = wall;
+    state.recorder = Recorder(std::move(stored.owner), stored.ownerRevision);
+    for (JobRecord &record : stored.jobs) {
+        Job job = restoredJob(std::move(record), now, state.uncertainTasks);
+        ++state.unstarted[job.rules.name];
+        state.jobs.emplace(job.id, std::move(job));
+    }
+    std::sort(stored.finished.begin(), stored.finished.end(), [](const auto &a, const auto &b) { return a.content.newestMs < b.content.newestMs; });
+    for (const StoredJobs::Segment &segment : stored.finished) {
+        state.recorder.adoptSegment(segment.key, segment.content.newestMs);
+        for (const FinishedJob &job : segment.content.jobs) {
+            state.finished[job.id] = job.state;
+        }
+    }
+    state.awaitedAgents.insert(former.names.begin(), former.names.end());
+    state.awaitingAll = !former.known;
+    state.certainAt = now + authorityLimit;
+    return state;
+}
+
+OwnerEffects reduce(OwnerState &state, const OwnerEvent &event)
+{
+    OwnerEffects effects;
+    Context context{state, effects};
+    std::visit([&context](const auto &what) { handle(context, what); }, event);
+    Internal::schedule(context);
+    sendOrders(context);
+    startCommit(context);
+    return effects;
+}
+
+std::optional<Base::MonoTime> nextDue(const OwnerState &state)
+{
+    std::optional<Base::MonoTime> due;
+    const auto consider = [&due](Base::MonoTime time) { due = due ? std::min(*due, time) : time; };
+    if (!state.commitInProgress) {
+        if (const auto commit = state.recorder.nextDue()) {
+            consider(*commit);
+        }
+    }
+    if (!state.progressDue.empty()) {
+        consider(state.progressDue.begin()->first);
+    }
+    if (state.uncertainTasks > 0) {
+        consider(state.certainAt);
+    }
+    for (const Agent &agent : state.agents) {
+        if (agent.linked) {
+            consider(agent.ordersAt + ownerPing);
+        }
+        if (!agent.runs.empty()) {
+            consider(agent.tokenAt + authorityLimit + Base::Duration(1));
+        }
+        if (!state.ready.empty() && state.now < agent.health.suspendedUntil) {
+            consider(agent.health.suspendedUntil);
+        }
+    }
+    return due;
+}
+
+std::vector<std::string> agentsInUse(const OwnerState &state)
+{
+    std::vector<std::string> names;
+    for (const Agent &agent : state.agents) {
+        if (agent.linked || !agent.runs.empty() || state.now - agent.tokenAt < authorityLimit) {
+            names.push_back(agent.name);
+        }
+    }
+    names.insert(names.end(), state.awaitedAgents.begin(), state.awaitedAgents.end());
+    return names;
+}
+
+} // namespace LaburnumFlow::Jobs
--- /dev/null
+++ b/src/libs/jobs/ownercalls.cpp
@@ -0,0 +1,117 @@
+#include "ownersteps.h"
+
+#include "admission.h"
+#include "jobsconstants.h"
+
+namespace LaburnumFlow::Jobs::Internal {
+
+namespace {
+
+constexpr std::uint32_t storeRetryAfterS = 1;
+
+void reply(Context &context, CallId call, CallAnswer answer)
+{
+    context.effects.push_back(Reply{call, answer});
+}
+
+const QueueRules &rulesInForce(const OwnerState &state, const SubmitCall &call)
+{
+    if (call.rulesVersion >= state.rulesVersion) {
+        return call.rules;
+    }
+    const auto found = state.rules.find(call.rules.name);
+    return found == state.rules.end() ? call.rules : found->second;
+}
+
+bool refuse(Context &context, CallId id, const Job &job)
+{
+    OwnerState &state = context.state;
+    if (state.recorder.stuckFor(state.now) > storeSickAfter) {
+        decide(context, "job.refused", {{"id", idText(job.id)}, {"reason", "store"}, {"queue", job.rules.name}});
+        reply(context, id, {.kind = CallAnswer::Kind::Unavailable, .retryAfterS = storeRetryAfterS});
+        return true;
+    }
+    const Admission admission = admit(state, job);
+    if (admission.accepted) {
+        return false;
+    }
+    decide(context,
+           "job.refused",
+           {{"id", idText(job.id)},
+            {"reason", "backlog"},
+            {"queue", job.rules.name},
+            {"wait_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(admission.expectedWait).count())}});
+    reply(context, id, {.kind = CallAnswer::Kind::Overloaded, .retryAfterS = admission.retryAfterS});
+    return true;
+}
+
+void handle(Context &context, CallId id, const SubmitCall &call)
+{
+    OwnerState &state = context.state;
+    if (Job *known = findJob(state, call.job)) {
+        if (known->stored) {
+            reply(context, id, {.kind = CallAnswer::Kind::Accepted});
+        } else {
+            known->waitingForAcceptance.push_back(id);
+        }
+        return;
+    }
+    if (state.finished.contains(call.job)) {
+        reply(context, id, {.kind = CallAnswer::Kind::Accepted});
+        return;
+    }
+    Job job = makeJob(call.job, rulesInForce(state, call), call.spec, state.now);
+    if (refuse(context, id, job)) {
+        return;
+    }
+    job.waitingForAcceptance.push_back(id);
+    state.recorder.add({PutJob{job.id, encodeRecord(recordOf(job))}, {}});
+    state.jobs.emplace(job.id, std::move(job));
+}
+
+void handle(Context &context, CallId id, const QueryCall &call)
+{
+    OwnerState &state = context.state;
+    if (const Job *job = findJob(state, call.job)) {
+        reply(context, id, {.kind = CallAnswer::Kind::State, .state = job->state});
+        return;
+    }
+    const auto finished = state.finished.find(call.job);
+    if (finished == state.finished.end()) {
+        reply(context, id, {.kind = CallAnswer::Kind::Unknown});
+        return;
+    }
+    reply(context, id, {.kind = CallAnswer::Kind::State, .state = finished->second});
+}
+
+void handle(Context &context, CallId id, const CancelCall &call)
+{
+    OwnerState &state = context.state;
+    Job *job = findJob(state, call.job);
+    if (job == nullptr) {
+        reply(context, id, {.kind = state.finished.contains(call.job) ? CallAnswer::Kind::Accepted : CallAnswer::Kind::Unknown});
+        return;
+    }
+    decide(context, "job.cancel", {{"id", idText(job->id)}, {"queue", job->rules.name}});
+    job->waitingForCancel.push_back(id);
+    if (!job->stored) {
+        job->cancelRequested = true;
+        return;
+    }
+    finishJob(context, *job, JobState::Cancelled, {});
+}
+
+void handle(Context &context, CallId id, const CountCall &call)
+{
+    const auto found = context.state.unstarted.find(call.queue);
+    reply(context, id, {.kind = CallAnswer::Kind::Count, .count = found == context.state.unstarted.end() ? 0 : found->second});
+}
+
+} // namespace
+
+void handleCall(Context &context, const CallArrived &arrived)
+{
+    std::visit([&](const auto &call) { handle(context, arrived.id, call); }, arrived.call);
+}
+
+} // namespace LaburnumFlow::Jobs::Internal
--- /dev/null
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -0,0 +1,283 @@
+#include "ownersteps.h"
+
+#include "jobsconstants.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace LaburnumFlow::Jobs::Internal {
+
+namespace {
+
+std::uint32_t estimateOf(const StepSpec &step)
+{
+    return step.estimateMs == 0 ? defaultEstimateMs : step.estimateMs;
+}
+
+std::uint32_t longestChainMs(const JobSpec &spec)
+{
+    std::vector<std::uint32_t> endMs(spec.steps.size());
+    std::uint32_t longest = 0;
+    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+        std::uint32_t begin = 0;
+        for (const std::uint16_t earlier : spec.steps[step].after) {
+            begin = std::max(begin, endMs[earlier]);
+        }
+        endMs[step] = begin + estimateOf(spec.steps[step]);
+        longest = std::max(longest, endMs[step]);
+    }
+    return longest;
+}
+
+void countStarted(OwnerState &state, Job &job)
+{
+    if (job.state == JobState::Queued && job.stored) {
+        auto &count = state.unstarted[job.rules.name];
+        count -= count > 0 ? 1 : 0;
+    }
+}
+
+void dropProgress(OwnerState &state, Job &job)
+{
+    if (job.progressDue) {
+        state.progressDue.erase({*job.progressDue, job.id});
+        job.progressDue.reset();
+    }
+}
+
+void settleAll(Context &context, const std::vector<Settlement> &settles)
+{
+    for (const Settlement &settlement : settles) {
+        const auto found = context.state.agentByName.find(settlement.agent);
+        if (found == context.state.agentByName.end()) {
+            continue;
+        }
+        Agent &agent = context.state.agents[found->second];
+        if (agent.worker && agent.worker->bornMs == settlement.workerBornMs) {
+            settleEnd(agent, settlement.number);
+        }
+    }
+}
+
+void jobStored(Context &context, Job &job)
+{
+    if (job.stored) {
+        return;
+    }
+    job.stored = true;
+    ++context.state.unstarted[job.rules.name];
+    for (const CallId call : job.waitingForAcceptance) {
+        context.effects.push_back(Reply{call, {.kind = CallAnswer::Kind::Accepted}});
+    }
+    job.waitingForAcceptance.clear();
+    decide(context, "job.accepted", {{"id", idText(job.id)}, {"queue", job.rules.name}, {"tasks", std::to_string(job.tasks.size())}});
+    if (job.cancelRequested) {
+        finishJob(context, job, JobState::Cancelled, {});
+        return;
+    }
+    unblockSteps(context, job);
+}
+
+void jobFinished(Context &context, Job &job, JobState state)
+{
+    OwnerState &owner = context.state;
+    countStarted(owner, job);
+    for (const CallId call : job.waitingForCancel) {
+        context.effects.push_back(Reply{call, {.kind = CallAnswer::Kind::Accepted}});
+    }
+    for (const CallId call : job.waitingForAcceptance) {
+        context.effects.push_back(Reply{call, {.kind = CallAnswer::Kind::Accepted}});
+    }
+    const auto tookMs = std::chrono::duration_cast<std::chrono::milliseconds>(owner.now - job.arrivedAt).count();
+    decide(context,
+           "job.finished",
+           {{"id", idText(job.id)},
+            {"state", state == JobState::Completed ? "completed" : state == JobState::Failed ? "failed" : "cancelled"},
+            {"queue", job.rules.name},
+            {"ms", std::to_string(tookMs)}});
+    owner.finished[job.id] = state;
+    owner.jobs.erase(job.id);
+}
+
+} // namespace
+
+Job makeJob(JobId id, QueueRules rules, JobSpec spec, Base::MonoTime arrivedAt)
+{
+    Job job;
+    job.id = id;
+    job.rules = std::move(rules);
+    job.spec = std::move(spec);
+    job.arrivedAt = arrivedAt;
+    job.chainMs = longestChainMs(job.spec);
+    const double objectiveMs = job.rules.stretch * job.chainMs + job.rules.targetMs;
+    job.objective = std::chrono::milliseconds(std::llround(objectiveMs));
+    std::uint32_t count = 0;
+    for (const StepSpec &step : job.spec.steps) {
+        job.firstTask.push_back(count);
+        count += step.count;
+    }
+    job.firstTask.push_back(count);
+    job.tasks.resize(count);
+    return job;
+}
+
+std::uint32_t flatIndex(const Job &job, const TaskRef &task)
+{
+    return job.firstTask[task.step] + task.index;
+}
+
+bool hasTask(const Job &job, const TaskRef &task)
+{
+    return task.step < job.spec.steps.size() && task.index < job.spec.steps[task.step].count;
+}
+
+const StepSpec &stepOf(const Job &job, std::uint32_t flat)
+{
+    return job.spec.steps[refOf(job, flat).step];
+}
+
+TaskRef refOf(const Job &job, std::uint32_t flat)
+{
+    const auto next = std::upper_bound(job.firstTask.begin(), job.firstTask.end(), flat);
+    const auto step = static_cast<std::uint16_t>(std::distance(job.firstTask.begin(), next) - 1);
+    return {job.id, step, flat - job.firstTask[step]};
+}
+
+JobRecord recordOf(const Job &job)
+{
+    JobRecord record{job.id, job.rules, job.spec, {}, {}};
+    for (const Task &task : job.tasks) {
+        record.done.push_back(task.phase == Task::Phase::Done ? 1 : 0);
+        record.failures.push_back(task.failures);
+    }
+    return record;
+}
+
+Job *findJob(OwnerState &state, JobId id)
+{
+    const auto found = state.jobs.find(id);
+    return found == state.jobs.end() ? nullptr : &found->second;
+}
+
+void unblockSteps(Context &context, Job &job)
+{
+    const auto isDone = [&job](std::uint16_t step) {
+        for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U]; ++flat) {
+            if (job.tasks[flat].phase != Task::Phase::Done) {
+                return false;
+            }
+        }
+        return true;
+    };
+    for (std::uint16_t step = 0; step < job.spec.steps.size(); ++step) {
+        const auto first = job.tasks.begin() + job.firstTask[step];
+        const auto last = job.tasks.begin() + job.firstTask[step + 1U];
+        if (std::none_of(first, last, [](const Task &task) { return task.phase == Task::Phase::Blocked; })) {
+            continue;
+        }
+        const auto &after = job.spec.steps[step].after;
+        if (!std::all_of(after.begin(), after.end(), isDone)) {
+            continue;
+        }
+        for (auto task = first; task != last; ++task) {
+            if (task->phase == Task::Phase::Blocked) {
+                setReady(context, job, *task);
+            }
+        }
+    }
+    requeue(context, job);
+}
+
+void setReady(Context &context, Job &job, Task &task)
+{
+    task.phase = Task::Phase::Ready;
+    task.agent = noAgent;
+    ++job.readyTasks;
+    context.state.schedulingDue = true;
+}
+
+void requeue(Context &context, Job &job)
+{
+    OwnerState &state = context.state;
+    const bool wanted = job.readyTasks > 0 && job.stored && !job.finishing;
+    if (wanted == job.inQueue) {
+        state.schedulingDue |= wanted;
+        return;
+    }
+    if (wanted) {
+        job.queuedAs = {job.arrivedAt + job.objective, job.id};
+        state.ready.insert(job.queuedAs);
+        state.schedulingDue = true;
+    } else {
+        state.ready.erase(job.queuedAs);
+    }
+    job.inQueue = wanted;
+}
+
+void finishJob(Context &context, Job &job, JobState state, std::vector<Settlement> settles)
+{
+    if (job.finishing) {
+        return;
+    }
+    job.finishing = true;
+    requeue(context, job);
+    dropProgress(context.state, job);
+    settles.insert(settles.end(), job.unrecorded.begin(), job.unrecorded.end());
+    job.unrecorded.clear();
+    context.state.recorder.add({FinishJob{job.id, state}, std::move(settles)});
+    for (std::uint32_t flat = 0; flat < job.tasks.size(); ++flat) {
+        Task &task = job.tasks[flat];
+        if (task.phase == Task::Phase::Uncertain) {
+            --context.state.uncertainTasks;
+            task.phase = Task::Phase::Blocked;
+        }
+        if (task.phase == Task::Phase::Active) {
+            orderStop(context.state.agents[task.agent], {refOf(job, flat), task.run});
+        }
+    }
+}
+
+void recordProgress(Context &context, Job &job, Base::MonoTime due)
+{
+    if (job.progressDue && *job.progressDue <= due) {
+        return;
+    }
+    dropProgress(context.state, job);
+    job.progressDue = due;
+    context.state.progressDue.emplace(due, job.id);
+}
+
+void flushProgress(Context &context)
+{
+    auto &due = context.state.progressDue;
+    while (!due.empty() && due.begin()->first <= context.state.now) {
+        Job *job = findJob(context.state, due.begin()->second);
+        if (job == nullptr) {
+            due.erase(due.begin());
+            continue;
+        }
+        dropProgress(context.state, *job);
+        std::vector<Settlement> settles = std::move(job->unrecorded);
+        job->unrecorded.clear();
+        context.state.recorder.add({PutJob{job->id, encodeRecord(recordOf(*job))}, std::move(settles)});
+    }
+}
+
+void recorded(Context &context, const std::vector<Change> &changes)
+{
+    for (const Change &change : changes) {
+        settleAll(context, change.settles);
+        if (const auto *put = std::get_if<PutJob>(&change.what)) {
+            if (Job *job = findJob(context.state, put->job)) {
+                jobStored(context, *job);
+            }
+            continue;
+        }
+        const auto &finish = std::get<FinishJob>(change.what);
+        if (Job *job = findJob(context.state, finish.job)) {
+            jobFinished(context, *job, finish.state);
+        }
+    }
+}
+
+} // namespace LaburnumFlow::Jobs::Internal
--- /dev/null
+++ b/src/libs/jobs/ownerstate.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "fleet.h"
+#include "messages.h"
+#include "recorder.h"
+
+#include "base/types.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace LaburnumFlow::Jobs {
+
+/// Identifies a call that awaits its answer; chosen by who passes the call on.
+using CallId = std::uint64_t;
+
+using AgentIndex = std::uint32_t;
+constexpr AgentIndex noAgent = 0xFFFFFFFFU;
+
+struct Task {
+    enum class Phase : std::uint8_t {
+        Blocked, ///< earlier steps are not done
+        Ready,
+        Active, ///< ordered to start; may run
+        Uncertain, ///< a former owner may have started it
+        Done,
+    };
+
+    Phase phase = Phase::Blocked;
+    std::uint8_t failures = 0;
+    std::uint16_t starts = 0; ///< under this owner
+    std::uint32_t run = 0;
+    AgentIndex agent = noAgent; ///< of the active run
+    AgentIndex avoid = noAgent; ///< where the last run failed or stalled
+};
+
+struct Job {
+    JobId id = 0;
+    QueueRules rules;
+    JobSpec spec;
+    JobState state = JobState::Queued; ///< as callers may see it
+    bool stored = false;
+    bool finishing = false; ///< its final state is being recorded
+    bool cancelRequested = false; ///< before it was stored
+    std::vector<Task> tasks; ///< of all steps, in order
+    std::vector<std::uint32_t> firstTask; ///< by step, and the number of tasks at the end
+    std::uint32_t doneTasks = 0;
+    std::uint32_t readyTasks = 0;
+    Base::MonoTime arrivedAt{};
+    Base::Duration objective{}; ///< an answer within this time is in time
+    std::uint32_t chainMs = 0; ///< estimated run time of the longest chain
+    std::pair<Base::MonoTime, JobId> queuedAs; ///< its place in the ready queue
+    bool inQueue = false;
+    std::optional<Base::MonoTime> progressDue; ///< when its progress is to be recorded
+    std::vector<Settlement> unrecorded; ///< ends that the next progress record settles
+    std::vector<CallId> waitingForAcceptance;
+    std::vector<CallId> waitingForCancel;
+};
+
+/// All that the owner of the jobs knows.
+struct OwnerState {
+    std::uint64_t epoch = 0;
+    std::string name; ///< of this entry
+    Base::MonoTime now{};
+    Base::WallTime wall{};
+    Recorder recorder;
+    std::unordered_map<JobId, Job> jobs; ///< not final, or not recorded as final
+    std::unordered_map<JobId, JobState> finished;
+    std::set<std::pair<Base::MonoTime, JobId>> ready; ///< jobs with ready tasks, by the end of their objective
+    std::set<std::pair<Base::MonoTime, JobId>> progressDue; ///< jobs whose progress is to be recorded
+    std::vector<Agent> agents;
+    std::unordered_map<std::string, AgentIndex> agentByName;
+    std::set<std::string> awaitedAgents; ///< may run tasks that a former owner started
+    bool awaitingAll = false; ///< it is not known which agents those are
+    std::size_t uncertainTasks = 0;
+    Base::MonoTime certainAt{}; ///< by then nothing runs that was started by a former owner and not reported
+    KindSpeeds kindSpeeds;
+    std::unordered_map<std::string, QueueRules> rules; ///< by queue
+    std::uint64_t rulesVersion = 0;
+    std::vector<Base::Endpoint> entries;
+    bool commitInProgress = false;
+    bool schedulingDue = false;
+    std::unordered_map<std::string, std::uint32_t> unstarted; ///< by queue: stored jobs of which no task has started
+};
+
+// Events.
+
+struct TimePassed {
+    Base::MonoTime now{};
+    Base::WallTime wall{};
+};
+
+struct CallArrived {
+    CallId id = 0;
+    Call call;
+};
+
+struct AgentLinked {
+    std::string agent;
+};
+
+struct AgentUnlinked {
+    std::string agent;
+};
+
+struct AgentReported {
+    std::string agent;
+    AgentReport report;
+};
+
+struct CommitEnded {
+    CommitResult result;
+};
+
+struct RulesChanged {
+    std::uint64_t version = 0;
+    std::vector<QueueRules> queues;
+};
+
+struct EntriesChanged {
+    std::vector<Base::Endpoint> entries;
+};
+
+using OwnerEvent = std::variant<TimePassed, CallArrived, AgentLinked, AgentUnlinked, AgentReported, CommitEnded, RulesChanged, EntriesChanged>;
+
+// Effects.
+
+struct Reply {
+    CallId id = 0;
+    CallAnswer answer;
+};
+
+struct SendOrders {
+    std::string agent;
+    OwnerOrders orders;
+};
+
+struct StartCommit {
+    Commit commit;
+};
+
+/// Another entry owns the jobs: the state must be dropped, and calls without a reply passed to the new owner.
+struct StepDown {
+    std::uint64_t seenEpoch = 0; ///< 0 if unknown
+};
+
+/// A decision for the log.
+struct Decision {
+    std::string event;
+    std::vector<std::pair<std::string, std::string>> fields;
+};
+
+using OwnerEffect = std::variant<Reply, SendOrders, StartCommit, StepDown, Decision>;
+using OwnerEffects = std::vector<OwnerEffect>;
+
+} // namespace LaburnumFlow::Jobs
--- /dev/null
+++ b/src/libs/jobs/ownersteps.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "ownerstate.h"
+
+#include <string>
+#include <vector>
+
+/// Steps of the owner's reducer that its parts share.
+namespace LaburnumFlow::Jobs::Internal {
+
+struct Context {
+    OwnerState &state;
+    OwnerEffects &effects;
+};
+
+void decide(Context &context, std::string event, std::vector<std::pair<std::string, std::string>> fields);
+std::string idText(JobId id);
+std::string runText(const RunRef &run);
+
+// Jobs.
+Job makeJob(JobId id, QueueRules rules, JobSpec spec, Base::MonoTime arrivedAt);
+std::uint32_t flatIndex(const Job &job, const TaskRef &task);
+bool hasTask(const Job &job, const TaskRef &task);
+const StepSpec &stepOf(const Job &job, std::uint32_t flat);
+TaskRef refOf(const Job &job, std::uint32_t flat);
+JobRecord recordOf(const Job &job);
+Job *findJob(OwnerState &state, JobId id);
+
+/// Makes the tasks of steps ready whose earlier steps are done.
+void unblockSteps(Context &context, Job &job);
+
+void setReady(Context &context, Job &job, Task &task);
+
+/// Places the job in the ready queue, or removes it, as its tasks demand.
+void requeue(Context &context, Job &job);
+
+/// Records the final state; the job stays visible as it is until then.
+void finishJob(Context &context, Job &job, JobState state, std::vector<Settlement> settles);
+
+/// Records which tasks are done and how often each failed, not before the given time.
+void recordProgress(Context &context, Job &job, Base::MonoTime due);
+void flushProgress(Context &context);
+
+/// Handles changes that the store holds now.
+void recorded(Context &context, const std::vector<Change> &changes);
+
+// Calls.
+void handleCall(Context &context, const CallArrived &arrived);
+
+// Agents.
+Agent &agentNamed(OwnerState &state, const std::string &name);
+AgentIndex indexOf(const OwnerState &state, const Agent &agent);
+void handleReport(Context &context, const std::string &name, const AgentReport &report);
+void handleUnlinked(Context &context, const std::string &name);
+void orderStop(Agent &agent, const RunRef &run);
+
+/// Gives up the runs of an agent whose authority has ended.
+void expireAgents(Context &context);
+
+/// Frees the tasks that a former owner may have started, once nothing of them can run any more.
+void resolveUncertain(Context &context);
+
+// Scheduling.
+void schedule(Context &context);
+
+} // namespace LaburnumFlow::Jobs::Internal
--- /dev/null
+++ b/src/libs/jobs/recorder.cpp
@@ -0,0 +1,153 @@
+#include "recorder.h"
+
+#include "jobsconstants.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace LaburnumFlow::Jobs {
+
+namespace {
+
+JobId jobOf(const Change &change)
+{
+    return std::visit([](const auto &what) { return what.job; }, change.what);
+}
+
+std::size_t sizeOf(const Change &change)
+{
+    const auto *put = std::get_if<PutJob>(&change.what);
+    return put == nullptr ? 0 : put->record.size();
+}
+
+} // namespace
+
+Recorder::Recorder(OwnerRecord owner, std::int64_t revision) : owner_(std::move(owner)), revision_(revision) { }
+
+void Recorder::add(Change change)
+{
+    queued_.push_back(std::move(change));
+}
+
+std::optional<Commit> Recorder::next(Base::MonoTime now, Base::WallTime wall)
+{
+    if (sent_ || now < notBefore_) {
+        return std::nullopt;
+    }
+    if (!commit_) {
+        if (queued_.empty()) {
+            return std::nullopt;
+        }
+        fillCommit(wall);
+        firstSentAt_ = now;
+    }
+    sent_ = true;
+    notBefore_ = now + commitInterval;
+    return commit_;
+}
+
+void Recorder::fillCommit(Base::WallTime wall)
+{
+    Commit commit;
+    commit.expectedOwnerRevision = revision_;
+    ++owner_.sequence;
+    commit.writes.push_back({std::string(ownerKey), encodeRecord(owner_)});
+    commit_ = std::move(commit);
+    removeOldSegments(wall);
+
+    std::set<JobId> jobs;
+    std::size_t bytes = 0;
+    while (!queued_.empty() && inFlight_.size() < maxEntriesPerCommit && bytes < maxCommitBytes) {
+        // A key may occur once in a transaction.
+        if (!jobs.insert(jobOf(queued_.front())).second) {
+            break;
+        }
+        Change change = std::move(queued_.front());
+        queued_.pop_front();
+        bytes += sizeOf(change);
+        if (auto *put = std::get_if<PutJob>(&change.what)) {
+            commit_->writes.push_back({jobKey(put->job), put->record});
+        } else {
+            addFinished(std::get<FinishJob>(change.what), wall);
+        }
+        inFlight_.push_back(std::move(change));
+    }
+    const bool anyFinished = std::any_of(inFlight_.begin(), inFlight_.end(), [](const Change &change) {
+        return std::holds_alternative<FinishJob>(change.what);
+    });
+    if (!anyFinished) {
+        return;
+    }
+    const std::string key = finishedKey(owner_.epoch, segmentNumber_);
+    commit_->writes.push_back({key, encodeRecord(segment_)});
+    if (segment_.jobs.size() >= finishedPerSegment) {
+        segments_.push_back({key, segment_.newestMs});
+        segment_ = {};
+        ++segmentNumber_;
+    }
+}
+
+void Recorder::addFinished(const FinishJob &finish, Base::WallTime wall)
+{
+    commit_->deletes.push_back(jobKey(finish.job));
+    segment_.jobs.push_back({finish.job, finish.state});
+    segment_.newestMs = wall.count();
+}
+
+void Recorder::removeOldSegments(Base::WallTime wall)
+{
+    // Two at a time keep the transaction within the store's limit.
+    constexpr int maxRemoved = 2;
+    const std::int64_t oldest = wall.count() - std::chrono::duration_cast<std::chrono::milliseconds>(finishedKept).count();
+    for (int i = 0; i < maxRemoved && !segments_.empty() && segments_.front().newestMs < oldest; ++i) {
+        commit_->deletes.push_back(segments_.front().key);
+        segments_.pop_front();
+    }
+}
+
+Recorder::Verdict Recorder::finish(const CommitResult &result, Base::MonoTime now)
+{
+    sent_ = false;
+    const auto *done = std::get_if<Committed>(&result);
+    const auto *conflict = std::get_if<CommitConflict>(&result);
+    if (conflict != nullptr && (!conflict->current || conflict->current->epoch != owner_.epoch || conflict->current->sequence != owner_.sequence)) {
+        return Verdict::Deposed;
+    }
+    if (done == nullptr && conflict == nullptr) {
+        backoff_ = backoff_ == Base::Duration::zero() ? Base::Duration(commitRetryFirst) : std::min<Base::Duration>(backoff_ * 2, commitRetryLast);
+        notBefore_ = now + backoff_;
+        return Verdict::Again;
+    }
+    // A conflict with this commit's own record means that an earlier try was carried out.
+    revision_ = done != nullptr ? done->revision : conflict->revision;
+    backoff_ = Base::Duration::zero();
+    commit_.reset();
+    recorded_ = std::exchange(inFlight_, {});
+    return Verdict::Recorded;
+}
+
+std::vector<Change> Recorder::takeRecorded()
+{
+    return std::exchange(recorded_, {});
+}
+
+std::optional<Base::MonoTime> Recorder::nextDue() const
+{
+    if (sent_ || (!commit_ && queued_.empty())) {
+        return std::nullopt;
+    }
+    return notBefore_;
+}
+
+Base::Duration Recorder::stuckFor(Base::MonoTime now) const
+{
+    return commit_ ? now - firstSentAt_ : Base::Duration::zero();
+}
+
+void Recorder::adoptSegment(std::string key, std::int64_t newestMs)
+{
+    segments_.push_back({std::move(key), newestMs});
+}
+
+} // namespace LaburnumFlow::Jobs
--- /dev/null
+++ b/src/libs/jobs/records.cpp
@@ -0,0 +1,109 @@
+#include "records.h"
+
+#include "messages.h"
+
+#include "protocol/checkedcodec.h"
+
+#include <array>
+#include <cstdio>
+
+namespace LaburnumFlow::Jobs {
+
+namespace {
+
+std::string hex(std::uint64_t value)
+{
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(value));
+    return text.data();
+}
+
+template<class Record>
+std::string encodeText(const Record &record)
+{
+    const std::vector<std::uint8_t> bytes = Protocol::encodeValue(record);
+    return {bytes.begin(), bytes.end()};
+}
+
+template<class Record>
+std::optional<Record> decodeText(std::span<const std::uint8_t> bytes)
+{
+    return boost::leaf::try_handle_all([&]() -> boost::leaf::result<std::optional<Record>> { return Protocol::decodeValue<Record>(bytes); },
+                                       [](const Protocol::MalformedMessage &) -> std::optional<Record> { return std::nullopt; },
+                                       []() -> std::optional<Record> { return std::nullopt; });
+}
+
+template<class Record>
+std::optional<Record> decodeText(std::string_view bytes)
+{
+    return decodeText<Record>(std::span(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size()));
+}
+
+} // namespace
+
+std::string jobKey(JobId id)
+{
+    return std::string(jobPrefix) + hex(id);
+}
+
+std::string finishedKey(std::uint64_t epoch, std::uint64_t segment)
+{
+    return std::string(finishedPrefix) + hex(epoch) + '-' + hex(segment);
+}
+
+std::string entryKey(std::string_view name)
+{
+    return std::string(entryPrefix) + std::string(name);
+}
+
+std::string encodeRecord(const OwnerRecord &record)
+{
+    return encodeText(record);
+}
+
+std::string encodeRecord(const JobRecord &record)
+{
+    return encodeText(record);
+}
+
+std::string encodeRecord(const FinishedSegment &record)
+{
+    return encodeText(record);
+}
+
+std::string encodeRecord(const EntryRecord &record)
+{
+    return encodeText(record);
+}
+
+std::optional<OwnerRecord> decodeOwnerRecord(std::string_view bytes)
+{
+    return decodeText<OwnerRecord>(bytes);
+}
+
+std::optional<JobRecord> decodeJobRecord(std::string_view bytes)
+{
+    return decodeText<JobRecord>(bytes);
+}
+
+std::optional<FinishedSegment> decodeFinishedSegment(std::string_view bytes)
+{
+    return decodeText<FinishedSegment>(bytes);
+}
+
+std::optional<EntryRecord> decodeEntryRecord(std::string_view bytes)
+{
+    return decodeText<EntryRecord>(bytes);
+}
+
+std::vector<std::uint8_t> encodeMessage(const LinkMessage &message)
+{
+    return Protocol::encodeValue(message);
+}
+
+std::optional<LinkMessage> decodeMessage(std::span<const std::uint8_t> bytes)
+{
+    return decodeText<LinkMessage>(bytes);
+}
+
+} // namespace LaburnumFlow::Jobs
--- a/src/libs/net/socket.h
+++ b/src/libs/net/socket.h
@@ -37,6 +37,12 @@
         return fd_ >= 0;
     }
 
+    /// Leaves the descriptor to the caller.
+    int release()
+    {
+        return std::exchange(fd_, -1);
+    }
+
 private:
     int fd_ = -1;
 };
--- a/src/libs/protocol/codec.h
+++ b/src/libs/protocol/codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "checkedcodec.h"
 #include "messages.h"
 
 #include <boost/leaf.hpp>
@@ -10,11 +11,6 @@
 
 namespace LaburnumFlow::Protocol {
 
-/// A frame or datagram that is not a well-formed message.
-struct MalformedMessage {
-    std::size_t size = 0;
-};
-
 /// Serializes with cereal's portable binary archive and appends an xxhash64 of it.
 std::vector<std::uint8_t> encode(const Datagram &datagram);
 std::vector<std::uint8_t> encode(const LinkMessage &message);
--- /dev/null
+++ b/src/libs/runtime/decisionlog.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "logline.h"
+
+#include "base/types.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace LaburnumFlow::Runtime {
+
+/// Limits the volume of log lines: a token bucket with one second's worth of lines.
+class LineBudget
+{
+public:
+    explicit LineBudget(std::uint32_t linesPerSecond) : linesPerSecond_(linesPerSecond), tokens_(linesPerSecond) { }
+
+    /// Whether a line may be written now. Refused lines are counted.
+    bool take(Base::MonoTime now);
+
+    /// The number of refused lines since the last call.
+    std::uint64_t takeDropped();
+
+private:
+    double linesPerSecond_;
+    double tokens_;
+    Base::MonoTime filledAt_{};
+    std::uint64_t dropped_ = 0;
+};
+
+/// Writes decisions to the root logger within a budget. The number of lines that were dropped stands in the next line.
+class DecisionLog
+{
+public:
+    DecisionLog(std::string process, std::uint32_t linesPerSecond) : process_(std::move(process)), budget_(linesPerSecond) { }
+
+    void write(std::string_view event, std::span<const std::pair<std::string, std::string>> fields, Base::MonoTime now);
+
+    /// Outside of the budget, for rare lines such as start and stop.
+    void writeAlways(std::string_view event, std::span<const std::pair<std::string, std::string>> fields);
+
+private:
+    std::string process_;
+    LineBudget budget_;
+};
+
+/// Sends log lines to standard output without ever waiting for its reader. Lines that find no room are dropped and
+/// counted in the line after them.
+void logToStandardOutput();
+
+} // namespace LaburnumFlow::Runtime
--- a/src/libs/settings/daemonsettings.cpp
+++ b/src/libs/settings/daemonsettings.cpp
@@ -1,17 +1,17 @@
 #include "daemonsettings.h"
 
+#include "endpointreader.h"
 #include "schemareader.h"
 #include "teamschema.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <optional>
 
 namespace LaburnumFlow::Settings {
 
+using Internal::anyAddress;
+using Internal::EndpointUse;
 using Internal::FaultCollector;
 using Internal::MapReader;
 using Internal::SubtreeLevel;
@@ -24,53 +24,6 @@
 /// The embedded store holds a team's text as a JSON string of at most 1 MB, and escapes lengthen it up to six times.
 constexpr std::size_t maxFileBytes = 131'072;
 
-constexpr std::string_view anyAddress = "0.0.0.0";
-
-/// Where an endpoint is used decides what it may be.
-enum class EndpointUse {
-    Listening, ///< any local address, port 0 lets the kernel choose
-    Reaching, ///< others connect to it, so address and port are definite
-};
-
-std::string_view acceptedEndpoints(EndpointUse use)
-{
-    return use == EndpointUse::Listening ? "IPv4:PORT with a port from 0 to 65535" : "IPv4:PORT other than 0.0.0.0, with a port from 1 to 65535";
-}
-
-std::optional<Base::Endpoint> parseEndpoint(std::string_view text, EndpointUse use)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos) {
-        return std::nullopt;
-    }
-    Base::Endpoint endpoint{std::string(text.substr(0, colon)), 0};
-    const std::string_view port = text.substr(colon + 1);
-    const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
-    in_addr parsed{};
-    if (error != std::errc() || end != port.data() + port.size() || inet_pton(AF_INET, endpoint.address.c_str(), &parsed) != 1) {
-        return std::nullopt;
-    }
-    if (use == EndpointUse::Reaching && (endpoint.port == 0 || endpoint.address == anyAddress)) {
-        return std::nullopt;
-    }
-    return endpoint;
-}
-
-bool readEndpoint(MapReader &reader, std::string_view key, EndpointUse use, Base::Endpoint &target)
-{
-    std::string text;
-    if (!reader.text(key, text)) {
-        return false;
-    }
-    const auto endpoint = parseEndpoint(text, use);
-    if (!endpoint) {
-        reader.fault(key, "'" + text + "' is not an accepted endpoint", std::string(acceptedEndpoints(use)));
-        return false;
-    }
-    target = *endpoint;
-    return true;
-}
-
 void readEndpoints(MapReader &reader, std::string_view key, std::vector<Base::Endpoint> &target)
 {
     const auto node = reader.node(key);
--- /dev/null
+++ b/src/libs/settings/nodesettings.cpp
@@ -0,0 +1,95 @@
+#include "nodesettings.h"
+
+#include "endpointreader.h"
+#include "schemareader.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace LaburnumFlow::Settings {
+
+using Internal::EndpointUse;
+using Internal::FaultCollector;
+using Internal::MapReader;
+
+namespace {
+
+constexpr std::array<std::string_view, 2> roles{"entry", "agent"};
+constexpr std::size_t maxNameLength = 120; ///< names are parts of keys of at most 200 bytes
+
+NodeStoreSettings readStore(MapReader &parent)
+{
+    NodeStoreSettings store;
+    parent.require("store");
+    const auto node = parent.node("store");
+    if (!node) {
+        return store;
+    }
+    MapReader reader(*node, parent.pathOf("store"), parent.faults());
+    reader.require("address");
+    readEndpoint(reader, "address", EndpointUse::Reaching, store.endpoint);
+    reader.number("shortestLeaseMs", store.shortestLeaseMs, 1, 600'000);
+    reader.finish();
+    return store;
+}
+
+JobEntrySettings readEntry(MapReader &reader)
+{
+    JobEntrySettings entry;
+    reader.require("callers");
+    readEndpoint(reader, "callers", EndpointUse::Listening, entry.callers);
+    reader.require("ready");
+    readEndpoint(reader, "ready", EndpointUse::Listening, entry.ready);
+    return entry;
+}
+
+JobAgentSettings readAgent(MapReader &reader)
+{
+    JobAgentSettings agent;
+    reader.require("registration");
+    readEndpoint(reader, "registration", EndpointUse::Listening, agent.registration);
+    reader.require("worker");
+    readEndpoint(reader, "worker", EndpointUse::Reaching, agent.worker);
+    return agent;
+}
+
+} // namespace
+
+boost::leaf::result<NodeSettings> parseNodeSettings(std::string_view yaml)
+{
+    FaultCollector faults;
+    const auto document = Internal::loadDocument(yaml, faults);
+    if (!document) {
+        return boost::leaf::new_error(faults.take());
+    }
+    MapReader reader(*document, "", faults);
+    NodeSettings settings;
+    reader.require("name");
+    reader.text("name", settings.name, maxNameLength);
+    reader.text("failureDomain", settings.failureDomain);
+    double share = 1.0;
+    reader.real("processorShare", share, 0.01, 1024.0);
+    settings.processorPercent = static_cast<std::uint32_t>(std::lround(share * 100.0));
+    reader.number("logLinesPerSecond", settings.logLinesPerSecond, 1, 100'000);
+    settings.store = readStore(reader);
+    std::string role;
+    reader.require("role");
+    // Without a role the other keys cannot be checked.
+    if (reader.choice("role", role, roles)) {
+        if (role == "entry") {
+            reader.require("peers");
+            readEndpoint(reader, "peers", EndpointUse::Reaching, settings.peers);
+            settings.role = readEntry(reader);
+        } else {
+            settings.role = readAgent(reader);
+        }
+        reader.finish();
+    }
+    if (!faults.empty()) {
+        return boost::leaf::new_error(faults.take());
+    }
+    return settings;
+}
+
+} // namespace LaburnumFlow::Settings
--- /dev/null
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -0,0 +1,322 @@
+#include "agentreducer.h"
+
+#include "agentsteps.h"
+#include "taskagentconstants.h"
+
+#include "jobs/jobsconstants.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace LaburnumFlow::TaskAgent {
+
+namespace {
+
+using Internal::Context;
+
+/// To the owner a worker whose agent is leaving is one that takes no new work.
+std::optional<Jobs::WorkerInfo> reportedWorker(const AgentState &state)
+{
+    std::optional<Jobs::WorkerInfo> worker = state.worker;
+    if (worker && state.leaving) {
+        worker->draining = true;
+    }
+    return worker;
+}
+
+void workerGone(Context &context, const std::string &reason)
+{
+    AgentState &state = context.state;
+    Internal::decide(context, "worker.gone", {{"worker", state.worker ? state.worker->id : ""}, {"reason", reason}});
+    Internal::loseRuns(context, reason);
+    state.worker.reset();
+    state.ends.clear();
+    state.endsRecorded = 0;
+    state.endsForgotten = 0;
+    state.clockOffset.reset();
+    state.listed = false;
+    state.outbox.workerGone = true;
+    state.outboxUsed = true;
+}
+
+void handle(Context &context, const TimePassed &event)
+{
+    AgentState &state = context.state;
+    state.now = event.now;
+    if (!state.runs.empty() && state.now > state.leaseEndsAt) {
+        Internal::loseRuns(context, "lease-ended");
+    }
+    std::vector<Jobs::RunRef> due;
+    for (const auto &[run, at] : state.stopRetries) {
+        if (at <= state.now) {
+            due.push_back(run);
+        }
+    }
+    for (const Jobs::RunRef &run : due) {
+        state.stopRetries.erase(run);
+        Internal::stopRun(context, run);
+    }
+    if (state.worker && state.now - state.workerHeardAt > workerSilentLimit) {
+        workerGone(context, "silent");
+    }
+}
+
+void handle(Context &context, const LeaveRequested & /*event*/)
+{
+    AgentState &state = context.state;
+    state.leaving = true;
+    state.outbox.worker = reportedWorker(state);
+    state.outboxUsed = true;
+}
+
+void handle(Context &context, const WorkerBeat &event)
+{
+    AgentState &state = context.state;
+    if (state.worker && event.worker.bornMs < state.worker->bornMs) {
+        return;
+    }
+    const bool another = state.worker && event.worker.bornMs != state.worker->bornMs;
+    if (!another && event.sequence <= state.heartbeatSequence && state.heartbeatSequence != 0) {
+        return;
+    }
+    if (another) {
+        Internal::resetWorker(context);
+    }
+    const bool changed = !state.worker || *state.worker != event.worker;
+    state.listed = state.listed && state.worker.has_value();
+    state.worker = event.worker;
+    state.heartbeatSequence = event.sequence;
+    state.workerHeardAt = state.now;
+    if (changed) {
+        Internal::decide(context,
+                         "worker.heard",
+                         {{"worker", event.worker.id}, {"born", std::to_string(event.worker.bornMs)}, {"draining", event.worker.draining ? "1" : "0"}});
+        state.outbox.worker = reportedWorker(state);
+        state.outboxUsed = true;
+    }
+}
+
+void handle(Context &context, const WorkerLeft &event)
+{
+    if (context.state.worker && context.state.worker->id == event.id) {
+        workerGone(context, "left");
+    }
+}
+
+void handle(Context &context, const EntryUnlinked &event)
+{
+    AgentState &state = context.state;
+    if (state.leader != event.entry) {
+        return;
+    }
+    Internal::decide(context, "owner.unlinked", {{"entry", event.entry}, {"epoch", std::to_string(state.epoch)}});
+    state.leader.clear();
+    state.outbox = {};
+    state.outboxUsed = false;
+}
+
+void followOwner(Context &context, const OrdersArrived &event)
+{
+    AgentState &state = context.state;
+    Internal::decide(context, "owner.followed", {{"entry", event.entry}, {"epoch", std::to_string(event.orders.epoch)}});
+    if (event.orders.epoch > state.epoch) {
+        // The lists must be read again under the new fence, which also keeps late orders of the former owner out.
+        state.listed = false;
+    }
+    state.epoch = event.orders.epoch;
+    state.leader = event.entry;
+    state.outbox = {};
+    state.outboxUsed = false;
+    state.fullReportDue = true;
+    state.holdNotBefore = state.now;
+}
+
+void takeOrders(Context &context, const Jobs::OwnerOrders &orders)
+{
+    AgentState &state = context.state;
+    const std::int64_t bornMs = state.worker ? state.worker->bornMs : 0;
+    const bool sameWorker = state.worker && bornMs == orders.workerBornMs;
+    const bool fresh = state.now - std::chrono::milliseconds(orders.echo) <= Jobs::startTokenLimit;
+    for (const Jobs::StartOrder &start : orders.starts) {
+        for (const Jobs::RunRef &run : start.runs) {
+            if (!sameWorker || !fresh || state.worker->draining || state.leaving) {
+                Internal::reportRefusal(state, run, sameWorker ? Jobs::RunRefusal::Reason::Stale : Jobs::RunRefusal::Reason::NoWorker);
+                continue;
+            }
+            Internal::startRun(context, run, start.payload);
+        }
+    }
+    if (!sameWorker) {
+        return;
+    }
+    for (const Jobs::RunRef &run : orders.stops) {
+        Internal::stopRun(context, run);
+    }
+    state.endsRecorded = std::max(state.endsRecorded, orders.endsRecorded);
+    state.ends.erase(state.ends.begin(), state.ends.upper_bound(state.endsRecorded));
+}
+
+void handle(Context &context, const OrdersArrived &event)
+{
+    AgentState &state = context.state;
+    if (event.orders.epoch < state.epoch) {
+        // The higher epoch in the answer tells a former owner to step down.
+        Jobs::AgentReport report;
+        report.epoch = state.epoch;
+        context.effects.push_back(SendReport{event.entry, std::move(report)});
+        return;
+    }
+    if (event.orders.epoch > state.epoch || event.entry != state.leader) {
+        followOwner(context, event);
+    }
+    state.echo = std::max(state.echo, event.orders.echo);
+    if (!event.orders.entries.empty()) {
+        context.effects.push_back(LearnEntries{event.orders.entries});
+    }
+    takeOrders(context, event.orders);
+}
+
+void handle(Context &context, const StartAnswered &event)
+{
+    Internal::handleStartAnswer(context, event);
+}
+
+void handle(Context &context, const StopAnswered &event)
+{
+    Internal::handleStopAnswer(context, event);
+}
+
+void handle(Context &context, const HoldAnswered &event)
+{
+    Internal::handleHoldAnswer(context, event);
+}
+
+bool holdWanted(const AgentState &state)
+{
+    if (state.epoch == 0 || state.holdInProgress) {
+        return false;
+    }
+    return !state.listed || !state.runs.empty() || state.endsForgotten < state.endsRecorded;
+}
+
+void startHold(Context &context)
+{
+    AgentState &state = context.state;
+    if (!holdWanted(state) || state.now < state.holdNotBefore) {
+        return;
+    }
+    CallHold hold;
+    hold.fence = state.epoch;
+    hold.endsForgotten = state.endsRecorded;
+    hold.number = ++state.holdNumber;
+    if (!state.runs.empty()) {
+        hold.until = Internal::renewableUntil(state);
+    }
+    const bool decided = std::any_of(state.runs.begin(), state.runs.end(), [](const auto &run) { return run.second.phase == LocalRun::Phase::Barred; });
+    // Without a lease to renew the call must not wait, as the lease could come back meanwhile.
+    if (state.listed && !decided && !state.runs.empty()) {
+        hold.wait = holdWait;
+    }
+    if (hold.until) {
+        Internal::noteRenewal(state);
+    }
+    state.endsForgotten = state.endsRecorded;
+    state.holdInProgress = true;
+    context.effects.push_back(hold);
+}
+
+Jobs::AgentReport fullReport(const AgentState &state)
+{
+    Jobs::AgentReport report;
+    report.full = true;
+    report.worker = reportedWorker(state);
+    report.workerGone = !state.worker;
+    for (const auto &[run, local] : state.runs) {
+        report.running.push_back(run);
+    }
+    for (const auto &[number, end] : state.ends) {
+        report.ends.push_back(end);
+    }
+    report.refusals = state.outbox.refusals;
+    return report;
+}
+
+void sendReport(Context &context)
+{
+    AgentState &state = context.state;
+    if (state.leader.empty()) {
+        return;
+    }
+    const bool fullDue = state.fullReportDue && state.listed;
+    const bool tokenDue = state.now - state.reportedAt >= tokenInterval;
+    if (!fullDue && !state.outboxUsed && !tokenDue) {
+        return;
+    }
+    Jobs::AgentReport report = fullDue ? fullReport(state) : std::move(state.outbox);
+    state.outbox = {};
+    state.outboxUsed = false;
+    state.fullReportDue = state.fullReportDue && !fullDue;
+    report.epoch = state.epoch;
+    report.endsAcknowledged = state.endsRecorded;
+    report.token = std::chrono::duration_cast<std::chrono::milliseconds>(state.now).count();
+    state.reportedAt = state.now;
+    context.effects.push_back(SendReport{state.leader, std::move(report)});
+}
+
+} // namespace
+
+namespace Internal {
+
+void decide(Context &context, std::string event, std::vector<std::pair<std::string, std::string>> fields)
+{
+    context.effects.push_back(Decision{std::move(event), std::move(fields)});
+}
+
+} // namespace Internal
+
+AgentState makeAgent(std::string name, Base::MonoTime now)
+{
+    AgentState state;
+    state.name = std::move(name);
+    state.now = now;
+    return state;
+}
+
+AgentEffects reduce(AgentState &state, const AgentEvent &event)
+{
+    AgentEffects effects;
+    Context context{state, effects};
+    std::visit([&context](const auto &what) { handle(context, what); }, event);
+    startHold(context);
+    sendReport(context);
+    return effects;
+}
+
+bool isIdle(const AgentState &state)
+{
+    return state.runs.empty() && state.ends.empty() && state.endsForgotten >= state.endsRecorded && !state.holdInProgress;
+}
+
+std::optional<Base::MonoTime> nextDue(const AgentState &state)
+{
+    std::optional<Base::MonoTime> due;
+    const auto consider = [&due](Base::MonoTime time) { due = due ? std::min(*due, time) : time; };
+    if (!state.runs.empty()) {
+        consider(state.leaseEndsAt + Base::Duration(1));
+    }
+    for (const auto &[run, at] : state.stopRetries) {
+        consider(at);
+    }
+    if (!state.leader.empty()) {
+        consider(state.reportedAt + tokenInterval);
+    }
+    if (holdWanted(state)) {
+        consider(state.holdNotBefore);
+    }
+    if (state.worker) {
+        consider(state.workerHeardAt + workerSilentLimit + Base::Duration(1));
+    }
+    return due;
+}
+
+} // namespace LaburnumFlow::TaskAgent
--- /dev/null
+++ b/src/libs/taskagent/agentruns.cpp
@@ -0,0 +1,288 @@
+#include "agentsteps.h"
+
+#include "taskagentconstants.h"
+
+#include "jobs/jobsconstants.h"
+
+#include <algorithm>
+
+namespace LaburnumFlow::TaskAgent::Internal {
+
+namespace {
+
+using Jobs::RunRef;
+using Jobs::RunRefusal;
+
+std::uint32_t ranMs(const LocalRun &run, Base::MonoTime now)
+{
+    if (run.startedAt == Base::MonoTime{}) {
+        return 0;
+    }
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - run.startedAt).count());
+}
+
+void bar(Context &context, const RunRef &run, LocalRun &local)
+{
+    local.phase = LocalRun::Phase::Barring;
+    decide(context, "run.barring", {{"job", std::to_string(run.task.job)}, {"run", std::to_string(run.run)}});
+    stopRun(context, run);
+}
+
+void noteProgress(AgentState &state, const ListedRun &listed, LocalRun &local)
+{
+    if (local.percent != listed.percent) {
+        local.percent = listed.percent;
+        local.progressAt = state.now;
+        return;
+    }
+    const bool stalled = state.now - local.progressAt > stallLimit;
+    if (stalled && !local.stallReported && !local.stopping) {
+        local.stallReported = true;
+        state.outbox.stalled.push_back(listed.run);
+        state.outboxUsed = true;
+    }
+}
+
+void noteRunning(AgentState &state, const ListedRun &listed)
+{
+    const auto [found, added] = state.runs.try_emplace(listed.run);
+    LocalRun &local = found->second;
+    if (added || local.phase == LocalRun::Phase::Starting || (local.phase == LocalRun::Phase::Barring && !local.stopping)) {
+        local.phase = LocalRun::Phase::Running;
+        local.startedAt = added ? Base::MonoTime{} : state.now;
+        local.progressAt = state.now;
+    }
+    noteProgress(state, listed, local);
+}
+
+void noteEnd(AgentState &state, Jobs::RunEnd end)
+{
+    if (end.number <= state.endsRecorded || state.ends.contains(end.number)) {
+        return;
+    }
+    const auto found = state.runs.find(end.run);
+    if (found != state.runs.end()) {
+        end.ranMs = ranMs(found->second, state.now);
+        state.runs.erase(found);
+    }
+    state.barredAtHold.erase(end.run);
+    state.stopRetries.erase(end.run);
+    state.ends.emplace(end.number, end);
+    reportEnd(state, end);
+}
+
+/// Drops runs that the worker does not list although it must have decided about them.
+void dropUnlisted(Context &context, const HoldAnswered &event)
+{
+    AgentState &state = context.state;
+    std::vector<RunRef> unlisted;
+    for (const auto &[run, local] : state.runs) {
+        const auto isRun = [&run](const ListedRun &listed) { return listed.run == run; };
+        if (std::any_of(event.running.begin(), event.running.end(), isRun)) {
+            continue;
+        }
+        const auto barred = state.barredAtHold.find(run);
+        const bool listIsYounger = barred != state.barredAtHold.end() && event.number > barred->second;
+        if (local.phase == LocalRun::Phase::Barred && listIsYounger) {
+            unlisted.push_back(run);
+        }
+    }
+    for (const RunRef &run : unlisted) {
+        state.runs.erase(run);
+        state.barredAtHold.erase(run);
+        reportRefusal(state, run, RunRefusal::Reason::NoAnswer);
+    }
+}
+
+} // namespace
+
+std::optional<std::chrono::milliseconds> renewableUntil(const AgentState &state)
+{
+    const Base::Duration echoAge = state.now - std::chrono::milliseconds(state.echo);
+    if (state.leader.empty() || !state.clockOffset || echoAge > Jobs::holdTokenLimit) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(state.now + *state.clockOffset + Jobs::workerLease);
+}
+
+void noteClock(AgentState &state, const std::optional<std::chrono::milliseconds> &workerClock)
+{
+    if (workerClock) {
+        state.clockOffset = *workerClock - state.now;
+        state.workerHeardAt = state.now;
+    }
+}
+
+void noteRenewal(AgentState &state)
+{
+    const auto lease = std::chrono::duration_cast<Base::Duration>(Jobs::workerLease * Jobs::clockDriftFactor);
+    state.leaseEndsAt = std::max(state.leaseEndsAt, state.now + lease + Jobs::leaseSlack);
+}
+
+void startRun(Context &context, const RunRef &run, const std::string &payload)
+{
+    AgentState &state = context.state;
+    if (state.runs.contains(run)) {
+        return;
+    }
+    const auto until = renewableUntil(state);
+    if (!state.worker || !until) {
+        reportRefusal(state, run, !state.worker ? RunRefusal::Reason::NoWorker : RunRefusal::Reason::Stale);
+        return;
+    }
+    state.runs.emplace(run, LocalRun{});
+    noteRenewal(state);
+    context.effects.push_back(CallStart{run, payload, *until, state.epoch, state.worker->id, state.worker->bornMs});
+}
+
+void stopRun(Context &context, const RunRef &run)
+{
+    AgentState &state = context.state;
+    const auto found = state.runs.find(run);
+    if (found == state.runs.end()) {
+        reportRefusal(state, run, RunRefusal::Reason::Stale);
+        return;
+    }
+    if (found->second.stopping) {
+        return;
+    }
+    found->second.stopping = true;
+    context.effects.push_back(CallStop{run, state.epoch});
+}
+
+void reportRefusal(AgentState &state, const RunRef &run, RunRefusal::Reason reason)
+{
+    state.outbox.refusals.push_back({run, reason});
+    state.outboxUsed = true;
+}
+
+void reportEnd(AgentState &state, const Jobs::RunEnd &end)
+{
+    state.outbox.ends.push_back(end);
+    state.outboxUsed = true;
+}
+
+void handleStartAnswer(Context &context, const StartAnswered &event)
+{
+    AgentState &state = context.state;
+    if (!state.worker || state.worker->bornMs != event.workerBornMs) {
+        return;
+    }
+    noteClock(state, event.workerClock);
+    const auto found = state.runs.find(event.run);
+    if (found == state.runs.end() || found->second.phase != LocalRun::Phase::Starting) {
+        return;
+    }
+    LocalRun &local = found->second;
+    switch (event.outcome) {
+    case StartAnswered::Outcome::Started:
+        local.phase = LocalRun::Phase::Running;
+        local.startedAt = state.now;
+        local.progressAt = state.now;
+        return;
+    case StartAnswered::Outcome::Refused:
+    case StartAnswered::Outcome::NotSent:
+        state.runs.erase(found);
+        state.stopRetries.erase(event.run);
+        reportRefusal(state, event.run, event.outcome == StartAnswered::Outcome::NotSent ? RunRefusal::Reason::NoAnswer : event.reason);
+        return;
+    case StartAnswered::Outcome::NoAnswer:
+        bar(context, event.run, local);
+        return;
+    }
+}
+
+void handleStopAnswer(Context &context, const StopAnswered &event)
+{
+    AgentState &state = context.state;
+    const auto found = state.runs.find(event.run);
+    if (found == state.runs.end()) {
+        return;
+    }
+    if (!event.answered) {
+        found->second.stopping = false;
+        state.stopRetries[event.run] = state.now + stopRetry;
+        return;
+    }
+    if (found->second.phase == LocalRun::Phase::Barring) {
+        found->second.phase = LocalRun::Phase::Barred;
+        // The run is decided; the next list shows its end, or that it never was there.
+        state.barredAtHold[event.run] = state.holdNumber;
+        state.holdNotBefore = state.now;
+    }
+}
+
+void handleHoldAnswer(Context &context, const HoldAnswered &event)
+{
+    AgentState &state = context.state;
+    state.holdInProgress = false;
+    if (!event.answered) {
+        state.holdNotBefore = state.now + (state.worker ? holdRetry : holdRetryWithoutWorker);
+        state.endsForgotten = 0;
+        // A process that does not exist runs nothing.
+        state.listed = state.listed || (event.refused && !state.worker);
+        return;
+    }
+    if (state.worker && event.bornMs != 0 && state.worker->bornMs != event.bornMs) {
+        resetWorker(context);
+        state.worker.reset();
+    }
+    if (!state.worker) {
+        state.worker = Jobs::WorkerInfo{};
+        state.worker->bornMs = event.bornMs;
+        state.fullReportDue = true;
+    }
+    noteClock(state, event.workerClock);
+    for (const ListedRun &run : event.running) {
+        noteRunning(state, run);
+    }
+    if (!event.ends.empty()) {
+        // The worker lists all ends that it has not forgotten, in order.
+        state.endsRecorded = std::max(state.endsRecorded, event.ends.front().number - 1);
+    }
+    for (const Jobs::RunEnd &end : event.ends) {
+        noteEnd(state, end);
+    }
+    dropUnlisted(context, event);
+    state.listed = true;
+}
+
+void loseRuns(Context &context, const std::string &reason)
+{
+    AgentState &state = context.state;
+    if (!state.runs.empty()) {
+        decide(context, "worker.runs-lost", {{"reason", reason}, {"runs", std::to_string(state.runs.size())}});
+    }
+    for (const auto &[run, local] : state.runs) {
+        reportEnd(state, {0, run, Jobs::EndKind::Lapsed, ranMs(local, state.now)});
+    }
+    state.runs.clear();
+    state.barredAtHold.clear();
+    state.stopRetries.clear();
+}
+
+void resetWorker(Context &context)
+{
+    AgentState &state = context.state;
+    // A start that the former incarnation did not answer may reach this one, as its clock and list begin anew.
+    std::vector<RunRef> inDoubt;
+    for (const auto &[run, local] : state.runs) {
+        if (local.phase != LocalRun::Phase::Running) {
+            inDoubt.push_back(run);
+        }
+    }
+    loseRuns(context, "worker-restarted");
+    for (const RunRef &run : inDoubt) {
+        context.effects.push_back(CallStop{run, state.epoch});
+    }
+    state.ends.clear();
+    state.endsRecorded = 0;
+    state.endsForgotten = 0;
+    state.clockOffset.reset();
+    state.heartbeatSequence = 0;
+    state.listed = false;
+    state.leaseEndsAt = {};
+    state.fullReportDue = true;
+}
+
+} // namespace LaburnumFlow::TaskAgent::Internal
--- /dev/null
+++ b/src/libs/taskagent/agentstate.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include "jobs/messages.h"
+
+#include "base/types.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+/// The process beside a worker: the worker's only caller. It starts and stops runs as the owner of the jobs orders,
+/// renews the worker's lease while it hears from the owner, and reports what ends.
+namespace LaburnumFlow::TaskAgent {
+
+/// A run that is, or may be, on the worker.
+struct LocalRun {
+    enum class Phase : std::uint8_t {
+        Starting, ///< the start call has not been answered
+        Running,
+        Barring, ///< the start was not answered; a stop call makes sure that it is not carried out any more
+        Barred, ///< the stop was answered; the next list of the worker tells whether the run was there
+    };
+
+    Phase phase = Phase::Starting;
+    bool stopping = false; ///< a stop call is in progress or done
+    Base::MonoTime startedAt{};
+    int percent = -1; ///< of its work that is done; -1 if not known
+    Base::MonoTime progressAt{};
+    bool stallReported = false;
+};
+
+struct AgentState {
+    std::string name;
+    Base::MonoTime now{};
+
+    // The worker.
+    std::optional<Jobs::WorkerInfo> worker;
+    std::uint64_t heartbeatSequence = 0; ///< of the latest heartbeat of this incarnation
+    Base::MonoTime workerHeardAt{};
+    std::optional<Base::Duration> clockOffset; ///< from this process's steady clock to the worker's, or less
+    std::unordered_map<Jobs::RunRef, LocalRun, Jobs::RunRefHash> runs;
+    Base::MonoTime leaseEndsAt{}; ///< by then everything that the worker runs has ended, unless renewed
+    bool listed = false; ///< the worker's lists were read under the present epoch
+    bool holdInProgress = false;
+    Base::MonoTime holdNotBefore{};
+    std::uint64_t holdNumber = 0; ///< counts holds, to tell which lists are younger than a stop
+    std::unordered_map<Jobs::RunRef, std::uint64_t, Jobs::RunRefHash> barredAtHold;
+    std::map<Jobs::RunRef, Base::MonoTime> stopRetries;
+
+    // Ends by the worker's numbers.
+    std::map<std::uint64_t, Jobs::RunEnd> ends; ///< not recorded by the owner yet
+    std::uint64_t endsRecorded = 0; ///< by the owner
+    std::uint64_t endsForgotten = 0; ///< acknowledged to the worker
+
+    // The owner.
+    std::uint64_t epoch = 0;
+    std::string leader; ///< the entry that owns the jobs, by the name of its link; empty if there is none
+    std::int64_t echo = 0; ///< youngest own token that the owner has echoed
+    bool fullReportDue = false;
+    bool leaving = false;
+    Base::MonoTime reportedAt{};
+    Jobs::AgentReport outbox; ///< what the next report carries
+    bool outboxUsed = false;
+};
+
+// Events.
+
+struct TimePassed {
+    Base::MonoTime now{};
+};
+
+struct WorkerBeat {
+    Jobs::WorkerInfo worker;
+    std::uint64_t sequence = 0;
+};
+
+struct WorkerLeft {
+    std::string id;
+};
+
+struct EntryUnlinked {
+    std::string entry;
+};
+
+struct OrdersArrived {
+    std::string entry;
+    Jobs::OwnerOrders orders;
+};
+
+struct StartAnswered {
+    enum class Outcome : std::uint8_t {
+        Started,
+        Refused, ///< and will not be carried out
+        NotSent,
+        NoAnswer,
+    };
+
+    Jobs::RunRef run;
+    std::int64_t workerBornMs = 0; ///< as of the call
+    Outcome outcome = Outcome::NoAnswer;
+    Jobs::RunRefusal::Reason reason = Jobs::RunRefusal::Reason::NoRoom;
+    std::optional<std::chrono::milliseconds> workerClock;
+};
+
+struct StopAnswered {
+    Jobs::RunRef run;
+    bool answered = false;
+};
+
+struct ListedRun {
+    Jobs::RunRef run;
+    int percent = -1;
+};
+
+struct HoldAnswered {
+    bool answered = false;
+    bool refused = false; ///< connection refused: no process listens
+    std::int64_t bornMs = 0;
+    std::optional<std::chrono::milliseconds> workerClock;
+    std::uint64_t number = 0; ///< as in CallHold
+    std::vector<ListedRun> running;
+    std::vector<Jobs::RunEnd> ends;
+};
+
+/// The process is to stop: no more starts; what runs may end.
+struct LeaveRequested {
+};
+
+using AgentEvent = std::variant<TimePassed, LeaveRequested, WorkerBeat, WorkerLeft, EntryUnlinked, OrdersArrived, StartAnswered, StopAnswered, HoldAnswered>;
+
+// Effects.
+
+struct CallStart {
+    Jobs::RunRef run;
+    std::string payload;
+    std::chrono::milliseconds until{}; ///< on the worker's clock
+    std::uint64_t fence = 0;
+    std::string workerId;
+    std::int64_t workerBornMs = 0;
+};
+
+struct CallStop {
+    Jobs::RunRef run;
+    std::uint64_t fence = 0;
+};
+
+struct CallHold {
+    std::optional<std::chrono::milliseconds> until; ///< nothing: the lease is not renewed
+    std::uint64_t fence = 0;
+    std::uint64_t endsForgotten = 0;
+    std::chrono::milliseconds wait{};
+    std::uint64_t number = 0;
+};
+
+struct SendReport {
+    std::string entry;
+    Jobs::AgentReport report;
+};
+
+/// The entries' addresses as the owner knows them.
+struct LearnEntries {
+    std::vector<Base::Endpoint> entries;
+};
+
+struct Decision {
+    std::string event;
+    std::vector<std::pair<std::string, std::string>> fields;
+};
+
+using AgentEffect = std::variant<CallStart, CallStop, CallHold, SendReport, LearnEntries, Decision>;
+using AgentEffects = std::vector<AgentEffect>;
+
+} // namespace LaburnumFlow::TaskAgent
