--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -13,10 +13,10 @@
     loading_.owner = begin.record;
     loading_.ownerRevision = begin.revision;
     const std::size_t jobs = loading_.jobs.size();
-    owner_ = Jobs::takeOver(std::move(loading_), {begin.formerKnown, begin.formerAgents}, Base::monoNow(), Base::wallNow());
+    owner_ = Jobs::takeOver(std::move(loading_), Base::monoNow(), Base::wallNow());
     loading_ = {};
     decide("owner.begin",
-           {{"epoch", std::to_string(begin.record.epoch)}, {"jobs", std::to_string(jobs)}, {"former_agents", std::to_string(begin.formerAgents.size())}});
+           {{"epoch", std::to_string(begin.record.epoch)}, {"jobs", std::to_string(jobs)}, {"former_agents", std::to_string(begin.record.agents.size())}});
     if (rules_) {
         Jobs::RulesChanged changed{rules_->version, {}};
         for (const Platform::QueueRoute &route : rules_->routes) {
@@ -138,7 +138,9 @@
             return;
         }
         const bool answered = response.outcome == HttpIo::ClientResponse::Outcome::Answered && response.status < 400;
-        feedOwnership(EntryNode::OwnerProgress{answered, Jobs::agentsInUse(*owner_)});
+        if (answered) {
+            feedOwnership(EntryNode::OwnerProgress{});
+        }
         feedOwner(Jobs::CommitEnded{Platform::commitResult(response)});
     });
 }
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -64,7 +64,11 @@
     if (request.deadlineMs && *request.deadlineMs > 0 && *request.deadlineMs < 3'600'000) {
         patience = std::chrono::milliseconds(*request.deadlineMs);
     }
-    carryOut(router_.accept(request.id, std::move(std::get<Jobs::Call>(decoded)), patience, loop_.now()));
+    auto &call = std::get<Jobs::Call>(decoded);
+    if (auto *submit = std::get_if<Jobs::SubmitCall>(&call); submit != nullptr && patience) {
+        submit->patienceMs = static_cast<std::uint32_t>(*request.deadlineMs);
+    }
+    carryOut(router_.accept(request.id, std::move(call), patience, loop_.now()));
     armTimer();
 }
 
@@ -183,7 +187,7 @@
         return;
     }
     Jobs::OwnerRecord record = owner_->recorder.owner();
-    const EntryNode::Claim vacate{owner_->recorder.revision(), {record.epoch, record.sequence + 1, {}, 0}};
+    const EntryNode::Claim vacate{owner_->recorder.revision(), {record.epoch, record.sequence + 1, {}, 0, record.agents}};
     callStore(Platform::claimRequest(store_, vacate), std::nullopt, [](const HttpIo::ClientResponse & /*response*/) { });
     stepDown("stopping");
 }
--- a/src/libs/entrynode/ownership.cpp
+++ b/src/libs/entrynode/ownership.cpp
@@ -85,7 +85,10 @@
     if (silent && state.now - state.ownerSeenAt < ownerQuietLimit + stagger) {
         return;
     }
-    state.claim = {state.owner ? state.owner->epoch + 1 : 1, 0, state.self.name, state.self.incarnation};
+    state.claim = {state.owner ? state.owner->epoch + 1 : 1, 0, state.self.name, state.self.incarnation, {}};
+    if (state.owner) {
+        state.claim.agents = state.owner->agents;
+    }
     state.mode = Mode::Claiming;
     decide(context, "owner.claim", {{"epoch", std::to_string(state.claim.epoch)}, {"reason", reason}, {"former", state.owner ? state.owner->owner : ""}});
     context.effects.push_back(Claim{state.ownerRevision, state.claim});
@@ -102,6 +105,8 @@
 {
     OwnershipState &state = context.state;
     state.mode = Mode::Following;
+    // What was read before is out of date.
+    state.everRead = false;
     state.readNotBefore = state.now;
     state.ownerSeenAt = state.now;
 }
@@ -266,15 +271,8 @@
     }
     state.mode = Mode::Owning;
     state.beatNotBefore = state.now;
-    BeginOwning begin{state.claim, state.ownerRevision, false, {}};
-    if (const Peer *former = ownerPeer(state); former != nullptr && !former->agents.empty()) {
-        begin.formerKnown = true;
-        begin.formerAgents = former->agents;
-    }
-    // The first owner of all has no predecessor.
-    begin.formerKnown = begin.formerKnown || state.claim.epoch == 1;
     state.owner = state.claim;
-    context.effects.push_back(std::move(begin));
+    context.effects.push_back(BeginOwning{state.claim, state.ownerRevision});
     context.effects.push_back(OwnerKnown{state.self.name});
 }
 
@@ -300,9 +298,6 @@
     Peer &peer = state.peers[event.name];
     peer.beatAt = state.now;
     peer.beat = event.beat;
-    if (!event.beat.agents.empty()) {
-        peer.agents = event.beat.agents;
-    }
     const bool fromOwner = state.owner && state.owner->owner == event.name;
     if (event.beat.ownedEpoch == 0 || (state.owner && event.beat.ownedEpoch < state.owner->epoch)) {
         return;
@@ -323,22 +318,14 @@
 {
     context.effects.push_back(OwnerKnown{});
     context.state.owner.reset();
-    context.state.everRead = false;
     const bool leaving = context.state.mode == Mode::Leaving;
     follow(context);
     context.state.mode = leaving ? Mode::Leaving : Mode::Following;
 }
 
-void handle(Context &context, const OwnerProgress &event)
+void handle(Context &context, const OwnerProgress & /*event*/)
 {
-    OwnershipState &state = context.state;
-    if (event.storeAnswered) {
-        state.storeAnsweredAt = state.now;
-    }
-    if (event.agentsInUse != state.agentsInUse) {
-        state.agentsInUse = event.agentsInUse;
-        state.beatNotBefore = state.now;
-    }
+    context.state.storeAnsweredAt = context.state.now;
 }
 
 void handle(Context &context, const LeaveRequested & /*event*/)
@@ -382,7 +369,7 @@
         return;
     }
     state.beatNotBefore = state.now + beatInterval;
-    const Jobs::EntryBeat beat{state.claim.epoch, storeReachable(state), state.agentsInUse};
+    const Jobs::EntryBeat beat{state.claim.epoch, storeReachable(state)};
     for (const auto &[name, peer] : state.peers) {
         if (peer.linked) {
             context.effects.push_back(SendBeat{name, beat});
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -24,7 +24,6 @@
     Base::MonoTime dialNotBefore{};
     Base::MonoTime beatAt{};
     Jobs::EntryBeat beat;
-    std::vector<std::string> agents; ///< as its last beat with agents named them
 };
 
 struct OwnershipState {
@@ -59,7 +58,6 @@
     bool readInProgress = false;
     Base::MonoTime readNotBefore{};
     Base::MonoTime beatNotBefore{};
-    std::vector<std::string> agentsInUse; ///< while owning
 };
 
 // Events.
@@ -136,10 +134,8 @@
 struct SteppedDown {
 };
 
-/// The owner's commits are answered, and these agents may run tasks.
+/// The store has answered the owner.
 struct OwnerProgress {
-    bool storeAnswered = false;
-    std::vector<std::string> agentsInUse;
 };
 
 struct LeaveRequested {
@@ -190,8 +186,6 @@
 struct BeginOwning {
     Jobs::OwnerRecord record;
     std::int64_t revision = 0;
-    bool formerKnown = false; ///< formerAgents names all agents that may run tasks of the former owner
-    std::vector<std::string> formerAgents;
 };
 
 /// Another entry has claimed the jobs meanwhile; SteppedDown is expected.
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -12,7 +12,7 @@
 
 // Authority of the owner over an agent. Both ends use the same figures.
 constexpr Base::Duration startTokenLimit = 1s; ///< agents refuse starts whose echoed token is older
-constexpr Base::Duration holdTokenLimit = 2500ms; ///< agents stop renewing the worker's lease when the echoed token is older
+constexpr Base::Duration holdTokenLimit = 2s; ///< agents stop renewing the worker's lease when the echoed token is older
 constexpr Base::Duration workerLease = 1s; ///< the longest lease that a worker grants
 constexpr double clockDriftFactor = 1.02; ///< a worker's clock may run this much slower
 constexpr Base::Duration leaseSlack = 150ms; ///< for timers that fire late
@@ -20,6 +20,9 @@
 /// After this time without a younger token nothing that an agent's worker was running can still run.
 constexpr Base::Duration authorityLimit = holdTokenLimit + std::chrono::duration_cast<Base::Duration>(workerLease * clockDriftFactor) + leaseSlack;
 
+constexpr Base::Duration orphanGrace = 2500ms; ///< best-effort jobs are submitted again within this time of a takeover
+constexpr Base::Duration bestEffortKept = 5s; ///< answers of best-effort jobs, for callers that missed them
+
 constexpr Base::Duration ownerPing = 350ms; ///< the owner echoes each agent's token at least this often
 constexpr Base::Duration agentQuietLimit = 900ms; ///< no new work for an agent not heard of for this long
 
@@ -37,6 +40,7 @@
 constexpr std::uint32_t runsPerEpoch = 4096; ///< runs of a task under one owner; keeps runs rising across owners
 
 // Scheduling.
+constexpr double estimateSlack = 1.4; ///< callers' estimates are off by about 40 %
 constexpr double lateFactor = 3.0; ///< an answer later than this many objectives is worth nothing to its caller
 constexpr std::size_t maxUnplacedScanned = 64; ///< jobs that do not fit and are passed over in one round
 constexpr std::uint32_t defaultEstimateMs = 200; ///< of a task about which nothing is known
--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -85,6 +85,18 @@
     }
 };
 
+/// A run that is, or may be, on a worker.
+struct PossibleRun {
+    RunRef run;
+    Resources need; ///< 0 if the agent does not know, as it was started by a former life of the agent
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(run, need);
+    }
+};
+
 /// What an agent tells the owner.
 struct AgentReport {
     std::int64_t token = 0; ///< the agent's steady clock at the time of sending, in milliseconds
@@ -93,7 +105,7 @@
     std::optional<WorkerInfo> worker; ///< sent when full or changed
     bool workerGone = false; ///< the worker has left or died; nothing of it runs any more
     std::uint64_t endsAcknowledged = 0; ///< ends up to this number are recorded
-    std::vector<RunRef> running;
+    std::vector<PossibleRun> running;
     std::vector<RunEnd> ends;
     std::vector<RunRefusal> refusals;
     std::vector<RunRef> stalled; ///< runs that make no progress
@@ -108,6 +120,7 @@
 /// Runs of one job that are to start on a worker.
 struct StartOrder {
     std::vector<RunRef> runs;
+    Resources need; ///< of each run
     std::string payload;
 
     bool operator==(const StartOrder &) const = default;
@@ -115,7 +128,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(runs, payload);
+        archive(runs, need, payload);
     }
 };
 
@@ -152,12 +165,11 @@
 struct EntryBeat {
     std::uint64_t ownedEpoch = 0; ///< the epoch that the sender owns the jobs with; 0 if it does not
     bool storeReachable = false; ///< the store has answered the sender lately
-    std::vector<std::string> agents; ///< that may run tasks of the owner; sent by the owner
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(ownedEpoch, storeReachable, agents);
+        archive(ownedEpoch, storeReachable);
     }
 };
 
@@ -165,12 +177,14 @@
     JobId job = 0;
     QueueRules rules; ///< as the entry that took the call knows them
     std::uint64_t rulesVersion = 0;
+    bool bestEffort = false; ///< not stored; answered when the job has ended
+    std::uint32_t patienceMs = 0; ///< for which the caller waits; 0 if unknown
     JobSpec spec;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(job, rules, rulesVersion, spec);
+        archive(job, rules, rulesVersion, bestEffort, patienceMs, spec);
     }
 };
 
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -17,6 +17,9 @@
     context.state.now = event.now;
     context.state.wall = event.wall;
     Internal::expireAgents(context);
+    Internal::expireJobs(context);
+    Internal::expireOrphans(context);
+    Internal::recordAgents(context);
     Internal::resolveUncertain(context);
     Internal::flushProgress(context);
 }
@@ -54,6 +57,7 @@
     switch (state.recorder.finish(event.result, state.now)) {
     case Recorder::Verdict::Recorded:
         Internal::recorded(context, state.recorder.takeRecorded());
+        Internal::noteRecordedAgents(context);
         return;
     case Recorder::Verdict::Again:
         return;
@@ -175,13 +179,14 @@
 
 } // namespace Internal
 
-OwnerState takeOver(StoredJobs stored, const FormerAgents &former, Base::MonoTime now, Base::WallTime wall)
+OwnerState takeOver(StoredJobs stored, Base::MonoTime now, Base::WallTime wall)
 {
     OwnerState state;
     state.epoch = stored.owner.epoch;
     state.name = stored.owner.owner;
     state.now = now;
     state.wall = wall;
+    state.awaitedAgents.insert(stored.owner.agents.begin(), stored.owner.agents.end());
     state.recorder = Recorder(std::move(stored.owner), stored.ownerRevision);
     for (JobRecord &record : stored.jobs) {
         Job job = restoredJob(std::move(record), now, state.uncertainTasks);
@@ -195,9 +200,8 @@
             state.finished[job.id] = job.state;
         }
     }
-    state.awaitedAgents.insert(former.names.begin(), former.names.end());
-    state.awaitingAll = !former.known;
     state.certainAt = now + authorityLimit;
+    state.orphansUntil = now + orphanGrace;
     return state;
 }
 
@@ -227,6 +231,12 @@
     if (state.uncertainTasks > 0) {
         consider(state.certainAt);
     }
+    if (!state.orphans.empty()) {
+        consider(state.orphansUntil);
+    }
+    if (!state.expiring.empty()) {
+        consider(state.expiring.begin()->first);
+    }
     for (const Agent &agent : state.agents) {
         if (agent.linked) {
             consider(agent.ordersAt + ownerPing);
@@ -241,16 +251,4 @@
     return due;
 }
 
-std::vector<std::string> agentsInUse(const OwnerState &state)
-{
-    std::vector<std::string> names;
-    for (const Agent &agent : state.agents) {
-        if (agent.linked || !agent.runs.empty() || state.now - agent.tokenAt < authorityLimit) {
-            names.push_back(agent.name);
-        }
-    }
-    names.insert(names.end(), state.awaitedAgents.begin(), state.awaitedAgents.end());
-    return names;
-}
-
 } // namespace LaburnumFlow::Jobs
--- a/src/libs/jobs/owner.h
+++ b/src/libs/jobs/owner.h
@@ -20,14 +20,9 @@
     std::vector<Segment> finished;
 };
 
-/// Which agents may run tasks that a former owner started.
-struct FormerAgents {
-    bool known = false;
-    std::vector<std::string> names;
-};
-
-/// The state with which an entry begins to own the jobs.
-OwnerState takeOver(StoredJobs stored, const FormerAgents &former, Base::MonoTime now, Base::WallTime wall);
+/// The state with which an entry begins to own the jobs. The agents of the owner record may run tasks that a former
+/// owner started.
+OwnerState takeOver(StoredJobs stored, Base::MonoTime now, Base::WallTime wall);
 
 /// The owner's decisions. Time enters with TimePassed, which must precede the events of each round.
 OwnerEffects reduce(OwnerState &state, const OwnerEvent &event);
@@ -35,7 +30,4 @@
 /// When TimePassed is needed next.
 std::optional<Base::MonoTime> nextDue(const OwnerState &state);
 
-/// The names of agents whose workers may run tasks.
-std::vector<std::string> agentsInUse(const OwnerState &state);
-
 } // namespace LaburnumFlow::Jobs
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -84,7 +84,18 @@
     requeue(context, *job);
 }
 
-void taskDone(Context &context, Job &job, Task &task, const Settlement &settlement)
+/// Ends of best-effort jobs need not be recorded.
+void noteUnrecorded(Context &context, Job &job, AgentIndex agent, const Settlement &settlement, Base::MonoTime due)
+{
+    if (job.bestEffort) {
+        settleEnd(context.state.agents[agent], settlement.number);
+        return;
+    }
+    job.unrecorded.push_back(settlement);
+    recordProgress(context, job, due);
+}
+
+void taskDone(Context &context, Job &job, Task &task, AgentIndex agent, const Settlement &settlement)
 {
     leavePhase(context.state, job, task);
     task.phase = Task::Phase::Done;
@@ -93,8 +104,7 @@
         finishJob(context, job, JobState::Completed, {settlement});
         return;
     }
-    job.unrecorded.push_back(settlement);
-    recordProgress(context, job, context.state.now + progressDelay);
+    noteUnrecorded(context, job, agent, settlement, context.state.now + progressDelay);
     unblockSteps(context, job);
 }
 
@@ -111,8 +121,7 @@
     }
     setReady(context, job, task);
     requeue(context, job);
-    job.unrecorded.push_back(settlement);
-    recordProgress(context, job, context.state.now);
+    noteUnrecorded(context, job, agent, settlement, context.state.now);
 }
 
 void learn(Context &context, Agent &agent, const Job &job, const RunEnd &end)
@@ -154,7 +163,7 @@
     learn(context, agent, *job, end);
     switch (end.how) {
     case EndKind::Done:
-        taskDone(context, *job, *task, settlement);
+        taskDone(context, *job, *task, index, settlement);
         return;
     case EndKind::Failed:
         taskFailed(context, *job, *task, index, settlement);
@@ -234,44 +243,58 @@
     context.state.schedulingDue = true;
 }
 
+/// Makes a listed run the task's active one, or orders its stop if it is not wanted.
+void adoptRun(Context &context, Job &job, AgentIndex index, const RunRef &run)
+{
+    OwnerState &state = context.state;
+    Agent &agent = state.agents[index];
+    Task &task = job.tasks[flatIndex(job, run.task)];
+    const bool open = task.phase == Task::Phase::Uncertain || task.phase == Task::Phase::Ready || task.phase == Task::Phase::Blocked;
+    if (job.finishing || !open) {
+        orderStop(agent, run);
+        return;
+    }
+    leavePhase(state, job, task);
+    task.phase = Task::Phase::Active;
+    task.agent = index;
+    task.run = run.run;
+    if (job.state == JobState::Queued && job.stored) {
+        auto &count = state.unstarted[job.rules.name];
+        count -= count > 0 ? 1 : 0;
+        job.state = JobState::Running;
+    }
+    requeue(context, job);
+    decide(context, "task.adopted", {{"run", runText(run)}, {"agent", agent.name}});
+}
+
 /// Takes note of a run that the agent lists: adopts it, or orders its stop if it is not wanted.
-void handleListed(Context &context, AgentIndex index, const RunRef &run)
+void handleListed(Context &context, AgentIndex index, const PossibleRun &possible)
 {
     OwnerState &state = context.state;
     Agent &agent = state.agents[index];
+    const RunRef &run = possible.run;
     if (agent.runs.contains(run)) {
         return;
     }
+    addRun(agent, run, possible.need);
     Job *job = findJob(state, run.task.job);
-    if (job == nullptr || !hasTask(*job, run.task)) {
-        addRun(agent, run, {});
-        orderStop(agent, run);
+    if (job == nullptr && state.now < state.orphansUntil && !state.finished.contains(run.task.job)) {
+        state.orphans[run.task.job].push_back({index, run});
         return;
     }
-    const std::uint32_t flat = flatIndex(*job, run.task);
-    Task &task = job->tasks[flat];
-    addRun(agent, run, stepOf(*job, flat).need);
-    const bool wanted = !job->finishing && (task.phase == Task::Phase::Uncertain || task.phase == Task::Phase::Ready);
-    if (!wanted) {
+    if (job == nullptr || !hasTask(*job, run.task)) {
         orderStop(agent, run);
         return;
     }
-    leavePhase(state, *job, task);
-    task.phase = Task::Phase::Active;
-    task.agent = index;
-    task.run = run.run;
-    if (job->state == JobState::Queued && job->stored) {
-        auto &count = state.unstarted[job->rules.name];
-        count -= count > 0 ? 1 : 0;
-        job->state = JobState::Running;
-    }
-    requeue(context, *job);
-    decide(context, "task.adopted", {{"run", runText(run)}, {"agent", agent.name}});
+    adoptRun(context, *job, index, run);
 }
 
 void reconcile(Context &context, AgentIndex index, const AgentReport &report)
 {
-    RunSet listed(report.running.begin(), report.running.end());
+    RunSet listed;
+    for (const PossibleRun &possible : report.running) {
+        listed.insert(possible.run);
+    }
     for (const RunEnd &end : report.ends) {
         listed.insert(end.run);
     }
@@ -285,8 +308,8 @@
         removeRun(context.state.agents[index], run);
         taskLost(context, run, index);
     }
-    for (const RunRef &run : report.running) {
-        handleListed(context, index, run);
+    for (const PossibleRun &possible : report.running) {
+        handleListed(context, index, possible);
     }
 }
 
@@ -395,16 +418,83 @@
     }
 }
 
+bool isCertain(const OwnerState &state)
+{
+    return state.awaitedAgents.empty() || state.now >= state.certainAt;
+}
+
+void adoptOrphans(Context &context, Job &job)
+{
+    const auto found = context.state.orphans.find(job.id);
+    if (found == context.state.orphans.end()) {
+        return;
+    }
+    const std::vector<Orphan> orphans = std::move(found->second);
+    context.state.orphans.erase(found);
+    for (const Orphan &orphan : orphans) {
+        Agent &agent = context.state.agents[orphan.agent];
+        if (!agent.runs.contains(orphan.run)) {
+            continue;
+        }
+        if (!hasTask(job, orphan.run.task)) {
+            orderStop(agent, orphan.run);
+            continue;
+        }
+        adoptRun(context, job, orphan.agent, orphan.run);
+    }
+}
+
+void expireOrphans(Context &context)
+{
+    OwnerState &state = context.state;
+    if (state.orphans.empty() || state.now < state.orphansUntil) {
+        return;
+    }
+    for (const auto &[id, orphans] : state.orphans) {
+        for (const Orphan &orphan : orphans) {
+            if (state.agents[orphan.agent].runs.contains(orphan.run)) {
+                orderStop(state.agents[orphan.agent], orphan.run);
+            }
+        }
+    }
+    state.orphans.clear();
+}
+
+void recordAgents(Context &context)
+{
+    OwnerState &state = context.state;
+    std::vector<std::string> names(state.awaitedAgents.begin(), state.awaitedAgents.end());
+    for (const Agent &agent : state.agents) {
+        if (agent.linked || !agent.runs.empty() || state.now - agent.tokenAt < authorityLimit) {
+            names.push_back(agent.name);
+        }
+    }
+    std::sort(names.begin(), names.end());
+    names.erase(std::unique(names.begin(), names.end()), names.end());
+    state.recorder.setAgents(std::move(names));
+}
+
+void noteRecordedAgents(Context &context)
+{
+    const std::vector<std::string> &names = context.state.recorder.recordedAgents();
+    for (Agent &agent : context.state.agents) {
+        const bool recorded = std::binary_search(names.begin(), names.end(), agent.name);
+        context.state.schedulingDue |= recorded && !agent.recorded;
+        agent.recorded = recorded;
+    }
+}
+
 void resolveUncertain(Context &context)
 {
     OwnerState &state = context.state;
-    const bool certain = (!state.awaitingAll && state.awaitedAgents.empty()) || state.now >= state.certainAt;
-    if (state.uncertainTasks == 0 || !certain) {
+    if (isCertain(state) && !state.awaitedAgents.empty()) {
+        decide(context, "owner.unreported", {{"agents", std::to_string(state.awaitedAgents.size())}});
+        state.awaitedAgents.clear();
+    }
+    if (state.uncertainTasks == 0 || !isCertain(state)) {
         return;
     }
-    decide(context, "owner.certain", {{"tasks", std::to_string(state.uncertainTasks)}, {"awaited", std::to_string(state.awaitedAgents.size())}});
-    state.awaitedAgents.clear();
-    state.awaitingAll = false;
+    decide(context, "owner.certain", {{"tasks", std::to_string(state.uncertainTasks)}});
     state.uncertainTasks = 0;
     for (auto &[id, job] : state.jobs) {
         for (Task &task : job.tasks) {
--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -23,10 +23,10 @@
     return found == state.rules.end() ? call.rules : found->second;
 }
 
-bool refuse(Context &context, CallId id, const Job &job)
+bool refuse(Context &context, CallId id, const Job &job, bool bestEffort)
 {
     OwnerState &state = context.state;
-    if (state.recorder.stuckFor(state.now) > storeSickAfter) {
+    if (!bestEffort && state.recorder.stuckFor(state.now) > storeSickAfter) {
         decide(context, "job.refused", {{"id", idText(job.id)}, {"reason", "store"}, {"queue", job.rules.name}});
         reply(context, id, {.kind = CallAnswer::Kind::Unavailable, .retryAfterS = storeRetryAfterS});
         return true;
@@ -45,11 +45,36 @@
     return true;
 }
 
+/// A best-effort job begins at once.
+void begin(Context &context, Job submitted, std::uint32_t patienceMs)
+{
+    OwnerState &state = context.state;
+    Job &job = state.jobs.emplace(submitted.id, std::move(submitted)).first->second;
+    job.bestEffort = true;
+    job.stored = true;
+    ++state.unstarted[job.rules.name];
+    if (patienceMs > 0) {
+        job.expiresAt = state.now + std::chrono::milliseconds(patienceMs);
+        state.expiring.emplace(*job.expiresAt, job.id);
+    }
+    decide(context, "job.begun", {{"id", idText(job.id)}, {"queue", job.rules.name}, {"tasks", std::to_string(job.tasks.size())}});
+    if (!isCertain(state)) {
+        for (Task &task : job.tasks) {
+            task.phase = Task::Phase::Uncertain;
+        }
+        state.uncertainTasks += job.tasks.size();
+    }
+    adoptOrphans(context, job);
+    if (isCertain(state)) {
+        unblockSteps(context, job);
+    }
+}
+
 void handle(Context &context, CallId id, const SubmitCall &call)
 {
     OwnerState &state = context.state;
     if (Job *known = findJob(state, call.job)) {
-        if (known->stored) {
+        if (known->stored && !known->bestEffort) {
             reply(context, id, {.kind = CallAnswer::Kind::Accepted});
         } else {
             known->waitingForAcceptance.push_back(id);
@@ -60,11 +85,19 @@
         reply(context, id, {.kind = CallAnswer::Kind::Accepted});
         return;
     }
+    if (const auto recent = state.recentBestEffort.find(call.job); call.bestEffort && recent != state.recentBestEffort.end()) {
+        reply(context, id, {.kind = CallAnswer::Kind::State, .state = recent->second});
+        return;
+    }
     Job job = makeJob(call.job, rulesInForce(state, call), call.spec, state.now);
-    if (refuse(context, id, job)) {
+    if (!state.orphans.contains(job.id) && refuse(context, id, job, call.bestEffort)) {
         return;
     }
     job.waitingForAcceptance.push_back(id);
+    if (call.bestEffort) {
+        begin(context, std::move(job), call.patienceMs);
+        return;
+    }
     state.recorder.add({PutJob{job.id, encodeRecord(recordOf(job))}, {}});
     state.jobs.emplace(job.id, std::move(job));
 }
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -78,6 +78,8 @@
     unblockSteps(context, job);
 }
 
+} // namespace
+
 void jobFinished(Context &context, Job &job, JobState state)
 {
     OwnerState &owner = context.state;
@@ -85,8 +87,9 @@
     for (const CallId call : job.waitingForCancel) {
         context.effects.push_back(Reply{call, {.kind = CallAnswer::Kind::Accepted}});
     }
+    const CallAnswer::Kind kind = job.bestEffort ? CallAnswer::Kind::State : CallAnswer::Kind::Accepted;
     for (const CallId call : job.waitingForAcceptance) {
-        context.effects.push_back(Reply{call, {.kind = CallAnswer::Kind::Accepted}});
+        context.effects.push_back(Reply{call, {.kind = kind, .state = state}});
     }
     const auto tookMs = std::chrono::duration_cast<std::chrono::milliseconds>(owner.now - job.arrivedAt).count();
     decide(context,
@@ -95,12 +98,18 @@
             {"state", state == JobState::Completed ? "completed" : state == JobState::Failed ? "failed" : "cancelled"},
             {"queue", job.rules.name},
             {"ms", std::to_string(tookMs)}});
-    owner.finished[job.id] = state;
+    if (job.bestEffort) {
+        owner.recentBestEffort[job.id] = state;
+        owner.recentOrder.emplace_back(owner.now, job.id);
+    } else {
+        owner.finished[job.id] = state;
+    }
+    if (job.expiresAt) {
+        owner.expiring.erase({*job.expiresAt, job.id});
+    }
     owner.jobs.erase(job.id);
 }
 
-} // namespace
-
 Job makeJob(JobId id, QueueRules rules, JobSpec spec, Base::MonoTime arrivedAt)
 {
     Job job;
@@ -224,7 +233,6 @@
     dropProgress(context.state, job);
     settles.insert(settles.end(), job.unrecorded.begin(), job.unrecorded.end());
     job.unrecorded.clear();
-    context.state.recorder.add({FinishJob{job.id, state}, std::move(settles)});
     for (std::uint32_t flat = 0; flat < job.tasks.size(); ++flat) {
         Task &task = job.tasks[flat];
         if (task.phase == Task::Phase::Uncertain) {
@@ -235,6 +243,28 @@
             orderStop(context.state.agents[task.agent], {refOf(job, flat), task.run});
         }
     }
+    if (!job.bestEffort) {
+        context.state.recorder.add({FinishJob{job.id, state}, std::move(settles)});
+        return;
+    }
+    settleAll(context, settles);
+    jobFinished(context, job, state);
+}
+
+void expireJobs(Context &context)
+{
+    OwnerState &state = context.state;
+    while (!state.expiring.empty() && state.expiring.begin()->first <= state.now) {
+        Job *job = findJob(state, state.expiring.begin()->second);
+        state.expiring.erase(state.expiring.begin());
+        if (job != nullptr) {
+            finishJob(context, *job, JobState::Cancelled, {});
+        }
+    }
+    while (!state.recentOrder.empty() && state.now - state.recentOrder.front().first > bestEffortKept) {
+        state.recentBestEffort.erase(state.recentOrder.front().second);
+        state.recentOrder.pop_front();
+    }
 }
 
 void recordProgress(Context &context, Job &job, Base::MonoTime due)
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -24,8 +24,9 @@
 void addToOrders(Agent &agent, const Job &job, const RunRef &run)
 {
     auto &starts = agent.outbox.starts;
-    if (starts.empty() || starts.back().runs.front().task.job != job.id) {
-        starts.push_back({{}, job.spec.payload});
+    const bool sameStep = !starts.empty() && starts.back().runs.front().task.job == job.id && starts.back().runs.front().task.step == run.task.step;
+    if (!sameStep) {
+        starts.push_back({{}, job.spec.steps[run.task.step].need, job.spec.payload});
     }
     starts.back().runs.push_back(run);
 }
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -7,6 +7,7 @@
 #include "base/types.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -46,7 +47,8 @@
     QueueRules rules;
     JobSpec spec;
     JobState state = JobState::Queued; ///< as callers may see it
-    bool stored = false;
+    bool bestEffort = false; ///< never stored
+    bool stored = false; ///< its tasks may start
     bool finishing = false; ///< its final state is being recorded
     bool cancelRequested = false; ///< before it was stored
     std::vector<Task> tasks; ///< of all steps, in order
@@ -60,10 +62,17 @@
     bool inQueue = false;
     std::optional<Base::MonoTime> progressDue; ///< when its progress is to be recorded
     std::vector<Settlement> unrecorded; ///< ends that the next progress record settles
-    std::vector<CallId> waitingForAcceptance;
+    std::optional<Base::MonoTime> expiresAt; ///< when the caller of a best-effort job stops waiting
+    std::vector<CallId> waitingForAcceptance; ///< of a best-effort job: for its end
     std::vector<CallId> waitingForCancel;
 };
 
+/// A run that a former owner started for a job that has not been submitted to this one yet.
+struct Orphan {
+    AgentIndex agent = noAgent;
+    RunRef run;
+};
+
 /// All that the owner of the jobs knows.
 struct OwnerState {
     std::uint64_t epoch = 0;
@@ -73,12 +82,16 @@
     Recorder recorder;
     std::unordered_map<JobId, Job> jobs; ///< not final, or not recorded as final
     std::unordered_map<JobId, JobState> finished;
+    std::unordered_map<JobId, JobState> recentBestEffort; ///< answers that may have been lost on their way
+    std::deque<std::pair<Base::MonoTime, JobId>> recentOrder; ///< of recentBestEffort, oldest first
+    std::set<std::pair<Base::MonoTime, JobId>> expiring; ///< best-effort jobs by the end of their callers' patience
+    std::unordered_map<JobId, std::vector<Orphan>> orphans; ///< runs of jobs that are not known yet
+    Base::MonoTime orphansUntil{}; ///< they are stopped then, or when their job does not want them
     std::set<std::pair<Base::MonoTime, JobId>> ready; ///< jobs with ready tasks, by the end of their objective
     std::set<std::pair<Base::MonoTime, JobId>> progressDue; ///< jobs whose progress is to be recorded
     std::vector<Agent> agents;
     std::unordered_map<std::string, AgentIndex> agentByName;
     std::set<std::string> awaitedAgents; ///< may run tasks that a former owner started
-    bool awaitingAll = false; ///< it is not known which agents those are
     std::size_t uncertainTasks = 0;
     Base::MonoTime certainAt{}; ///< by then nothing runs that was started by a former owner and not reported
     KindSpeeds kindSpeeds;
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -41,6 +41,12 @@
 void recordProgress(Context &context, Job &job, Base::MonoTime due);
 void flushProgress(Context &context);
 
+/// Drops best-effort jobs whose callers have stopped waiting.
+void expireJobs(Context &context);
+
+/// Answers the callers of a job that has ended and forgets it.
+void jobFinished(Context &context, Job &job, JobState state);
+
 /// Handles changes that the store holds now.
 void recorded(Context &context, const std::vector<Change> &changes);
 
@@ -54,6 +60,19 @@
 void handleUnlinked(Context &context, const std::string &name);
 void orderStop(Agent &agent, const RunRef &run);
 
+/// Whether the runs of former owners are all known or ended.
+bool isCertain(const OwnerState &state);
+
+/// Makes the runs that a former owner started for the job its own.
+void adoptOrphans(Context &context, Job &job);
+
+/// Stops the runs whose jobs nobody has submitted again.
+void expireOrphans(Context &context);
+
+/// Sees to it that all agents that may run tasks are recorded.
+void recordAgents(Context &context);
+void noteRecordedAgents(Context &context);
+
 /// Gives up the runs of an agent whose authority has ended.
 void expireAgents(Context &context);
 
--- a/src/libs/jobs/recorder.cpp
+++ b/src/libs/jobs/recorder.cpp
@@ -23,7 +23,20 @@
 
 } // namespace
 
-Recorder::Recorder(OwnerRecord owner, std::int64_t revision) : owner_(std::move(owner)), revision_(revision) { }
+Recorder::Recorder(OwnerRecord owner, std::int64_t revision)
+    : owner_(std::move(owner)), agents_(owner_.agents), recordedAgents_(owner_.agents), revision_(revision)
+{
+}
+
+void Recorder::setAgents(std::vector<std::string> agents)
+{
+    agents_ = std::move(agents);
+}
+
+bool Recorder::agentsDue() const
+{
+    return agents_ != recordedAgents_;
+}
 
 void Recorder::add(Change change)
 {
@@ -36,7 +49,7 @@
         return std::nullopt;
     }
     if (!commit_) {
-        if (queued_.empty()) {
+        if (queued_.empty() && !agentsDue()) {
             return std::nullopt;
         }
         fillCommit(wall);
@@ -52,6 +65,7 @@
     Commit commit;
     commit.expectedOwnerRevision = revision_;
     ++owner_.sequence;
+    owner_.agents = agents_;
     commit.writes.push_back({std::string(ownerKey), encodeRecord(owner_)});
     commit_ = std::move(commit);
     removeOldSegments(wall);
@@ -122,6 +136,7 @@
     // A conflict with this commit's own record means that an earlier try was carried out.
     revision_ = done != nullptr ? done->revision : conflict->revision;
     backoff_ = Base::Duration::zero();
+    recordedAgents_ = owner_.agents;
     commit_.reset();
     recorded_ = std::exchange(inFlight_, {});
     return Verdict::Recorded;
@@ -134,7 +149,7 @@
 
 std::optional<Base::MonoTime> Recorder::nextDue() const
 {
-    if (sent_ || (!commit_ && queued_.empty())) {
+    if (sent_ || (!commit_ && queued_.empty() && !agentsDue())) {
         return std::nullopt;
     }
     return notBefore_;
--- a/src/libs/jobs/recorder.h
+++ b/src/libs/jobs/recorder.h
@@ -89,6 +89,15 @@
 
     void add(Change change);
 
+    /// The agents that the next commits record.
+    void setAgents(std::vector<std::string> agents);
+
+    /// The agents that the store is known to hold.
+    const std::vector<std::string> &recordedAgents() const
+    {
+        return recordedAgents_;
+    }
+
     /// The next commit, if one is due. Its outcome must be reported to finish() before the next call.
     std::optional<Commit> next(Base::MonoTime now, Base::WallTime wall);
 
@@ -132,7 +141,11 @@
     void addFinished(const FinishJob &finish, Base::WallTime wall);
     void removeOldSegments(Base::WallTime wall);
 
+    bool agentsDue() const;
+
     OwnerRecord owner_;
+    std::vector<std::string> agents_;
+    std::vector<std::string> recordedAgents_;
     std::int64_t revision_ = 0;
     std::deque<Change> queued_;
     std::vector<Change> inFlight_;
--- a/src/libs/jobs/records.h
+++ b/src/libs/jobs/records.h
@@ -17,13 +17,14 @@
     std::uint64_t sequence = 0; ///< of the commit that wrote it
     std::string owner; ///< name of the entry; empty after a graceful stop
     std::uint64_t incarnation = 0;
+    std::vector<std::string> agents; ///< whose workers may run tasks; an agent is recorded before it gets its first task
 
     bool operator==(const OwnerRecord &) const = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(epoch, sequence, owner, incarnation);
+        archive(epoch, sequence, owner, incarnation, agents);
     }
 };
 
--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -143,7 +143,7 @@
                 Internal::reportRefusal(state, run, sameWorker ? Jobs::RunRefusal::Reason::Stale : Jobs::RunRefusal::Reason::NoWorker);
                 continue;
             }
-            Internal::startRun(context, run, start.payload);
+            Internal::startRun(context, run, start);
         }
     }
     if (!sameWorker) {
@@ -232,7 +232,7 @@
     report.worker = reportedWorker(state);
     report.workerGone = !state.worker;
     for (const auto &[run, local] : state.runs) {
-        report.running.push_back(run);
+        report.running.push_back({run, local.need});
     }
     for (const auto &[number, end] : state.ends) {
         report.ends.push_back(end);
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -119,7 +119,7 @@
     state.leaseEndsAt = std::max(state.leaseEndsAt, state.now + lease + Jobs::leaseSlack);
 }
 
-void startRun(Context &context, const RunRef &run, const std::string &payload)
+void startRun(Context &context, const RunRef &run, const Jobs::StartOrder &order)
 {
     AgentState &state = context.state;
     if (state.runs.contains(run)) {
@@ -130,9 +130,9 @@
         reportRefusal(state, run, !state.worker ? RunRefusal::Reason::NoWorker : RunRefusal::Reason::Stale);
         return;
     }
-    state.runs.emplace(run, LocalRun{});
+    state.runs[run].need = order.need;
     noteRenewal(state);
-    context.effects.push_back(CallStart{run, payload, *until, state.epoch, state.worker->id, state.worker->bornMs});
+    context.effects.push_back(CallStart{run, order.payload, *until, state.epoch, state.worker->id, state.worker->bornMs});
 }
 
 void stopRun(Context &context, const RunRef &run)
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -27,6 +27,7 @@
     };
 
     Phase phase = Phase::Starting;
+    Jobs::Resources need; ///< 0 if not known
     bool stopping = false; ///< a stop call is in progress or done
     Base::MonoTime startedAt{};
     int percent = -1; ///< of its work that is done; -1 if not known
--- a/src/libs/taskagent/agentsteps.h
+++ b/src/libs/taskagent/agentsteps.h
@@ -22,7 +22,7 @@
 void noteClock(AgentState &state, const std::optional<std::chrono::milliseconds> &workerClock);
 void noteRenewal(AgentState &state);
 
-void startRun(Context &context, const Jobs::RunRef &run, const std::string &payload);
+void startRun(Context &context, const Jobs::RunRef &run, const Jobs::StartOrder &order);
 void stopRun(Context &context, const Jobs::RunRef &run);
 void reportRefusal(AgentState &state, const Jobs::RunRef &run, Jobs::RunRefusal::Reason reason);
 void reportEnd(AgentState &state, const Jobs::RunEnd &end);
