--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -167,11 +167,10 @@
     log_.writeAlways("process.stopping", {});
     callers_.closeConnectionsAfterAnswers();
     feedOwnership(EntryNode::LeaveRequested{});
-    if (owner_) {
-        resigning_ = true;
-        updateRoute();
-        resign();
+    if (ownership_.lease != 0) {
+        callStore(Platform::endLeaseRequest(store_, ownership_.lease), std::nullopt, [](const HttpIo::ClientResponse & /*response*/) { });
     }
+    resign();
     finishWhenIdle();
 }
 
@@ -181,15 +180,29 @@
     if (!owner_) {
         return;
     }
+    const Base::MonoTime now = Base::monoNow();
+    if (!EntryNode::hasSuccessor(ownership_) && now < stopBy_ - resignLimit) {
+        loop_.callAfter(drainCheck, [this] { resign(); });
+        return;
+    }
+    if (!resigning_) {
+        resigning_ = true;
+        resignBy_ = now + resignLimit;
+        updateRoute();
+    }
     const bool recorded = owner_->recorder.waiting() == 0 && !owner_->commitInProgress;
-    if (!recorded && Base::monoNow() < stopBy_ - drainMost + resignLimit) {
+    if (!recorded && now < resignBy_) {
         loop_.callAfter(std::chrono::milliseconds(5), [this] { resign(); });
         return;
     }
     Jobs::OwnerRecord record = owner_->recorder.owner();
     const EntryNode::Claim vacate{owner_->recorder.revision(), {record.epoch, record.sequence + 1, {}, 0, record.agents}};
-    callStore(Platform::claimRequest(store_, vacate), std::nullopt, [](const HttpIo::ClientResponse & /*response*/) { });
-    stepDown("stopping");
+    callStore(Platform::claimRequest(store_, vacate), std::nullopt, [this, epoch = record.epoch](const HttpIo::ClientResponse & /*response*/) {
+        stepDown("stopping");
+        for (const auto &[name, link] : peerLinks_) {
+            links_.send(link, Jobs::encodeMessage(Jobs::EntryBeat{epoch, true, true}));
+        }
+    });
 }
 
 void EntryProcess::finishWhenIdle()
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -149,6 +149,7 @@
     bool timerArmed_ = false;
     bool stopping_ = false;
     bool resigning_ = false;
+    Base::MonoTime resignBy_{};
     Base::MonoTime stopAt_{};
     Base::MonoTime stopBy_{};
 };
--- a/src/libs/entrynode/ownership.cpp
+++ b/src/libs/entrynode/ownership.cpp
@@ -298,6 +298,10 @@
     Peer &peer = state.peers[event.name];
     peer.beatAt = state.now;
     peer.beat = event.beat;
+    if (event.beat.resigned) {
+        state.readNotBefore = state.now;
+        return;
+    }
     const bool fromOwner = state.owner && state.owner->owner == event.name;
     if (event.beat.ownedEpoch == 0 || (state.owner && event.beat.ownedEpoch < state.owner->epoch)) {
         return;
@@ -369,7 +373,7 @@
         return;
     }
     state.beatNotBefore = state.now + beatInterval;
-    const Jobs::EntryBeat beat{state.claim.epoch, storeReachable(state)};
+    const Jobs::EntryBeat beat{state.claim.epoch, storeReachable(state), false};
     for (const auto &[name, peer] : state.peers) {
         if (peer.linked) {
             context.effects.push_back(SendBeat{name, beat});
@@ -433,6 +437,11 @@
     return due;
 }
 
+bool hasSuccessor(const OwnershipState &state)
+{
+    return std::any_of(state.peers.begin(), state.peers.end(), [](const auto &entry) { return entry.second.present && entry.second.linked; });
+}
+
 bool storeReachable(const OwnershipState &state)
 {
     return state.storeAnsweredAt != Base::MonoTime{} && state.now - state.storeAnsweredAt < storeFreshLimit;
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -245,6 +245,9 @@
 /// When ClusterTime is needed next.
 std::optional<Base::MonoTime> nextDue(const OwnershipState &state);
 
+/// Whether another entry could take the jobs over.
+bool hasSuccessor(const OwnershipState &state);
+
 /// Whether the store has answered this entry lately.
 bool storeReachable(const OwnershipState &state);
 
--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -165,11 +165,12 @@
 struct EntryBeat {
     std::uint64_t ownedEpoch = 0; ///< the epoch that the sender owns the jobs with; 0 if it does not
     bool storeReachable = false; ///< the store has answered the sender lately
+    bool resigned = false; ///< the sender has just given the jobs up
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(ownedEpoch, storeReachable);
+        archive(ownedEpoch, storeReachable, resigned);
     }
 };
 
