Keep starts that are on their way out of the comparison with an agent's full report

Orders are now numbered, and only starts that the report takes into account can be missing from it. The lists must also be read under the new fence.

--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -40,9 +40,9 @@
         && agent.used.gpus + need.gpus <= capacity.gpus;
 }
 
-void addRun(Agent &agent, const RunRef &run, const Resources &need)
+void addRun(Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders)
 {
-    if (!agent.runs.emplace(run, ActiveRun{need, false}).second) {
+    if (!agent.runs.emplace(run, ActiveRun{need, orders, false}).second) {
         return;
     }
     agent.used.cpuMilli += need.cpuMilli;
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -17,6 +17,7 @@
 /// A run that is, or may be, on a worker.
 struct ActiveRun {
     Resources need;
+    std::uint64_t orders = 0; ///< number of the orders with its start; 0 if the agent listed it
     bool stopping = false;
 };
 
@@ -39,6 +40,7 @@
     bool reported = false; ///< a full report has come under this owner's epoch and on the present link
     std::int64_t token = 0;
     Base::MonoTime tokenAt{}; ///< when the youngest token arrived
+    std::uint64_t ordersSent = 0; ///< number of the last orders
     Base::MonoTime ordersAt{}; ///< when orders were sent last
     std::optional<WorkerInfo> worker;
     Resources used; ///< by runs
@@ -60,7 +62,8 @@
 
 bool fits(const Agent &agent, const Resources &need);
 
-void addRun(Agent &agent, const RunRef &run, const Resources &need);
+/// orders: number of the orders with the start; 0 for a run that the agent listed.
+void addRun(Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders);
 
 /// Returns whether the run was known.
 bool removeRun(Agent &agent, const RunRef &run);
--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -101,6 +101,7 @@
 struct AgentReport {
     std::int64_t token = 0; ///< the agent's steady clock at the time of sending, in milliseconds
     std::uint64_t epoch = 0; ///< the highest owner's epoch that the agent has seen
+    std::uint64_t ordersSeen = 0; ///< number of the last orders that the report takes into account
     bool full = false; ///< running lists everything that may run, and all ends that are not acknowledged are sent again
     std::optional<WorkerInfo> worker; ///< sent when full or changed
     bool workerGone = false; ///< the worker has left or died; nothing of it runs any more
@@ -113,7 +114,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(token, epoch, full, worker, workerGone, endsAcknowledged, running, ends, refusals, stalled);
+        archive(token, epoch, ordersSeen, full, worker, workerGone, endsAcknowledged, running, ends, refusals, stalled);
     }
 };
 
@@ -135,6 +136,7 @@
 /// What the owner tells an agent.
 struct OwnerOrders {
     std::uint64_t epoch = 0; ///< the fence; agents and workers obey the highest that they have seen
+    std::uint64_t number = 0; ///< counts the orders to the agent under this epoch
     std::int64_t echo = 0; ///< the youngest token of the agent that the owner has received
     std::int64_t workerBornMs = 0; ///< the incarnation that starts, stops and endsRecorded are meant for
     std::vector<StartOrder> starts;
@@ -145,7 +147,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(epoch, echo, workerBornMs, starts, stops, endsRecorded, entries);
+        archive(epoch, number, echo, workerBornMs, starts, stops, endsRecorded, entries);
     }
 };
 
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -115,6 +115,7 @@
         }
         OwnerOrders orders = std::exchange(agent.outbox, {});
         orders.epoch = context.state.epoch;
+        orders.number = ++agent.ordersSent;
         orders.echo = agent.token;
         orders.workerBornMs = agent.worker ? agent.worker->bornMs : 0;
         orders.endsRecorded = agent.endsRecorded;
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -276,7 +276,7 @@
     if (agent.runs.contains(run)) {
         return;
     }
-    addRun(agent, run, possible.need);
+    addRun(agent, run, possible.need, 0);
     Job *job = findJob(state, run.task.job);
     if (job == nullptr && state.now < state.orphansUntil && !state.finished.contains(run.task.job)) {
         state.orphans[run.task.job].push_back({index, run});
@@ -300,7 +300,8 @@
     }
     std::vector<RunRef> missing;
     for (const auto &[run, active] : context.state.agents[index].runs) {
-        if (!listed.contains(run)) {
+        // A start that is on its way to the agent is not missing.
+        if (!listed.contains(run) && active.orders <= report.ordersSeen) {
             missing.push_back(run);
         }
     }
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -42,7 +42,7 @@
     task.run = static_cast<std::uint32_t>((state.epoch - 1) * runsPerEpoch) + task.starts;
     --job.readyTasks;
     const RunRef run{refOf(job, flat), task.run};
-    addRun(agent, run, stepOf(job, flat).need);
+    addRun(agent, run, stepOf(job, flat).need, agent.ordersSent + 1);
     addToOrders(agent, job, run);
     if (job.state == JobState::Queued) {
         auto &count = state.unstarted[job.rules.name];
--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -122,6 +122,9 @@
     if (event.orders.epoch > state.epoch) {
         // The lists must be read again under the new fence, which also keeps late orders of the former owner out.
         state.listed = false;
+        state.holdBeforeEpoch = state.holdNumber;
+        // A hold in progress waits for an end; it must not hold up the new one.
+        state.holdInProgress = false;
     }
     state.epoch = event.orders.epoch;
     state.leader = event.entry;
@@ -169,6 +172,7 @@
     if (event.orders.epoch > state.epoch || event.entry != state.leader) {
         followOwner(context, event);
     }
+    state.ordersSeen = event.orders.number;
     state.echo = std::max(state.echo, event.orders.echo);
     if (!event.orders.entries.empty()) {
         context.effects.push_back(LearnEntries{event.orders.entries});
@@ -257,6 +261,7 @@
     state.outboxUsed = false;
     state.fullReportDue = state.fullReportDue && !fullDue;
     report.epoch = state.epoch;
+    report.ordersSeen = state.ordersSeen;
     report.endsAcknowledged = state.endsRecorded;
     report.token = std::chrono::duration_cast<std::chrono::milliseconds>(state.now).count();
     state.reportedAt = state.now;
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -215,7 +215,11 @@
 void handleHoldAnswer(Context &context, const HoldAnswered &event)
 {
     AgentState &state = context.state;
-    state.holdInProgress = false;
+    const bool outdated = event.number != state.holdNumber;
+    state.holdInProgress = state.holdInProgress && outdated;
+    if (!event.answered && outdated) {
+        return;
+    }
     if (!event.answered) {
         state.holdNotBefore = state.now + (state.worker ? holdRetry : holdRetryWithoutWorker);
         state.endsForgotten = 0;
@@ -244,7 +248,7 @@
         noteEnd(state, end);
     }
     dropUnlisted(context, event);
-    state.listed = true;
+    state.listed = state.listed || event.number > state.holdBeforeEpoch;
 }
 
 void loseRuns(Context &context, const std::string &reason)
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -49,7 +49,8 @@
     bool listed = false; ///< the worker's lists were read under the present epoch
     bool holdInProgress = false;
     Base::MonoTime holdNotBefore{};
-    std::uint64_t holdNumber = 0; ///< counts holds, to tell which lists are younger than a stop
+    std::uint64_t holdNumber = 0; ///< counts holds, to tell which lists are younger than a stop or an epoch
+    std::uint64_t holdBeforeEpoch = 0; ///< holds up to this number carried a lower fence
     std::unordered_map<Jobs::RunRef, std::uint64_t, Jobs::RunRefHash> barredAtHold;
     std::map<Jobs::RunRef, Base::MonoTime> stopRetries;
 
@@ -61,6 +62,7 @@
     // The owner.
     std::uint64_t epoch = 0;
     std::string leader; ///< the entry that owns the jobs, by the name of its link; empty if there is none
+    std::uint64_t ordersSeen = 0; ///< number of the leader's last orders
     std::int64_t echo = 0; ///< youngest own token that the owner has echoed
     bool fullReportDue = false;
     bool leaving = false;
