--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -65,6 +65,10 @@
         patience = std::chrono::milliseconds(*request.deadlineMs);
     }
     auto &call = std::get<Jobs::Call>(decoded);
+    if (auto *submit = std::get_if<Jobs::SubmitCall>(&call); submit != nullptr && stopping_ && !endsBeforeStop(*submit)) {
+        callers_.answer(request.id, {503, {}, 1});
+        return;
+    }
     if (auto *submit = std::get_if<Jobs::SubmitCall>(&call); submit != nullptr && patience) {
         submit->patienceMs = static_cast<std::uint32_t>(*request.deadlineMs);
     }
@@ -78,6 +82,13 @@
     ready_.answer(request.id, {ready ? 200 : 503, {}, {}});
 }
 
+/// Whether a best-effort job would be answered before this process ends.
+bool EntryProcess::endsBeforeStop(const Jobs::SubmitCall &submit) const
+{
+    const std::uint32_t expectedMs = submit.bestEffort ? Jobs::longestChainMs(submit.spec) : 0;
+    return Base::monoNow() + std::chrono::milliseconds(drainEstimateFactor * expectedMs) + drainReserve < stopBy_;
+}
+
 void EntryProcess::carryOut(EntryNode::RouterEffects effects)
 {
     for (EntryNode::RouterEffect &effect : effects) {
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -71,6 +71,7 @@
     void carryOut(EntryNode::HandleHere &call);
     void carryOut(EntryNode::SendToPeer &call);
     void carryOut(EntryNode::AnswerCaller &answer);
+    bool endsBeforeStop(const Jobs::SubmitCall &submit) const;
     void updateRoute();
 
     // Ownership.
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -98,15 +98,15 @@
     health.lastSampleAt = now;
 }
 
-void learnFailed(WorkerHealth &health, JobId job, Base::MonoTime now)
+void learnFailed(WorkerHealth &health, JobId job, std::uint32_t weight, Base::MonoTime now)
 {
     // The tasks of a job that can never succeed fail on sound workers too.
     if (health.failures > 0 && health.lastFailedJob == job) {
         return;
     }
     health.lastFailedJob = job;
-    ++health.failures;
-    if (health.failures < failuresToSuspend && !health.probing) {
+    health.failures += weight;
+    if (health.failures < suspendingWeight && !health.probing) {
         return;
     }
     health.suspension = health.suspension == Base::Duration::zero() ? Base::Duration(suspensionFirst) : std::min<Base::Duration>(health.suspension * 2, suspensionLast);
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -26,7 +26,7 @@
     double logSpeed = 0.0; ///< natural logarithm of the estimated over the actual run time, averaged
     std::uint32_t samples = 0;
     Base::MonoTime lastSampleAt{};
-    std::uint32_t failures = 0; ///< in succession, of different jobs
+    std::uint32_t failures = 0; ///< weight of those in succession, of different jobs
     JobId lastFailedJob = 0;
     Base::MonoTime suspendedUntil{};
     Base::Duration suspension{};
@@ -78,7 +78,7 @@
 void learnDone(WorkerHealth &health, std::uint32_t estimateMs, std::uint32_t ranMs, Base::MonoTime now);
 
 /// Learns from a run that failed or stalled; suspends the worker when failures of different jobs follow each other.
-void learnFailed(WorkerHealth &health, JobId job, Base::MonoTime now);
+void learnFailed(WorkerHealth &health, JobId job, std::uint32_t weight, Base::MonoTime now);
 
 /// Workers by kind of machine, for workers that have not ended a run yet.
 class KindSpeeds
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -46,7 +46,9 @@
 constexpr std::uint32_t defaultEstimateMs = 200; ///< of a task about which nothing is known
 
 // Worker health.
-constexpr std::uint32_t failuresToSuspend = 2; ///< successive failures, of different jobs, that suspend a worker
+constexpr std::uint32_t failureWeight = 2; ///< of a run that failed or stalled
+constexpr std::uint32_t noAnswerWeight = 1; ///< of a start that was not answered; single calls get lost on sound workers too
+constexpr std::uint32_t suspendingWeight = 4; ///< of successive failures of different jobs; suspends the worker
 constexpr Base::Duration suspensionFirst = 1s;
 constexpr Base::Duration suspensionLast = 8s;
 
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -69,7 +69,19 @@
     }
 }
 
-/// The task may start again elsewhere.
+/// The task's run has ended. It may start again, unless another run that a former owner started may still be somewhere.
+void releaseTask(Context &context, Job &job, Task &task)
+{
+    if (isCertain(context.state)) {
+        setReady(context, job, task);
+        requeue(context, job);
+        return;
+    }
+    task.phase = Task::Phase::Uncertain;
+    task.agent = noAgent;
+    ++context.state.uncertainTasks;
+}
+
 void taskLost(Context &context, const RunRef &run, AgentIndex agent)
 {
     Job *job = findJob(context.state, run.task.job);
@@ -80,8 +92,7 @@
     if (task == nullptr || task->phase != Task::Phase::Active) {
         return;
     }
-    setReady(context, *job, *task);
-    requeue(context, *job);
+    releaseTask(context, *job, *task);
 }
 
 /// Ends of best-effort jobs need not be recorded.
@@ -119,8 +130,7 @@
         finishJob(context, job, JobState::Failed, {settlement});
         return;
     }
-    setReady(context, job, task);
-    requeue(context, job);
+    releaseTask(context, job, task);
     noteUnrecorded(context, job, agent, settlement, context.state.now);
 }
 
@@ -137,7 +147,7 @@
         return;
     }
     const Base::MonoTime suspendedBefore = agent.health.suspendedUntil;
-    learnFailed(agent.health, job.id, context.state.now);
+    learnFailed(agent.health, job.id, failureWeight, context.state.now);
     if (agent.health.suspendedUntil != suspendedBefore) {
         decide(context, "worker.suspended", {{"agent", agent.name}, {"failures", std::to_string(agent.health.failures)}});
     }
@@ -173,8 +183,7 @@
     case EndKind::Broken:
         settleEnd(agent, end.number);
         if (task->phase == Task::Phase::Active) {
-            setReady(context, *job, *task);
-            requeue(context, *job);
+            releaseTask(context, *job, *task);
         }
         return;
     }
@@ -191,7 +200,7 @@
             task.avoid = index;
         }
         if (refusal.reason == RunRefusal::Reason::Unhealthy || refusal.reason == RunRefusal::Reason::NoAnswer) {
-            learnFailed(agent.health, job->id, context.state.now);
+            learnFailed(agent.health, job->id, noAnswerWeight, context.state.now);
         }
     }
     taskLost(context, refusal.run, index);
@@ -330,7 +339,7 @@
         return;
     }
     decide(context, "task.stalled", {{"run", runText(run)}, {"agent", agent.name}});
-    learnFailed(agent.health, run.task.job, context.state.now);
+    learnFailed(agent.health, run.task.job, failureWeight, context.state.now);
     Job *job = findJob(context.state, run.task.job);
     if (job != nullptr && hasTask(*job, run.task)) {
         job->tasks[flatIndex(*job, run.task)].avoid = index;
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -1,11 +1,12 @@
 #include "ownersteps.h"
 
 #include "jobsconstants.h"
+#include "owner.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace LaburnumFlow::Jobs::Internal {
+namespace LaburnumFlow::Jobs {
 
 namespace {
 
@@ -14,6 +15,8 @@
     return step.estimateMs == 0 ? defaultEstimateMs : step.estimateMs;
 }
 
+} // namespace
+
 std::uint32_t longestChainMs(const JobSpec &spec)
 {
     std::vector<std::uint32_t> endMs(spec.steps.size());
@@ -29,6 +32,10 @@
     return longest;
 }
 
+namespace Internal {
+
+namespace {
+
 void countStarted(OwnerState &state, Job &job)
 {
     if (job.state == JobState::Queued && job.stored) {
@@ -310,4 +317,6 @@
     }
 }
 
-} // namespace LaburnumFlow::Jobs::Internal
+} // namespace Internal
+
+} // namespace LaburnumFlow::Jobs
