End processes without waiting for log4cplus's thread pool, learn the owner from its beats

Cause 1: after main() the destructor of log4cplus' thread pool did not end, so every stopped process was killed at the end of the grace time and started 6 s late.

--- a/src/app/laburnumnode/main.cpp
+++ b/src/app/laburnumnode/main.cpp
@@ -76,8 +76,7 @@
         return EXIT_SUCCESS;
     }
     Runtime::logToStandardOutput();
-    if (std::holds_alternative<Settings::JobEntrySettings>(settings->role)) {
-        return Node::runEntry(*settings, arguments.settingsFile);
-    }
-    return Node::runAgent(*settings, arguments.settingsFile);
+    const bool isEntry = std::holds_alternative<Settings::JobEntrySettings>(settings->role);
+    const int status = isEntry ? Node::runEntry(*settings, arguments.settingsFile) : Node::runAgent(*settings, arguments.settingsFile);
+    std::quick_exit(status);
 }
--- a/src/libs/entrynode/ownership.cpp
+++ b/src/libs/entrynode/ownership.cpp
@@ -292,6 +292,23 @@
     peer.dialNotBefore = context.state.now + dialRetry;
 }
 
+/// An entry that the store turns away still learns of a new owner.
+void learnOwner(Context &context, const PeerBeat &event)
+{
+    OwnershipState &state = context.state;
+    state.readNotBefore = state.now;
+    if (state.mode == Mode::Owning || state.mode == Mode::Loading) {
+        context.effects.push_back(Deposed{event.beat.ownedEpoch});
+        return;
+    }
+    state.owner = Jobs::OwnerRecord{event.beat.ownedEpoch, 0, event.name, 0, {}};
+    state.ownerSeenAt = state.now;
+    state.cutOffSince = {};
+    // The revision that a claim needs is not known.
+    state.everRead = false;
+    context.effects.push_back(OwnerKnown{event.name});
+}
+
 void handle(Context &context, const PeerBeat &event)
 {
     OwnershipState &state = context.state;
@@ -307,7 +324,7 @@
         return;
     }
     if (!fromOwner || state.owner->epoch != event.beat.ownedEpoch) {
-        state.readNotBefore = state.now;
+        learnOwner(context, event);
         return;
     }
     state.ownerSeenAt = state.now;
