--- a/src/libs/entrynode/ownership.cpp
+++ b/src/libs/entrynode/ownership.cpp
@@ -67,7 +67,9 @@
     if (silence > ownerStuckLimit && state.now - state.ownerChangedAt > ownerStuckLimit) {
         return "silent";
     }
-    if (state.cutOffSince != Base::MonoTime{} && state.now - state.cutOffSince > ownerCutOffLimit) {
+    // The store must have answered since: it may be down for all.
+    const bool onlyOwnerCutOff = state.cutOffSince != Base::MonoTime{} && state.storeAnsweredAt > state.cutOffSince + ownerCutOffLimit / 2;
+    if (onlyOwnerCutOff && state.now - state.cutOffSince > ownerCutOffLimit) {
         return "cut-off";
     }
     return {};
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -14,6 +14,10 @@
 
 void handle(Context &context, const TimePassed &event)
 {
+    for (const Agent &agent : context.state.agents) {
+        const Base::MonoTime until = agent.health.suspendedUntil;
+        context.state.schedulingDue |= until > context.state.now && until <= event.now;
+    }
     context.state.now = event.now;
     context.state.wall = event.wall;
     Internal::expireAgents(context);
@@ -50,6 +54,7 @@
 void handle(Context &context, const AgentReported &event)
 {
     Internal::handleReport(context, event.agent, event.report);
+    Internal::resolveUncertain(context);
 }
 
 void handle(Context &context, const CommitEnded &event)
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -384,6 +384,7 @@
     }
     Agent &agent = agentNamed(state, name);
     const AgentIndex index = indexOf(state, agent);
+    state.schedulingDue |= state.now - agent.tokenAt > agentQuietLimit;
     agent.token = std::max(agent.token, report.token);
     agent.tokenAt = state.now;
     // What was sent before the agent had heard of this owner is sent again with the full report.
--- /dev/null
+++ b/tests/auto/entrynode/tst_callrouter.cpp
@@ -0,0 +1,111 @@
+#include "entrynode/callrouter.h"
+#include "entrynode/entrynodeconstants.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::EntryNode;
+using Kind = Jobs::CallAnswer::Kind;
+using namespace std::chrono_literals;
+
+namespace {
+
+Jobs::Call submit(Jobs::JobId job)
+{
+    Jobs::SubmitCall call;
+    call.job = job;
+    return call;
+}
+
+template<class Effect>
+const Effect *only(const RouterEffects &effects)
+{
+    return effects.size() == 1 ? std::get_if<Effect>(effects.data()) : nullptr;
+}
+
+} // namespace
+
+class TestCallRouter : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestCallRouter);
+    CPPUNIT_TEST(waitsForAnOwner);
+    CPPUNIT_TEST(refusedUnseenDidNotRun);
+    CPPUNIT_TEST(undecidedOncePassedOn);
+    CPPUNIT_TEST(passedOnAgainToTheNextOwner);
+    CPPUNIT_TEST(returnedCallIsRetried);
+    CPPUNIT_TEST(answersOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against refusals during the short time in which the owner changes.
+    void waitsForAnOwner()
+    {
+        CallRouter router;
+        CPPUNIT_ASSERT(router.accept(1, submit(7), 2s, 100s).empty());
+        const RouterEffects effects = router.route(PeerRoute{"entry-2"});
+        CPPUNIT_ASSERT(only<SendToPeer>(effects) != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::string("entry-2"), only<SendToPeer>(effects)->name);
+    }
+
+    /// Guards against callers who wait to the end for a job that no owner has seen.
+    void refusedUnseenDidNotRun()
+    {
+        CallRouter router;
+        router.accept(1, submit(7), 10s, 100s);
+        CPPUNIT_ASSERT(router.expire(100s + submitPatience - 1ms).empty());
+        const RouterEffects effects = router.expire(100s + submitPatience);
+        CPPUNIT_ASSERT(only<AnswerCaller>(effects) != nullptr);
+        CPPUNIT_ASSERT(only<AnswerCaller>(effects)->answer.kind == Kind::Unavailable);
+        CPPUNIT_ASSERT(only<AnswerCaller>(effects)->answer.retryAfterS > 0);
+    }
+
+    /// Guards against "not run" for a job that an owner may have started.
+    void undecidedOncePassedOn()
+    {
+        CallRouter router;
+        router.route(PeerRoute{"entry-2"});
+        router.accept(1, submit(7), 2s, 100s);
+        router.route(NoRoute{});
+        CPPUNIT_ASSERT(router.expire(100s + submitPatience).empty());
+        const RouterEffects effects = router.expire(102s);
+        CPPUNIT_ASSERT(only<AnswerCaller>(effects) != nullptr);
+        CPPUNIT_ASSERT(only<AnswerCaller>(effects)->answer.kind == Kind::Undecided);
+    }
+
+    /// Guards against calls that are lost with their owner.
+    void passedOnAgainToTheNextOwner()
+    {
+        CallRouter router;
+        router.route(PeerRoute{"entry-2"});
+        router.accept(1, submit(7), 2s, 100s);
+        CPPUNIT_ASSERT(router.route(NoRoute{}).empty());
+        const RouterEffects effects = router.route(LocalRoute{});
+        CPPUNIT_ASSERT(only<HandleHere>(effects) != nullptr);
+        CPPUNIT_ASSERT_EQUAL(CallNumber(1), only<HandleHere>(effects)->number);
+    }
+
+    /// Guards against a call that waits for a change of owner after its receiver did not take it.
+    void returnedCallIsRetried()
+    {
+        CallRouter router;
+        router.route(PeerRoute{"entry-2"});
+        router.accept(1, submit(7), 2s, 100s);
+        CPPUNIT_ASSERT(router.retry(1).empty());
+        router.returned(1);
+        CPPUNIT_ASSERT(only<SendToPeer>(router.retry(1)) != nullptr);
+    }
+
+    /// Guards against two answers to one request.
+    void answersOnce()
+    {
+        CallRouter router;
+        router.route(LocalRoute{});
+        router.accept(1, submit(7), 2s, 100s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), router.answered(1, {}).size());
+        CPPUNIT_ASSERT(router.answered(1, {}).empty());
+        CPPUNIT_ASSERT(router.expire(200s).empty());
+        CPPUNIT_ASSERT(!router.nextDue().has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestCallRouter);
--- /dev/null
+++ b/tests/auto/entrynode/tst_ownership.cpp
@@ -0,0 +1,312 @@
+#include "entrynode/entrynodeconstants.h"
+#include "entrynode/ownership.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::EntryNode;
+using Mode = OwnershipState::Mode;
+using namespace std::chrono_literals;
+
+namespace {
+
+Jobs::EntryRecord entryNamed(const std::string &name, std::uint64_t incarnation = 1)
+{
+    return {name, incarnation, {"10.0.0.1", 7000}, 25};
+}
+
+Jobs::OwnerRecord ownedBy(const std::string &name, std::uint64_t epoch, std::uint64_t incarnation = 1)
+{
+    return {epoch, 0, name, incarnation, {}};
+}
+
+class EntryHarness
+{
+public:
+    EntryHarness() : state(makeOwnership(entryNamed("entry-1"), 1s, now_)) { }
+
+    void pass(Base::Duration time)
+    {
+        now_ += time;
+        take(reduce(state, ClusterTime{now_}));
+    }
+
+    void feed(const OwnershipEvent &event)
+    {
+        pass(1ms);
+        take(reduce(state, event));
+    }
+
+    void read(std::optional<Jobs::OwnerRecord> owner, std::int64_t revision, std::vector<Jobs::EntryRecord> entries)
+    {
+        feed(ClusterRead{ClusterRead::Content{std::move(owner), revision, std::move(entries)}});
+    }
+
+    template<class Effect>
+    std::vector<Effect> all() const
+    {
+        std::vector<Effect> found;
+        for (const OwnershipEffect &effect : effects_) {
+            if (const auto *what = std::get_if<Effect>(&effect)) {
+                found.push_back(*what);
+            }
+        }
+        return found;
+    }
+
+    /// Follows entry-2, which is present and linked.
+    void followPeer()
+    {
+        read(ownedBy("entry-2", 3), 10, {entryNamed("entry-1"), entryNamed("entry-2")});
+        feed(PeerLinked{"entry-2"});
+        beat();
+    }
+
+    void beat(bool storeReachable = true)
+    {
+        feed(PeerBeat{"entry-2", {3, storeReachable, false}});
+    }
+
+    /// Claims the vacant jobs and owns them.
+    void own()
+    {
+        read(std::nullopt, 0, {});
+        feed(ClaimEnded{ClaimEnded::Outcome::Won, 5});
+        feed(JobsLoaded{true});
+    }
+
+private:
+    void take(OwnershipEffects effects)
+    {
+        effects_.insert(effects_.end(), effects.begin(), effects.end());
+    }
+
+    Base::MonoTime now_{100s};
+    OwnershipEffects effects_;
+
+public:
+    OwnershipState state;
+};
+
+} // namespace
+
+class TestOwnership : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestOwnership);
+    CPPUNIT_TEST(claimsWhatNobodyOwns);
+    CPPUNIT_TEST(lostClaimIsNotRepeatedUnread);
+    CPPUNIT_TEST(unknownClaimIsReadBack);
+    CPPUNIT_TEST(replacesAbsentOwner);
+    CPPUNIT_TEST(keepsOwnerThatBeats);
+    CPPUNIT_TEST(keepsPresentOwnerOfBrokenLink);
+    CPPUNIT_TEST(replacesOwnerWithoutStore);
+    CPPUNIT_TEST(claimsNothingWithoutStore);
+    CPPUNIT_TEST(replacesItsOwnFormerLife);
+    CPPUNIT_TEST(learnsOwnerFromBeat);
+    CPPUNIT_TEST(higherEpochDeposes);
+    CPPUNIT_TEST(takesOverAgentsOfTheFormerOwner);
+    CPPUNIT_TEST(renewsItsPresence);
+    CPPUNIT_TEST(vanishedPresenceIsWrittenAgain);
+    CPPUNIT_TEST(resignsOnlyWithSuccessor);
+    CPPUNIT_TEST(leavingEntryClaimsNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a fleet in which no entry begins.
+    void claimsWhatNobodyOwns()
+    {
+        EntryHarness entry;
+        entry.own();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<BeginOwning>().size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), entry.all<BeginOwning>()[0].record.epoch);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(5), entry.all<BeginOwning>()[0].revision);
+    }
+
+    /// Guards against a loop of claims with an outdated revision.
+    void lostClaimIsNotRepeatedUnread()
+    {
+        EntryHarness entry;
+        entry.read(std::nullopt, 0, {});
+        entry.feed(ClaimEnded{ClaimEnded::Outcome::Lost, 0});
+        entry.pass(10ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<Claim>().size());
+        entry.read(ownedBy("entry-2", 1), 4, {entryNamed("entry-2")});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<Claim>().size());
+    }
+
+    /// Guards against two owners, or none, after the answer to a claim was lost.
+    void unknownClaimIsReadBack()
+    {
+        EntryHarness entry;
+        entry.read(std::nullopt, 0, {});
+        entry.feed(ClaimEnded{ClaimEnded::Outcome::Unknown, 0});
+        CPPUNIT_ASSERT(entry.state.mode == Mode::Confirming);
+        entry.read(ownedBy("entry-1", 1), 6, {});
+        CPPUNIT_ASSERT(entry.state.mode == Mode::Loading);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(6), entry.state.ownerRevision);
+    }
+
+    /// Guards against jobs that nobody owns after a loss of power.
+    void replacesAbsentOwner()
+    {
+        EntryHarness entry;
+        entry.followPeer();
+        entry.pass(ownerQuietLimit + claimStagger);
+        entry.read(ownedBy("entry-2", 3), 10, {entryNamed("entry-1")});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<Claim>().size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), entry.all<Claim>()[0].record.epoch);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(10), entry.all<Claim>()[0].expectedRevision);
+    }
+
+    /// Guards against a change of owner because presence keys vanished for a moment.
+    void keepsOwnerThatBeats()
+    {
+        EntryHarness entry;
+        entry.followPeer();
+        for (int i = 0; i < 20; ++i) {
+            entry.pass(beatInterval);
+            entry.beat();
+            entry.read(ownedBy("entry-2", 3), 10, {});
+        }
+        CPPUNIT_ASSERT(entry.all<Claim>().empty());
+    }
+
+    /// Guards against two entries that depose each other in turn while only the link between them is cut.
+    void keepsPresentOwnerOfBrokenLink()
+    {
+        EntryHarness entry;
+        entry.followPeer();
+        entry.feed(PeerUnlinked{"entry-2"});
+        std::int64_t revision = 10;
+        for (int i = 0; i < 20; ++i) {
+            entry.pass(clusterReadInterval);
+            entry.read(ownedBy("entry-2", 3), ++revision, {entryNamed("entry-2")});
+        }
+        CPPUNIT_ASSERT(entry.all<Claim>().empty());
+    }
+
+    /// Guards against an owner that lives on but can record nothing, as the store turns it away.
+    void replacesOwnerWithoutStore()
+    {
+        EntryHarness entry;
+        entry.followPeer();
+        for (Base::Duration passed{}; passed <= ownerCutOffLimit + beatInterval; passed += beatInterval) {
+            entry.pass(beatInterval);
+            entry.beat(false);
+            entry.read(ownedBy("entry-2", 3), 10, {entryNamed("entry-2")});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<Claim>().size());
+    }
+
+    /// Guards against claims while the store is down for all, when the owner can go on with what it has.
+    void claimsNothingWithoutStore()
+    {
+        EntryHarness entry;
+        entry.followPeer();
+        for (int i = 0; i < 50; ++i) {
+            entry.pass(100ms);
+            entry.beat(false);
+            entry.feed(ClusterRead{});
+        }
+        CPPUNIT_ASSERT(entry.all<Claim>().empty());
+    }
+
+    /// Guards against a restarted owner that waits for its own former life.
+    void replacesItsOwnFormerLife()
+    {
+        EntryHarness entry;
+        entry.read(ownedBy("entry-1", 3, 99), 10, {entryNamed("entry-1", 99)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<Claim>().size());
+    }
+
+    /// Guards against an entry that refuses its callers because the store, which names the new owner, turns it away.
+    void learnsOwnerFromBeat()
+    {
+        EntryHarness entry;
+        entry.followPeer();
+        entry.feed(PeerBeat{"entry-3", {4, true, false}});
+        CPPUNIT_ASSERT_EQUAL(std::string("entry-3"), entry.all<OwnerKnown>().back().name);
+        entry.feed(ClusterRead{});
+        CPPUNIT_ASSERT(entry.all<Claim>().empty());
+    }
+
+    /// Guards against a former owner that does not learn of its successor while it has nothing to record.
+    void higherEpochDeposes()
+    {
+        EntryHarness entry;
+        entry.own();
+        entry.read(ownedBy("entry-2", 2), 20, {entryNamed("entry-2")});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<Deposed>().size());
+        EntryHarness other;
+        other.own();
+        other.feed(PeerBeat{"entry-2", {2, true, false}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), other.all<Deposed>().size());
+    }
+
+    /// Guards against a new owner that does not wait for the agents of the former one.
+    void takesOverAgentsOfTheFormerOwner()
+    {
+        EntryHarness entry;
+        Jobs::OwnerRecord vacant = ownedBy("", 3);
+        vacant.agents = {"agent-1", "agent-2"};
+        entry.read(vacant, 10, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.all<Claim>().at(0).record.agents.size());
+    }
+
+    /// Guards against an entry whose presence lapses although it lives.
+    void renewsItsPresence()
+    {
+        EntryHarness entry;
+        entry.pass(1ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<GrantLease>().size());
+        entry.feed(LeaseGranted{42});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<WritePresence>().size());
+        entry.feed(PresenceWritten{PresenceWritten::Outcome::Written});
+        entry.pass(presenceRenewal);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<KeepLease>().size());
+        entry.feed(LeaseKept{LeaseKept::Outcome::Gone});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.all<GrantLease>().size());
+    }
+
+    /// Guards against an entry that stays invisible after its key was taken away while its lease seems alive.
+    void vanishedPresenceIsWrittenAgain()
+    {
+        EntryHarness entry;
+        entry.pass(1ms);
+        entry.feed(LeaseGranted{42});
+        entry.feed(PresenceWritten{PresenceWritten::Outcome::Written});
+        entry.read(ownedBy("entry-2", 3), 10, {entryNamed("entry-2")});
+        entry.pass(presenceRenewal);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.all<GrantLease>().size());
+    }
+
+    /// Guards against jobs without an owner while all entries are restarted one after the other.
+    void resignsOnlyWithSuccessor()
+    {
+        EntryHarness entry;
+        entry.own();
+        CPPUNIT_ASSERT(!hasSuccessor(entry.state));
+        entry.read(ownedBy("entry-1", 1), 5, {entryNamed("entry-2")});
+        CPPUNIT_ASSERT(!hasSuccessor(entry.state));
+        entry.feed(PeerLinked{"entry-2"});
+        CPPUNIT_ASSERT(hasSuccessor(entry.state));
+        entry.read(ownedBy("entry-1", 1), 5, {});
+        CPPUNIT_ASSERT(!hasSuccessor(entry.state));
+    }
+
+    /// Guards against an entry that takes the jobs back while it stops.
+    void leavingEntryClaimsNothing()
+    {
+        EntryHarness entry;
+        entry.feed(LeaveRequested{});
+        entry.read(ownedBy("", 3), 10, {});
+        CPPUNIT_ASSERT(entry.all<Claim>().empty());
+        entry.feed(SteppedDown{});
+        entry.read(ownedBy("", 3), 10, {});
+        CPPUNIT_ASSERT(entry.all<Claim>().empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestOwnership);
--- /dev/null
+++ b/tests/auto/jobs/ownerharness.cpp
@@ -0,0 +1,160 @@
+#include "ownerharness.h"
+
+#include <utility>
+
+namespace LaburnumFlow::Jobs::Testing {
+
+namespace {
+
+constexpr std::int64_t bornMs = 1'700'000'000'000;
+
+} // namespace
+
+QueueRules rulesOf(const std::string &queue, std::uint32_t maxAttempts)
+{
+    return {queue, service, 0, maxAttempts, 1.6, 60};
+}
+
+SubmitCall submission(JobId id, std::uint32_t tasks, std::uint32_t estimateMs, std::uint32_t cpuMilli)
+{
+    SubmitCall call;
+    call.job = id;
+    call.rules = rulesOf("queue");
+    call.spec.payload = "payload";
+    call.spec.steps.push_back({tasks, {cpuMilli, 64, 0}, estimateMs, {}, {}, {}, 0});
+    return call;
+}
+
+SubmitCall bestEffort(JobId id, std::uint32_t tasks, std::uint32_t estimateMs, std::uint32_t cpuMilli)
+{
+    SubmitCall call = submission(id, tasks, estimateMs, cpuMilli);
+    call.bestEffort = true;
+    return call;
+}
+
+OwnerHarness::OwnerHarness(std::vector<std::string> recordedAgents, std::uint64_t epoch, std::vector<JobRecord> jobs)
+{
+    StoredJobs stored;
+    stored.owner = {epoch, 0, "entry-1", 1, std::move(recordedAgents)};
+    stored.ownerRevision = revision_;
+    stored.jobs = std::move(jobs);
+    state = takeOver(std::move(stored), now_, Base::WallTime(1'000'000));
+}
+
+void OwnerHarness::pass(Base::Duration time)
+{
+    now_ += time;
+    take(reduce(state, TimePassed{now_, Base::WallTime(1'000'000 + now_.count() / 1000)}));
+}
+
+void OwnerHarness::feed(const OwnerEvent &event)
+{
+    pass(std::chrono::milliseconds(1));
+    take(reduce(state, event));
+}
+
+void OwnerHarness::take(OwnerEffects effects)
+{
+    for (OwnerEffect &effect : effects) {
+        if (auto *reply = std::get_if<Reply>(&effect)) {
+            answers_.insert_or_assign(reply->id, reply->answer);
+        } else if (auto *orders = std::get_if<SendOrders>(&effect)) {
+            for (const StartOrder &start : orders->orders.starts) {
+                auto &starts = starts_[orders->agent];
+                starts.insert(starts.end(), start.runs.begin(), start.runs.end());
+            }
+            auto &stops = stops_[orders->agent];
+            stops.insert(stops.end(), orders->orders.stops.begin(), orders->orders.stops.end());
+            endsRecorded[orders->agent] = orders->orders.endsRecorded;
+            ordersSeen_[orders->agent] = orders->orders.number;
+        } else if (auto *commit = std::get_if<StartCommit>(&effect)) {
+            commits.push_back(std::move(commit->commit));
+            commitOpen_ = true;
+        } else if (auto *stepDown = std::get_if<StepDown>(&effect)) {
+            steppedDown = *stepDown;
+        }
+    }
+}
+
+void OwnerHarness::submit(CallId call, const SubmitCall &submission)
+{
+    feed(CallArrived{call, submission});
+}
+
+AgentReport OwnerHarness::report(const std::string &agent) const
+{
+    AgentReport report;
+    report.token = now_.count() / 1000;
+    report.epoch = state.epoch;
+    const auto seen = ordersSeen_.find(agent);
+    report.ordersSeen = seen == ordersSeen_.end() ? 0 : seen->second;
+    return report;
+}
+
+void OwnerHarness::join(const std::string &agent, std::uint32_t cpuMilli, std::vector<PossibleRun> running, std::vector<RunEnd> ends)
+{
+    feed(AgentLinked{agent});
+    AgentReport full = report(agent);
+    full.full = true;
+    full.worker = WorkerInfo{"worker-" + agent, bornMs, service, "domain-1", "a", "rack-1", {"a", "rack-1"}, {cpuMilli, 65'536, 0}, false};
+    full.running = std::move(running);
+    full.ends = std::move(ends);
+    for (const RunEnd &end : full.ends) {
+        lastEnd_[agent] = std::max(lastEnd_[agent], end.number);
+    }
+    feed(AgentReported{agent, std::move(full)});
+}
+
+void OwnerHarness::end(const std::string &agent, const RunRef &run, EndKind how, std::uint32_t ranMs)
+{
+    AgentReport ended = report(agent);
+    ended.ends.push_back({++lastEnd_[agent], run, how, ranMs});
+    feed(AgentReported{agent, std::move(ended)});
+}
+
+bool OwnerHarness::commit()
+{
+    if (!std::exchange(commitOpen_, false)) {
+        return false;
+    }
+    feed(CommitEnded{Committed{++revision_}});
+    return true;
+}
+
+void OwnerHarness::settle()
+{
+    constexpr int rounds = 50;
+    for (int i = 0; i < rounds; ++i) {
+        pass(std::chrono::milliseconds(20));
+        commit();
+    }
+}
+
+std::optional<CallAnswer> OwnerHarness::answerTo(CallId call) const
+{
+    const auto found = answers_.find(call);
+    return found == answers_.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::vector<RunRef> OwnerHarness::startsAt(const std::string &agent) const
+{
+    const auto found = starts_.find(agent);
+    return found == starts_.end() ? std::vector<RunRef>{} : found->second;
+}
+
+std::vector<RunRef> OwnerHarness::stopsAt(const std::string &agent) const
+{
+    const auto found = stops_.find(agent);
+    return found == stops_.end() ? std::vector<RunRef>{} : found->second;
+}
+
+std::size_t OwnerHarness::allStarts() const
+{
+    std::size_t count = 0;
+    for (const auto &[agent, starts] : starts_) {
+        count += starts.size();
+    }
+    return count;
+}
+
+} // namespace LaburnumFlow::Jobs::Testing
--- /dev/null
+++ b/tests/auto/jobs/ownerharness.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "jobs/jobsconstants.h"
+#include "jobs/owner.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Drives the owner's reducer with one step of time for each event and keeps its effects.
+namespace LaburnumFlow::Jobs::Testing {
+
+constexpr const char *service = "service";
+
+QueueRules rulesOf(const std::string &queue, std::uint32_t maxAttempts = 3);
+
+/// Equal tasks of one step.
+SubmitCall submission(JobId id, std::uint32_t tasks, std::uint32_t estimateMs = 100, std::uint32_t cpuMilli = 1000);
+SubmitCall bestEffort(JobId id, std::uint32_t tasks, std::uint32_t estimateMs = 100, std::uint32_t cpuMilli = 1000);
+
+class OwnerHarness
+{
+public:
+    /// An owner whose record names the agents.
+    explicit OwnerHarness(std::vector<std::string> recordedAgents, std::uint64_t epoch = 1, std::vector<JobRecord> jobs = {});
+
+    void pass(Base::Duration time);
+    void feed(const OwnerEvent &event);
+
+    void submit(CallId call, const SubmitCall &submission);
+
+    /// Links the agent and lets it report a worker and what it runs.
+    void join(const std::string &agent, std::uint32_t cpuMilli = 8000, std::vector<PossibleRun> running = {}, std::vector<RunEnd> ends = {});
+    AgentReport report(const std::string &agent) const;
+    void end(const std::string &agent, const RunRef &run, EndKind how, std::uint32_t ranMs = 100);
+
+    /// Answers the commit in progress, if there is one. Returns whether there was.
+    bool commit();
+
+    /// Lets time pass and answers commits until none is left.
+    void settle();
+
+    std::optional<CallAnswer> answerTo(CallId call) const;
+
+    /// All runs that were ordered to start on the agent.
+    std::vector<RunRef> startsAt(const std::string &agent) const;
+    std::vector<RunRef> stopsAt(const std::string &agent) const;
+    std::size_t allStarts() const;
+
+    OwnerState state;
+    std::vector<Commit> commits;
+    std::optional<StepDown> steppedDown;
+    std::map<std::string, std::uint64_t> endsRecorded; ///< as the agents were told
+
+private:
+    void take(OwnerEffects effects);
+
+    Base::MonoTime now_{std::chrono::seconds(100)};
+    std::map<CallId, CallAnswer> answers_;
+    std::map<std::string, std::vector<RunRef>> starts_;
+    std::map<std::string, std::vector<RunRef>> stops_;
+    std::map<std::string, std::uint64_t> lastEnd_;
+    std::map<std::string, std::uint64_t> ordersSeen_;
+    std::int64_t revision_ = 100;
+    bool commitOpen_ = false;
+};
+
+} // namespace LaburnumFlow::Jobs::Testing
--- /dev/null
+++ b/tests/auto/jobs/tst_load.cpp
@@ -0,0 +1,160 @@
+#include "jobs/admission.h"
+#include "ownerharness.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::Jobs;
+using namespace LaburnumFlow::Jobs::Testing;
+using namespace std::chrono_literals;
+
+class TestLoad : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestLoad);
+    CPPUNIT_TEST(shortJobsPassLongOnes);
+    CPPUNIT_TEST(refusesWhatWouldBeTooLate);
+    CPPUNIT_TEST(fasterWorkersFirst);
+    CPPUNIT_TEST(slowWorkerLosesWork);
+    CPPUNIT_TEST(slowWorkerComesBack);
+    CPPUNIT_TEST(failingWorkerIsSuspended);
+    CPPUNIT_TEST(hopelessJobSuspendsNobody);
+    CPPUNIT_TEST(unansweredStartsWeighLess);
+    CPPUNIT_TEST(suspendedWorkerIsProbed);
+    CPPUNIT_TEST(respectsRoom);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Pattern: short jobs arrive behind a queue of long ones. Guards against head-of-line blocking.
+    void shortJobsPassLongOnes()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", 1000);
+        owner.submit(1, bestEffort(1, 1, 800));
+        owner.submit(2, bestEffort(2, 1, 800));
+        owner.submit(3, bestEffort(3, 1, 50));
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Done, 800);
+        CPPUNIT_ASSERT_EQUAL(JobId(3), owner.startsAt("agent-1").at(1).task.job);
+    }
+
+    /// Pattern: demand beyond capacity for longer than callers can wait. Guards against answers that are of no use.
+    void refusesWhatWouldBeTooLate()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", 1000);
+        CallId call = 1;
+        constexpr CallId submissions = 60;
+        for (; call <= submissions; ++call) {
+            owner.submit(call, bestEffort(call, 1, 100));
+        }
+        const auto last = owner.answerTo(submissions);
+        CPPUNIT_ASSERT(last.has_value());
+        CPPUNIT_ASSERT(last->kind == CallAnswer::Kind::Overloaded);
+        CPPUNIT_ASSERT(last->retryAfterS > 0);
+        CPPUNIT_ASSERT(!owner.state.jobs.contains(submissions));
+    }
+
+    /// Pattern: workers of different speed, both idle. Guards against jobs that wait for their slowest task.
+    void fasterWorkersFirst()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.join("agent-1");
+        owner.join("agent-2");
+        owner.state.agents[0].health = {.logSpeed = -0.5, .samples = 20, .lastSampleAt = owner.state.now};
+        owner.state.agents[1].health = {.logSpeed = 0.5, .samples = 20, .lastSampleAt = owner.state.now};
+        owner.submit(1, bestEffort(1, 4));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), owner.startsAt("agent-2").size());
+    }
+
+    /// Pattern: a worker turns slow while its health is good. Guards against a queue that it attracts.
+    void slowWorkerLosesWork()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.join("agent-1");
+        owner.join("agent-2");
+        for (JobId job = 1; job <= 30; ++job) {
+            owner.submit(job, bestEffort(job, 2));
+            for (const std::string name : {"agent-1", "agent-2"}) {
+                const auto active = owner.state.agents[owner.state.agentByName[name]].runs;
+                for (const auto &[run, what] : active) {
+                    owner.end(name, run, EndKind::Done, name == "agent-1" ? 600 : 100);
+                }
+            }
+        }
+        CPPUNIT_ASSERT(owner.startsAt("agent-1").size() * 4 < owner.startsAt("agent-2").size());
+    }
+
+    /// Pattern: a slow worker recovers, but no run of it shows so. Guards against capacity that stays unused.
+    void slowWorkerComesBack()
+    {
+        Agent agent;
+        agent.worker = WorkerInfo{};
+        agent.health = {.logSpeed = -2.0, .samples = 50, .lastSampleAt = 10s};
+        const KindSpeeds kinds;
+        CPPUNIT_ASSERT(expectedSpeed(agent, kinds, 10s) < 0.2);
+        CPPUNIT_ASSERT(expectedSpeed(agent, kinds, 20s) > 0.9);
+    }
+
+    /// Pattern: a worker fails all that it starts. Guards against a worker that is always free because it fails at once.
+    void failingWorkerIsSuspended()
+    {
+        WorkerHealth health;
+        learnFailed(health, 1, failureWeight, 10s);
+        CPPUNIT_ASSERT(health.suspendedUntil == Base::MonoTime{});
+        learnFailed(health, 2, failureWeight, 10s);
+        CPPUNIT_ASSERT(health.suspendedUntil > Base::MonoTime(10s));
+    }
+
+    /// Pattern: jobs that can never succeed. Guards against sound workers that are suspended for them.
+    void hopelessJobSuspendsNobody()
+    {
+        WorkerHealth health;
+        for (int task = 0; task < 10; ++task) {
+            learnFailed(health, 1, failureWeight, 10s);
+        }
+        CPPUNIT_ASSERT(health.suspendedUntil == Base::MonoTime{});
+    }
+
+    /// Pattern: one call in twenty is not answered, on all workers. Guards against a fleet that suspends itself.
+    void unansweredStartsWeighLess()
+    {
+        WorkerHealth health;
+        for (JobId job = 1; job < suspendingWeight; ++job) {
+            learnFailed(health, job, noAnswerWeight, 10s);
+        }
+        CPPUNIT_ASSERT(health.suspendedUntil == Base::MonoTime{});
+        learnDone(health, 100, 100, 10s);
+        learnFailed(health, 9, noAnswerWeight, 10s);
+        CPPUNIT_ASSERT(health.suspendedUntil == Base::MonoTime{});
+    }
+
+    /// Pattern: a suspended worker returns. Guards against many tasks on a worker that still fails.
+    void suspendedWorkerIsProbed()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        learnFailed(owner.state.agents[0].health, 100, failureWeight, owner.state.now);
+        learnFailed(owner.state.agents[0].health, 101, failureWeight, owner.state.now);
+        owner.submit(1, bestEffort(1, 3, 5000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
+        owner.pass(suspensionFirst);
+        owner.feed(AgentReported{"agent-1", owner.report("agent-1")});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), owner.allStarts());
+    }
+
+    /// Pattern: jobs of many tasks on small workers. Guards against starts that the workers reject for want of room.
+    void respectsRoom()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.join("agent-1", 3000);
+        owner.join("agent-2", 2000);
+        owner.submit(1, bestEffort(1, 20, 1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), owner.startsAt("agent-1").size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.startsAt("agent-2").size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestLoad);
--- /dev/null
+++ b/tests/auto/jobs/tst_owner.cpp
@@ -0,0 +1,352 @@
+#include "ownerharness.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::Jobs;
+using namespace LaburnumFlow::Jobs::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+void check(CallAnswer::Kind expected, const std::optional<CallAnswer> &answer)
+{
+    CPPUNIT_ASSERT(answer.has_value());
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(expected), static_cast<int>(answer->kind));
+}
+
+void checkState(JobState expected, const std::optional<CallAnswer> &answer)
+{
+    check(CallAnswer::Kind::State, answer);
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(expected), static_cast<int>(answer->state));
+}
+
+} // namespace
+
+class TestOwner : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestOwner);
+    CPPUNIT_TEST(acceptsOnlyWhatIsStored);
+    CPPUNIT_TEST(startsNothingBeforeItIsStored);
+    CPPUNIT_TEST(completedOnlyOnceRecorded);
+    CPPUNIT_TEST(acknowledgesEndsOnceRecorded);
+    CPPUNIT_TEST(repeatedSubmissionIsOneJob);
+    CPPUNIT_TEST(failsAfterMaxAttempts);
+    CPPUNIT_TEST(retriesElsewhere);
+    CPPUNIT_TEST(waitsForEarlierSteps);
+    CPPUNIT_TEST(cancelStopsTasks);
+    CPPUNIT_TEST(refusesWhileTheStoreHangs);
+    CPPUNIT_TEST(bestEffortNeedsNoStore);
+    CPPUNIT_TEST(bestEffortRepeatedWhileRunning);
+    CPPUNIT_TEST(bestEffortAnswerIsKept);
+    CPPUNIT_TEST(dropsJobsOfImpatientCallers);
+    CPPUNIT_TEST(usesOnlyRecordedAgents);
+    CPPUNIT_TEST(silentAgentsTasksRestartAfterTheirLease);
+    CPPUNIT_TEST(startOnItsWayIsNotMissing);
+    CPPUNIT_TEST(lostStartIsOrderedAgain);
+    CPPUNIT_TEST(higherEpochEndsTheOwnership);
+    CPPUNIT_TEST(drainingWorkerGetsNothing);
+    CPPUNIT_TEST(countsUnstartedJobs);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a job that is accepted and lost with the owner's memory.
+    void acceptsOnlyWhatIsStored()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, submission(7, 2));
+        CPPUNIT_ASSERT(!owner.answerTo(1).has_value());
+        owner.commit();
+        check(CallAnswer::Kind::Accepted, owner.answerTo(1));
+    }
+
+    /// Guards against a task that runs although its job is refused in the end.
+    void startsNothingBeforeItIsStored()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, submission(7, 2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
+        owner.commit();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.allStarts());
+    }
+
+    /// Guards against a job that is shown as completed and runs again after a loss of all memory.
+    void completedOnlyOnceRecorded()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, submission(7, 1));
+        owner.settle();
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Done);
+        owner.pass(50ms);
+        owner.feed(CallArrived{2, QueryCall{7}});
+        checkState(JobState::Running, owner.answerTo(2));
+        owner.settle();
+        owner.feed(CallArrived{3, QueryCall{7}});
+        checkState(JobState::Completed, owner.answerTo(3));
+    }
+
+    /// Guards against an acknowledged end that the next owner does not know, so that the task runs a second time.
+    void acknowledgesEndsOnceRecorded()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, submission(7, 2));
+        owner.commit();
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Done);
+        owner.pass(ownerPing);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), owner.endsRecorded["agent-1"]);
+        owner.settle();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), owner.endsRecorded["agent-1"]);
+    }
+
+    /// Guards against a resubmitted job that runs twice.
+    void repeatedSubmissionIsOneJob()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, submission(7, 2));
+        owner.submit(2, submission(7, 2));
+        owner.settle();
+        owner.submit(3, submission(7, 2));
+        for (const RunRef &run : owner.startsAt("agent-1")) {
+            owner.end("agent-1", run, EndKind::Done);
+        }
+        owner.settle();
+        owner.submit(4, submission(7, 2));
+        owner.settle();
+        for (const CallId call : {1, 2, 3, 4}) {
+            check(CallAnswer::Kind::Accepted, owner.answerTo(call));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.allStarts());
+    }
+
+    /// Guards against more attempts than the queue allows.
+    void failsAfterMaxAttempts()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, submission(7, 1));
+        owner.settle();
+        constexpr std::size_t maxAttempts = 3;
+        for (std::size_t attempt = 0; attempt < maxAttempts; ++attempt) {
+            CPPUNIT_ASSERT_EQUAL(attempt + 1, owner.allStarts());
+            owner.end("agent-1", owner.startsAt("agent-1").at(attempt), EndKind::Failed);
+            owner.settle();
+        }
+        CPPUNIT_ASSERT_EQUAL(maxAttempts, owner.allStarts());
+        owner.feed(CallArrived{2, QueryCall{7}});
+        checkState(JobState::Failed, owner.answerTo(2));
+    }
+
+    /// Guards against a second failure on the same bad worker while others are free.
+    void retriesElsewhere()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.join("agent-1");
+        owner.join("agent-2");
+        owner.submit(1, bestEffort(7, 1));
+        const std::string first = owner.startsAt("agent-1").empty() ? "agent-2" : "agent-1";
+        const std::string other = first == "agent-1" ? "agent-2" : "agent-1";
+        owner.end(first, owner.startsAt(first).at(0), EndKind::Failed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.startsAt(other).size());
+    }
+
+    /// Guards against a step that starts before the steps that it waits for are done.
+    void waitsForEarlierSteps()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        SubmitCall call = bestEffort(7, 2);
+        call.spec.steps.push_back(call.spec.steps.front());
+        call.spec.steps.back().after = {0};
+        owner.submit(1, call);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.allStarts());
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.allStarts());
+        owner.end("agent-1", owner.startsAt("agent-1").at(1), EndKind::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), owner.allStarts());
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t(1), owner.startsAt("agent-1").at(2).task.step);
+    }
+
+    /// Guards against tasks that run on after their job was cancelled.
+    void cancelStopsTasks()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, submission(7, 2));
+        owner.settle();
+        owner.feed(CallArrived{2, CancelCall{7}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.stopsAt("agent-1").size());
+        CPPUNIT_ASSERT(!owner.answerTo(2).has_value());
+        owner.settle();
+        check(CallAnswer::Kind::Accepted, owner.answerTo(2));
+        for (const RunRef &run : owner.startsAt("agent-1")) {
+            owner.end("agent-1", run, EndKind::Stopped);
+        }
+        owner.settle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.allStarts());
+    }
+
+    /// Guards against callers that wait for a store which does not answer.
+    void refusesWhileTheStoreHangs()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, submission(7, 1));
+        owner.pass(storeSickAfter + 10ms);
+        owner.submit(2, submission(8, 1));
+        check(CallAnswer::Kind::Unavailable, owner.answerTo(2));
+        owner.submit(3, bestEffort(9, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+    }
+
+    /// Guards against calls to the store for jobs that need not be kept.
+    void bestEffortNeedsNoStore()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, bestEffort(7, 2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.allStarts());
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Done);
+        CPPUNIT_ASSERT(!owner.answerTo(1).has_value());
+        owner.end("agent-1", owner.startsAt("agent-1").at(1), EndKind::Done);
+        checkState(JobState::Completed, owner.answerTo(1));
+        CPPUNIT_ASSERT(owner.commits.empty());
+        owner.pass(ownerPing);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), owner.endsRecorded["agent-1"]);
+    }
+
+    /// Guards against two runs of a task at the same time when a caller sends its job again.
+    void bestEffortRepeatedWhileRunning()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, bestEffort(7, 1));
+        owner.submit(2, bestEffort(7, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Done);
+        checkState(JobState::Completed, owner.answerTo(1));
+        checkState(JobState::Completed, owner.answerTo(2));
+    }
+
+    /// Guards against work that is done again because its answer was lost on its way.
+    void bestEffortAnswerIsKept()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, bestEffort(7, 1));
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Done);
+        owner.submit(2, bestEffort(7, 1));
+        checkState(JobState::Completed, owner.answerTo(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+    }
+
+    /// Guards against workers that are busy for callers who have left.
+    void dropsJobsOfImpatientCallers()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        SubmitCall call = bestEffort(7, 2);
+        call.patienceMs = 500;
+        owner.submit(1, call);
+        owner.pass(510ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.stopsAt("agent-1").size());
+        CPPUNIT_ASSERT(owner.state.jobs.empty());
+    }
+
+    /// Guards against tasks on an agent that a successor would not wait for.
+    void usesOnlyRecordedAgents()
+    {
+        OwnerHarness owner({});
+        owner.join("agent-1");
+        owner.submit(1, bestEffort(7, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
+        CPPUNIT_ASSERT(owner.commit());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+    }
+
+    /// Guards against a second run of a task while the first may still hold its lease, and against waiting for ever.
+    void silentAgentsTasksRestartAfterTheirLease()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.join("agent-1");
+        owner.submit(1, bestEffort(7, 1));
+        owner.join("agent-2");
+        owner.feed(AgentUnlinked{"agent-1"});
+        owner.pass(authorityLimit - 20ms);
+        owner.feed(AgentReported{"agent-2", owner.report("agent-2")});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.startsAt("agent-2").size());
+        owner.pass(30ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.startsAt("agent-2").size());
+    }
+
+    /// Guards against a second start of a task whose order crossed with a full report of the agent.
+    void startOnItsWayIsNotMissing()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        AgentReport crossing = owner.report("agent-1");
+        owner.submit(1, bestEffort(7, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+        crossing.full = true;
+        owner.feed(AgentReported{"agent-1", crossing});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+    }
+
+    /// Guards against a task that is never started because its order was lost with a link.
+    void lostStartIsOrderedAgain()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, bestEffort(7, 1));
+        owner.feed(AgentUnlinked{"agent-1"});
+        owner.join("agent-1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.allStarts());
+        CPPUNIT_ASSERT(owner.startsAt("agent-1").at(1).run > owner.startsAt("agent-1").at(0).run);
+    }
+
+    /// Guards against a former owner that goes on ordering.
+    void higherEpochEndsTheOwnership()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        AgentReport report = owner.report("agent-1");
+        report.epoch = owner.state.epoch + 1;
+        owner.feed(AgentReported{"agent-1", report});
+        CPPUNIT_ASSERT(owner.steppedDown.has_value());
+    }
+
+    /// Guards against new work for a worker that is leaving.
+    void drainingWorkerGetsNothing()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        AgentReport draining = owner.report("agent-1");
+        draining.worker = *owner.state.agents.front().worker;
+        draining.worker->draining = true;
+        owner.feed(AgentReported{"agent-1", draining});
+        owner.submit(1, bestEffort(7, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
+    }
+
+    /// Guards against a wrong count of jobs that wait for their first task.
+    void countsUnstartedJobs()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.submit(1, submission(7, 1));
+        owner.submit(2, submission(8, 1));
+        owner.settle();
+        owner.feed(CallArrived{3, CountCall{"queue"}});
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(2), owner.answerTo(3)->count);
+        owner.join("agent-1");
+        owner.feed(CallArrived{4, CountCall{"queue"}});
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(0), owner.answerTo(4)->count);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestOwner);
--- /dev/null
+++ b/tests/auto/jobs/tst_recorder.cpp
@@ -0,0 +1,186 @@
+#include "jobs/jobsconstants.h"
+#include "jobs/recorder.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::Jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Base::WallTime wall{1'000'000};
+constexpr std::int64_t firstRevision = 7;
+
+Recorder makeRecorder()
+{
+    return Recorder(OwnerRecord{3, 0, "entry", 1, {}}, firstRevision);
+}
+
+Change put(JobId job, std::string record = "record")
+{
+    return {PutJob{job, std::move(record)}, {}};
+}
+
+Change finish(JobId job)
+{
+    return {FinishJob{job, JobState::Completed}, {}};
+}
+
+} // namespace
+
+class TestRecorder : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestRecorder);
+    CPPUNIT_TEST(groupsChanges);
+    CPPUNIT_TEST(oneCommitAtATime);
+    CPPUNIT_TEST(repeatsUnknownCommitUnchanged);
+    CPPUNIT_TEST(recognizesOwnLateCommit);
+    CPPUNIT_TEST(anotherOwnerDeposes);
+    CPPUNIT_TEST(oneKeyOncePerCommit);
+    CPPUNIT_TEST(staysWithinTheStoresLimit);
+    CPPUNIT_TEST(recordsAgents);
+    CPPUNIT_TEST(removesOldSegments);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a call to the store for each job, which its rate does not allow.
+    void groupsChanges()
+    {
+        Recorder recorder = makeRecorder();
+        for (JobId job = 1; job <= 10; ++job) {
+            recorder.add(put(job));
+        }
+        const auto commit = recorder.next(1s, wall);
+        CPPUNIT_ASSERT(commit.has_value());
+        CPPUNIT_ASSERT_EQUAL(firstRevision, commit->expectedOwnerRevision);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(11), commit->writes.size());
+        CPPUNIT_ASSERT_EQUAL(std::string(ownerKey), commit->writes[0].key);
+        CPPUNIT_ASSERT(recorder.finish(Committed{8}, 1s) == Recorder::Verdict::Recorded);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(10), recorder.takeRecorded().size());
+    }
+
+    /// Guards against two commits that overtake each other.
+    void oneCommitAtATime()
+    {
+        Recorder recorder = makeRecorder();
+        recorder.add(put(1));
+        CPPUNIT_ASSERT(recorder.next(1s, wall).has_value());
+        recorder.add(put(2));
+        CPPUNIT_ASSERT(!recorder.next(2s, wall).has_value());
+        recorder.finish(Committed{8}, 2s);
+        const auto next = recorder.next(3s, wall);
+        CPPUNIT_ASSERT(next.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(8), next->expectedOwnerRevision);
+    }
+
+    /// Guards against a repeated commit with other content: both could be carried out, one of them late.
+    void repeatsUnknownCommitUnchanged()
+    {
+        Recorder recorder = makeRecorder();
+        recorder.add(put(1));
+        const auto first = recorder.next(1s, wall);
+        recorder.add(put(2));
+        CPPUNIT_ASSERT(recorder.finish(CommitUnknown{}, 1s) == Recorder::Verdict::Again);
+        const auto again = recorder.next(2s, wall);
+        CPPUNIT_ASSERT(again.has_value());
+        CPPUNIT_ASSERT_EQUAL(first->expectedOwnerRevision, again->expectedOwnerRevision);
+        CPPUNIT_ASSERT_EQUAL(first->writes.size(), again->writes.size());
+        CPPUNIT_ASSERT_EQUAL(first->writes[0].value, again->writes[0].value);
+    }
+
+    /// Guards against an owner that steps down because its own commit, whose answer was lost, had been carried out.
+    void recognizesOwnLateCommit()
+    {
+        Recorder recorder = makeRecorder();
+        recorder.add(put(1));
+        const auto commit = recorder.next(1s, wall);
+        recorder.finish(CommitUnknown{}, 1s);
+        recorder.next(2s, wall);
+        const CommitConflict conflict{decodeOwnerRecord(commit->writes[0].value), 9};
+        CPPUNIT_ASSERT(recorder.finish(conflict, 2s) == Recorder::Verdict::Recorded);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), recorder.takeRecorded().size());
+        recorder.add(put(2));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9), recorder.next(3s, wall)->expectedOwnerRevision);
+    }
+
+    /// Guards against a former owner that goes on recording.
+    void anotherOwnerDeposes()
+    {
+        Recorder recorder = makeRecorder();
+        recorder.add(put(1));
+        recorder.next(1s, wall);
+        const CommitConflict conflict{OwnerRecord{4, 0, "other", 2, {}}, 9};
+        CPPUNIT_ASSERT(recorder.finish(conflict, 1s) == Recorder::Verdict::Deposed);
+        CPPUNIT_ASSERT(recorder.takeRecorded().empty());
+    }
+
+    /// Guards against a transaction that names a key twice, which the store refuses for ever.
+    void oneKeyOncePerCommit()
+    {
+        Recorder recorder = makeRecorder();
+        recorder.add(put(1));
+        recorder.add(finish(1));
+        const auto first = recorder.next(1s, wall);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), first->writes.size());
+        CPPUNIT_ASSERT(first->deletes.empty());
+        recorder.finish(Committed{8}, 1s);
+        const auto second = recorder.next(2s, wall);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), second->deletes.size());
+        CPPUNIT_ASSERT_EQUAL(jobKey(1), second->deletes[0]);
+    }
+
+    /// Guards against transactions of more than 32 entries.
+    void staysWithinTheStoresLimit()
+    {
+        constexpr std::size_t storeLimit = 32;
+        Recorder recorder = makeRecorder();
+        for (JobId job = 1; job <= 200; ++job) {
+            recorder.add(job % 2 == 0 ? put(job) : finish(job));
+        }
+        std::int64_t revision = firstRevision;
+        std::size_t changes = 0;
+        Base::MonoTime now = 1s;
+        while (const auto commit = recorder.next(now, wall)) {
+            const std::size_t expected = 1;
+            CPPUNIT_ASSERT(expected + commit->writes.size() + commit->deletes.size() <= storeLimit);
+            recorder.finish(Committed{++revision}, now);
+            changes += recorder.takeRecorded().size();
+            now += 1s;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(200), changes);
+    }
+
+    /// Guards against an agent that runs tasks without a successor knowing of it.
+    void recordsAgents()
+    {
+        Recorder recorder = makeRecorder();
+        CPPUNIT_ASSERT(!recorder.next(1s, wall).has_value());
+        recorder.setAgents({"agent-1"});
+        const auto commit = recorder.next(1s, wall);
+        CPPUNIT_ASSERT(commit.has_value());
+        CPPUNIT_ASSERT(recorder.recordedAgents().empty());
+        recorder.finish(Committed{8}, 1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), recorder.recordedAgents().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), decodeOwnerRecord(commit->writes[0].value)->agents.size());
+        CPPUNIT_ASSERT(!recorder.next(2s, wall).has_value());
+    }
+
+    /// Guards against a store that fills up with final states.
+    void removesOldSegments()
+    {
+        Recorder recorder = makeRecorder();
+        recorder.adoptSegment("old", wall.count());
+        recorder.add(put(1));
+        CPPUNIT_ASSERT(recorder.next(1s, wall)->deletes.empty());
+        recorder.finish(Committed{8}, 1s);
+        recorder.add(put(2));
+        const auto later = recorder.next(2s, wall + std::chrono::duration_cast<Base::WallTime>(finishedKept) + 1ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), later->deletes.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("old"), later->deletes[0]);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestRecorder);
--- /dev/null
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -0,0 +1,241 @@
+#include "ownerharness.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <random>
+#include <set>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::Jobs;
+using namespace LaburnumFlow::Jobs::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+JobRecord stored(JobId id, std::uint32_t tasks)
+{
+    const SubmitCall call = submission(id, tasks);
+    return {id, call.rules, call.spec, std::vector<std::uint8_t>(tasks, 0), std::vector<std::uint8_t>(tasks, 0)};
+}
+
+PossibleRun possible(JobId job, std::uint32_t index, std::uint32_t run)
+{
+    return {{{job, 0, index}, run}, {1000, 64, 0}};
+}
+
+} // namespace
+
+class TestTakeover : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestTakeover);
+    CPPUNIT_TEST(waitsForTheAgentsOfTheFormerOwner);
+    CPPUNIT_TEST(waitsNoLongerThanTheLeases);
+    CPPUNIT_TEST(adoptsWhatRuns);
+    CPPUNIT_TEST(runsRiseAcrossOwners);
+    CPPUNIT_TEST(recordedAgentsWorkAtOnce);
+    CPPUNIT_TEST(failedEndKeepsTaskUncertain);
+    CPPUNIT_TEST(doneEndOfTheFormerOwnerCounts);
+    CPPUNIT_TEST(adoptsRunsOfBestEffortJobs);
+    CPPUNIT_TEST(stopsRunsThatNobodyWants);
+    CPPUNIT_TEST(finishedJobsStayKnown);
+    CPPUNIT_TEST(laterStepsStayBlocked);
+    CPPUNIT_TEST(noTaskTwiceInManySchedules);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a second run of a task that still runs where the former owner started it.
+    void waitsForTheAgentsOfTheFormerOwner()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"}, 2, {stored(7, 1)});
+        owner.join("agent-1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
+        owner.join("agent-2");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+    }
+
+    /// Guards against jobs that wait for an agent which never comes back.
+    void waitsNoLongerThanTheLeases()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"}, 2, {stored(7, 1)});
+        owner.join("agent-1");
+        for (Base::Duration waited{}; waited < authorityLimit; waited += 300ms) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
+            owner.feed(AgentReported{"agent-1", owner.report("agent-1")});
+            owner.pass(300ms);
+        }
+        owner.feed(AgentReported{"agent-1", owner.report("agent-1")});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+    }
+
+    /// Guards against work that is thrown away, or done twice, because its owner changed.
+    void adoptsWhatRuns()
+    {
+        OwnerHarness owner({"agent-1"}, 2, {stored(7, 2)});
+        owner.join("agent-1", 8000, {possible(7, 0, 1)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), owner.startsAt("agent-1").at(0).task.index);
+        CPPUNIT_ASSERT(owner.stopsAt("agent-1").empty());
+    }
+
+    /// Guards against a start that the worker refuses because its run is not higher than an earlier one.
+    void runsRiseAcrossOwners()
+    {
+        OwnerHarness owner({"agent-1"}, 3, {stored(7, 1)});
+        owner.join("agent-1");
+        CPPUNIT_ASSERT(owner.startsAt("agent-1").at(0).run > runsPerEpoch);
+    }
+
+    /// Guards against an owner whose agents, recorded by its predecessor, never get work.
+    void recordedAgentsWorkAtOnce()
+    {
+        OwnerHarness owner({"agent-1"}, 2);
+        owner.join("agent-1");
+        owner.submit(1, bestEffort(7, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+        CPPUNIT_ASSERT(owner.commits.empty());
+    }
+
+    /// Guards against a restart after a failed run whose successor runs on an agent that has not reported yet.
+    void failedEndKeepsTaskUncertain()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"}, 2);
+        owner.submit(1, bestEffort(7, 1));
+        owner.join("agent-1", 8000, {}, {{1, {{7, 0, 0}, 1}, EndKind::Failed, 10}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
+        owner.join("agent-2", 8000, {possible(7, 0, 2)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
+        owner.end("agent-2", {{7, 0, 0}, 2}, EndKind::Done);
+        CPPUNIT_ASSERT(owner.answerTo(1).has_value());
+    }
+
+    /// Guards against a task that runs again although the former owner's run of it was done.
+    void doneEndOfTheFormerOwnerCounts()
+    {
+        OwnerHarness owner({"agent-1"}, 2, {stored(7, 1)});
+        owner.join("agent-1", 8000, {}, {{5, {{7, 0, 0}, 1}, EndKind::Done, 10}});
+        owner.settle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
+        CPPUNIT_ASSERT(owner.state.finished.at(7) == JobState::Completed);
+    }
+
+    /// Guards against two runs of a best-effort task whose job reaches the new owner after the agent's report.
+    void adoptsRunsOfBestEffortJobs()
+    {
+        OwnerHarness owner({"agent-1"}, 2);
+        owner.join("agent-1", 8000, {possible(7, 0, 1)});
+        CPPUNIT_ASSERT(owner.stopsAt("agent-1").empty());
+        owner.submit(1, bestEffort(7, 2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), owner.startsAt("agent-1").at(0).task.index);
+    }
+
+    /// Guards against runs that hold room for jobs whose callers are gone.
+    void stopsRunsThatNobodyWants()
+    {
+        OwnerHarness owner({"agent-1"}, 2);
+        owner.join("agent-1", 8000, {possible(7, 0, 1)});
+        owner.pass(orphanGrace + 10ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.stopsAt("agent-1").size());
+    }
+
+    /// Guards against a finished job that is unknown to the next owner and runs again when it is submitted again.
+    void finishedJobsStayKnown()
+    {
+        StoredJobs content;
+        content.owner = {2, 0, "entry-1", 1, {"agent-1"}};
+        content.finished.push_back({finishedKey(1, 0), {1'000'000, {{7, JobState::Completed}}}});
+        OwnerState state = takeOver(std::move(content), 100s, Base::WallTime(1'000'000));
+        const OwnerEffects effects = reduce(state, CallArrived{1, submission(7, 1)});
+        const auto *reply = effects.empty() ? nullptr : std::get_if<Reply>(effects.data());
+        CPPUNIT_ASSERT(reply != nullptr);
+        CPPUNIT_ASSERT(reply->answer.kind == CallAnswer::Kind::Accepted);
+        CPPUNIT_ASSERT(state.jobs.empty());
+    }
+
+    /// Guards against a later step that starts with the first one after a takeover.
+    void laterStepsStayBlocked()
+    {
+        JobRecord record = stored(7, 1);
+        record.spec.steps.push_back(record.spec.steps.front());
+        record.spec.steps.back().after = {0};
+        record.done = {0, 0};
+        record.failures = {0, 0};
+        OwnerHarness owner({"agent-1"}, 2, {record});
+        owner.join("agent-1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t(0), owner.startsAt("agent-1").at(0).task.step);
+    }
+
+    /// Guards against any order of agents' reports, ends and submissions after which a task runs twice.
+    void noTaskTwiceInManySchedules()
+    {
+        constexpr unsigned seeds = 2000;
+        for (unsigned seed = 1; seed <= seeds; ++seed) {
+            playSchedule(seed);
+        }
+    }
+
+private:
+    /// A former owner left runs on three agents. The new owner hears of them, and of the jobs, in any order.
+    static void playSchedule(unsigned seed)
+    {
+        constexpr std::uint32_t jobs = 4;
+        constexpr std::uint32_t tasks = 3;
+        std::mt19937 random(seed);
+        const std::vector<std::string> names{"agent-1", "agent-2", "agent-3"};
+        std::map<std::string, std::vector<PossibleRun>> running;
+        std::map<std::string, std::vector<RunEnd>> ends;
+        std::set<TaskRef> occupied;
+        for (JobId job = 1; job <= jobs; ++job) {
+            for (std::uint32_t index = 0; index < tasks; ++index) {
+                leaveRuns(random, names, job, index, running, ends, occupied);
+            }
+        }
+        OwnerHarness owner(names, 2);
+        std::vector<unsigned> steps;
+        for (unsigned step = 0; step < names.size() + jobs; ++step) {
+            steps.push_back(step);
+        }
+        std::shuffle(steps.begin(), steps.end(), random);
+        for (const unsigned step : steps) {
+            if (step < names.size()) {
+                owner.join(names[step], 64'000, running[names[step]], ends[names[step]]);
+            } else {
+                owner.submit(step, bestEffort(step - names.size() + 1, tasks));
+            }
+            owner.pass(std::chrono::milliseconds(random() % 20));
+            for (const std::string &name : names) {
+                for (const RunRef &run : owner.startsAt(name)) {
+                    CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), !occupied.contains(run.task));
+                }
+            }
+        }
+    }
+
+    static void leaveRuns(std::mt19937 &random,
+                          const std::vector<std::string> &names,
+                          JobId job,
+                          std::uint32_t index,
+                          std::map<std::string, std::vector<PossibleRun>> &running,
+                          std::map<std::string, std::vector<RunEnd>> &ends,
+                          std::set<TaskRef> &occupied)
+    {
+        std::uint32_t run = 1;
+        while (random() % 3 == 0) {
+            auto &list = ends[names[random() % names.size()]];
+            list.push_back({list.size() + 1, {{job, 0, index}, run}, random() % 2 == 0 ? EndKind::Failed : EndKind::Lapsed, 10});
+            ++run;
+            // More failures would end the job, after which its runs are only stopped.
+            if (run > 2) {
+                break;
+            }
+        }
+        if (random() % 2 == 0) {
+            running[names[random() % names.size()]].push_back(possible(job, index, run));
+            occupied.insert({job, 0, index});
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestTakeover);
--- /dev/null
+++ b/tests/auto/platform/tst_dialects.cpp
@@ -0,0 +1,266 @@
+#include "platform/callerdialect.h"
+#include "platform/heartbeats.h"
+#include "platform/rulesdocument.h"
+#include "platform/storedialect.h"
+#include "platform/workerdialect.h"
+
+#include "store/base64.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+#include <random>
+#include <string>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::Platform;
+using Outcome = HttpIo::ClientResponse::Outcome;
+
+namespace {
+
+const std::string rulesText = R"({"Version":7,"Routes":[
+    {"Name":"r-1","Host":"a.example","Prefix":"/p/","Service":"s","MaxAttempts":4,"Stretch":1.6,"TargetDurationMs":60,"Priority":2},
+    {"Name":"r-2","Host":"a.example","Prefix":"/p/q/","Service":"s"},
+    {"Name":5,"Host":"a.example","Prefix":"/x/","Service":"s"}],"Services":[],"Limits":{}})";
+
+const std::string beatText = R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready","Capacity":{"Cpu":16000,"MemMb":32768},)"
+                             R"("Labels":["a","r1-3"],"Seq":4,"born":1700000000000})";
+
+HttpIo::ServerRequest request(std::string method, std::string path, std::string body = {})
+{
+    return {1, std::move(method), std::move(path), "a.example", std::move(body), {}};
+}
+
+int statusOf(const Decoded &decoded)
+{
+    const auto *response = std::get_if<HttpIo::ServerResponse>(&decoded);
+    return response == nullptr ? 0 : response->status;
+}
+
+HttpIo::ClientResponse answer(int status, std::string body)
+{
+    return {Outcome::Answered, status, std::move(body)};
+}
+
+} // namespace
+
+class TestDialects : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestDialects);
+    CPPUNIT_TEST(rules);
+    CPPUNIT_TEST(submission);
+    CPPUNIT_TEST(malformedSubmissions);
+    CPPUNIT_TEST(otherCalls);
+    CPPUNIT_TEST(taskNames);
+    CPPUNIT_TEST(startOutcomes);
+    CPPUNIT_TEST(holdLists);
+    CPPUNIT_TEST(heartbeats);
+    CPPUNIT_TEST(commitOutcomes);
+    CPPUNIT_TEST(clusterItems);
+    CPPUNIT_TEST(arbitraryBytes);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a route that is chosen by the wrong prefix, and against one unreadable row that hides the others.
+    void rules()
+    {
+        const auto document = parseRules(rulesText);
+        CPPUNIT_ASSERT(document.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), document->version);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), document->routes.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("r-2"), document->find("a.example:80", "/p/q/1")->rules.name);
+        CPPUNIT_ASSERT_EQUAL(std::string("r-1"), document->find("a.example", "/p/1")->rules.name);
+        CPPUNIT_ASSERT(document->find("b.example", "/p/1") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(4), document->routes[0].rules.maxAttempts);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(60), document->routes[0].rules.targetMs);
+    }
+
+    /// Guards against fields of a job that are read as something else.
+    void submission()
+    {
+        const auto document = parseRules(rulesText);
+        const std::string body = R"({"Spec":"text","Steps":[{"Count":4,"Cpu":500,"MemMb":256,"EstimateMs":900,"DataRack":"r1"},)"
+                                 R"({"Count":2,"After":[0],"Requires":"big","MaxPerServer":1}],"BestEffort":true})";
+        const Decoded decoded = decodeCall(request("POST", "/p/5c0e7a21d94b36f8", body), &*document);
+        const auto *call = std::get_if<Jobs::Call>(&decoded);
+        CPPUNIT_ASSERT(call != nullptr);
+        const auto &submit = std::get<Jobs::SubmitCall>(*call);
+        CPPUNIT_ASSERT_EQUAL(Jobs::JobId(0x5c0e7a21d94b36f8), submit.job);
+        CPPUNIT_ASSERT(submit.bestEffort);
+        CPPUNIT_ASSERT_EQUAL(std::string("r-1"), submit.rules.name);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), submit.spec.steps.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(900), submit.spec.steps[0].estimateMs);
+        CPPUNIT_ASSERT_EQUAL(std::string("r1"), submit.spec.steps[0].dataRack);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t(0), submit.spec.steps[1].after.at(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("big"), submit.spec.steps[1].requiredLabel);
+    }
+
+    /// Guards against malformed jobs that are accepted, or that end the process.
+    void malformedSubmissions()
+    {
+        const auto document = parseRules(rulesText);
+        const std::string longSpec(5000, 'x');
+        const std::string cases[] = {
+            "",
+            "[]",
+            "{}",
+            R"({"Steps":[]})",
+            R"({"Steps":[{"Count":0}]})",
+            R"({"Steps":[{"Count":"4"}]})",
+            R"({"Steps":[{"Count":4,"Cpu":-1}]})",
+            R"({"Steps":[{"Count":4,"Cpu":1e300}]})",
+            R"({"Steps":[{"Count":99999999999999999999}]})",
+            R"({"Steps":[{"Count":1,"After":[0]}]})",
+            R"({"Steps":[{"Count":1,"After":"0"}]})",
+            R"({"Steps":[7]})",
+            R"({"Spec":")" + longSpec + R"(","Steps":[{"Count":1}]})",
+        };
+        for (const std::string &body : cases) {
+            const Decoded decoded = decodeCall(request("POST", "/p/5c0e7a21d94b36f8", body), &*document);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(body, 400, statusOf(decoded));
+        }
+        const std::string gang = R"({"Steps":[{"Count":2,"Gang":true}]})";
+        CPPUNIT_ASSERT_EQUAL(503, statusOf(decodeCall(request("POST", "/p/5c0e7a21d94b36f8", gang), &*document)));
+    }
+
+    /// Guards against requests that are taken for others, and against 404 before any configuration is known.
+    void otherCalls()
+    {
+        const auto document = parseRules(rulesText);
+        CPPUNIT_ASSERT_EQUAL(503, statusOf(decodeCall(request("GET", "/p/"), nullptr)));
+        CPPUNIT_ASSERT_EQUAL(404, statusOf(decodeCall(request("GET", "/none/"), &*document)));
+        CPPUNIT_ASSERT_EQUAL(410, statusOf(decodeCall(request("GET", "/p/xyz"), &*document)));
+        CPPUNIT_ASSERT_EQUAL(400, statusOf(decodeCall(request("POST", "/p/xyz"), &*document)));
+        CPPUNIT_ASSERT_EQUAL(405, statusOf(decodeCall(request("PUT", "/p/5c0e7a21d94b36f8"), &*document)));
+        const Decoded count = decodeCall(request("GET", "/p/"), &*document);
+        CPPUNIT_ASSERT(std::holds_alternative<Jobs::CountCall>(std::get<Jobs::Call>(count)));
+        const Decoded cancel = decodeCall(request("DELETE", "/p/5c0e7a21d94b36f8"), &*document);
+        CPPUNIT_ASSERT(std::holds_alternative<Jobs::CancelCall>(std::get<Jobs::Call>(cancel)));
+    }
+
+    /// Guards against runs of one task that are taken for another's.
+    void taskNames()
+    {
+        const Jobs::TaskRef task{0x00000a21d94b36f8, 1, 17};
+        CPPUNIT_ASSERT_EQUAL(std::string("00000a21d94b36f8.0.1.17"), taskName(task));
+        CPPUNIT_ASSERT(parseTaskName("00000a21d94b36f8.0.1.17") == task);
+        for (const std::string_view name : {"", "a.0.1.17", "00000a21d94b36f8.0.1", "00000a21d94b36f8.0.1.17x", "00000a21d94b36f8.1.1.17", "00000a21d94b36f8.0.99999999.17"}) {
+            CPPUNIT_ASSERT_MESSAGE(std::string(name), !parseTaskName(name).has_value());
+        }
+    }
+
+    /// Guards against a start that counts as refused although it may be carried out.
+    void startOutcomes()
+    {
+        using Start = TaskAgent::StartAnswered;
+        const TaskAgent::CallStart call;
+        CPPUNIT_ASSERT(startAnswer(call, answer(200, R"({"ClockMs":5})")).outcome == Start::Outcome::Started);
+        CPPUNIT_ASSERT(startAnswer(call, answer(200, R"({"ClockMs":5})")).workerClock == std::chrono::milliseconds(5));
+        CPPUNIT_ASSERT(startAnswer(call, answer(409, R"({"Reason":"room"})")).reason == Jobs::RunRefusal::Reason::NoRoom);
+        CPPUNIT_ASSERT(startAnswer(call, answer(409, R"({"Reason":"fence"})")).reason == Jobs::RunRefusal::Reason::Stale);
+        CPPUNIT_ASSERT(startAnswer(call, answer(503, "")).outcome == Start::Outcome::Refused);
+        CPPUNIT_ASSERT(startAnswer(call, answer(421, "")).outcome == Start::Outcome::Refused);
+        CPPUNIT_ASSERT(startAnswer(call, answer(500, "")).outcome == Start::Outcome::NoAnswer);
+        CPPUNIT_ASSERT(startAnswer(call, {Outcome::Unknown, 0, ""}).outcome == Start::Outcome::NoAnswer);
+        CPPUNIT_ASSERT(startAnswer(call, {Outcome::NotSent, 0, ""}).outcome == Start::Outcome::NotSent);
+    }
+
+    /// Guards against one unreadable row that hides the other ends, or a broken body that shows an empty worker.
+    void holdLists()
+    {
+        const TaskAgent::CallHold call;
+        const auto lists = holdAnswer(call, answer(200, R"({"ClockMs":5,"born":9,"Running":[["00000a21d94b36f8.0.0.1",2,"",41],["?",1,"",0],7],)"
+                                                        R"("Ended":[[58,"00000a21d94b36f8.0.0.2",1,"done",""],[59,"00000a21d94b36f8.0.0.3",1,"new",""]]})"));
+        CPPUNIT_ASSERT(lists.answered);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9), lists.bornMs);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), lists.running.size());
+        CPPUNIT_ASSERT_EQUAL(41, lists.running[0].percent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), lists.ends.size());
+        CPPUNIT_ASSERT(lists.ends[0].how == Jobs::EndKind::Done);
+        CPPUNIT_ASSERT(!holdAnswer(call, answer(200, "{}")).answered);
+        CPPUNIT_ASSERT(!holdAnswer(call, answer(409, R"({"Running":[],"Ended":[]})")).answered);
+        CPPUNIT_ASSERT(holdAnswer(call, {Outcome::NotSent, 0, ""}).refused);
+    }
+
+    /// Guards against heartbeats that name no worker to use.
+    void heartbeats()
+    {
+        const auto beat = parseHeartbeat("i-1", beatText);
+        CPPUNIT_ASSERT(beat.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(16000), beat->worker.capacity.cpuMilli);
+        CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), beat->worker.rack);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), beat->sequence);
+        nlohmann::json broken = nlohmann::json::parse(beatText);
+        for (const char *field : {"Service", "State", "Capacity", "Seq"}) {
+            nlohmann::json without = broken;
+            without.erase(field);
+            CPPUNIT_ASSERT_MESSAGE(field, !parseHeartbeat("i-1", without.dump()).has_value());
+            without[field] = nullptr;
+            CPPUNIT_ASSERT_MESSAGE(field, !parseHeartbeat("i-1", without.dump()).has_value());
+        }
+        broken["State"] = "dreaming";
+        CPPUNIT_ASSERT(!parseHeartbeat("i-1", broken.dump()).has_value());
+        CPPUNIT_ASSERT(workerIdOf("/instances/i-1") == "i-1");
+        CPPUNIT_ASSERT(!workerIdOf("/instances/").has_value());
+    }
+
+    /// Guards against a commit that counts as not carried out although it may be.
+    void commitOutcomes()
+    {
+        CPPUNIT_ASSERT(std::holds_alternative<Jobs::Committed>(commitResult(answer(200, R"({"Revision":412})"))));
+        CPPUNIT_ASSERT(std::holds_alternative<Jobs::CommitRefused>(commitResult(answer(429, ""))));
+        CPPUNIT_ASSERT(std::holds_alternative<Jobs::CommitRefused>(commitResult(answer(503, ""))));
+        CPPUNIT_ASSERT(std::holds_alternative<Jobs::CommitUnknown>(commitResult({Outcome::Unknown, 0, ""})));
+        const Jobs::OwnerRecord owner{5, 6, "entry", 7, {}};
+        const nlohmann::json item{{"Key", Jobs::ownerKey}, {"Value", Store::encodeBase64(Jobs::encodeRecord(owner))}, {"Revision", 99}};
+        const auto conflict = commitResult(answer(412, nlohmann::json{{"items", {item}}}.dump()));
+        CPPUNIT_ASSERT(std::get<Jobs::CommitConflict>(conflict).current == owner);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(99), std::get<Jobs::CommitConflict>(conflict).revision);
+    }
+
+    /// Guards against a foreign or damaged item that hides the entries.
+    void clusterItems()
+    {
+        const Jobs::EntryRecord entry{"entry-1", 3, {"10.0.0.1", 7000}, 25};
+        const auto cluster = clusterOf({{Jobs::entryKey("entry-1"), Jobs::encodeRecord(entry), 4},
+                                        {Jobs::entryKey("entry-2"), "damaged", 5},
+                                        {std::string(Jobs::ownerKey), Jobs::encodeRecord(Jobs::OwnerRecord{5, 6, "entry-1", 3, {}}), 6}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), cluster.content->entries.size());
+        CPPUNIT_ASSERT(cluster.content->owner.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(6), cluster.content->ownerRevision);
+    }
+
+    /// Guards against bytes from elsewhere that end the process. Valid texts are damaged at random places.
+    void arbitraryBytes()
+    {
+        std::mt19937 random(7);
+        const std::string lists = R"({"ClockMs":5,"born":9,"Running":[["00000a21d94b36f8.0.0.1",2,"",41]],"Ended":[[58,"00000a21d94b36f8.0.0.2",1,"done",""]]})";
+        const std::string owner = Jobs::encodeRecord(Jobs::OwnerRecord{5, 6, "entry-1", 3, {"agent"}});
+        for (int round = 0; round < 20'000; ++round) {
+            parseRules(damaged(rulesText, random));
+            parseHeartbeat("i-1", damaged(beatText, random));
+            holdAnswer({}, answer(200, damaged(lists, random)));
+            pageOf(answer(200, damaged(R"({"items":[{"Key":"k","Value":"dg==","Revision":3}],"HasMore":true})", random)));
+            Jobs::decodeOwnerRecord(damaged(owner, random));
+            const std::string message = damaged(owner, random);
+            Jobs::decodeMessage(std::span(reinterpret_cast<const std::uint8_t *>(message.data()), message.size()));
+        }
+    }
+
+private:
+    static std::string damaged(std::string text, std::mt19937 &random)
+    {
+        const unsigned changes = 1 + static_cast<unsigned>(random() % 4);
+        for (unsigned i = 0; i < changes && !text.empty(); ++i) {
+            const std::size_t place = random() % text.size();
+            if (random() % 3 == 0) {
+                text.erase(place, 1 + random() % 8);
+            } else {
+                text[place] = static_cast<char>(random() % 256);
+            }
+        }
+        return text;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestDialects);
--- /dev/null
+++ b/tests/auto/taskagent/tst_agent.cpp
@@ -0,0 +1,434 @@
+#include "jobs/jobsconstants.h"
+#include "taskagent/agentreducer.h"
+#include "taskagent/taskagentconstants.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::TaskAgent;
+using Jobs::RunRef;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::int64_t born = 1'700'000'000'000;
+constexpr const char *entry = "1";
+
+/// An agent with a worker and an owner, whose effects are kept.
+class AgentHarness
+{
+public:
+    AgentHarness() : state(makeAgent("agent-1", now_)) { }
+
+    void pass(Base::Duration time)
+    {
+        now_ += time;
+        take(reduce(state, TimePassed{now_}));
+    }
+
+    void feed(const AgentEvent &event)
+    {
+        pass(1ms);
+        take(reduce(state, event));
+    }
+
+    void beat(std::uint64_t sequence = 1, std::int64_t bornMs = born, bool draining = false)
+    {
+        WorkerBeat beat;
+        beat.worker = {"worker-1", bornMs, "service", "domain", "a", "rack", {}, {8000, 65'536, 0}, draining};
+        beat.sequence = sequence;
+        feed(beat);
+    }
+
+    void orders(std::uint64_t epoch, std::vector<Jobs::StartOrder> ordered = {}, std::vector<RunRef> stopped = {}, const std::string &from = entry)
+    {
+        Jobs::OwnerOrders orders;
+        orders.epoch = epoch;
+        orders.number = ++number_;
+        orders.echo = std::chrono::duration_cast<std::chrono::milliseconds>(now_).count();
+        orders.workerBornMs = born;
+        orders.starts = std::move(ordered);
+        orders.stops = std::move(stopped);
+        feed(OrdersArrived{from, std::move(orders)});
+    }
+
+    /// Answers the last hold.
+    void hold(std::vector<ListedRun> running = {}, std::vector<Jobs::RunEnd> ends = {}, std::int64_t bornMs = born)
+    {
+        HoldAnswered answer;
+        answer.answered = true;
+        answer.bornMs = bornMs;
+        answer.workerClock = std::chrono::duration_cast<std::chrono::milliseconds>(now_) + 5000ms;
+        answer.number = holds.back().number;
+        answer.running = std::move(running);
+        answer.ends = std::move(ends);
+        feed(answer);
+    }
+
+    void begin(std::uint64_t epoch = 1)
+    {
+        beat();
+        orders(epoch);
+        hold();
+    }
+
+    void started(const RunRef &run)
+    {
+        feed(StartAnswered{run, born, StartAnswered::Outcome::Started, {}, std::chrono::duration_cast<std::chrono::milliseconds>(now_) + 5000ms});
+    }
+
+    Jobs::AgentReport lastFull() const
+    {
+        const auto found = std::find_if(reports.rbegin(), reports.rend(), [](const SendReport &report) { return report.report.full; });
+        CPPUNIT_ASSERT(found != reports.rend());
+        return found->report;
+    }
+
+    template<class Predicate>
+    bool reported(Predicate predicate) const
+    {
+        return std::any_of(reports.begin(), reports.end(), [&](const SendReport &report) { return predicate(report.report); });
+    }
+
+    Base::MonoTime now() const
+    {
+        return now_;
+    }
+
+    std::vector<CallStart> starts;
+    std::vector<CallStop> stops;
+    std::vector<CallHold> holds;
+    std::vector<SendReport> reports;
+
+private:
+    void take(AgentEffects effects)
+    {
+        for (AgentEffect &effect : effects) {
+            if (auto *start = std::get_if<CallStart>(&effect)) {
+                starts.push_back(std::move(*start));
+            } else if (auto *stop = std::get_if<CallStop>(&effect)) {
+                stops.push_back(*stop);
+            } else if (auto *holdCall = std::get_if<CallHold>(&effect)) {
+                holds.push_back(*holdCall);
+            } else if (auto *report = std::get_if<SendReport>(&effect)) {
+                reports.push_back(std::move(*report));
+            }
+        }
+    }
+
+    Base::MonoTime now_{100s};
+    std::uint64_t number_ = 0;
+
+public:
+    AgentState state;
+};
+
+RunRef runOf(Jobs::JobId job, std::uint32_t run = 1)
+{
+    return {{job, 0, 0}, run};
+}
+
+Jobs::StartOrder startOf(const RunRef &run)
+{
+    return {{run}, {1000, 64, 0}, "payload"};
+}
+
+} // namespace
+
+class TestTaskAgent : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestTaskAgent);
+    CPPUNIT_TEST(startsWithFenceAndLease);
+    CPPUNIT_TEST(refusesOldOrders);
+    CPPUNIT_TEST(ignoresLowerEpoch);
+    CPPUNIT_TEST(readsListsUnderTheNewFence);
+    CPPUNIT_TEST(listUnderFormerFenceDoesNotCount);
+    CPPUNIT_TEST(fullReportNamesStartsInProgress);
+    CPPUNIT_TEST(unansweredStartIsBarred);
+    CPPUNIT_TEST(barredRunThatWasThereEnds);
+    CPPUNIT_TEST(renewsOnlyWithAuthority);
+    CPPUNIT_TEST(lapsedLeaseEndsRuns);
+    CPPUNIT_TEST(restartedWorkerRunsNothing);
+    CPPUNIT_TEST(lateHeartbeatOfFormerLife);
+    CPPUNIT_TEST(acknowledgesOnlyRecordedEnds);
+    CPPUNIT_TEST(repeatsAcknowledgementAfterLostHold);
+    CPPUNIT_TEST(numbersOfEndsMayBeginAnywhere);
+    CPPUNIT_TEST(reportsStalledRuns);
+    CPPUNIT_TEST(startsNothingOnDrainingWorker);
+    CPPUNIT_TEST(leavingAgentLetsRunsEnd);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against runs that outlive the owner's authority.
+    void startsWithFenceAndLease()
+    {
+        AgentHarness agent;
+        agent.begin(4);
+        agent.orders(4, {startOf(runOf(7))});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), agent.starts.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), agent.starts[0].fence);
+        const auto clock = std::chrono::duration_cast<std::chrono::milliseconds>(agent.now()) + 5000ms;
+        CPPUNIT_ASSERT(agent.starts[0].until <= clock + Jobs::workerLease);
+        CPPUNIT_ASSERT(agent.starts[0].until > clock + 500ms);
+    }
+
+    /// Guards against a start that a paused owner ordered long ago.
+    void refusesOldOrders()
+    {
+        AgentHarness agent;
+        agent.begin();
+        Jobs::OwnerOrders orders;
+        orders.epoch = 1;
+        orders.number = 50;
+        orders.workerBornMs = born;
+        orders.echo = std::chrono::duration_cast<std::chrono::milliseconds>(agent.now() - Jobs::startTokenLimit - 10ms).count();
+        orders.starts = {startOf(runOf(7))};
+        agent.feed(OrdersArrived{entry, orders});
+        CPPUNIT_ASSERT(agent.starts.empty());
+        CPPUNIT_ASSERT(agent.reported([](const auto &report) { return report.refusals.size() == 1; }));
+    }
+
+    /// Guards against a former owner whose orders are still carried out.
+    void ignoresLowerEpoch()
+    {
+        AgentHarness agent;
+        agent.begin(4);
+        agent.orders(3, {startOf(runOf(7))}, {}, "2");
+        CPPUNIT_ASSERT(agent.starts.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), agent.reports.back().entry);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), agent.reports.back().report.epoch);
+    }
+
+    /// Guards against a late order of the former owner that the worker would still obey.
+    void readsListsUnderTheNewFence()
+    {
+        AgentHarness agent;
+        agent.begin(1);
+        const std::size_t before = agent.reports.size();
+        agent.orders(2, {}, {}, "2");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), agent.holds.back().fence);
+        CPPUNIT_ASSERT(std::none_of(agent.reports.begin() + static_cast<std::ptrdiff_t>(before), agent.reports.end(), [](const auto &report) {
+            return report.report.full;
+        }));
+        agent.hold();
+        CPPUNIT_ASSERT(agent.reports.back().report.full);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), agent.reports.back().report.epoch);
+    }
+
+    /// Guards against a full report whose lists were read before the fence rose.
+    void listUnderFormerFenceDoesNotCount()
+    {
+        AgentHarness agent;
+        agent.begin(1);
+        agent.orders(1, {startOf(runOf(7))});
+        agent.started(runOf(7));
+        const std::uint64_t former = agent.holds.back().number;
+        const std::size_t before = agent.reports.size();
+        agent.orders(2, {}, {}, "2");
+        HoldAnswered answer;
+        answer.answered = true;
+        answer.bornMs = born;
+        answer.number = former;
+        agent.feed(answer);
+        CPPUNIT_ASSERT(std::none_of(agent.reports.begin() + static_cast<std::ptrdiff_t>(before), agent.reports.end(), [](const auto &report) {
+            return report.report.full;
+        }));
+    }
+
+    /// Guards against a new owner that starts a task whose start call is in progress.
+    void fullReportNamesStartsInProgress()
+    {
+        AgentHarness agent;
+        agent.begin(1);
+        agent.orders(1, {startOf(runOf(7))});
+        agent.orders(2, {}, {}, "2");
+        agent.hold();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), agent.lastFull().running.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(1000), agent.lastFull().running[0].need.cpuMilli);
+    }
+
+    /// Guards against a second run elsewhere while the first start may still be carried out.
+    void unansweredStartIsBarred()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        agent.feed(StartAnswered{runOf(7), born, StartAnswered::Outcome::NoAnswer, {}, {}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), agent.stops.size());
+        const auto refused = [](const Jobs::AgentReport &report) { return !report.refusals.empty(); };
+        agent.hold();
+        CPPUNIT_ASSERT(!agent.reported(refused));
+        agent.feed(StopAnswered{runOf(7), true});
+        agent.hold();
+        CPPUNIT_ASSERT(!agent.reported(refused) || agent.holds.size() > 2);
+        agent.pass(10ms);
+        agent.hold();
+        CPPUNIT_ASSERT(agent.reported(refused));
+    }
+
+    /// Guards against a run that was carried out late and counts as never started.
+    void barredRunThatWasThereEnds()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        agent.feed(StartAnswered{runOf(7), born, StartAnswered::Outcome::NoAnswer, {}, {}});
+        agent.feed(StopAnswered{runOf(7), true});
+        agent.hold({}, {{1, runOf(7), Jobs::EndKind::Stopped, 0}});
+        CPPUNIT_ASSERT(agent.reported([](const auto &report) { return report.ends.size() == 1 && report.ends[0].how == Jobs::EndKind::Stopped; }));
+        CPPUNIT_ASSERT(!agent.reported([](const auto &report) { return !report.refusals.empty(); }));
+    }
+
+    /// Guards against tasks that run on without an owner while their successors run elsewhere.
+    void renewsOnlyWithAuthority()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        agent.started(runOf(7));
+        agent.hold({{runOf(7), 1}});
+        CPPUNIT_ASSERT(agent.holds.back().until.has_value());
+        agent.pass(Jobs::holdTokenLimit + 10ms);
+        agent.hold({{runOf(7), 2}});
+        CPPUNIT_ASSERT(!agent.holds.back().until.has_value());
+    }
+
+    /// Guards against runs that stay listed for ever on a worker that does not answer.
+    void lapsedLeaseEndsRuns()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        agent.started(runOf(7));
+        agent.orders(1);
+        const auto lapsed = [](const Jobs::AgentReport &report) { return !report.ends.empty() && report.ends[0].how == Jobs::EndKind::Lapsed; };
+        agent.pass(Jobs::workerLease);
+        CPPUNIT_ASSERT(!agent.reported(lapsed));
+        agent.pass(Jobs::workerLease);
+        CPPUNIT_ASSERT(agent.reported(lapsed));
+    }
+
+    /// Guards against tasks that a crashed worker is thought to run.
+    void restartedWorkerRunsNothing()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        agent.started(runOf(7));
+        agent.beat(1, born + 5000);
+        CPPUNIT_ASSERT(agent.state.runs.empty());
+        agent.hold({}, {}, born + 5000);
+        CPPUNIT_ASSERT(agent.lastFull().running.empty());
+        CPPUNIT_ASSERT_EQUAL(born + 5000, agent.lastFull().worker->bornMs);
+    }
+
+    /// Guards against a heartbeat that was held up and replaces the worker's present life by a former one.
+    void lateHeartbeatOfFormerLife()
+    {
+        AgentHarness agent;
+        agent.beat(1, born + 5000);
+        agent.beat(9, born);
+        CPPUNIT_ASSERT_EQUAL(born + 5000, agent.state.worker->bornMs);
+    }
+
+    /// Guards against ends that the worker forgets before the owner has recorded them.
+    void acknowledgesOnlyRecordedEnds()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        agent.started(runOf(7));
+        agent.hold({}, {{1, runOf(7), Jobs::EndKind::Done, 0}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), agent.holds.back().endsForgotten);
+        Jobs::OwnerOrders orders;
+        orders.epoch = 1;
+        orders.echo = std::chrono::duration_cast<std::chrono::milliseconds>(agent.now()).count();
+        orders.workerBornMs = born;
+        orders.endsRecorded = 1;
+        agent.feed(OrdersArrived{entry, orders});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), agent.holds.back().endsForgotten);
+    }
+
+    /// Guards against an end that is never acknowledged because the call that should have done so was lost.
+    void repeatsAcknowledgementAfterLostHold()
+    {
+        AgentHarness agent;
+        agent.begin();
+        Jobs::OwnerOrders orders;
+        orders.epoch = 1;
+        orders.workerBornMs = born;
+        orders.endsRecorded = 3;
+        agent.feed(OrdersArrived{entry, orders});
+        HoldAnswered lost;
+        lost.number = agent.holds.back().number;
+        agent.feed(lost);
+        const std::size_t before = agent.holds.size();
+        agent.pass(holdRetry + 1ms);
+        CPPUNIT_ASSERT_EQUAL(before + 1, agent.holds.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), agent.holds.back().endsForgotten);
+    }
+
+    /// Guards against an owner that waits for ends which a worker forgot before the agent was restarted.
+    void numbersOfEndsMayBeginAnywhere()
+    {
+        AgentHarness agent;
+        agent.beat();
+        agent.orders(1);
+        agent.hold({}, {{58, runOf(7), Jobs::EndKind::Done, 0}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(57), agent.lastFull().endsAcknowledged);
+    }
+
+    /// Guards against a task that stands still on a worker which seems healthy.
+    void reportsStalledRuns()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        agent.started(runOf(7));
+        const auto stalled = [](const Jobs::AgentReport &report) { return report.stalled.size() == 1; };
+        for (Base::Duration waited{}; waited < stallLimit + 300ms; waited += 100ms) {
+            agent.orders(1);
+            agent.pass(100ms);
+            agent.hold({{runOf(7), 5}});
+        }
+        CPPUNIT_ASSERT(agent.reported(stalled));
+    }
+
+    /// Guards against new runs on a worker that has said that it leaves.
+    void startsNothingOnDrainingWorker()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.beat(2, born, true);
+        agent.orders(1, {startOf(runOf(7))});
+        CPPUNIT_ASSERT(agent.starts.empty());
+    }
+
+    /// Guards against runs that are cut off by a planned restart of their agent.
+    void leavingAgentLetsRunsEnd()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        agent.started(runOf(7));
+        agent.feed(LeaveRequested{});
+        CPPUNIT_ASSERT(agent.reported([](const auto &report) { return report.worker && report.worker->draining; }));
+        CPPUNIT_ASSERT(!isIdle(agent.state));
+        agent.orders(1, {startOf(runOf(8))});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), agent.starts.size());
+        agent.hold({}, {{1, runOf(7), Jobs::EndKind::Done, 0}});
+        Jobs::OwnerOrders orders;
+        orders.epoch = 1;
+        orders.workerBornMs = born;
+        orders.endsRecorded = 1;
+        agent.feed(OrdersArrived{entry, orders});
+        agent.hold();
+        CPPUNIT_ASSERT(isIdle(agent.state));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestTaskAgent);
