--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -115,7 +115,7 @@
     const Waiting waiting = found->second;
     waiting_.erase(found);
     if (const auto *local = std::get_if<LocalCaller>(&waiting)) {
-        carryOut(router_.answered(local->number, reply.answer));
+        carryOut(router_.answered(local->pass, reply.answer));
         return;
     }
     const auto &relaying = std::get<RelayingEntry>(waiting);
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -98,7 +98,7 @@
 
 void EntryProcess::carryOut(EntryNode::HandleHere &call)
 {
-    passToOwner(LocalCaller{call.number}, std::move(call.call));
+    passToOwner(LocalCaller{call.pass}, std::move(call.call));
 }
 
 void EntryProcess::carryOut(EntryNode::SendToPeer &call)
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -41,7 +41,7 @@
 private:
     /// Who waits for the owner's answer to a call.
     struct LocalCaller {
-        EntryNode::CallNumber number = 0;
+        EntryNode::PassNumber pass = 0;
     };
 
     struct RelayingEntry {
--- a/src/libs/entrynode/callrouter.cpp
+++ b/src/libs/entrynode/callrouter.cpp
@@ -10,6 +10,12 @@
 
 constexpr std::uint32_t retryAfterS = 1; ///< an owner is found within about a second
 
+/// Whether the answer stays true whatever other owners do.
+bool isLasting(const Jobs::CallAnswer &answer)
+{
+    return answer.kind == Jobs::CallAnswer::Kind::Accepted || (answer.kind == Jobs::CallAnswer::Kind::State && Jobs::isFinal(answer.state));
+}
+
 Jobs::CallAnswer lateAnswer(const Jobs::Call &call, bool everPassedOn)
 {
     const bool submits = std::holds_alternative<Jobs::SubmitCall>(call);
@@ -22,22 +28,24 @@
 
 } // namespace
 
-std::optional<RouterEffect> CallRouter::passOn(CallNumber number, Pending &pending) const
+std::optional<RouterEffect> CallRouter::passOn(CallNumber number, Pending &pending)
 {
     if (std::holds_alternative<NoRoute>(route_)) {
         return std::nullopt;
     }
-    pending.passedOn = true;
-    pending.everPassedOn = true;
+    pending.pass = ++lastPass_;
+    pending.returned = false;
+    pending.passes.push_back(pending.pass);
+    passes_.emplace(pending.pass, number);
     if (const auto *peer = std::get_if<PeerRoute>(&route_)) {
-        return SendToPeer{peer->name, {number, pending.call}};
+        return SendToPeer{peer->name, {pending.pass, pending.call}};
     }
-    return HandleHere{number, pending.call};
+    return HandleHere{pending.pass, pending.call};
 }
 
 Base::MonoTime CallRouter::dueOf(const Pending &pending) const
 {
-    return pending.everPassedOn ? pending.answerBy : std::min(pending.answerBy, pending.refuseAt);
+    return pending.pass != 0 ? pending.answerBy : std::min(pending.answerBy, pending.refuseAt);
 }
 
 RouterEffects CallRouter::accept(CallNumber number, Jobs::Call call, std::optional<Base::Duration> patience, Base::MonoTime now)
@@ -60,7 +68,6 @@
     route_ = std::move(route);
     RouterEffects effects;
     for (auto &[number, pending] : calls_) {
-        pending.passedOn = false;
         due_.erase({dueOf(pending), number});
         if (auto effect = passOn(number, pending)) {
             effects.push_back(std::move(*effect));
@@ -74,32 +81,42 @@
 {
     const auto found = calls_.find(number);
     due_.erase({dueOf(found->second), number});
+    for (const PassNumber pass : found->second.passes) {
+        passes_.erase(pass);
+    }
     calls_.erase(found);
 }
 
-RouterEffects CallRouter::answered(CallNumber number, const Jobs::CallAnswer &answer)
+RouterEffects CallRouter::answered(PassNumber pass, const Jobs::CallAnswer &answer)
 {
-    if (!calls_.contains(number)) {
+    const auto found = passes_.find(pass);
+    if (found == passes_.end()) {
+        return {};
+    }
+    const CallNumber number = found->second;
+    if (calls_.at(number).pass != pass && !isLasting(answer)) {
         return {};
     }
     forget(number);
     return {AnswerCaller{number, answer}};
 }
 
-void CallRouter::returned(CallNumber number)
+void CallRouter::returned(PassNumber pass)
 {
-    const auto found = calls_.find(number);
-    if (found != calls_.end()) {
-        found->second.passedOn = false;
+    const auto found = passes_.find(pass);
+    if (found != passes_.end() && calls_.at(found->second).pass == pass) {
+        calls_.at(found->second).returned = true;
     }
 }
 
-RouterEffects CallRouter::retry(CallNumber number)
+RouterEffects CallRouter::retry(PassNumber pass)
 {
-    const auto found = calls_.find(number);
-    if (found == calls_.end() || found->second.passedOn) {
+    const auto passed = passes_.find(pass);
+    const auto found = passed == passes_.end() ? calls_.end() : calls_.find(passed->second);
+    if (found == calls_.end() || found->second.pass != pass || !found->second.returned) {
         return {};
     }
+    const CallNumber number = found->first;
     due_.erase({dueOf(found->second), number});
     std::optional<RouterEffect> effect = passOn(number, found->second);
     due_.emplace(dueOf(found->second), number);
@@ -112,7 +129,7 @@
     while (!due_.empty() && due_.begin()->first <= now) {
         const CallNumber number = due_.begin()->second;
         const Pending &pending = calls_.at(number);
-        effects.push_back(AnswerCaller{number, lateAnswer(pending.call, pending.everPassedOn)});
+        effects.push_back(AnswerCaller{number, lateAnswer(pending.call, pending.pass != 0)});
         forget(number);
     }
     return effects;
--- a/src/libs/entrynode/callrouter.h
+++ b/src/libs/entrynode/callrouter.h
@@ -18,6 +18,9 @@
 
 using CallNumber = std::uint64_t;
 
+/// Identifies one passing of a call to an owner, as a call may be passed on several times.
+using PassNumber = std::uint64_t;
+
 /// Where calls are handled at present.
 struct NoRoute {
 };
@@ -33,13 +36,13 @@
 
 /// Hands the call to the owner in this process.
 struct HandleHere {
-    CallNumber number = 0;
+    PassNumber pass = 0;
     Jobs::Call call;
 };
 
 struct SendToPeer {
     std::string name;
-    Jobs::RelayedCall call;
+    Jobs::RelayedCall call; ///< numbered by its pass
 };
 
 /// The final answer for the caller.
@@ -62,13 +65,14 @@
     /// Calls that were passed on elsewhere are passed on again.
     RouterEffects route(Route route);
 
-    RouterEffects answered(CallNumber number, const Jobs::CallAnswer &answer);
+    /// A refusal counts only if it answers the latest pass: a later owner may have accepted the call.
+    RouterEffects answered(PassNumber pass, const Jobs::CallAnswer &answer);
 
-    /// The receiver does not own the jobs; the call waits for the next route.
-    void returned(CallNumber number);
+    /// The receiver does not own the jobs; the call waits for the next route, or for retry().
+    void returned(PassNumber pass);
 
     /// Passes a returned call on by the present route.
-    RouterEffects retry(CallNumber number);
+    RouterEffects retry(PassNumber pass);
 
     /// Answers the calls whose time has run out.
     RouterEffects expire(Base::MonoTime now);
@@ -85,16 +89,19 @@
         Jobs::Call call;
         Base::MonoTime answerBy{}; ///< the caller stops waiting soon after
         Base::MonoTime refuseAt{}; ///< if no owner has seen the call by then
-        bool passedOn = false;
-        bool everPassedOn = false;
+        PassNumber pass = 0; ///< the latest; 0 if there is none
+        std::vector<PassNumber> passes; ///< all of them
+        bool returned = false;
     };
 
-    std::optional<RouterEffect> passOn(CallNumber number, Pending &pending) const;
+    std::optional<RouterEffect> passOn(CallNumber number, Pending &pending);
     Base::MonoTime dueOf(const Pending &pending) const;
     void forget(CallNumber number);
 
     Route route_;
     std::unordered_map<CallNumber, Pending> calls_;
+    std::unordered_map<PassNumber, CallNumber> passes_; ///< of pending calls
+    PassNumber lastPass_ = 0;
     std::set<std::pair<Base::MonoTime, CallNumber>> due_;
 };
 
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -47,6 +47,10 @@
 {
     const auto [found, added] = state.runs.try_emplace(listed.run);
     LocalRun &local = found->second;
+    if (added) {
+        // Started by a former life of this process, which may have renewed the lease just before.
+        noteRenewal(state);
+    }
     if (added || local.phase == LocalRun::Phase::Starting || (local.phase == LocalRun::Phase::Barring && !local.stopping)) {
         local.phase = LocalRun::Phase::Running;
         local.startedAt = added ? Base::MonoTime{} : state.now;
--- a/tests/auto/taskagent/tst_agent.cpp
+++ b/tests/auto/taskagent/tst_agent.cpp
@@ -153,6 +153,7 @@
     CPPUNIT_TEST(renewsOnlyWithAuthority);
     CPPUNIT_TEST(lapsedLeaseEndsRuns);
     CPPUNIT_TEST(silentWorkerIsReportedAndLapses);
+    CPPUNIT_TEST(runsOfFormerLifeHoldTheirLease);
     CPPUNIT_TEST(slowWorkerGetsLongerTimeouts);
     CPPUNIT_TEST(restartedWorkerRunsNothing);
     CPPUNIT_TEST(lateHeartbeatOfFormerLife);
@@ -337,6 +338,19 @@
         CPPUNIT_ASSERT(agent.reported(lapsed));
     }
 
+    /// Guards against runs that an agent finds after its restart and reports as lapsed at once.
+    void runsOfFormerLifeHoldTheirLease()
+    {
+        AgentHarness agent;
+        agent.beat();
+        agent.orders(2);
+        agent.hold({{runOf(7), 40}});
+        agent.pass(10ms);
+        CPPUNIT_ASSERT(!agent.reported([](const auto &report) { return !report.ends.empty(); }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), agent.lastFull().running.size());
+        CPPUNIT_ASSERT(agent.holds.back().until.has_value());
+    }
+
     /// Guards against starts that are barred over and over because the worker answers slowly.
     void slowWorkerGetsLongerTimeouts()
     {
