--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -23,6 +23,8 @@
 constexpr Base::Duration orphanGrace = 2500ms; ///< best-effort jobs are submitted again within this time of a takeover
 constexpr Base::Duration bestEffortKept = 5s; ///< answers of best-effort jobs, for callers that missed them
 
+constexpr Base::Duration queryWait = 200ms; ///< a query of a job that is not final is held for this long, so that its caller need not ask again
+
 constexpr Base::Duration ownerPing = 350ms; ///< the owner echoes each agent's token at least this often
 constexpr Base::Duration agentQuietLimit = 900ms; ///< no new work for an agent not heard of for this long
 
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -21,6 +21,7 @@
     context.state.now = event.now;
     context.state.wall = event.wall;
     Internal::expireAgents(context);
+    Internal::answerHeldQueries(context);
     Internal::expireJobs(context);
     Internal::expireOrphans(context);
     Internal::recordAgents(context);
@@ -242,6 +243,9 @@
     if (!state.orphans.empty()) {
         consider(state.orphansUntil);
     }
+    if (!state.heldQueries.empty()) {
+        consider(state.heldQueries.front().until);
+    }
     if (!state.expiring.empty()) {
         consider(state.expiring.begin()->first);
     }
--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -105,8 +105,9 @@
 void handle(Context &context, CallId id, const QueryCall &call)
 {
     OwnerState &state = context.state;
-    if (const Job *job = findJob(state, call.job)) {
-        reply(context, id, {.kind = CallAnswer::Kind::State, .state = job->state});
+    if (Job *job = findJob(state, call.job)) {
+        job->waitingForState.push_back(id);
+        state.heldQueries.push_back({state.now + queryWait, id, call.job});
         return;
     }
     const auto finished = state.finished.find(call.job);
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -98,6 +98,9 @@
     for (const CallId call : job.waitingForAcceptance) {
         context.effects.push_back(Reply{call, {.kind = kind, .state = state}});
     }
+    for (const CallId call : job.waitingForState) {
+        context.effects.push_back(Reply{call, {.kind = CallAnswer::Kind::State, .state = state}});
+    }
     const auto tookMs = std::chrono::duration_cast<std::chrono::milliseconds>(owner.now - job.arrivedAt).count();
     decide(context,
            "job.finished",
@@ -258,6 +261,19 @@
     jobFinished(context, job, state);
 }
 
+void answerHeldQueries(Context &context)
+{
+    auto &held = context.state.heldQueries;
+    while (!held.empty() && held.front().until <= context.state.now) {
+        // The queries of a job that has ended meanwhile are answered.
+        if (Job *job = findJob(context.state, held.front().job)) {
+            std::erase(job->waitingForState, held.front().call);
+            context.effects.push_back(Reply{held.front().call, {.kind = CallAnswer::Kind::State, .state = job->state}});
+        }
+        held.pop_front();
+    }
+}
+
 void expireJobs(Context &context)
 {
     OwnerState &state = context.state;
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -65,6 +65,7 @@
     std::optional<Base::MonoTime> expiresAt; ///< when the caller of a best-effort job stops waiting
     std::vector<CallId> waitingForAcceptance; ///< of a best-effort job: for its end
     std::vector<CallId> waitingForCancel;
+    std::vector<CallId> waitingForState; ///< queries that are held until the job is final, or for queryWait
 };
 
 /// A run that a former owner started for a job that has not been submitted to this one yet.
@@ -89,6 +90,13 @@
     Base::MonoTime orphansUntil{}; ///< they are stopped then, or when their job does not want them
     std::set<std::pair<Base::MonoTime, JobId>> ready; ///< jobs with ready tasks, by the end of their objective
     std::set<std::pair<Base::MonoTime, JobId>> progressDue; ///< jobs whose progress is to be recorded
+    struct HeldQuery {
+        Base::MonoTime until{};
+        CallId call = 0;
+        JobId job = 0;
+    };
+
+    std::deque<HeldQuery> heldQueries; ///< oldest first
     std::vector<Agent> agents;
     std::unordered_map<std::string, AgentIndex> agentByName;
     std::set<std::string> awaitedAgents; ///< may run tasks that a former owner started
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -44,6 +44,9 @@
 /// Drops best-effort jobs whose callers have stopped waiting.
 void expireJobs(Context &context);
 
+/// Answers queries that were held long enough.
+void answerHeldQueries(Context &context);
+
 /// Answers the callers of a job that has ended and forgets it.
 void jobFinished(Context &context, Job &job, JobState state);
 
--- a/tests/auto/jobs/tst_owner.cpp
+++ b/tests/auto/jobs/tst_owner.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(higherEpochEndsTheOwnership);
     CPPUNIT_TEST(drainingWorkerGetsNothing);
     CPPUNIT_TEST(countsUnstartedJobs);
+    CPPUNIT_TEST(queryLearnsOfTheEndAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -84,6 +85,7 @@
         owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Done);
         owner.pass(50ms);
         owner.feed(CallArrived{2, QueryCall{7}});
+        owner.pass(queryWait);
         checkState(JobState::Running, owner.answerTo(2));
         owner.settle();
         owner.feed(CallArrived{3, QueryCall{7}});
@@ -347,6 +349,21 @@
         owner.feed(CallArrived{4, CountCall{"queue"}});
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(0), owner.answerTo(4)->count);
     }
+
+    /// Guards against callers that learn of a job's end only when they ask the next time.
+    void queryLearnsOfTheEndAtOnce()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, submission(7, 1));
+        owner.settle();
+        owner.feed(CallArrived{2, QueryCall{7}});
+        CPPUNIT_ASSERT(!owner.answerTo(2).has_value());
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Done);
+        owner.pass(20ms);
+        owner.commit();
+        checkState(JobState::Completed, owner.answerTo(2));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestOwner);
