--- a/src/app/laburnumnode/agentprocess.cpp
+++ b/src/app/laburnumnode/agentprocess.cpp
@@ -94,11 +94,19 @@
 };
 
 AgentProcess::AgentProcess(const Settings::NodeSettings &settings, std::string settingsFile)
-    : settings_(settings), settingsFile_(std::move(settingsFile)), signals_(loop_), log_(settings.name, settings.logLinesPerSecond),
-      workerCalls_(loop_, workerConnections), storeCalls_(loop_, 1),
-      registration_(loop_, {std::get<Settings::JobAgentSettings>(settings.role).registration}, [this](const HttpIo::ServerRequest &request) { handleRequest(request); }),
-      links_(loop_, *this), state_(makeAgent(settings.name, Base::monoNow())), worker_(text(std::get<Settings::JobAgentSettings>(settings.role).worker)),
-      store_(text(settings.store.endpoint))
+    : settings_(settings)
+    , settingsFile_(std::move(settingsFile))
+    , signals_(loop_)
+    , log_(settings.name, settings.logLinesPerSecond)
+    , workerCalls_(loop_, workerConnections)
+    , storeCalls_(loop_, 1)
+    , registration_(loop_,
+                    {std::get<Settings::JobAgentSettings>(settings.role).registration},
+                    [this](const HttpIo::ServerRequest &request) { handleRequest(request); })
+    , links_(loop_, *this)
+    , state_(makeAgent(settings.name, Base::monoNow()))
+    , worker_(text(std::get<Settings::JobAgentSettings>(settings.role).worker))
+    , store_(text(settings.store.endpoint))
 {
 }
 
@@ -145,7 +153,8 @@
     HttpIo::ClientRequest request = Platform::startRequest(worker_, call);
     request.timeout = call.timeout;
     call.payload.clear();
-    workerCalls_.send(std::move(request), [this, call = std::move(call)](const HttpIo::ClientResponse &response) { feed(Platform::startAnswer(call, response)); });
+    workerCalls_.send(std::move(request),
+                      [this, call = std::move(call)](const HttpIo::ClientResponse &response) { feed(Platform::startAnswer(call, response)); });
 }
 
 void AgentProcess::carryOut(CallStop &call)
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -23,12 +23,16 @@
 } // namespace
 
 EntryProcess::EntryProcess(const Settings::NodeSettings &settings, std::string settingsFile)
-    : settings_(settings), settingsFile_(std::move(settingsFile)), signals_(loop_), log_(settings.name, settings.logLinesPerSecond),
-      storeCalls_(loop_, storeConnections),
-      callers_(loop_, {std::get<Settings::JobEntrySettings>(settings.role).callers}, [this](const HttpIo::ServerRequest &request) { handleRequest(request); }),
-      ready_(loop_, {std::get<Settings::JobEntrySettings>(settings.role).ready}, [this](const HttpIo::ServerRequest &request) { handleReady(request); }),
-      links_(loop_, *this), store_(settings.store.endpoint.address + ':' + std::to_string(settings.store.endpoint.port)),
-      ownership_(EntryNode::makeOwnership(recordOf(settings), std::chrono::milliseconds(settings.store.shortestLeaseMs), Base::monoNow()))
+    : settings_(settings)
+    , settingsFile_(std::move(settingsFile))
+    , signals_(loop_)
+    , log_(settings.name, settings.logLinesPerSecond)
+    , storeCalls_(loop_, storeConnections)
+    , callers_(loop_, {std::get<Settings::JobEntrySettings>(settings.role).callers}, [this](const HttpIo::ServerRequest &request) { handleRequest(request); })
+    , ready_(loop_, {std::get<Settings::JobEntrySettings>(settings.role).ready}, [this](const HttpIo::ServerRequest &request) { handleReady(request); })
+    , links_(loop_, *this)
+    , store_(settings.store.endpoint.address + ':' + std::to_string(settings.store.endpoint.port))
+    , ownership_(EntryNode::makeOwnership(recordOf(settings), std::chrono::milliseconds(settings.store.shortestLeaseMs), Base::monoNow()))
 {
 }
 
@@ -179,7 +183,7 @@
     callers_.closeConnectionsAfterAnswers();
     feedOwnership(EntryNode::LeaveRequested{});
     if (ownership_.lease != 0) {
-        callStore(Platform::endLeaseRequest(store_, ownership_.lease), std::nullopt, [](const HttpIo::ClientResponse & /*response*/) { });
+        callStore(Platform::endLeaseRequest(store_, ownership_.lease), std::nullopt, [](const HttpIo::ClientResponse & /*response*/) {});
     }
     resign();
     finishWhenIdle();
--- a/src/libs/httpio/httpfront.cpp
+++ b/src/libs/httpio/httpfront.cpp
@@ -63,8 +63,14 @@
     void scheduleRun();
     void run();
 
-    static MHD_Result
-    onRequest(void *self, MHD_Connection *connection, const char *url, const char *method, const char *version, const char *data, std::size_t *size, void **state);
+    static MHD_Result onRequest(void *self,
+                                MHD_Connection *connection,
+                                const char *url,
+                                const char *method,
+                                const char *version,
+                                const char *data,
+                                std::size_t *size,
+                                void **state);
     static void onCompleted(void *self, MHD_Connection *connection, void **state, MHD_RequestTerminationCode code);
 
     EventLoop::Loop &loop_;
@@ -102,8 +108,7 @@
     *state = nullptr;
 }
 
-MHD_Result
-HttpFront::Private::handle(MHD_Connection *connection, const char *url, const char *method, const char *data, std::size_t *size, void **state)
+MHD_Result HttpFront::Private::handle(MHD_Connection *connection, const char *url, const char *method, const char *data, std::size_t *size, void **state)
 {
     if (*state == nullptr) {
         // Owned by libmicrohttpd until onCompleted().
@@ -205,9 +210,7 @@
 }
 
 HttpFront::HttpFront(EventLoop::Loop &loop, FrontConfig config, Handler handler)
-    : d_(std::make_unique<Private>(loop, std::move(config), std::move(handler)))
-{
-}
+    : d_(std::make_unique<Private>(loop, std::move(config), std::move(handler))) { }
 
 HttpFront::~HttpFront()
 {
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -37,7 +37,7 @@
 {
     const Resources &capacity = agent.worker->capacity;
     return agent.used.cpuMilli + need.cpuMilli <= capacity.cpuMilli && agent.used.memoryMb + need.memoryMb <= capacity.memoryMb
-        && agent.used.gpus + need.gpus <= capacity.gpus;
+           && agent.used.gpus + need.gpus <= capacity.gpus;
 }
 
 void addRun(Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders)
@@ -109,7 +109,8 @@
     if (health.failures < suspendingWeight && !health.probing) {
         return;
     }
-    health.suspension = health.suspension == Base::Duration::zero() ? Base::Duration(suspensionFirst) : std::min<Base::Duration>(health.suspension * 2, suspensionLast);
+    health.suspension
+        = health.suspension == Base::Duration::zero() ? Base::Duration(suspensionFirst) : std::min<Base::Duration>(health.suspension * 2, suspensionLast);
     health.suspendedUntil = now + health.suspension;
     health.probing = true;
 }
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -164,7 +164,9 @@
     Job *job = findJob(context.state, end.run.task.job);
     Task *task = job == nullptr || job->finishing ? nullptr : currentTask(*job, end.run, index);
     if (end.how != EndKind::Done) {
-        decide(context, "task.ended", {{"run", runText(end.run)}, {"agent", agent.name}, {"how", std::string(nameOf(end.how))}, {"ms", std::to_string(end.ranMs)}});
+        decide(context,
+               "task.ended",
+               {{"run", runText(end.run)}, {"agent", agent.name}, {"how", std::string(nameOf(end.how))}, {"ms", std::to_string(end.ranMs)}});
     }
     if (task == nullptr) {
         settleEnd(agent, end.number);
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -105,7 +105,10 @@
     decide(context,
            "job.finished",
            {{"id", idText(job.id)},
-            {"state", state == JobState::Completed ? "completed" : state == JobState::Failed ? "failed" : "cancelled"},
+            {"state",
+             state == JobState::Completed ? "completed"
+             : state == JobState::Failed  ? "failed"
+                                          : "cancelled"},
             {"queue", job.rules.name},
             {"ms", std::to_string(tookMs)}});
     if (job.bestEffort) {
--- a/src/libs/jobs/recorder.cpp
+++ b/src/libs/jobs/recorder.cpp
@@ -87,9 +87,8 @@
         }
         inFlight_.push_back(std::move(change));
     }
-    const bool anyFinished = std::any_of(inFlight_.begin(), inFlight_.end(), [](const Change &change) {
-        return std::holds_alternative<FinishJob>(change.what);
-    });
+    const bool anyFinished
+        = std::any_of(inFlight_.begin(), inFlight_.end(), [](const Change &change) { return std::holds_alternative<FinishJob>(change.what); });
     if (!anyFinished) {
         return;
     }
--- a/tests/auto/platform/tst_dialects.cpp
+++ b/tests/auto/platform/tst_dialects.cpp
@@ -144,7 +144,8 @@
         const Jobs::TaskRef task{0x00000a21d94b36f8, 1, 17};
         CPPUNIT_ASSERT_EQUAL(std::string("00000a21d94b36f8.0.1.17"), taskName(task));
         CPPUNIT_ASSERT(parseTaskName("00000a21d94b36f8.0.1.17") == task);
-        for (const std::string_view name : {"", "a.0.1.17", "00000a21d94b36f8.0.1", "00000a21d94b36f8.0.1.17x", "00000a21d94b36f8.1.1.17", "00000a21d94b36f8.0.99999999.17"}) {
+        for (const std::string_view name :
+             {"", "a.0.1.17", "00000a21d94b36f8.0.1", "00000a21d94b36f8.0.1.17x", "00000a21d94b36f8.1.1.17", "00000a21d94b36f8.0.99999999.17"}) {
             CPPUNIT_ASSERT_MESSAGE(std::string(name), !parseTaskName(name).has_value());
         }
     }
@@ -169,8 +170,10 @@
     void holdLists()
     {
         const TaskAgent::CallHold call;
-        const auto lists = holdAnswer(call, answer(200, R"({"ClockMs":5,"born":9,"Running":[["00000a21d94b36f8.0.0.1",2,"",41],["?",1,"",0],7],)"
-                                                        R"("Ended":[[58,"00000a21d94b36f8.0.0.2",1,"done",""],[59,"00000a21d94b36f8.0.0.3",1,"new",""]]})"));
+        const auto lists = holdAnswer(call,
+                                      answer(200,
+                                             R"({"ClockMs":5,"born":9,"Running":[["00000a21d94b36f8.0.0.1",2,"",41],["?",1,"",0],7],)"
+                                             R"("Ended":[[58,"00000a21d94b36f8.0.0.2",1,"done",""],[59,"00000a21d94b36f8.0.0.3",1,"new",""]]})"));
         CPPUNIT_ASSERT(lists.answered);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(9), lists.bornMs);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), lists.running.size());
@@ -234,7 +237,8 @@
     void arbitraryBytes()
     {
         std::mt19937 random(7);
-        const std::string lists = R"({"ClockMs":5,"born":9,"Running":[["00000a21d94b36f8.0.0.1",2,"",41]],"Ended":[[58,"00000a21d94b36f8.0.0.2",1,"done",""]]})";
+        const std::string lists
+            = R"({"ClockMs":5,"born":9,"Running":[["00000a21d94b36f8.0.0.1",2,"",41]],"Ended":[[58,"00000a21d94b36f8.0.0.2",1,"done",""]]})";
         const std::string owner = Jobs::encodeRecord(Jobs::OwnerRecord{5, 6, "entry-1", 3, {"agent"}});
         for (int round = 0; round < 20'000; ++round) {
             parseRules(damaged(rulesText, random));
--- a/tests/auto/taskagent/tst_agent.cpp
+++ b/tests/auto/taskagent/tst_agent.cpp
@@ -214,9 +214,8 @@
         const std::size_t before = agent.reports.size();
         agent.orders(2, {}, {}, "2");
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), agent.holds.back().fence);
-        CPPUNIT_ASSERT(std::none_of(agent.reports.begin() + static_cast<std::ptrdiff_t>(before), agent.reports.end(), [](const auto &report) {
-            return report.report.full;
-        }));
+        CPPUNIT_ASSERT(std::none_of(
+            agent.reports.begin() + static_cast<std::ptrdiff_t>(before), agent.reports.end(), [](const auto &report) { return report.report.full; }));
         agent.hold();
         CPPUNIT_ASSERT(agent.reports.back().report.full);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), agent.reports.back().report.epoch);
@@ -237,9 +236,8 @@
         answer.bornMs = born;
         answer.number = former;
         agent.feed(answer);
-        CPPUNIT_ASSERT(std::none_of(agent.reports.begin() + static_cast<std::ptrdiff_t>(before), agent.reports.end(), [](const auto &report) {
-            return report.report.full;
-        }));
+        CPPUNIT_ASSERT(std::none_of(
+            agent.reports.begin() + static_cast<std::ptrdiff_t>(before), agent.reports.end(), [](const auto &report) { return report.report.full; }));
     }
 
     /// Guards against a new owner that starts a task whose start call is in progress.
