Write the records of many jobs under one key

Cause: with one key per job a commit held 26 jobs, and while the store is slow (240 ms an answer) the owner recorded about 100 changes a second against 250 at 125 jobs/s; new jobs were refused. Weighed: one key per job (2 entries per job), or packs of up to 400 changes that are removed once all their jobs are final (about 3 entries per commit). Jobs in packs older than 30 s are written anew, so that no final state is removed before its record.

--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -12,11 +12,10 @@
 {
     loading_.owner = begin.record;
     loading_.ownerRevision = begin.revision;
-    const std::size_t jobs = loading_.jobs.size();
     owner_ = Jobs::takeOver(std::move(loading_), Base::monoNow(), Base::wallNow());
     loading_ = {};
     decide("owner.begin",
-           {{"epoch", std::to_string(begin.record.epoch)}, {"jobs", std::to_string(jobs)}, {"former_agents", std::to_string(begin.record.agents.size())}});
+           {{"epoch", std::to_string(begin.record.epoch)}, {"jobs", std::to_string(owner_->jobs.size())}, {"former_agents", std::to_string(begin.record.agents.size())}});
     if (rules_) {
         Jobs::RulesChanged changed{rules_->version, {}};
         for (const Platform::QueueRoute &route : rules_->routes) {
--- a/src/app/laburnumnode/entrystore.cpp
+++ b/src/app/laburnumnode/entrystore.cpp
@@ -90,8 +90,8 @@
         }
         for (const Platform::StoreItem &item : page->items) {
             if (prefix == Jobs::jobPrefix) {
-                if (auto record = Jobs::decodeJobRecord(item.value)) {
-                    loading_.jobs.push_back(std::move(*record));
+                if (auto pack = Jobs::decodeJobPack(item.value)) {
+                    loading_.packs.push_back({item.key, std::move(*pack)});
                 }
             } else if (auto segment = Jobs::decodeFinishedSegment(item.value)) {
                 loading_.finished.push_back({item.key, std::move(*segment)});
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -29,7 +29,10 @@
 constexpr Base::Duration agentQuietLimit = 900ms; ///< no new work for an agent not heard of for this long
 
 // Recording in the platform's store.
-constexpr std::size_t maxEntriesPerCommit = 26; ///< the store takes 32 entries; the owner record and the finished segments need some
+constexpr std::size_t maxChangesPerCommit = 400; ///< in one pack and one segment
+constexpr std::size_t maxKeysRemoved = 24; ///< per commit; a transaction takes 32 entries
+constexpr Base::Duration packRewriteAge = 30s; ///< jobs that are not final then are written anew, so that old keys can be removed
+constexpr Base::Duration packRewriteInterval = 5s; ///< between looks for such jobs
 constexpr std::size_t maxCommitBytes = 400'000;
 constexpr std::size_t finishedPerSegment = 128; ///< finished jobs per key
 constexpr Base::Duration commitInterval = 12ms; ///< between the starts of two commits; saves calls to the store
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -4,6 +4,8 @@
 #include "ownersteps.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <utility>
 
 namespace LaburnumFlow::Jobs {
@@ -27,6 +29,7 @@
     Internal::recordAgents(context);
     Internal::resolveUncertain(context);
     Internal::flushProgress(context);
+    Internal::rewriteOldRecords(context);
 }
 
 void handle(Context &context, const CallArrived &event)
@@ -167,6 +170,26 @@
     return job;
 }
 
+/// The latest record of a job stands in the last pack with one. Jobs that are final are left out.
+void restoreJobs(OwnerState &state, std::vector<StoredJobs::Pack> packs)
+{
+    std::sort(packs.begin(), packs.end(), [](const auto &left, const auto &right) { return left.key > right.key; });
+    for (const StoredJobs::Pack &pack : packs) {
+        std::vector<JobId> live;
+        for (auto text = pack.content.records.rbegin(); text != pack.content.records.rend(); ++text) {
+            std::optional<JobRecord> record = decodeJobRecord(*text);
+            if (!record || state.finished.contains(record->id) || state.jobs.contains(record->id)) {
+                continue;
+            }
+            Job job = restoredJob(std::move(*record), state.now, state.uncertainTasks);
+            ++state.unstarted[job.rules.name];
+            live.push_back(job.id);
+            state.jobs.emplace(job.id, std::move(job));
+        }
+        state.recorder.adoptPack(pack.key, live, state.wall);
+    }
+}
+
 } // namespace
 
 namespace Internal {
@@ -178,7 +201,9 @@
 
 std::string idText(JobId id)
 {
-    return jobKey(id).substr(jobPrefix.size());
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(id));
+    return text.data();
 }
 
 std::string runText(const RunRef &run)
@@ -197,18 +222,15 @@
     state.wall = wall;
     state.awaitedAgents.insert(stored.owner.agents.begin(), stored.owner.agents.end());
     state.recorder = Recorder(std::move(stored.owner), stored.ownerRevision);
-    for (JobRecord &record : stored.jobs) {
-        Job job = restoredJob(std::move(record), now, state.uncertainTasks);
-        ++state.unstarted[job.rules.name];
-        state.jobs.emplace(job.id, std::move(job));
-    }
-    std::sort(stored.finished.begin(), stored.finished.end(), [](const auto &a, const auto &b) { return a.content.newestMs < b.content.newestMs; });
+    std::sort(stored.finished.begin(), stored.finished.end(), [](const auto &left, const auto &right) { return left.content.newestMs < right.content.newestMs; });
     for (const StoredJobs::Segment &segment : stored.finished) {
         state.recorder.adoptSegment(segment.key, segment.content.newestMs);
         for (const FinishedJob &job : segment.content.jobs) {
             state.finished[job.id] = job.state;
+            state.finishedOrder.emplace_back(now, job.id);
         }
     }
+    restoreJobs(state, std::move(stored.packs));
     state.certainAt = now + authorityLimit;
     state.orphansUntil = now + orphanGrace;
     return state;
--- a/src/libs/jobs/owner.h
+++ b/src/libs/jobs/owner.h
@@ -12,7 +12,11 @@
 struct StoredJobs {
     OwnerRecord owner; ///< written by this entry
     std::int64_t ownerRevision = 0;
-    std::vector<JobRecord> jobs;
+    struct Pack {
+        std::string key;
+        JobPack content;
+    };
+    std::vector<Pack> packs;
     struct Segment {
         std::string key;
         FinishedSegment content;
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -116,6 +116,7 @@
         owner.recentOrder.emplace_back(owner.now, job.id);
     } else {
         owner.finished[job.id] = state;
+        owner.finishedOrder.emplace_back(owner.now, job.id);
     }
     if (job.expiresAt) {
         owner.expiring.erase({*job.expiresAt, job.id});
@@ -287,6 +288,10 @@
             finishJob(context, *job, JobState::Cancelled, {});
         }
     }
+    while (!state.finishedOrder.empty() && state.now - state.finishedOrder.front().first > finishedKept) {
+        state.finished.erase(state.finishedOrder.front().second);
+        state.finishedOrder.pop_front();
+    }
     while (!state.recentOrder.empty() && state.now - state.recentOrder.front().first > bestEffortKept) {
         state.recentBestEffort.erase(state.recentOrder.front().second);
         state.recentOrder.pop_front();
@@ -319,6 +324,21 @@
     }
 }
 
+void rewriteOldRecords(Context &context)
+{
+    OwnerState &state = context.state;
+    if (state.now - state.packsCheckedAt < packRewriteInterval) {
+        return;
+    }
+    state.packsCheckedAt = state.now;
+    for (const JobId id : state.recorder.jobsToRewrite(state.wall)) {
+        const Job *job = findJob(state, id);
+        if (job != nullptr && !job->finishing) {
+            state.recorder.add({PutJob{id, encodeRecord(recordOf(*job))}, {}});
+        }
+    }
+}
+
 void recorded(Context &context, const std::vector<Change> &changes)
 {
     for (const Change &change : changes) {
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -83,6 +83,8 @@
     Recorder recorder;
     std::unordered_map<JobId, Job> jobs; ///< not final, or not recorded as final
     std::unordered_map<JobId, JobState> finished;
+    std::deque<std::pair<Base::MonoTime, JobId>> finishedOrder; ///< oldest first
+    Base::MonoTime packsCheckedAt{};
     std::unordered_map<JobId, JobState> recentBestEffort; ///< answers that may have been lost on their way
     std::deque<std::pair<Base::MonoTime, JobId>> recentOrder; ///< of recentBestEffort, oldest first
     std::set<std::pair<Base::MonoTime, JobId>> expiring; ///< best-effort jobs by the end of their callers' patience
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -50,6 +50,9 @@
 /// Answers the callers of a job that has ended and forgets it.
 void jobFinished(Context &context, Job &job, JobState state);
 
+/// Records jobs anew whose keys are old.
+void rewriteOldRecords(Context &context);
+
 /// Handles changes that the store holds now.
 void recorded(Context &context, const std::vector<Change> &changes);
 
--- a/src/libs/jobs/recorder.cpp
+++ b/src/libs/jobs/recorder.cpp
@@ -3,18 +3,12 @@
 #include "jobsconstants.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace LaburnumFlow::Jobs {
 
 namespace {
 
-JobId jobOf(const Change &change)
-{
-    return std::visit([](const auto &what) { return what.job; }, change.what);
-}
-
 std::size_t sizeOf(const Change &change)
 {
     const auto *put = std::get_if<PutJob>(&change.what);
@@ -70,28 +64,48 @@
     commit_ = std::move(commit);
     removeOldSegments(wall);
 
-    std::set<JobId> jobs;
+    for (std::string &key : packs_.takeEmptied(maxKeysRemoved)) {
+        commit_->deletes.push_back(std::move(key));
+    }
+    const std::size_t finishedBefore = segment_.jobs.size();
     std::size_t bytes = 0;
-    while (!queued_.empty() && inFlight_.size() < maxEntriesPerCommit && bytes < maxCommitBytes) {
-        // A key may occur once in a transaction.
-        if (!jobs.insert(jobOf(queued_.front())).second) {
-            break;
-        }
+    while (!queued_.empty() && inFlight_.size() < maxChangesPerCommit && bytes < maxCommitBytes) {
         Change change = std::move(queued_.front());
         queued_.pop_front();
         bytes += sizeOf(change);
-        if (auto *put = std::get_if<PutJob>(&change.what)) {
-            commit_->writes.push_back({jobKey(put->job), put->record});
-        } else {
-            addFinished(std::get<FinishJob>(change.what), wall);
-        }
+        std::visit([this, wall](const auto &what) { apply(what, wall); }, change.what);
         inFlight_.push_back(std::move(change));
     }
-    const bool anyFinished
-        = std::any_of(inFlight_.begin(), inFlight_.end(), [](const Change &change) { return std::holds_alternative<FinishJob>(change.what); });
-    if (!anyFinished) {
-        return;
+    if (!pack_.records.empty()) {
+        writePack();
+    }
+    if (segment_.jobs.size() > finishedBefore) {
+        writeSegment();
     }
+}
+
+void Recorder::apply(const PutJob &put, Base::WallTime wall)
+{
+    pack_.records.push_back(put.record);
+    packs_.put(put.job, packKey(owner_.epoch, packNumber_), wall.count());
+}
+
+void Recorder::apply(const FinishJob &finish, Base::WallTime wall)
+{
+    packs_.finish(finish.job);
+    segment_.jobs.push_back({finish.job, finish.state});
+    segment_.newestMs = wall.count();
+}
+
+void Recorder::writePack()
+{
+    commit_->writes.push_back({packKey(owner_.epoch, packNumber_), encodeRecord(pack_)});
+    pack_ = {};
+    ++packNumber_;
+}
+
+void Recorder::writeSegment()
+{
     const std::string key = finishedKey(owner_.epoch, segmentNumber_);
     commit_->writes.push_back({key, encodeRecord(segment_)});
     if (segment_.jobs.size() >= finishedPerSegment) {
@@ -101,13 +115,6 @@
     }
 }
 
-void Recorder::addFinished(const FinishJob &finish, Base::WallTime wall)
-{
-    commit_->deletes.push_back(jobKey(finish.job));
-    segment_.jobs.push_back({finish.job, finish.state});
-    segment_.newestMs = wall.count();
-}
-
 void Recorder::removeOldSegments(Base::WallTime wall)
 {
     // Two at a time keep the transaction within the store's limit.
@@ -164,4 +171,19 @@
     segments_.push_back({std::move(key), newestMs});
 }
 
+void Recorder::adoptPack(const std::string &key, const std::vector<JobId> &jobs, Base::WallTime wall)
+{
+    for (const JobId job : jobs) {
+        packs_.put(job, key, wall.count());
+    }
+    if (jobs.empty()) {
+        packs_.addEmpty(key);
+    }
+}
+
+std::vector<JobId> Recorder::jobsToRewrite(Base::WallTime wall) const
+{
+    return packs_.jobsWrittenBefore(wall.count() - std::chrono::duration_cast<std::chrono::milliseconds>(packRewriteAge).count());
+}
+
 } // namespace LaburnumFlow::Jobs
--- a/src/libs/jobs/recorder.h
+++ b/src/libs/jobs/recorder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobpacks.h"
 #include "records.h"
 
 #include "base/types.h"
@@ -112,8 +113,13 @@
     /// How long the commit in progress has been tried; zero if there is none.
     Base::Duration stuckFor(Base::MonoTime now) const;
 
-    /// Takes over segments of a former owner, so that they are removed in time.
+    /// Takes over what a former owner wrote, so that it is removed in time. jobs: those under the key that are not final
+    /// and have no later record.
     void adoptSegment(std::string key, std::int64_t newestMs);
+    void adoptPack(const std::string &key, const std::vector<JobId> &jobs, Base::WallTime wall);
+
+    /// Jobs whose records must be written anew before the final states beside them are removed.
+    std::vector<JobId> jobsToRewrite(Base::WallTime wall) const;
 
     std::size_t waiting() const
     {
@@ -138,7 +144,10 @@
     };
 
     void fillCommit(Base::WallTime wall);
-    void addFinished(const FinishJob &finish, Base::WallTime wall);
+    void apply(const PutJob &put, Base::WallTime wall);
+    void apply(const FinishJob &finish, Base::WallTime wall);
+    void writePack();
+    void writeSegment();
     void removeOldSegments(Base::WallTime wall);
 
     bool agentsDue() const;
@@ -155,6 +164,9 @@
     Base::MonoTime firstSentAt_{};
     Base::MonoTime notBefore_{};
     Base::Duration backoff_{};
+    JobPacks packs_;
+    JobPack pack_; ///< of the commit that is being filled
+    std::uint64_t packNumber_ = 0;
     FinishedSegment segment_; ///< being filled
     std::uint64_t segmentNumber_ = 0;
     std::deque<Segment> segments_; ///< oldest first, without the one being filled
--- a/src/libs/jobs/records.cpp
+++ b/src/libs/jobs/records.cpp
@@ -41,9 +41,9 @@
 
 } // namespace
 
-std::string jobKey(JobId id)
+std::string packKey(std::uint64_t epoch, std::uint64_t number)
 {
-    return std::string(jobPrefix) + hex(id);
+    return std::string(jobPrefix) + hex(epoch) + '-' + hex(number);
 }
 
 std::string finishedKey(std::uint64_t epoch, std::uint64_t segment)
@@ -66,6 +66,11 @@
     return encodeText(record);
 }
 
+std::string encodeRecord(const JobPack &record)
+{
+    return encodeText(record);
+}
+
 std::string encodeRecord(const FinishedSegment &record)
 {
     return encodeText(record);
@@ -86,6 +91,11 @@
     return decodeText<JobRecord>(bytes);
 }
 
+std::optional<JobPack> decodeJobPack(std::string_view bytes)
+{
+    return decodeText<JobPack>(bytes);
+}
+
 std::optional<FinishedSegment> decodeFinishedSegment(std::string_view bytes)
 {
     return decodeText<FinishedSegment>(bytes);
--- a/src/libs/jobs/records.h
+++ b/src/libs/jobs/records.h
@@ -43,6 +43,17 @@
     }
 };
 
+/// Records of several jobs under one key, encoded as JobRecord.
+struct JobPack {
+    std::vector<std::string> records;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(records);
+    }
+};
+
 struct FinishedJob {
     JobId id = 0;
     JobState state = JobState::Completed;
@@ -88,18 +99,20 @@
 constexpr std::string_view jobPrefix = "lf/job/";
 constexpr std::string_view finishedPrefix = "lf/finished/";
 
-std::string jobKey(JobId id);
+std::string packKey(std::uint64_t epoch, std::uint64_t number); ///< keys of later packs are greater
 std::string finishedKey(std::uint64_t epoch, std::uint64_t segment);
 std::string entryKey(std::string_view name);
 
 std::string encodeRecord(const OwnerRecord &record);
 std::string encodeRecord(const JobRecord &record);
+std::string encodeRecord(const JobPack &record);
 std::string encodeRecord(const FinishedSegment &record);
 std::string encodeRecord(const EntryRecord &record);
 
 /// Nothing if the bytes are no such record.
 std::optional<OwnerRecord> decodeOwnerRecord(std::string_view bytes);
 std::optional<JobRecord> decodeJobRecord(std::string_view bytes);
+std::optional<JobPack> decodeJobPack(std::string_view bytes);
 std::optional<FinishedSegment> decodeFinishedSegment(std::string_view bytes);
 std::optional<EntryRecord> decodeEntryRecord(std::string_view bytes);
 
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(stopsRunsThatNobodyWants);
     CPPUNIT_TEST(finishedJobsStayKnown);
     CPPUNIT_TEST(laterStepsStayBlocked);
+    CPPUNIT_TEST(latestRecordCounts);
     CPPUNIT_TEST(noTaskTwiceInManySchedules);
     CPPUNIT_TEST_SUITE_END();
 
@@ -167,6 +168,24 @@
         CPPUNIT_ASSERT_EQUAL(std::uint16_t(0), owner.startsAt("agent-1").at(0).task.step);
     }
 
+    /// Guards against a failure, or an end, that is forgotten because an older record of the job is read.
+    void latestRecordCounts()
+    {
+        JobRecord older = stored(7, 2);
+        JobRecord newer = older;
+        newer.done = {1, 0};
+        newer.failures = {0, 2};
+        StoredJobs content;
+        content.owner = {2, 0, "entry-1", 1, {}};
+        content.packs.push_back({packKey(1, 9), {{encodeRecord(newer)}}});
+        content.packs.push_back({packKey(1, 2), {{encodeRecord(older), encodeRecord(stored(8, 1))}}});
+        content.finished.push_back({finishedKey(1, 0), {1'000'000, {{8, JobState::Completed}}}});
+        const OwnerState state = takeOver(std::move(content), 100s, Base::WallTime(1'000'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), state.jobs.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), state.jobs.at(7).doneTasks);
+        CPPUNIT_ASSERT_EQUAL(2, static_cast<int>(state.jobs.at(7).tasks[1].failures));
+    }
+
     /// Guards against any order of agents' reports, ends and submissions after which a task runs twice.
     void noTaskTwiceInManySchedules()
     {
