--- a/src/app/laburnumnode/agentprocess.cpp
+++ b/src/app/laburnumnode/agentprocess.cpp
@@ -359,7 +359,7 @@
         loop_.defer([this] { loop_.stop(); });
         return;
     }
-    loop_.callAfter(drainCheck, [this] { finishWhenIdle(); });
+    loop_.callAt(std::min<Base::MonoTime>(Base::monoNow() + drainCheck, stopBy_), [this] { finishWhenIdle(); });
 }
 
 } // namespace
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -6,6 +6,7 @@
 #include "base/timerservice.h"
 #include "platform/callerdialect.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <random>
 
@@ -228,7 +229,7 @@
         loop_.defer([this] { loop_.stop(); });
         return;
     }
-    loop_.callAfter(drainCheck, [this] { finishWhenIdle(); });
+    loop_.callAt(std::min<Base::MonoTime>(now + drainCheck, stopBy_), [this] { finishWhenIdle(); });
 }
 
 void EntryProcess::decide(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields)
--- a/src/app/laburnumnode/nodeconstants.h
+++ b/src/app/laburnumnode/nodeconstants.h
@@ -19,11 +19,11 @@
 constexpr Base::Duration notOwnerRetry = 80ms; ///< before a call is passed on again that its receiver did not take
 constexpr Base::Duration resignLimit = 600ms; ///< for recording what has gathered before the jobs are given up
 constexpr Base::Duration entryDrainLeast = 2500ms; ///< a balancer that checks once a second sends connections until then
-constexpr Base::Duration drainMost = 5700ms; ///< the platform kills the process after 6 s
+constexpr Base::Duration drainMost = 5400ms; ///< the platform kills the process after 6 s
 constexpr std::uint32_t drainEstimateFactor = 2; ///< a stopping entry takes a job only if it fits this many times into the time left
 constexpr Base::Duration drainReserve = 400ms; ///< for the way to the owner and back
 constexpr Base::Duration drainCheck = 100ms;
-constexpr Base::Duration entriesReadInterval = 400ms; ///< by an agent without an owner
+constexpr Base::Duration entriesReadInterval = 120ms; ///< by an agent without an owner
 constexpr Base::Duration entryDialRetry = 200ms;
 constexpr Base::Duration entrySilentLimit = 1200ms; ///< an agent replaces the link to an owner that is silent for longer
 
--- a/src/libs/settings/nodesettings.h
+++ b/src/libs/settings/nodesettings.h
@@ -38,7 +38,7 @@
     std::uint32_t processorPercent = 100; ///< share of a core that the process may use
     Base::Endpoint peers; ///< listens for links of other laburnumflow processes
     NodeStoreSettings store;
-    std::uint32_t logLinesPerSecond = 4000; ///< on average; further lines are dropped and counted
+    std::uint32_t logLinesPerSecond = 1000; ///< on average; further lines are dropped and counted
     std::variant<JobEntrySettings, JobAgentSettings> role;
 };
 
--- /dev/null
+++ b/tests/auto/net/tst_looplinks.cpp
@@ -0,0 +1,157 @@
+#include "eventloop/eventloop.h"
+#include "net/looplinks.h"
+
+#include "../freeport.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::Net;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<std::uint8_t> bytesOf(const std::string &text)
+{
+    return {text.begin(), text.end()};
+}
+
+/// Notes what happens and stops the loop once enough has happened.
+class Recorder : public LinkHandler
+{
+public:
+    explicit Recorder(EventLoop::Loop &loop) : loop_(loop) { }
+
+    void linkConnected(LinkId link) override
+    {
+        connected.push_back(link);
+        check();
+    }
+
+    void linkAccepted(LinkId link) override
+    {
+        accepted.push_back(link);
+        check();
+    }
+
+    void linkFrame(LinkId /*link*/, std::span<const std::uint8_t> frame) override
+    {
+        frames.emplace_back(frame.begin(), frame.end());
+        check();
+    }
+
+    void linkClosed(LinkId link) override
+    {
+        closed.push_back(link);
+        check();
+    }
+
+    /// Runs the loop until the condition holds.
+    void await(std::function<bool()> condition)
+    {
+        condition_ = std::move(condition);
+        if (!condition_()) {
+            loop_.run();
+        }
+        condition_ = nullptr;
+    }
+
+    std::vector<LinkId> connected;
+    std::vector<LinkId> accepted;
+    std::vector<LinkId> closed;
+    std::vector<std::string> frames;
+
+private:
+    void check()
+    {
+        if (condition_ && condition_()) {
+            loop_.stop();
+        }
+    }
+
+    EventLoop::Loop &loop_;
+    std::function<bool()> condition_;
+};
+
+} // namespace
+
+class TestLoopLinks : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestLoopLinks);
+    CPPUNIT_TEST(keepsFramesWholeAndInOrder);
+    CPPUNIT_TEST(reportsRefusedConnection);
+    CPPUNIT_TEST(reportsPeersEnd);
+    CPPUNIT_TEST(closedLinkIsSilent);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against frames that are cut, joined or reordered.
+    void keepsFramesWholeAndInOrder()
+    {
+        EventLoop::Loop loop;
+        Recorder recorder(loop);
+        LoopLinks links(loop, recorder);
+        const Base::Endpoint endpoint{"127.0.0.1", Testing::freePort()};
+        CPPUNIT_ASSERT(links.listen(endpoint));
+        const LinkId link = links.dial(endpoint);
+        recorder.await([&] { return recorder.connected.size() == 1 && recorder.accepted.size() == 1; });
+        const std::vector<std::string> sent{"a", "", std::string(300'000, 'x'), "last"};
+        for (const std::string &frame : sent) {
+            links.send(link, bytesOf(frame));
+        }
+        recorder.await([&] { return recorder.frames.size() == sent.size(); });
+        CPPUNIT_ASSERT(recorder.frames == sent);
+    }
+
+    /// Guards against an address that is dialed for ever although nothing listens there.
+    void reportsRefusedConnection()
+    {
+        EventLoop::Loop loop;
+        Recorder recorder(loop);
+        LoopLinks links(loop, recorder);
+        const LinkId link = links.dial({"127.0.0.1", Testing::freePort()});
+        recorder.await([&] { return recorder.closed.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(link, recorder.closed[0]);
+        CPPUNIT_ASSERT(recorder.connected.empty());
+    }
+
+    /// Guards against a peer that is thought to be there after its process has ended.
+    void reportsPeersEnd()
+    {
+        EventLoop::Loop loop;
+        Recorder recorder(loop);
+        LoopLinks links(loop, recorder);
+        const Base::Endpoint endpoint{"127.0.0.1", Testing::freePort()};
+        CPPUNIT_ASSERT(links.listen(endpoint));
+        const LinkId link = links.dial(endpoint);
+        recorder.await([&] { return recorder.accepted.size() == 1 && recorder.connected.size() == 1; });
+        links.close(recorder.accepted[0]);
+        recorder.await([&] { return recorder.closed.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(link, recorder.closed[0]);
+    }
+
+    /// Guards against calls back for a link that its user has given up.
+    void closedLinkIsSilent()
+    {
+        EventLoop::Loop loop;
+        Recorder recorder(loop);
+        LoopLinks links(loop, recorder);
+        const Base::Endpoint endpoint{"127.0.0.1", Testing::freePort()};
+        CPPUNIT_ASSERT(links.listen(endpoint));
+        const LinkId link = links.dial(endpoint);
+        recorder.await([&] { return recorder.accepted.size() == 1 && recorder.connected.size() == 1; });
+        links.close(link);
+        links.send(link, bytesOf("lost"));
+        recorder.await([&] { return recorder.closed.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(recorder.accepted[0], recorder.closed[0]);
+        CPPUNIT_ASSERT(recorder.frames.empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestLoopLinks);
--- /dev/null
+++ b/tests/auto/runtime/tst_decisionlog.cpp
@@ -0,0 +1,64 @@
+#include "runtime/decisionlog.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <log4cplus/initializer.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <string>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::Runtime;
+using namespace std::chrono_literals;
+
+class TestDecisionLog : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestDecisionLog);
+    CPPUNIT_TEST(boundsLines);
+    CPPUNIT_TEST(neverWaitsForItsReader);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against logs that take the processor from the work at the crest.
+    void boundsLines()
+    {
+        constexpr std::uint32_t linesPerSecond = 10;
+        LineBudget budget(linesPerSecond);
+        unsigned taken = 0;
+        for (int i = 0; i < 1000; ++i) {
+            taken += budget.take(100s + std::chrono::milliseconds(i)) ? 1U : 0U;
+        }
+        CPPUNIT_ASSERT(taken >= 2 * linesPerSecond - 1);
+        CPPUNIT_ASSERT(taken <= 2 * linesPerSecond + 1);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000 - taken), budget.takeDropped());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), budget.takeDropped());
+    }
+
+    /// Guards against a process that stands still because nobody reads its standard output.
+    void neverWaitsForItsReader()
+    {
+        int pipeEnds[2] = {-1, -1};
+        CPPUNIT_ASSERT_EQUAL(0, ::pipe(pipeEnds));
+        const int savedOutput = ::dup(STDOUT_FILENO);
+        const int savedFlags = ::fcntl(STDOUT_FILENO, F_GETFL);
+        ::dup2(pipeEnds[1], STDOUT_FILENO);
+        {
+            const log4cplus::Initializer initializer;
+            logToStandardOutput();
+            DecisionLog log("process", 1'000'000);
+            const std::vector<std::pair<std::string, std::string>> fields{{"text", std::string(1000, 'x')}};
+            // Far more than the pipe and the appender hold together. A blocking write would never return.
+            for (int i = 0; i < 2000; ++i) {
+                log.writeAlways("test.line", fields);
+            }
+        }
+        ::dup2(savedOutput, STDOUT_FILENO);
+        ::fcntl(STDOUT_FILENO, F_SETFL, savedFlags);
+        ::close(savedOutput);
+        ::close(pipeEnds[0]);
+        ::close(pipeEnds[1]);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestDecisionLog);
--- /dev/null
+++ b/tests/auto/settings/tst_nodesettings.cpp
@@ -0,0 +1,63 @@
+#include "settingscases.h"
+
+#include "settings/nodesettings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::Settings;
+
+namespace {
+
+const std::string storeText = "store: {address: '10.0.0.1:80'}\n";
+const std::string agentText = "role: agent\nname: a\nregistration: 10.0.0.2:1\nworker: 10.0.0.2:2\n" + storeText;
+
+NodeSettings parsed(const std::string &yaml)
+{
+    auto result = parseNodeSettings(yaml);
+    CPPUNIT_ASSERT(result);
+    return result.value();
+}
+
+} // namespace
+
+class TestNodeSettings : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestNodeSettings);
+    CPPUNIT_TEST(examples);
+    CPPUNIT_TEST(faults);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against examples that the program rejects, and against keys that are read into the wrong field.
+    void examples()
+    {
+        const NodeSettings entry = parsed(readExample("node/entry.yaml"));
+        CPPUNIT_ASSERT_EQUAL(std::string("entry-1"), entry.name);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(25), entry.processorPercent);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t(8080), std::get<JobEntrySettings>(entry.role).callers.port);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t(8082), entry.peers.port);
+        const NodeSettings agent = parsed(readExample("node/agent.yaml"));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t(8101), std::get<JobAgentSettings>(agent.role).worker.port);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t(8090), agent.store.endpoint.port);
+    }
+
+    /// Guards against settings that are wrong in a way that shows only once the process runs.
+    void faults()
+    {
+        const FaultCase cases[] = {
+            {agentText, "", ""},
+            {"name: a\n" + storeText, "1:1 role", ""},
+            {agentText + "extra: 1\n", "6:1 extra", ""},
+            {agentText + "processorShare: 0\n", "6:17 processorShare", ""},
+            {agentText + "logLinesPerSecond: 0\n", "6:20 logLinesPerSecond", ""},
+            {"role: agent\nname: a\nregistration: 10.0.0.2:1\nworker: 0.0.0.0:2\n" + storeText, "4:9 worker", ""},
+            {"role: entry\nname: a\ncallers: 10.0.0.2:1\nready: here\npeers: 10.0.0.2:3\n" + storeText, "4:8 ready", ""},
+        };
+        for (const FaultCase &expected : cases) {
+            checkCase(expected, [](const std::string &yaml) { return parseNodeSettings(yaml); });
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestNodeSettings);
