Replace an owner at once when its process is gone, and one that most entries cannot reach

A refused connection now means that the process is gone. Ruled out: claims by silence alone, as two entries that are cut off from each other would depose each other in turn.

--- a/src/app/laburnumnode/agentprocess.cpp
+++ b/src/app/laburnumnode/agentprocess.cpp
@@ -50,7 +50,7 @@
     void linkConnected(Net::LinkId link) override;
     void linkAccepted(Net::LinkId link) override;
     void linkFrame(Net::LinkId link, std::span<const std::uint8_t> frame) override;
-    void linkClosed(Net::LinkId link) override;
+    void linkClosed(Net::LinkId link, Net::LinkEnd why) override;
 
     void feed(const AgentEvent &event);
     void carryOut(AgentEffect &effect);
@@ -221,7 +221,7 @@
     const auto found = entries_.find(link);
     if (found != entries_.end() && loop_.now() - found->second.heardAt > entrySilentLimit) {
         links_.close(link);
-        linkClosed(link);
+        linkClosed(link, Net::LinkEnd::Lost);
     }
 }
 
@@ -323,7 +323,7 @@
     feed(OrdersArrived{std::to_string(link), std::move(*orders)});
 }
 
-void AgentProcess::linkClosed(Net::LinkId link)
+void AgentProcess::linkClosed(Net::LinkId link, Net::LinkEnd /*why*/)
 {
     const auto found = entries_.find(link);
     if (found == entries_.end()) {
--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -15,7 +15,9 @@
     owner_ = Jobs::takeOver(std::move(loading_), Base::monoNow(), Base::wallNow());
     loading_ = {};
     decide("owner.begin",
-           {{"epoch", std::to_string(begin.record.epoch)}, {"jobs", std::to_string(owner_->jobs.size())}, {"former_agents", std::to_string(begin.record.agents.size())}});
+           {{"epoch", std::to_string(begin.record.epoch)},
+            {"jobs", std::to_string(owner_->jobs.size())},
+            {"former_agents", std::to_string(begin.record.agents.size())}});
     if (rules_) {
         Jobs::RulesChanged changed{rules_->version, {}};
         for (const Platform::QueueRoute &route : rules_->routes) {
@@ -204,13 +206,13 @@
     if (!message) {
         decide("link.unreadable", {{"bytes", std::to_string(frame.size())}});
         links_.close(link);
-        linkClosed(link);
+        linkClosed(link, Net::LinkEnd::Lost);
         return;
     }
     std::visit([this, link](auto &what) { handle(link, what); }, *message);
 }
 
-void EntryProcess::linkClosed(Net::LinkId link)
+void EntryProcess::linkClosed(Net::LinkId link, Net::LinkEnd why)
 {
     if (const auto agent = agentNames_.find(link); agent != agentNames_.end()) {
         const std::string name = agent->second;
@@ -229,7 +231,7 @@
     const std::string name = peer->second;
     peerNames_.erase(peer);
     peerLinks_.erase(name);
-    feedOwnership(EntryNode::PeerUnlinked{name});
+    feedOwnership(EntryNode::PeerUnlinked{name, why == Net::LinkEnd::Refused});
     updateRoute();
 }
 
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -83,7 +83,7 @@
 
 void EntryProcess::handleReady(const HttpIo::ServerRequest &request)
 {
-    const bool ready = rules_ && !ownerName_.empty() && !stopping_;
+    const bool ready = rules_ && hasRoute() && !stopping_;
     ready_.answer(request.id, {ready ? 200 : 503, {}, {}});
 }
 
@@ -119,6 +119,12 @@
     callers_.answer(answer.number, Platform::encodeAnswer(answer.answer));
 }
 
+bool EntryProcess::hasRoute() const
+{
+    const auto owner = ownership_.peers.find(ownerName_);
+    return owner_ || (owner != ownership_.peers.end() && owner->second.linked && peerLinks_.contains(ownerName_));
+}
+
 void EntryProcess::updateRoute()
 {
     EntryNode::Route route = EntryNode::NoRoute{};
@@ -126,7 +132,7 @@
         if (!resigning_) {
             route = EntryNode::LocalRoute{};
         }
-    } else if (peerLinks_.contains(ownerName_) && ownership_.peers.contains(ownerName_) && ownership_.peers.at(ownerName_).linked) {
+    } else if (hasRoute()) {
         route = EntryNode::PeerRoute{ownerName_};
     }
     carryOut(router_.route(std::move(route)));
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -55,7 +55,7 @@
     void linkConnected(Net::LinkId link) override;
     void linkAccepted(Net::LinkId link) override;
     void linkFrame(Net::LinkId link, std::span<const std::uint8_t> frame) override;
-    void linkClosed(Net::LinkId link) override;
+    void linkClosed(Net::LinkId link, Net::LinkEnd why) override;
     void handle(Net::LinkId link, Jobs::AgentHello &hello);
     void handle(Net::LinkId link, Jobs::AgentReport &report);
     void handle(Net::LinkId link, Jobs::EntryHello &hello);
@@ -72,6 +72,7 @@
     void carryOut(EntryNode::SendToPeer &call);
     void carryOut(EntryNode::AnswerCaller &answer);
     bool endsBeforeStop(const Jobs::SubmitCall &submit) const;
+    bool hasRoute() const;
     void updateRoute();
 
     // Ownership.
--- a/src/libs/entrynode/ownership.cpp
+++ b/src/libs/entrynode/ownership.cpp
@@ -46,6 +46,18 @@
     return endpoints;
 }
 
+/// An entry that is cut off from most others would serve fewer callers than the present owner.
+bool reachesMostEntries(const OwnershipState &state)
+{
+    std::size_t present = 0;
+    std::size_t linked = 0;
+    for (const auto &[name, peer] : state.peers) {
+        present += peer.present ? 1 : 0;
+        linked += peer.present && peer.linked ? 1 : 0;
+    }
+    return linked > 0 && linked * 2 >= present;
+}
+
 /// Why the owner should be replaced; empty if it should not.
 std::string claimReason(const OwnershipState &state)
 {
@@ -64,8 +76,11 @@
     if (!present && silence > ownerQuietLimit) {
         return "absent";
     }
-    if (silence > ownerStuckLimit && state.now - state.ownerChangedAt > ownerStuckLimit) {
-        return "silent";
+    if (state.ownerGone && reachesMostEntries(state)) {
+        return "gone";
+    }
+    if (silence > ownerUnreachableLimit && reachesMostEntries(state)) {
+        return "unreachable";
     }
     // The store must have answered since: it may be down for all.
     const bool onlyOwnerCutOff = state.cutOffSince != Base::MonoTime{} && state.storeAnsweredAt > state.cutOffSince + ownerCutOffLimit / 2;
@@ -83,7 +98,7 @@
         return;
     }
     const auto stagger = claimStagger * (100 - std::min<std::int64_t>(state.self.processorPercent, 100)) / 100;
-    const bool silent = reason == "absent" || reason == "silent";
+    const bool silent = reason == "absent" || reason == "unreachable";
     if (silent && state.now - state.ownerSeenAt < ownerQuietLimit + stagger) {
         return;
     }
@@ -151,11 +166,9 @@
 {
     OwnershipState &state = context.state;
     const bool sameOwner = state.owner && content.owner && state.owner->owner == content.owner->owner && state.owner->epoch == content.owner->epoch;
-    if (state.ownerRevision != content.ownerRevision) {
-        state.ownerChangedAt = state.now;
-    }
     if (!sameOwner) {
         state.ownerSeenAt = state.now;
+        state.ownerGone = false;
         state.cutOffSince = {};
     }
     state.owner = content.owner;
@@ -289,9 +302,12 @@
 void handle(Context &context, const PeerUnlinked &event)
 {
     Peer &peer = context.state.peers[event.name];
-    peer.linked = false;
     peer.dialing = false;
-    peer.dialNotBefore = context.state.now + dialRetry;
+    // The first dial after a loss tells at once whether the process is still there.
+    const bool first = std::exchange(peer.linked, false);
+    peer.dialNotBefore = first && !event.refused ? context.state.now : context.state.now + dialRetry;
+    const bool isOwner = context.state.owner && context.state.owner->owner == event.name;
+    context.state.ownerGone = (context.state.ownerGone && !isOwner) || (isOwner && event.refused);
 }
 
 /// An entry that the store turns away still learns of a new owner.
@@ -330,6 +346,7 @@
         return;
     }
     state.ownerSeenAt = state.now;
+    state.ownerGone = false;
     if (event.beat.storeReachable) {
         state.cutOffSince = {};
     } else if (state.cutOffSince == Base::MonoTime{}) {
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -44,8 +44,8 @@
     std::optional<Jobs::OwnerRecord> owner; ///< as last read; nothing if the key does not exist
     std::int64_t ownerRevision = 0;
     bool everRead = false;
-    Base::MonoTime ownerChangedAt{}; ///< when owner was last seen to change
     Base::MonoTime ownerSeenAt{}; ///< last sign of life of the owner, or when its silence began to count
+    bool ownerGone = false; ///< its address refuses connections since the last sign of life
     Base::MonoTime cutOffSince{}; ///< since when the owner has said that it cannot reach the store; 0 if it can
     Base::MonoTime storeAnsweredAt{};
     Jobs::OwnerRecord claim;
@@ -123,6 +123,7 @@
 
 struct PeerUnlinked {
     std::string name;
+    bool refused = false; ///< nothing listens at its address: the process is not there
 };
 
 struct PeerBeat {
--- a/src/libs/net/looplinks.cpp
+++ b/src/libs/net/looplinks.cpp
@@ -71,7 +71,7 @@
     Internal::FileDescriptor socket = Internal::startConnect(endpoint);
     if (!socket.valid()) {
         const LinkId failed = ++lastLink_;
-        loop_.defer([this, failed] { handler_.linkClosed(failed); });
+        loop_.defer([this, failed] { handler_.linkClosed(failed, LinkEnd::Lost); });
         return failed;
     }
     Link &link = add(socket.release(), true);
@@ -115,8 +115,8 @@
         return;
     }
     if (link->connecting) {
-        if (Internal::takeSocketError(link->socket.get()) != 0) {
-            drop(id);
+        if (const int error = Internal::takeSocketError(link->socket.get()); error != 0) {
+            drop(id, error == ECONNREFUSED ? LinkEnd::Refused : LinkEnd::Lost);
             return;
         }
         link->connecting = false;
@@ -200,13 +200,13 @@
     }
 }
 
-void LoopLinks::drop(LinkId id)
+void LoopLinks::drop(LinkId id, LinkEnd why)
 {
     if (find(id) == nullptr) {
         return;
     }
     close(id);
-    handler_.linkClosed(id);
+    handler_.linkClosed(id, why);
 }
 
 void LoopLinks::close(LinkId id)
--- a/src/libs/net/looplinks.h
+++ b/src/libs/net/looplinks.h
@@ -15,6 +15,12 @@
 /// Identifies a link of one LoopLinks; never reused.
 using LinkId = std::uint64_t;
 
+/// Why a link has ended.
+enum class LinkEnd : std::uint8_t {
+    Lost, ///< closed by the peer, broken, or not connected in time
+    Refused, ///< nothing listens at the address that was dialed
+};
+
 /// Takes what happens on links. The calls come from the loop.
 class LinkHandler
 {
@@ -30,7 +36,7 @@
     virtual void linkFrame(LinkId link, std::span<const std::uint8_t> frame) = 0;
 
     /// The peer closed the link, it broke, or it could not be connected. Not called after close().
-    virtual void linkClosed(LinkId link) = 0;
+    virtual void linkClosed(LinkId link, LinkEnd why) = 0;
 };
 
 /// Framed TCP links between laburnumflow processes on an event loop.
@@ -61,7 +67,7 @@
     void ready(LinkId link, std::uint32_t events);
     bool read(Link &link);
     void flush(LinkId link);
-    void drop(LinkId link);
+    void drop(LinkId link, LinkEnd why = LinkEnd::Lost);
     Link &add(int fd, bool connecting);
 
     EventLoop::Loop &loop_;
--- a/tests/auto/entrynode/tst_ownership.cpp
+++ b/tests/auto/entrynode/tst_ownership.cpp
@@ -56,11 +56,18 @@
         return found;
     }
 
-    /// Follows entry-2, which is present and linked.
-    void followPeer()
+    /// Follows entry-2, which is present and linked, and so is entry-3 if asked for.
+    void followPeer(bool withThird = false)
     {
-        read(ownedBy("entry-2", 3), 10, {entryNamed("entry-1"), entryNamed("entry-2")});
+        std::vector<Jobs::EntryRecord> entries{entryNamed("entry-1"), entryNamed("entry-2")};
+        if (withThird) {
+            entries.push_back(entryNamed("entry-3"));
+        }
+        read(ownedBy("entry-2", 3), 10, entries);
         feed(PeerLinked{"entry-2"});
+        if (withThird) {
+            feed(PeerLinked{"entry-3"});
+        }
         beat();
     }
 
@@ -101,6 +108,9 @@
     CPPUNIT_TEST(replacesAbsentOwner);
     CPPUNIT_TEST(keepsOwnerThatBeats);
     CPPUNIT_TEST(keepsPresentOwnerOfBrokenLink);
+    CPPUNIT_TEST(replacesDeadProcessAtOnce);
+    CPPUNIT_TEST(replacesOwnerThatMostCannotReach);
+    CPPUNIT_TEST(minorityReplacesNobody);
     CPPUNIT_TEST(replacesOwnerWithoutStore);
     CPPUNIT_TEST(claimsNothingWithoutStore);
     CPPUNIT_TEST(replacesItsOwnFormerLife);
@@ -178,7 +188,7 @@
     {
         EntryHarness entry;
         entry.followPeer();
-        entry.feed(PeerUnlinked{"entry-2"});
+        entry.feed(PeerUnlinked{"entry-2", false});
         std::int64_t revision = 10;
         for (int i = 0; i < 20; ++i) {
             entry.pass(clusterReadInterval);
@@ -187,6 +197,46 @@
         CPPUNIT_ASSERT(entry.all<Claim>().empty());
     }
 
+    /// Guards against a second without an owner after its process was killed.
+    void replacesDeadProcessAtOnce()
+    {
+        EntryHarness entry;
+        entry.followPeer(true);
+        entry.feed(PeerUnlinked{"entry-2", false});
+        CPPUNIT_ASSERT(entry.all<Claim>().empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("entry-2"), entry.all<DialPeer>().back().name);
+        entry.feed(PeerUnlinked{"entry-2", true});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<Claim>().size());
+    }
+
+    /// Guards against callers of most entries who wait for an owner that only the store can reach.
+    void replacesOwnerThatMostCannotReach()
+    {
+        EntryHarness entry;
+        entry.followPeer(true);
+        entry.feed(PeerUnlinked{"entry-2", false});
+        for (Base::Duration passed{}; passed <= ownerUnreachableLimit + claimStagger; passed += 100ms) {
+            entry.pass(100ms);
+            entry.read(ownedBy("entry-2", 3), 10, {entryNamed("entry-2"), entryNamed("entry-3")});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<Claim>().size());
+    }
+
+    /// Guards against an entry that takes the jobs although most others cannot reach it.
+    void minorityReplacesNobody()
+    {
+        EntryHarness entry;
+        entry.followPeer(true);
+        entry.feed(PeerUnlinked{"entry-2", false});
+        entry.feed(PeerUnlinked{"entry-3", false});
+        entry.feed(PeerUnlinked{"entry-2", true});
+        for (int i = 0; i < 50; ++i) {
+            entry.pass(100ms);
+            entry.read(ownedBy("entry-2", 3), 10, {entryNamed("entry-2"), entryNamed("entry-3")});
+        }
+        CPPUNIT_ASSERT(entry.all<Claim>().empty());
+    }
+
     /// Guards against an owner that lives on but can record nothing, as the store turns it away.
     void replacesOwnerWithoutStore()
     {
--- a/tests/auto/net/tst_looplinks.cpp
+++ b/tests/auto/net/tst_looplinks.cpp
@@ -46,9 +46,10 @@
         check();
     }
 
-    void linkClosed(LinkId link) override
+    void linkClosed(LinkId link, LinkEnd why) override
     {
         closed.push_back(link);
+        lastEnd = why;
         check();
     }
 
@@ -65,6 +66,7 @@
     std::vector<LinkId> connected;
     std::vector<LinkId> accepted;
     std::vector<LinkId> closed;
+    LinkEnd lastEnd = LinkEnd::Lost;
     std::vector<std::string> frames;
 
 private:
@@ -119,6 +121,7 @@
         recorder.await([&] { return recorder.closed.size() == 1; });
         CPPUNIT_ASSERT_EQUAL(link, recorder.closed[0]);
         CPPUNIT_ASSERT(recorder.connected.empty());
+        CPPUNIT_ASSERT(recorder.lastEnd == LinkEnd::Refused);
     }
 
     /// Guards against a peer that is thought to be there after its process has ended.
