--- a/tests/auto/jobs/tst_owner.cpp
+++ b/tests/auto/jobs/tst_owner.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(repeatedSubmissionIsOneJob);
     CPPUNIT_TEST(failsAfterMaxAttempts);
     CPPUNIT_TEST(retriesElsewhere);
+    CPPUNIT_TEST(retryWaitsForAnotherWorker);
     CPPUNIT_TEST(waitsForEarlierSteps);
     CPPUNIT_TEST(cancelStopsTasks);
     CPPUNIT_TEST(refusesWhileTheStoreHangs);
@@ -158,6 +159,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.startsAt(other).size());
     }
 
+    /// Guards against attempts that are used up on one bad worker while the others are full for a moment.
+    void retryWaitsForAnotherWorker()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.join("agent-1", 1000);
+        owner.submit(1, bestEffort(7, 1));
+        owner.join("agent-2", 1000);
+        owner.submit(2, bestEffort(8, 1));
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Failed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.startsAt("agent-1").size());
+        owner.end("agent-2", owner.startsAt("agent-2").at(0), EndKind::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.startsAt("agent-2").size());
+    }
+
     /// Guards against a step that starts before the steps that it waits for are done.
     void waitsForEarlierSteps()
     {
