Tell types apart in the checksum of records and messages; fix findings of clang-tidy

Cause: the address sanitizer ended platform.dialects with an allocation of 0x3312d7972746e66 bytes: a well-formed owner record was read as a message, as the checksum did not depend on the type.

--- a/src/app/laburnumnode/agentprocess.cpp
+++ b/src/app/laburnumnode/agentprocess.cpp
@@ -87,7 +87,6 @@
     std::vector<Base::Endpoint> known_; ///< entries to keep links to
     EventLoop::TimerId timer_ = 0;
     bool timerArmed_ = false;
-    Base::MonoTime entriesReadAt_{};
     bool readingEntries_ = false;
     bool stopping_ = false;
     Base::MonoTime stopBy_{};
--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -63,7 +63,7 @@
 {
     const auto link = peerLinks_.find(beat.name);
     if (link != peerLinks_.end()) {
-        links_.send(link->second, Jobs::encodeMessage(std::move(beat.beat)));
+        links_.send(link->second, Jobs::encodeMessage(beat.beat));
     }
 }
 
@@ -265,7 +265,7 @@
 {
     const auto entry = entryNames_.find(link);
     if (entry != entryNames_.end()) {
-        feedOwnership(EntryNode::PeerBeat{entry->second, std::move(beat)});
+        feedOwnership(EntryNode::PeerBeat{entry->second, beat});
     }
 }
 
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -91,7 +91,7 @@
     void carryOut(EntryNode::EntriesKnown &known);
     void carryOut(EntryNode::OwnerKnown &known);
     void carryOut(EntryNode::OwnershipDecision &decision);
-    void loadPage(std::string prefix, std::string after);
+    void loadPage(std::string prefix, const std::string &after);
     void loaded();
 
     // The owner's work.
--- a/src/app/laburnumnode/entrystore.cpp
+++ b/src/app/laburnumnode/entrystore.cpp
@@ -76,7 +76,7 @@
     loadPage(std::string(Jobs::jobPrefix), {});
 }
 
-void EntryProcess::loadPage(std::string prefix, std::string after)
+void EntryProcess::loadPage(std::string prefix, const std::string &after)
 {
     HttpIo::ClientRequest request = Platform::rangeRequest(store_, prefix, after, false);
     callStore(std::move(request), loadTimeout, [this, prefix = std::move(prefix)](const HttpIo::ClientResponse &response) {
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -158,13 +158,11 @@
             ++job.doneTasks;
         }
     }
-    // A former owner may have started every task whose step was open; the others stay blocked until they are.
-    for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
-        for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1]; ++flat) {
-            if (job.tasks[flat].phase != Task::Phase::Done) {
-                job.tasks[flat].phase = Task::Phase::Uncertain;
-                ++uncertain;
-            }
+    // A former owner may have started every task whose step was open, and later ones whose ends it had not recorded.
+    for (Task &task : job.tasks) {
+        if (task.phase != Task::Phase::Done) {
+            task.phase = Task::Phase::Uncertain;
+            ++uncertain;
         }
     }
     return job;
@@ -222,7 +220,8 @@
     state.wall = wall;
     state.awaitedAgents.insert(stored.owner.agents.begin(), stored.owner.agents.end());
     state.recorder = Recorder(std::move(stored.owner), stored.ownerRevision);
-    std::sort(stored.finished.begin(), stored.finished.end(), [](const auto &left, const auto &right) { return left.content.newestMs < right.content.newestMs; });
+    std::sort(
+        stored.finished.begin(), stored.finished.end(), [](const auto &left, const auto &right) { return left.content.newestMs < right.content.newestMs; });
     for (const StoredJobs::Segment &segment : stored.finished) {
         state.recorder.adoptSegment(segment.key, segment.content.newestMs);
         for (const FinishedJob &job : segment.content.jobs) {
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -192,7 +192,7 @@
         }
         return true;
     };
-    for (std::uint16_t step = 0; step < job.spec.steps.size(); ++step) {
+    for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
         const auto first = job.tasks.begin() + job.firstTask[step];
         const auto last = job.tasks.begin() + job.firstTask[step + 1U];
         if (std::none_of(first, last, [](const Task &task) { return task.phase == Task::Phase::Blocked; })) {
--- a/src/libs/protocol/checkedcodec.h
+++ b/src/libs/protocol/checkedcodec.h
@@ -12,6 +12,7 @@
 #include <ostream>
 #include <span>
 #include <streambuf>
+#include <typeinfo>
 #include <vector>
 
 /// Serialization of any type that cereal knows, with a checksum.
@@ -71,22 +72,30 @@
 
 using Checksum = std::array<std::uint8_t, checksumBytes>;
 
-inline Checksum checksumOf(std::span<const std::uint8_t> bytes)
+/// The seed tells types apart, so that a well-formed record of one type is not read as another, with absurd lengths.
+inline Checksum checksumOf(std::span<const std::uint8_t> bytes, std::uint64_t seed)
 {
     XXH64_canonical_t canonical;
-    XXH64_canonicalFromHash(&canonical, XXH64(bytes.data(), bytes.size(), 0));
+    XXH64_canonicalFromHash(&canonical, XXH64(bytes.data(), bytes.size(), seed));
     Checksum checksum;
     std::memcpy(checksum.data(), canonical.digest, checksumBytes);
     return checksum;
 }
 
-inline bool endsWithChecksum(std::span<const std::uint8_t> bytes)
+template<class T>
+std::uint64_t seedOf()
+{
+    const char *name = typeid(T).name();
+    return XXH64(name, std::strlen(name), 0);
+}
+
+inline bool endsWithChecksum(std::span<const std::uint8_t> bytes, std::uint64_t seed)
 {
     if (bytes.size() < checksumBytes) {
         return false;
     }
     const auto payload = bytes.first(bytes.size() - checksumBytes);
-    const Checksum expected = checksumOf(payload);
+    const Checksum expected = checksumOf(payload, seed);
     return std::memcmp(expected.data(), bytes.data() + payload.size(), checksumBytes) == 0;
 }
 
@@ -101,7 +110,7 @@
     cereal::PortableBinaryOutputArchive archive(stream);
     archive(value);
     std::vector<std::uint8_t> bytes = buffer.take();
-    const Internal::Checksum checksum = Internal::checksumOf(bytes);
+    const Internal::Checksum checksum = Internal::checksumOf(bytes, Internal::seedOf<T>());
     bytes.insert(bytes.end(), checksum.begin(), checksum.end());
     return bytes;
 }
@@ -111,7 +120,7 @@
 boost::leaf::result<T> decodeValue(std::span<const std::uint8_t> bytes)
 {
     // Without the checksum a corrupt length field makes cereal resize a container to millions of elements.
-    if (!Internal::endsWithChecksum(bytes)) {
+    if (!Internal::endsWithChecksum(bytes, Internal::seedOf<T>())) {
         return boost::leaf::new_error(MalformedMessage{bytes.size()});
     }
     Internal::ReadBuffer buffer(bytes.first(bytes.size() - Internal::checksumBytes));
--- a/tests/auto/freeport.h
+++ b/tests/auto/freeport.h
@@ -16,7 +16,10 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    if (::bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0) {
+        ::close(fd);
+        return 0;
+    }
     socklen_t length = sizeof(address);
     ::getsockname(fd, reinterpret_cast<sockaddr *>(&address), &length);
     ::close(fd);
--- a/tests/auto/httpio/tst_exchange.cpp
+++ b/tests/auto/httpio/tst_exchange.cpp
@@ -72,7 +72,7 @@
     {
         ServerRequest seen;
         Exchange *current = nullptr;
-        Exchange exchange([&](ServerRequest request) {
+        Exchange exchange([&](const ServerRequest &request) {
             seen = request;
             current->front.answer(request.id, {429, "{\"a\":1}", 7});
         });
--- a/tests/auto/jobs/ownerharness.cpp
+++ b/tests/auto/jobs/ownerharness.cpp
@@ -32,7 +32,7 @@
     return call;
 }
 
-OwnerHarness::OwnerHarness(std::vector<std::string> recordedAgents, std::uint64_t epoch, std::vector<JobRecord> jobs)
+OwnerHarness::OwnerHarness(std::vector<std::string> recordedAgents, std::uint64_t epoch, const std::vector<JobRecord> &jobs)
 {
     StoredJobs stored;
     stored.owner = {epoch, 0, "entry-1", 1, std::move(recordedAgents)};
--- a/tests/auto/jobs/ownerharness.h
+++ b/tests/auto/jobs/ownerharness.h
@@ -23,7 +23,7 @@
 {
 public:
     /// An owner whose record names the agents.
-    explicit OwnerHarness(std::vector<std::string> recordedAgents, std::uint64_t epoch = 1, std::vector<JobRecord> jobs = {});
+    explicit OwnerHarness(std::vector<std::string> recordedAgents, std::uint64_t epoch = 1, const std::vector<JobRecord> &jobs = {});
 
     void pass(Base::Duration time);
     void feed(const OwnerEvent &event);
--- a/tests/auto/jobs/tst_owner.cpp
+++ b/tests/auto/jobs/tst_owner.cpp
@@ -122,7 +122,7 @@
         owner.settle();
         owner.submit(4, submission(7, 2));
         owner.settle();
-        for (const CallId call : {1, 2, 3, 4}) {
+        for (const CallId call : {1U, 2U, 3U, 4U}) {
             check(CallAnswer::Kind::Accepted, owner.answerTo(call));
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.allStarts());
--- a/tests/auto/platform/tst_dialects.cpp
+++ b/tests/auto/platform/tst_dialects.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(heartbeats);
     CPPUNIT_TEST(commitOutcomes);
     CPPUNIT_TEST(clusterItems);
+    CPPUNIT_TEST(recordsOfOtherTypes);
     CPPUNIT_TEST(arbitraryBytes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -233,6 +234,16 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(6), cluster.content->ownerRevision);
     }
 
+    /// Guards against a well-formed record that is read as another type, with a length that no memory holds.
+    void recordsOfOtherTypes()
+    {
+        const std::string owner = Jobs::encodeRecord(Jobs::OwnerRecord{5, 6, "entry-1", 3, {"agent"}});
+        CPPUNIT_ASSERT(Jobs::decodeOwnerRecord(owner).has_value());
+        CPPUNIT_ASSERT(!Jobs::decodeJobPack(owner).has_value());
+        CPPUNIT_ASSERT(!Jobs::decodeEntryRecord(owner).has_value());
+        CPPUNIT_ASSERT(!Jobs::decodeMessage(std::span(reinterpret_cast<const std::uint8_t *>(owner.data()), owner.size())).has_value());
+    }
+
     /// Guards against bytes from elsewhere that end the process. Valid texts are damaged at random places.
     void arbitraryBytes()
     {
