--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <ranges>
 #include <utility>
 
 namespace LaburnumFlow::Jobs {
@@ -174,8 +175,8 @@
     std::sort(packs.begin(), packs.end(), [](const auto &left, const auto &right) { return left.key > right.key; });
     for (const StoredJobs::Pack &pack : packs) {
         std::vector<JobId> live;
-        for (auto text = pack.content.records.rbegin(); text != pack.content.records.rend(); ++text) {
-            std::optional<JobRecord> record = decodeJobRecord(*text);
+        for (const std::string &text : pack.content.records | std::views::reverse) {
+            std::optional<JobRecord> record = decodeJobRecord(text);
             if (!record || state.finished.contains(record->id) || state.jobs.contains(record->id)) {
                 continue;
             }
