--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <ranges>
 #include <utility>
 
 namespace LaburnumFlow::Jobs {
@@ -173,9 +172,10 @@
 void restoreJobs(OwnerState &state, std::vector<StoredJobs::Pack> packs)
 {
     std::sort(packs.begin(), packs.end(), [](const auto &left, const auto &right) { return left.key > right.key; });
-    for (const StoredJobs::Pack &pack : packs) {
+    for (StoredJobs::Pack &pack : packs) {
         std::vector<JobId> live;
-        for (const std::string &text : pack.content.records | std::views::reverse) {
+        std::reverse(pack.content.records.begin(), pack.content.records.end());
+        for (const std::string &text : pack.content.records) {
             std::optional<JobRecord> record = decodeJobRecord(text);
             if (!record || state.finished.contains(record->id) || state.jobs.contains(record->id)) {
                 continue;
