--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -36,6 +36,7 @@
 struct Agent {
     std::string name;
     bool linked = false;
+    Base::MonoTime unlinkedAt{};
     bool recorded = false; ///< its name stands in the owner record
     bool reported = false; ///< a full report has come under this owner's epoch and on the present link
     std::int64_t token = 0;
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -25,6 +25,7 @@
 
 constexpr Base::Duration queryWait = 200ms; ///< a query of a job that is not final is held for this long, so that its caller need not ask again
 
+constexpr Base::Duration unlinkedAgentKept = 300ms; ///< an agent without runs stays recorded for this long, as links are replaced at times
 constexpr Base::Duration ownerPing = 350ms; ///< the owner echoes each agent's token at least this often
 constexpr Base::Duration agentQuietLimit = 900ms; ///< no new work for an agent not heard of for this long
 
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -275,6 +275,9 @@
         if (agent.linked) {
             consider(agent.ordersAt + ownerPing);
         }
+        if (!agent.linked && agent.recorded && agent.runs.empty()) {
+            consider(std::max(agent.unlinkedAt + unlinkedAgentKept, state.now + unlinkedAgentKept / 4));
+        }
         if (!agent.runs.empty()) {
             consider(agent.tokenAt + authorityLimit + Base::Duration(1));
         }
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -427,6 +427,7 @@
 {
     Agent &agent = agentNamed(context.state, name);
     agent.linked = false;
+    agent.unlinkedAt = context.state.now;
     agent.reported = false;
     agent.outbox = {};
     decide(context, "agent.unlinked", {{"agent", name}, {"runs", std::to_string(agent.runs.size())}});
@@ -489,7 +490,8 @@
     OwnerState &state = context.state;
     std::vector<std::string> names(state.awaitedAgents.begin(), state.awaitedAgents.end());
     for (const Agent &agent : state.agents) {
-        if (agent.linked || !agent.runs.empty() || state.now - agent.tokenAt < authorityLimit) {
+        // A successor waits for each recorded agent, so one that has left without runs must not stay for long.
+        if (agent.linked || !agent.runs.empty() || state.now - agent.unlinkedAt < unlinkedAgentKept) {
             names.push_back(agent.name);
         }
     }
--- a/tests/auto/jobs/tst_owner.cpp
+++ b/tests/auto/jobs/tst_owner.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(bestEffortAnswerIsKept);
     CPPUNIT_TEST(dropsJobsOfImpatientCallers);
     CPPUNIT_TEST(usesOnlyRecordedAgents);
+    CPPUNIT_TEST(forgetsAgentsThatLeft);
     CPPUNIT_TEST(silentAgentsTasksRestartAfterTheirLease);
     CPPUNIT_TEST(startOnItsWayIsNotMissing);
     CPPUNIT_TEST(lostStartIsOrderedAgain);
@@ -287,6 +288,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
     }
 
+    /// Guards against a successor that waits for an agent which has left in good order, or not for one that has runs.
+    void forgetsAgentsThatLeft()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.join("agent-1");
+        owner.submit(1, bestEffort(7, 1));
+        owner.join("agent-2");
+        owner.feed(AgentUnlinked{"agent-1"});
+        owner.feed(AgentUnlinked{"agent-2"});
+        CPPUNIT_ASSERT(!owner.commit());
+        owner.pass(unlinkedAgentKept + 10ms);
+        CPPUNIT_ASSERT(owner.commit());
+        CPPUNIT_ASSERT(owner.state.recorder.recordedAgents() == std::vector<std::string>{"agent-1"});
+    }
+
     /// Guards against a second run of a task while the first may still hold its lease, and against waiting for ever.
     void silentAgentsTasksRestartAfterTheirLease()
     {
