--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -35,7 +35,7 @@
 {
     const Resources &capacity = agent.worker ? agent.worker->capacity : Resources{};
     return takesWork(agent, now) && agent.worker->service == job.rules.service && step.need.cpuMilli <= capacity.cpuMilli
-        && step.need.memoryMb <= capacity.memoryMb && step.need.gpus <= capacity.gpus;
+           && step.need.memoryMb <= capacity.memoryMb && step.need.gpus <= capacity.gpus;
 }
 
 /// A task that failed on a worker waits for another one, as attempts are few; unless there is no other.
