--- a/src/libs/jobs/admission.cpp
+++ b/src/libs/jobs/admission.cpp
@@ -16,8 +16,7 @@
         return 0.0;
     }
     double work = 0.0;
-    for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
-        const StepSpec &spec = job.spec.steps[step];
+    for (const StepSpec &spec : job.spec.steps) {
         work += static_cast<double>(spec.count) * spec.need.cpuMilli * (spec.estimateMs == 0 ? defaultEstimateMs : spec.estimateMs);
     }
     return work * job.readyTasks / static_cast<double>(job.tasks.size());
--- a/src/libs/net/looplinks.h
+++ b/src/libs/net/looplinks.h
@@ -55,19 +55,19 @@
     LinkId dial(const Base::Endpoint &endpoint);
 
     /// Frames of one round of the loop are written together. Dropped if the link is closed.
-    void send(LinkId link, std::span<const std::uint8_t> frame);
+    void send(LinkId id, std::span<const std::uint8_t> frame);
 
-    void close(LinkId link);
+    void close(LinkId id);
 
     struct Link;
 
 private:
     Link *find(LinkId link);
     void accept();
-    void ready(LinkId link, std::uint32_t events);
+    void ready(LinkId id, std::uint32_t events);
     bool read(Link &link);
-    void flush(LinkId link);
-    void drop(LinkId link, LinkEnd why = LinkEnd::Lost);
+    void flush(LinkId id);
+    void drop(LinkId id, LinkEnd why = LinkEnd::Lost);
     Link &add(int fd, bool connecting);
 
     EventLoop::Loop &loop_;
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -91,7 +91,9 @@
 {
     AgentState &state = context.state;
     std::vector<RunRef> unlisted;
-    for (const auto &[run, local] : state.runs) {
+    for (const auto &entry : state.runs) {
+        const RunRef &run = entry.first;
+        const LocalRun &local = entry.second;
         const auto isRun = [&run](const ListedRun &listed) { return listed.run == run; };
         if (std::any_of(event.running.begin(), event.running.end(), isRun)) {
             continue;
