Repeat lost stop orders, bear ends of a worker that is gone, keep the age of packs across owners

The owner's agents are split into agents, ends and takeover; fields that could be derived or that nothing read are gone (commitInProgress, inQueue, queuedAs, endsSent, names and incarnations of messages).

--- a/src/app/laburnumnode/agentprocess.cpp
+++ b/src/app/laburnumnode/agentprocess.cpp
@@ -103,7 +103,7 @@
                     {std::get<Settings::JobAgentSettings>(settings.role).registration},
                     [this](const HttpIo::ServerRequest &request) { handleRequest(request); })
     , links_(loop_, *this)
-    , state_(makeAgent(settings.name, Base::monoNow()))
+    , state_(makeAgent(Base::monoNow()))
     , worker_(text(std::get<Settings::JobAgentSettings>(settings.role).worker))
     , store_(text(settings.store.endpoint))
 {
@@ -303,7 +303,7 @@
     EntryLink &entry = entries_[link];
     entry.connected = true;
     entry.heardAt = loop_.now();
-    links_.send(link, Jobs::encodeMessage(Jobs::AgentHello{settings_.name, 0}));
+    links_.send(link, Jobs::encodeMessage(Jobs::AgentHello{settings_.name}));
 }
 
 void AgentProcess::linkAccepted(Net::LinkId link)
--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -158,6 +158,13 @@
 
 void EntryProcess::passToOwner(Waiting waiting, Jobs::Call call)
 {
+    if (!owner_) {
+        // The jobs were lost while calls waited for them.
+        if (const auto *relaying = std::get_if<RelayingEntry>(&waiting)) {
+            links_.send(relaying->link, Jobs::encodeMessage(Jobs::RelayedAnswer{relaying->number, true, {}}));
+        }
+        return;
+    }
     const Jobs::CallId id = ++lastCall_;
     waiting_.emplace(id, waiting);
     feedOwner(Jobs::CallArrived{id, std::move(call)});
@@ -193,7 +200,7 @@
     if (found == peerNames_.end()) {
         return;
     }
-    links_.send(link, Jobs::encodeMessage(Jobs::EntryHello{settings_.name, ownership_.self.incarnation}));
+    links_.send(link, Jobs::encodeMessage(Jobs::EntryHello{settings_.name}));
     feedOwnership(EntryNode::PeerLinked{found->second});
     updateRoute();
 }
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -212,7 +212,7 @@
         resignBy_ = now + resignLimit;
         updateRoute();
     }
-    const bool recorded = owner_->recorder.waiting() == 0 && !owner_->commitInProgress;
+    const bool recorded = owner_->recorder.waiting() == 0;
     if (!recorded && now < resignBy_) {
         loop_.callAfter(std::chrono::milliseconds(5), [this] { resign(); });
         return;
--- a/src/libs/entrynode/ownership.cpp
+++ b/src/libs/entrynode/ownership.cpp
@@ -2,6 +2,8 @@
 
 #include "entrynodeconstants.h"
 
+#include "base/earliest.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -321,6 +323,7 @@
     }
     state.owner = Jobs::OwnerRecord{event.beat.ownedEpoch, 0, event.name, 0, {}};
     state.ownerSeenAt = state.now;
+    state.ownerGone = false;
     state.cutOffSince = {};
     // The revision that a claim needs is not known.
     state.everRead = false;
@@ -330,9 +333,6 @@
 void handle(Context &context, const PeerBeat &event)
 {
     OwnershipState &state = context.state;
-    Peer &peer = state.peers[event.name];
-    peer.beatAt = state.now;
-    peer.beat = event.beat;
     if (event.beat.resigned) {
         state.readNotBefore = state.now;
         return;
@@ -454,23 +454,22 @@
 
 std::optional<Base::MonoTime> nextDue(const OwnershipState &state)
 {
-    std::optional<Base::MonoTime> due;
-    const auto consider = [&due](Base::MonoTime time) { due = due ? std::min(*due, time) : time; };
+    Base::Earliest due;
     if (!state.readInProgress) {
-        consider(state.readNotBefore);
+        due.consider(state.readNotBefore);
     }
     if (!state.presenceCallInProgress && state.mode != Mode::Leaving) {
-        consider(state.presenceNotBefore);
+        due.consider(state.presenceNotBefore);
     }
     if (state.mode == Mode::Owning) {
-        consider(state.beatNotBefore);
+        due.consider(state.beatNotBefore);
     }
     for (const auto &[name, peer] : state.peers) {
         if (!peer.linked && !peer.dialing && peer.present) {
-            consider(peer.dialNotBefore);
+            due.consider(peer.dialNotBefore);
         }
     }
-    return due;
+    return due.time();
 }
 
 bool hasSuccessor(const OwnershipState &state)
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -22,8 +22,6 @@
     bool dialing = false;
     bool present = false; ///< its presence key was there at the last read
     Base::MonoTime dialNotBefore{};
-    Base::MonoTime beatAt{};
-    Jobs::EntryBeat beat;
 };
 
 struct OwnershipState {
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -49,7 +49,6 @@
     std::unordered_map<RunRef, ActiveRun, RunRefHash> runs;
     std::map<std::uint64_t, bool> ends; ///< not acknowledged yet; true if recorded
     std::uint64_t endsRecorded = 0;
-    std::uint64_t endsSent = 0; ///< the last endsRecorded that the agent was told
     WorkerHealth health;
     OwnerOrders outbox; ///< orders that wait for the end of the reducer's step
 
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -46,7 +46,6 @@
 constexpr std::uint32_t runsPerEpoch = 4096; ///< runs of a task under one owner; keeps runs rising across owners
 
 // Scheduling.
-constexpr double estimateSlack = 1.4; ///< callers' estimates are off by about 40 %
 constexpr double lateFactor = 3.0; ///< an answer later than this many objectives is worth nothing to its caller
 constexpr std::size_t maxUnplacedScanned = 64; ///< jobs that do not fit and are passed over in one round
 constexpr std::uint32_t defaultEstimateMs = 200; ///< of a task about which nothing is known
--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -41,12 +41,11 @@
 /// The first message on a link from an agent.
 struct AgentHello {
     std::string name;
-    std::uint64_t incarnation = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(name, incarnation);
+        archive(name);
     }
 };
 
@@ -155,12 +154,11 @@
 /// The first message on a link from an entry.
 struct EntryHello {
     std::string name;
-    std::uint64_t incarnation = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(name, incarnation);
+        archive(name);
     }
 };
 
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -3,6 +3,8 @@
 #include "jobsconstants.h"
 #include "ownersteps.h"
 
+#include "base/earliest.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -44,7 +46,6 @@
     agent.reported = false;
     const std::vector<std::string> &recorded = context.state.recorder.recordedAgents();
     agent.recorded = std::binary_search(recorded.begin(), recorded.end(), agent.name);
-    agent.endsSent = 0;
     agent.ordersAt = {};
     agent.outbox = {};
     agent.outbox.entries = context.state.entries;
@@ -64,7 +65,6 @@
 void handle(Context &context, const CommitEnded &event)
 {
     OwnerState &state = context.state;
-    state.commitInProgress = false;
     switch (state.recorder.finish(event.result, state.now)) {
     case Recorder::Verdict::Recorded:
         Internal::recorded(context, state.recorder.takeRecorded());
@@ -128,7 +128,6 @@
         orders.echo = agent.token;
         orders.workerBornMs = agent.worker ? agent.worker->bornMs : 0;
         orders.endsRecorded = agent.endsRecorded;
-        agent.endsSent = agent.endsRecorded;
         agent.ordersAt = context.state.now;
         context.effects.push_back(SendOrders{agent.name, std::move(orders)});
     }
@@ -137,11 +136,7 @@
 void startCommit(Context &context)
 {
     OwnerState &state = context.state;
-    if (state.commitInProgress) {
-        return;
-    }
     if (std::optional<Commit> commit = state.recorder.next(state.now, state.wall)) {
-        state.commitInProgress = true;
         context.effects.push_back(StartCommit{std::move(*commit)});
     }
 }
@@ -185,7 +180,7 @@
             live.push_back(job.id);
             state.jobs.emplace(job.id, std::move(job));
         }
-        state.recorder.adoptPack(pack.key, live, state.wall);
+        state.recorder.adoptPack(pack.key, live, pack.content.writtenMs);
     }
 }
 
@@ -216,7 +211,6 @@
 {
     OwnerState state;
     state.epoch = stored.owner.epoch;
-    state.name = stored.owner.owner;
     state.now = now;
     state.wall = wall;
     state.awaitedAgents.insert(stored.owner.agents.begin(), stored.owner.agents.end());
@@ -249,43 +243,38 @@
 
 std::optional<Base::MonoTime> nextDue(const OwnerState &state)
 {
-    std::optional<Base::MonoTime> due;
-    const auto consider = [&due](Base::MonoTime time) { due = due ? std::min(*due, time) : time; };
-    if (!state.commitInProgress) {
-        if (const auto commit = state.recorder.nextDue()) {
-            consider(*commit);
-        }
-    }
+    Base::Earliest due;
+    due.consider(state.recorder.nextDue());
     if (!state.progressDue.empty()) {
-        consider(state.progressDue.begin()->first);
+        due.consider(state.progressDue.begin()->first);
     }
     if (state.uncertainTasks > 0) {
-        consider(state.certainAt);
+        due.consider(state.certainAt);
     }
     if (!state.orphans.empty()) {
-        consider(state.orphansUntil);
+        due.consider(state.orphansUntil);
     }
     if (!state.heldQueries.empty()) {
-        consider(state.heldQueries.front().until);
+        due.consider(state.heldQueries.front().until);
     }
     if (!state.expiring.empty()) {
-        consider(state.expiring.begin()->first);
+        due.consider(state.expiring.begin()->first);
     }
     for (const Agent &agent : state.agents) {
         if (agent.linked) {
-            consider(agent.ordersAt + ownerPing);
+            due.consider(agent.ordersAt + ownerPing);
         }
         if (!agent.linked && agent.recorded && agent.runs.empty()) {
-            consider(std::max(agent.unlinkedAt + unlinkedAgentKept, state.now + unlinkedAgentKept / 4));
+            due.consider(std::max(agent.unlinkedAt + unlinkedAgentKept, state.now + unlinkedAgentKept / 4));
         }
         if (!agent.runs.empty()) {
-            consider(agent.tokenAt + authorityLimit + Base::Duration(1));
+            due.consider(agent.tokenAt + authorityLimit + Base::Duration(1));
         }
         if (!state.ready.empty() && state.now < agent.health.suspendedUntil) {
-            consider(agent.health.suspendedUntil);
+            due.consider(agent.health.suspendedUntil);
         }
     }
-    return due;
+    return due.time();
 }
 
 } // namespace LaburnumFlow::Jobs
--- /dev/null
+++ b/src/libs/jobs/ownerends.cpp
@@ -0,0 +1,203 @@
+#include "ownersteps.h"
+
+#include "jobsconstants.h"
+
+namespace LaburnumFlow::Jobs::Internal {
+
+namespace {
+
+std::string_view nameOf(EndKind how)
+{
+    switch (how) {
+    case EndKind::Done:
+        return "done";
+    case EndKind::Failed:
+        return "failed";
+    case EndKind::Stopped:
+        return "stopped";
+    case EndKind::Lapsed:
+        return "lapsed";
+    case EndKind::Broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
+std::string_view nameOf(RunRefusal::Reason reason)
+{
+    switch (reason) {
+    case RunRefusal::Reason::NoRoom:
+        return "no-room";
+    case RunRefusal::Reason::Unhealthy:
+        return "unhealthy";
+    case RunRefusal::Reason::Stale:
+        return "stale";
+    case RunRefusal::Reason::NoWorker:
+        return "no-worker";
+    case RunRefusal::Reason::NoAnswer:
+        return "no-answer";
+    }
+    return "unknown";
+}
+
+/// The task of a run, if the run's end decides about it.
+Task *currentTask(Job &job, const RunRef &run, AgentIndex agent)
+{
+    if (!hasTask(job, run.task)) {
+        return nullptr;
+    }
+    Task &task = job.tasks[flatIndex(job, run.task)];
+    if (task.phase == Task::Phase::Active) {
+        return task.agent == agent && task.run == run.run ? &task : nullptr;
+    }
+    // A task that is not active has no other run, so that any run of it may still decide.
+    return task.phase == Task::Phase::Uncertain || task.phase == Task::Phase::Ready ? &task : nullptr;
+}
+
+/// Ends of best-effort jobs need not be recorded.
+void noteUnrecorded(Context &context, Job &job, AgentIndex agent, const Settlement &settlement, Base::MonoTime due)
+{
+    if (job.bestEffort) {
+        settleEnd(context.state.agents[agent], settlement.number);
+        return;
+    }
+    job.unrecorded.push_back(settlement);
+    recordProgress(context, job, due);
+}
+
+void taskDone(Context &context, Job &job, Task &task, AgentIndex agent, const Settlement &settlement)
+{
+    leavePhase(context.state, job, task);
+    task.phase = Task::Phase::Done;
+    ++job.doneTasks;
+    if (job.doneTasks == job.tasks.size()) {
+        finishJob(context, job, JobState::Completed, {settlement});
+        return;
+    }
+    noteUnrecorded(context, job, agent, settlement, context.state.now + progressDelay);
+    unblockSteps(context, job);
+}
+
+void taskFailed(Context &context, Job &job, Task &task, AgentIndex agent, const Settlement &settlement)
+{
+    leavePhase(context.state, job, task);
+    ++task.failures;
+    task.avoid = agent;
+    if (task.failures >= job.rules.maxAttempts) {
+        // The task itself has ended, so there is nothing to stop.
+        task.phase = Task::Phase::Blocked;
+        finishJob(context, job, JobState::Failed, {settlement});
+        return;
+    }
+    releaseTask(context, job, task);
+    noteUnrecorded(context, job, agent, settlement, context.state.now);
+}
+
+void learn(Context &context, Agent &agent, const Job &job, const RunEnd &end)
+{
+    const StepSpec &step = job.spec.steps[end.run.task.step];
+    const std::uint32_t estimateMs = step.estimateMs == 0 ? defaultEstimateMs : step.estimateMs;
+    if (end.how == EndKind::Done) {
+        learnDone(agent.health, estimateMs, end.ranMs, context.state.now);
+        if (agent.worker) {
+            context.state.kindSpeeds.learn(agent.worker->kind, estimateMs, end.ranMs);
+        }
+        return;
+    }
+    if (end.how != EndKind::Failed) {
+        return;
+    }
+    const Base::MonoTime suspendedBefore = agent.health.suspendedUntil;
+    learnFailed(agent.health, job.id, failureWeight, context.state.now);
+    if (agent.health.suspendedUntil != suspendedBefore) {
+        decide(context, "worker.suspended", {{"agent", agent.name}, {"failures", std::to_string(agent.health.failures)}});
+    }
+}
+
+} // namespace
+
+void taskLost(Context &context, const RunRef &run, AgentIndex agent)
+{
+    Job *job = findJob(context.state, run.task.job);
+    if (job == nullptr || job->finishing) {
+        return;
+    }
+    Task *task = currentTask(*job, run, agent);
+    if (task == nullptr || task->phase != Task::Phase::Active) {
+        return;
+    }
+    releaseTask(context, *job, *task);
+}
+
+void handleEnd(Context &context, AgentIndex index, const RunEnd &end)
+{
+    Agent &agent = context.state.agents[index];
+    if (!noteEnd(agent, end.number)) {
+        return;
+    }
+    context.state.schedulingDue |= removeRun(agent, end.run) && !context.state.ready.empty();
+    const Settlement settlement{agent.name, agent.worker ? agent.worker->bornMs : 0, end.number};
+    Job *job = findJob(context.state, end.run.task.job);
+    Task *task = job == nullptr || job->finishing ? nullptr : currentTask(*job, end.run, index);
+    if (end.how != EndKind::Done) {
+        decide(context,
+               "task.ended",
+               {{"run", runText(end.run)}, {"agent", agent.name}, {"how", std::string(nameOf(end.how))}, {"ms", std::to_string(end.ranMs)}});
+    }
+    if (task == nullptr) {
+        settleEnd(agent, end.number);
+        return;
+    }
+    learn(context, agent, *job, end);
+    switch (end.how) {
+    case EndKind::Done:
+        taskDone(context, *job, *task, index, settlement);
+        return;
+    case EndKind::Failed:
+        taskFailed(context, *job, *task, index, settlement);
+        return;
+    case EndKind::Stopped:
+    case EndKind::Lapsed:
+    case EndKind::Broken:
+        settleEnd(agent, end.number);
+        if (task->phase == Task::Phase::Active) {
+            releaseTask(context, *job, *task);
+        }
+        return;
+    }
+}
+
+void handleRefusal(Context &context, AgentIndex index, const RunRefusal &refusal)
+{
+    Agent &agent = context.state.agents[index];
+    removeRun(agent, refusal.run);
+    decide(context, "task.refused", {{"run", runText(refusal.run)}, {"agent", agent.name}, {"reason", std::string(nameOf(refusal.reason))}});
+    if (Job *job = findJob(context.state, refusal.run.task.job); job != nullptr && hasTask(*job, refusal.run.task)) {
+        Task &task = job->tasks[flatIndex(*job, refusal.run.task)];
+        if (task.phase == Task::Phase::Active && task.agent == index && task.run == refusal.run.run) {
+            task.avoid = index;
+        }
+        if (refusal.reason == RunRefusal::Reason::Unhealthy || refusal.reason == RunRefusal::Reason::NoAnswer) {
+            learnFailed(agent.health, job->id, noAnswerWeight, context.state.now);
+        }
+    }
+    taskLost(context, refusal.run, index);
+}
+
+void handleStalled(Context &context, AgentIndex index, const RunRef &run)
+{
+    Agent &agent = context.state.agents[index];
+    const auto found = agent.runs.find(run);
+    if (found == agent.runs.end() || found->second.stopping) {
+        return;
+    }
+    decide(context, "task.stalled", {{"run", runText(run)}, {"agent", agent.name}});
+    learnFailed(agent.health, run.task.job, failureWeight, context.state.now);
+    Job *job = findJob(context.state, run.task.job);
+    if (job != nullptr && hasTask(*job, run.task)) {
+        job->tasks[flatIndex(*job, run.task)].avoid = index;
+    }
+    orderStop(agent, run);
+}
+
+} // namespace LaburnumFlow::Jobs::Internal
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -36,14 +36,6 @@
 
 namespace {
 
-void countStarted(OwnerState &state, Job &job)
-{
-    if (job.state == JobState::Queued && job.stored) {
-        auto &count = state.unstarted[job.rules.name];
-        count -= count > 0 ? 1 : 0;
-    }
-}
-
 void dropProgress(OwnerState &state, Job &job)
 {
     if (job.progressDue) {
@@ -90,7 +82,7 @@
 void jobFinished(Context &context, Job &job, JobState state)
 {
     OwnerState &owner = context.state;
-    countStarted(owner, job);
+    markStarted(owner, job);
     for (const CallId call : job.waitingForCancel) {
         context.effects.push_back(Reply{call, {.kind = CallAnswer::Kind::Accepted}});
     }
@@ -121,7 +113,8 @@
     if (job.expiresAt) {
         owner.expiring.erase({*job.expiresAt, job.id});
     }
-    owner.jobs.erase(job.id);
+    const JobId id = job.id;
+    owner.jobs.erase(id);
 }
 
 Job makeJob(JobId id, QueueRules rules, JobSpec spec, Base::MonoTime arrivedAt)
@@ -182,6 +175,16 @@
     return found == state.jobs.end() ? nullptr : &found->second;
 }
 
+void markStarted(OwnerState &state, Job &job)
+{
+    if (job.state != JobState::Queued || !job.stored) {
+        return;
+    }
+    auto &count = state.unstarted[job.rules.name];
+    count -= count > 0 ? 1 : 0;
+    job.state = JobState::Running;
+}
+
 void unblockSteps(Context &context, Job &job)
 {
     const auto isDone = [&job](std::uint16_t step) {
@@ -223,18 +226,13 @@
 {
     OwnerState &state = context.state;
     const bool wanted = job.readyTasks > 0 && job.stored && !job.finishing;
-    if (wanted == job.inQueue) {
-        state.schedulingDue |= wanted;
-        return;
-    }
+    const std::pair<Base::MonoTime, JobId> place{job.arrivedAt + job.objective, job.id};
     if (wanted) {
-        job.queuedAs = {job.arrivedAt + job.objective, job.id};
-        state.ready.insert(job.queuedAs);
+        state.ready.insert(place);
         state.schedulingDue = true;
     } else {
-        state.ready.erase(job.queuedAs);
+        state.ready.erase(place);
     }
-    job.inQueue = wanted;
 }
 
 void finishJob(Context &context, Job &job, JobState state, std::vector<Settlement> settles)
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -44,11 +44,7 @@
     const RunRef run{refOf(job, flat), task.run};
     addRun(agent, run, stepOf(job, flat).need, agent.ordersSent + 1);
     addToOrders(agent, job, run);
-    if (job.state == JobState::Queued) {
-        auto &count = state.unstarted[job.rules.name];
-        count -= count > 0 ? 1 : 0;
-        job.state = JobState::Running;
-    }
+    markStarted(state, job);
     decide(context,
            "task.placed",
            {{"run", runText(run)}, {"agent", agent.name}, {"used", std::to_string(agent.used.cpuMilli)}, {"speed", std::to_string(agent.health.logSpeed)}});
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -58,8 +58,6 @@
     Base::MonoTime arrivedAt{};
     Base::Duration objective{}; ///< an answer within this time is in time
     std::uint32_t chainMs = 0; ///< estimated run time of the longest chain
-    std::pair<Base::MonoTime, JobId> queuedAs; ///< its place in the ready queue
-    bool inQueue = false;
     std::optional<Base::MonoTime> progressDue; ///< when its progress is to be recorded
     std::vector<Settlement> unrecorded; ///< ends that the next progress record settles
     std::optional<Base::MonoTime> expiresAt; ///< when the caller of a best-effort job stops waiting
@@ -77,7 +75,6 @@
 /// All that the owner of the jobs knows.
 struct OwnerState {
     std::uint64_t epoch = 0;
-    std::string name; ///< of this entry
     Base::MonoTime now{};
     Base::WallTime wall{};
     Recorder recorder;
@@ -108,7 +105,6 @@
     std::unordered_map<std::string, QueueRules> rules; ///< by queue
     std::uint64_t rulesVersion = 0;
     std::vector<Base::Endpoint> entries;
-    bool commitInProgress = false;
     bool schedulingDue = false;
     std::unordered_map<std::string, std::uint32_t> unstarted; ///< by queue: stored jobs of which no task has started
 };
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -26,6 +26,9 @@
 JobRecord recordOf(const Job &job);
 Job *findJob(OwnerState &state, JobId id);
 
+/// A task of the job runs, or the job has ended.
+void markStarted(OwnerState &state, Job &job);
+
 /// Makes the tasks of steps ready whose earlier steps are done.
 void unblockSteps(Context &context, Job &job);
 
@@ -61,27 +64,45 @@
 
 // Agents.
 Agent &agentNamed(OwnerState &state, const std::string &name);
-AgentIndex indexOf(const OwnerState &state, const Agent &agent);
 void handleReport(Context &context, const std::string &name, const AgentReport &report);
 void handleUnlinked(Context &context, const std::string &name);
 void orderStop(Agent &agent, const RunRef &run);
 
+/// Sees to it that all agents that may run tasks are recorded.
+void recordAgents(Context &context);
+void noteRecordedAgents(Context &context);
+
+/// Gives up the runs of an agent whose authority has ended.
+void expireAgents(Context &context);
+
+// Ends of runs.
+void handleEnd(Context &context, AgentIndex index, const RunEnd &end);
+void handleRefusal(Context &context, AgentIndex index, const RunRefusal &refusal);
+void handleStalled(Context &context, AgentIndex index, const RunRef &run);
+
+/// The run has ended without the worker listing an end; its task may start again.
+void taskLost(Context &context, const RunRef &run, AgentIndex agent);
+
+// Runs of former owners.
+
 /// Whether the runs of former owners are all known or ended.
 bool isCertain(const OwnerState &state);
 
+/// Keeps the counts of ready and uncertain tasks while the caller moves the task to another phase.
+void leavePhase(OwnerState &state, Job &job, const Task &task);
+
+/// The task's run has ended. It may start again, unless another run that a former owner started may still be somewhere.
+void releaseTask(Context &context, Job &job, Task &task);
+
+/// Makes a listed run the task's active one, or orders its stop if it is not wanted.
+void adoptRun(Context &context, Job &job, AgentIndex index, const RunRef &run);
+
 /// Makes the runs that a former owner started for the job its own.
 void adoptOrphans(Context &context, Job &job);
 
 /// Stops the runs whose jobs nobody has submitted again.
 void expireOrphans(Context &context);
 
-/// Sees to it that all agents that may run tasks are recorded.
-void recordAgents(Context &context);
-void noteRecordedAgents(Context &context);
-
-/// Gives up the runs of an agent whose authority has ended.
-void expireAgents(Context &context);
-
 /// Frees the tasks that a former owner may have started, once nothing of them can run any more.
 void resolveUncertain(Context &context);
 
--- /dev/null
+++ b/src/libs/jobs/ownertakeover.cpp
@@ -0,0 +1,114 @@
+#include "ownersteps.h"
+
+#include "jobsconstants.h"
+
+#include <utility>
+
+namespace LaburnumFlow::Jobs::Internal {
+
+void leavePhase(OwnerState &state, Job &job, const Task &task)
+{
+    if (task.phase == Task::Phase::Uncertain) {
+        --state.uncertainTasks;
+    }
+    if (task.phase == Task::Phase::Ready) {
+        --job.readyTasks;
+    }
+}
+
+void releaseTask(Context &context, Job &job, Task &task)
+{
+    if (isCertain(context.state)) {
+        setReady(context, job, task);
+        requeue(context, job);
+        return;
+    }
+    task.phase = Task::Phase::Uncertain;
+    task.agent = noAgent;
+    ++context.state.uncertainTasks;
+}
+
+void adoptRun(Context &context, Job &job, AgentIndex index, const RunRef &run)
+{
+    OwnerState &state = context.state;
+    Agent &agent = state.agents[index];
+    Task &task = job.tasks[flatIndex(job, run.task)];
+    const bool open = task.phase == Task::Phase::Uncertain || task.phase == Task::Phase::Ready || task.phase == Task::Phase::Blocked;
+    if (job.finishing || !open) {
+        orderStop(agent, run);
+        return;
+    }
+    leavePhase(state, job, task);
+    task.phase = Task::Phase::Active;
+    task.agent = index;
+    task.run = run.run;
+    markStarted(state, job);
+    requeue(context, job);
+    decide(context, "task.adopted", {{"run", runText(run)}, {"agent", agent.name}});
+}
+
+bool isCertain(const OwnerState &state)
+{
+    return state.awaitedAgents.empty() || state.now >= state.certainAt;
+}
+
+void adoptOrphans(Context &context, Job &job)
+{
+    const auto found = context.state.orphans.find(job.id);
+    if (found == context.state.orphans.end()) {
+        return;
+    }
+    const std::vector<Orphan> orphans = std::move(found->second);
+    context.state.orphans.erase(found);
+    for (const Orphan &orphan : orphans) {
+        Agent &agent = context.state.agents[orphan.agent];
+        if (!agent.runs.contains(orphan.run)) {
+            continue;
+        }
+        if (!hasTask(job, orphan.run.task)) {
+            orderStop(agent, orphan.run);
+            continue;
+        }
+        adoptRun(context, job, orphan.agent, orphan.run);
+    }
+}
+
+void expireOrphans(Context &context)
+{
+    OwnerState &state = context.state;
+    if (state.orphans.empty() || state.now < state.orphansUntil) {
+        return;
+    }
+    for (const auto &[id, orphans] : state.orphans) {
+        for (const Orphan &orphan : orphans) {
+            if (state.agents[orphan.agent].runs.contains(orphan.run)) {
+                orderStop(state.agents[orphan.agent], orphan.run);
+            }
+        }
+    }
+    state.orphans.clear();
+}
+
+void resolveUncertain(Context &context)
+{
+    OwnerState &state = context.state;
+    if (isCertain(state) && !state.awaitedAgents.empty()) {
+        decide(context, "owner.unreported", {{"agents", std::to_string(state.awaitedAgents.size())}});
+        state.awaitedAgents.clear();
+    }
+    if (state.uncertainTasks == 0 || !isCertain(state)) {
+        return;
+    }
+    decide(context, "owner.certain", {{"tasks", std::to_string(state.uncertainTasks)}});
+    state.uncertainTasks = 0;
+    for (auto &[id, job] : state.jobs) {
+        for (Task &task : job.tasks) {
+            if (task.phase == Task::Phase::Uncertain) {
+                task.phase = Task::Phase::Blocked;
+            }
+        }
+        unblockSteps(context, job);
+    }
+}
+
+} // namespace LaburnumFlow::Jobs::Internal
--- a/src/libs/jobs/recorder.cpp
+++ b/src/libs/jobs/recorder.cpp
@@ -77,7 +77,7 @@
         inFlight_.push_back(std::move(change));
     }
     if (!pack_.records.empty()) {
-        writePack();
+        writePack(wall);
     }
     if (segment_.jobs.size() > finishedBefore) {
         writeSegment();
@@ -97,8 +97,9 @@
     segment_.newestMs = wall.count();
 }
 
-void Recorder::writePack()
+void Recorder::writePack(Base::WallTime wall)
 {
+    pack_.writtenMs = wall.count();
     commit_->writes.push_back({packKey(owner_.epoch, packNumber_), encodeRecord(pack_)});
     pack_ = {};
     ++packNumber_;
@@ -171,10 +172,10 @@
     segments_.push_back({std::move(key), newestMs});
 }
 
-void Recorder::adoptPack(const std::string &key, const std::vector<JobId> &jobs, Base::WallTime wall)
+void Recorder::adoptPack(const std::string &key, const std::vector<JobId> &jobs, std::int64_t writtenMs)
 {
     for (const JobId job : jobs) {
-        packs_.put(job, key, wall.count());
+        packs_.put(job, key, writtenMs);
     }
     if (jobs.empty()) {
         packs_.addEmpty(key);
--- a/src/libs/jobs/recorder.h
+++ b/src/libs/jobs/recorder.h
@@ -116,7 +116,7 @@
     /// Takes over what a former owner wrote, so that it is removed in time. jobs: those under the key that are not final
     /// and have no later record.
     void adoptSegment(std::string key, std::int64_t newestMs);
-    void adoptPack(const std::string &key, const std::vector<JobId> &jobs, Base::WallTime wall);
+    void adoptPack(const std::string &key, const std::vector<JobId> &jobs, std::int64_t writtenMs);
 
     /// Jobs whose records must be written anew before the final states beside them are removed.
     std::vector<JobId> jobsToRewrite(Base::WallTime wall) const;
@@ -146,7 +146,7 @@
     void fillCommit(Base::WallTime wall);
     void apply(const PutJob &put, Base::WallTime wall);
     void apply(const FinishJob &finish, Base::WallTime wall);
-    void writePack();
+    void writePack(Base::WallTime wall);
     void writeSegment();
     void removeOldSegments(Base::WallTime wall);
 
--- a/src/libs/jobs/records.h
+++ b/src/libs/jobs/records.h
@@ -45,12 +45,13 @@
 
 /// Records of several jobs under one key, encoded as JobRecord.
 struct JobPack {
+    std::int64_t writtenMs = 0; ///< Unix time
     std::vector<std::string> records;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(records);
+        archive(writtenMs, records);
     }
 };
 
--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -3,6 +3,8 @@
 #include "agentsteps.h"
 #include "taskagentconstants.h"
 
+#include "base/earliest.h"
+
 #include "jobs/jobsconstants.h"
 
 #include <algorithm>
@@ -282,10 +284,9 @@
 
 } // namespace Internal
 
-AgentState makeAgent(std::string name, Base::MonoTime now)
+AgentState makeAgent(Base::MonoTime now)
 {
     AgentState state;
-    state.name = std::move(name);
     state.now = now;
     return state;
 }
@@ -307,24 +308,23 @@
 
 std::optional<Base::MonoTime> nextDue(const AgentState &state)
 {
-    std::optional<Base::MonoTime> due;
-    const auto consider = [&due](Base::MonoTime time) { due = due ? std::min(*due, time) : time; };
+    Base::Earliest due;
     if (!state.runs.empty()) {
-        consider(state.leaseEndsAt + Base::Duration(1));
+        due.consider(state.leaseEndsAt + Base::Duration(1));
     }
     for (const auto &[run, at] : state.stopRetries) {
-        consider(at);
+        due.consider(at);
     }
     if (!state.leader.empty()) {
-        consider(state.reportedAt + tokenInterval);
+        due.consider(state.reportedAt + tokenInterval);
     }
     if (holdWanted(state)) {
-        consider(state.holdNotBefore);
+        due.consider(state.holdNotBefore);
     }
     if (state.worker) {
-        consider(state.workerHeardAt + workerSilentLimit + Base::Duration(1));
+        due.consider(state.workerHeardAt + workerSilentLimit + Base::Duration(1));
     }
-    return due;
+    return due.time();
 }
 
 } // namespace LaburnumFlow::TaskAgent
--- a/src/libs/taskagent/agentreducer.h
+++ b/src/libs/taskagent/agentreducer.h
@@ -6,7 +6,7 @@
 
 namespace LaburnumFlow::TaskAgent {
 
-AgentState makeAgent(std::string name, Base::MonoTime now);
+AgentState makeAgent(Base::MonoTime now);
 
 /// The agent's decisions. Time enters with TimePassed, which must precede the events of each round.
 AgentEffects reduce(AgentState &state, const AgentEvent &event);
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -37,7 +37,6 @@
 };
 
 struct AgentState {
-    std::string name;
     Base::MonoTime now{};
 
     // The worker.
--- a/tests/auto/jobs/tst_owner.cpp
+++ b/tests/auto/jobs/tst_owner.cpp
@@ -48,6 +48,8 @@
     CPPUNIT_TEST(silentAgentsTasksRestartAfterTheirLease);
     CPPUNIT_TEST(startOnItsWayIsNotMissing);
     CPPUNIT_TEST(lostStartIsOrderedAgain);
+    CPPUNIT_TEST(lostStopIsOrderedAgain);
+    CPPUNIT_TEST(endsOfGoneWorkerCount);
     CPPUNIT_TEST(higherEpochEndsTheOwnership);
     CPPUNIT_TEST(drainingWorkerGetsNothing);
     CPPUNIT_TEST(countsUnstartedJobs);
@@ -343,6 +345,33 @@
         CPPUNIT_ASSERT(owner.startsAt("agent-1").at(1).run > owner.startsAt("agent-1").at(0).run);
     }
 
+    /// Guards against a cancelled task that runs on because the order to stop it was lost with a link.
+    void lostStopIsOrderedAgain()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, submission(7, 1));
+        owner.settle();
+        const RunRef run = owner.startsAt("agent-1").at(0);
+        owner.feed(AgentUnlinked{"agent-1"});
+        owner.feed(CallArrived{2, CancelCall{7}});
+        owner.join("agent-1", 8000, {{run, {1000, 64, 0}}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.stopsAt("agent-1").size());
+    }
+
+    /// Guards against a report that ends the owner: ends of a worker that is gone in the same report.
+    void endsOfGoneWorkerCount()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, bestEffort(7, 1));
+        AgentReport last = owner.report("agent-1");
+        last.workerGone = true;
+        last.ends.push_back({1, owner.startsAt("agent-1").at(0), EndKind::Done, 50});
+        owner.feed(AgentReported{"agent-1", last});
+        checkState(JobState::Completed, owner.answerTo(1));
+    }
+
     /// Guards against a former owner that goes on ordering.
     void higherEpochEndsTheOwnership()
     {
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(finishedJobsStayKnown);
     CPPUNIT_TEST(laterStepsStayBlocked);
     CPPUNIT_TEST(latestRecordCounts);
+    CPPUNIT_TEST(oldRecordsAreRewrittenByAnyOwner);
     CPPUNIT_TEST(noTaskTwiceInManySchedules);
     CPPUNIT_TEST_SUITE_END();
 
@@ -177,8 +178,8 @@
         newer.failures = {0, 2};
         StoredJobs content;
         content.owner = {2, 0, "entry-1", 1, {}};
-        content.packs.push_back({packKey(1, 9), {{encodeRecord(newer)}}});
-        content.packs.push_back({packKey(1, 2), {{encodeRecord(older), encodeRecord(stored(8, 1))}}});
+        content.packs.push_back({packKey(1, 9), {0, {encodeRecord(newer)}}});
+        content.packs.push_back({packKey(1, 2), {0, {encodeRecord(older), encodeRecord(stored(8, 1))}}});
         content.finished.push_back({finishedKey(1, 0), {1'000'000, {{8, JobState::Completed}}}});
         const OwnerState state = takeOver(std::move(content), 100s, Base::WallTime(1'000'000));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), state.jobs.size());
@@ -186,6 +187,17 @@
         CPPUNIT_ASSERT_EQUAL(2, static_cast<int>(state.jobs.at(7).tasks[1].failures));
     }
 
+    /// Guards against records that outlive the final states beside them because the owner changes again and again.
+    void oldRecordsAreRewrittenByAnyOwner()
+    {
+        StoredJobs content;
+        content.owner = {2, 0, "entry-1", 1, {}};
+        content.packs.push_back({packKey(1, 0), {1'000'000, {encodeRecord(stored(7, 1))}}});
+        const Base::WallTime later(1'000'000 + std::chrono::duration_cast<Base::WallTime>(packRewriteAge).count() + 1);
+        const OwnerState state = takeOver(std::move(content), 100s, later);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), state.recorder.jobsToRewrite(later).size());
+    }
+
     /// Guards against any order of agents' reports, ends and submissions after which a task runs twice.
     void noTaskTwiceInManySchedules()
     {
--- a/tests/auto/taskagent/tst_agent.cpp
+++ b/tests/auto/taskagent/tst_agent.cpp
@@ -22,7 +22,7 @@
 class AgentHarness
 {
 public:
-    AgentHarness() : state(makeAgent("agent-1", now_)) { }
+    AgentHarness() : state(makeAgent(now_)) { }
 
     void pass(Base::Duration time)
     {
