Take the doubled code out of the daemons, split ownership, let a leaving owner beat

No check is loosened. Leaving is a flag beside the mode. Before, an owner that was told to stop sent no beats while it waited for a successor, and a claim won meanwhile was forgotten; leavingOwnerBeatsUntilItResigns and claimWonWhileLeavingIsNotForgotten failed first (1 beat instead of 2, no BeginOwning).

--- a/src/app/laburnumnode/agentprocess.cpp
+++ b/src/app/laburnumnode/agentprocess.cpp
@@ -1,5 +1,6 @@
 #include "agentprocess.h"
 
+#include "duetimer.h"
 #include "nodeconfiguration.h"
 #include "nodeconstants.h"
 #include "signals.h"
@@ -60,7 +61,6 @@
     void carryOut(SendReport &report);
     void carryOut(LearnEntries &learn);
     void carryOut(Decision &decision);
-    void armTimer();
     void onTimer();
 
     void handleRequest(const HttpIo::ServerRequest &request);
@@ -85,8 +85,7 @@
     std::string store_;
     std::map<Net::LinkId, EntryLink> entries_;
     std::vector<Base::Endpoint> known_; ///< entries to keep links to
-    EventLoop::TimerId timer_ = 0;
-    bool timerArmed_ = false;
+    DueTimer timer_;
     bool readingEntries_ = false;
     bool stopping_ = false;
     Base::MonoTime stopBy_{};
@@ -106,6 +105,10 @@
     , state_(makeAgent(Base::monoNow()))
     , worker_(text(std::get<Settings::JobAgentSettings>(settings.role).worker))
     , store_(text(settings.store.endpoint))
+    , timer_(
+          loop_,
+          [this] { return nextDue(state_); },
+          [this] { onTimer(); })
 {
 }
 
@@ -116,11 +119,7 @@
         return EXIT_FAILURE;
     }
     signals_.onStop = [this] { stop(); };
-    signals_.onReload = [this] {
-        const bool valid = readConfiguration(settingsFile_).has_value();
-        const std::vector<std::pair<std::string, std::string>> fields{{"valid", valid ? "1" : "0"}};
-        log_.writeAlways("process.reload", fields);
-    };
+    signals_.onReload = [this] { logReload(log_, settingsFile_); };
     const std::vector<std::pair<std::string, std::string>> fields{{"role", "agent"}};
     log_.writeAlways("process.start", fields);
     readEntries();
@@ -139,7 +138,7 @@
     for (AgentEffect &effect : effects) {
         carryOut(effect);
     }
-    armTimer();
+    timer_.arm();
 }
 
 void AgentProcess::carryOut(AgentEffect &effect)
@@ -186,25 +185,6 @@
     log_.write(decision.event, decision.fields, loop_.now());
 }
 
-void AgentProcess::armTimer()
-{
-    if (timerArmed_) {
-        return;
-    }
-    timerArmed_ = true;
-    loop_.defer([this] {
-        timerArmed_ = false;
-        loop_.cancel(timer_);
-        timer_ = 0;
-        if (const auto due = nextDue(state_)) {
-            timer_ = loop_.callAt(*due, [this] {
-                timer_ = 0;
-                onTimer();
-            });
-        }
-    });
-}
-
 void AgentProcess::onTimer()
 {
     feed(TimePassed{Base::monoNow()});
--- /dev/null
+++ b/src/app/laburnumnode/duetimer.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "base/types.h"
+#include "eventloop/eventloop.h"
+
+#include <functional>
+#include <optional>
+
+namespace LaburnumFlow::Node {
+
+/// Wakes a process when its reducers need to know the time next.
+class DueTimer
+{
+public:
+    using NextDue = std::function<std::optional<Base::MonoTime>()>;
+
+    DueTimer(EventLoop::Loop &loop, NextDue nextDue, EventLoop::Loop::Callback onDue);
+
+    /// Asks for the next due time at the end of the loop's round. Cheap to call after each event.
+    void arm();
+
+private:
+    void set();
+
+    EventLoop::Loop &loop_;
+    NextDue nextDue_;
+    EventLoop::Loop::Callback onDue_;
+    EventLoop::TimerId timer_ = 0;
+    bool armed_ = false;
+};
+
+} // namespace LaburnumFlow::Node
--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -104,7 +104,7 @@
         }
         std::visit([this](auto &what) { carryOut(what); }, effect);
     }
-    armTimer();
+    timer_.arm();
 }
 
 void EntryProcess::carryOut(Jobs::Reply &reply)
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -3,6 +3,7 @@
 #include "nodeconfiguration.h"
 #include "nodeconstants.h"
 
+#include "base/earliest.h"
 #include "base/timerservice.h"
 #include "platform/callerdialect.h"
 
@@ -34,6 +35,10 @@
     , links_(loop_, *this)
     , store_(settings.store.endpoint.address + ':' + std::to_string(settings.store.endpoint.port))
     , ownership_(EntryNode::makeOwnership(recordOf(settings), std::chrono::milliseconds(settings.store.shortestLeaseMs), Base::monoNow()))
+    , timer_(
+          loop_,
+          [this] { return nextDue(); },
+          [this] { onTimer(); })
 {
 }
 
@@ -44,11 +49,7 @@
         return EXIT_FAILURE;
     }
     signals_.onStop = [this] { stop(); };
-    signals_.onReload = [this] {
-        const bool valid = readConfiguration(settingsFile_).has_value();
-        const std::vector<std::pair<std::string, std::string>> fields{{"valid", valid ? "1" : "0"}};
-        log_.writeAlways("process.reload", fields);
-    };
+    signals_.onReload = [this] { logReload(log_, settingsFile_); };
     const std::vector<std::pair<std::string, std::string>> fields{{"role", "entry"}, {"incarnation", std::to_string(ownership_.self.incarnation)}};
     log_.writeAlways("process.start", fields);
     readRules();
@@ -78,7 +79,7 @@
         submit->patienceMs = static_cast<std::uint32_t>(*request.deadlineMs);
     }
     carryOut(router_.accept(request.id, std::move(call), patience, loop_.now()));
-    armTimer();
+    timer_.arm();
 }
 
 void EntryProcess::handleReady(const HttpIo::ServerRequest &request)
@@ -138,33 +139,15 @@
     carryOut(router_.route(std::move(route)));
 }
 
-void EntryProcess::armTimer()
+std::optional<Base::MonoTime> EntryProcess::nextDue() const
 {
-    if (timerArmed_) {
-        return;
+    Base::Earliest due;
+    due.consider(EntryNode::nextDue(ownership_));
+    due.consider(router_.nextDue());
+    if (owner_) {
+        due.consider(Jobs::nextDue(*owner_));
     }
-    timerArmed_ = true;
-    loop_.defer([this] {
-        timerArmed_ = false;
-        loop_.cancel(timer_);
-        timer_ = 0;
-        std::optional<Base::MonoTime> due = EntryNode::nextDue(ownership_);
-        const auto consider = [&due](const std::optional<Base::MonoTime> &time) {
-            if (time) {
-                due = due ? std::min(*due, *time) : time;
-            }
-        };
-        consider(router_.nextDue());
-        if (owner_) {
-            consider(Jobs::nextDue(*owner_));
-        }
-        if (due) {
-            timer_ = loop_.callAt(*due, [this] {
-                timer_ = 0;
-                onTimer();
-            });
-        }
-    });
+    return due.time();
 }
 
 void EntryProcess::onTimer()
@@ -174,7 +157,7 @@
     if (owner_) {
         feedOwner(Jobs::TimePassed{Base::monoNow(), Base::wallNow()});
     }
-    armTimer();
+    timer_.arm();
 }
 
 void EntryProcess::stop()
@@ -192,32 +175,20 @@
     if (ownership_.lease != 0) {
         callStore(Platform::endLeaseRequest(store_, ownership_.lease), std::nullopt, [](const HttpIo::ClientResponse & /*response*/) {});
     }
-    resign();
     finishWhenIdle();
 }
 
 /// Gives the jobs up once everything that has gathered is recorded, so that the next owner need not wait for a lapse.
-void EntryProcess::resign()
+void EntryProcess::resignWhenRecorded()
 {
     if (!owner_) {
         return;
     }
-    const Base::MonoTime now = Base::monoNow();
-    if (!EntryNode::hasSuccessor(ownership_) && now < stopBy_ - resignLimit) {
-        loop_.callAfter(drainCheck, [this] { resign(); });
-        return;
-    }
-    if (!resigning_) {
-        resigning_ = true;
-        resignBy_ = now + resignLimit;
-        updateRoute();
-    }
-    const bool recorded = owner_->recorder.waiting() == 0;
-    if (!recorded && now < resignBy_) {
-        loop_.callAfter(std::chrono::milliseconds(5), [this] { resign(); });
+    if (owner_->recorder.waiting() > 0 && Base::monoNow() < resignBy_) {
+        loop_.callAfter(resignCheck, [this] { resignWhenRecorded(); });
         return;
     }
-    Jobs::OwnerRecord record = owner_->recorder.owner();
+    const Jobs::OwnerRecord &record = owner_->recorder.owner();
     const EntryNode::Claim vacate{owner_->recorder.revision(), {record.epoch, record.sequence + 1, {}, 0, record.agents}};
     callStore(Platform::claimRequest(store_, vacate), std::nullopt, [this, epoch = record.epoch](const HttpIo::ClientResponse & /*response*/) {
         stepDown("stopping");
@@ -230,6 +201,13 @@
 void EntryProcess::finishWhenIdle()
 {
     const Base::MonoTime now = Base::monoNow();
+    const bool mayResign = EntryNode::hasSuccessor(ownership_) || now >= stopBy_ - resignLimit;
+    if (owner_ && !resigning_ && mayResign) {
+        resigning_ = true;
+        resignBy_ = now + resignLimit;
+        updateRoute();
+        resignWhenRecorded();
+    }
     const bool idle = callers_.openRequests() == 0 && !owner_;
     if ((idle && now >= stopAt_) || now >= stopBy_) {
         loop_.defer([this] { loop_.stop(); });
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "duetimer.h"
 #include "signals.h"
 #include "storetimeout.h"
 
@@ -110,10 +111,10 @@
     void callStore(HttpIo::ClientRequest request, std::optional<Base::Duration> timeout, std::function<void(const HttpIo::ClientResponse &)> handle);
 
     // Time and the end.
-    void armTimer();
+    std::optional<Base::MonoTime> nextDue() const;
     void onTimer();
     void stop();
-    void resign();
+    void resignWhenRecorded();
     void finishWhenIdle();
     void decide(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields);
 
@@ -147,8 +148,7 @@
 
     std::optional<Platform::RulesDocument> rules_;
     std::int64_t rulesRevision_ = 0;
-    EventLoop::TimerId timer_ = 0;
-    bool timerArmed_ = false;
+    DueTimer timer_;
     bool stopping_ = false;
     bool resigning_ = false;
     Base::MonoTime resignBy_{};
--- a/src/app/laburnumnode/entrystore.cpp
+++ b/src/app/laburnumnode/entrystore.cpp
@@ -30,7 +30,7 @@
     for (EntryNode::OwnershipEffect &effect : effects) {
         std::visit([this](auto &what) { carryOut(what); }, effect);
     }
-    armTimer();
+    timer_.arm();
 }
 
 void EntryProcess::carryOut(EntryNode::ReadCluster & /*read*/)
--- a/src/app/laburnumnode/nodeconfiguration.cpp
+++ b/src/app/laburnumnode/nodeconfiguration.cpp
@@ -1,51 +1,22 @@
 #include "nodeconfiguration.h"
 
-#include <fstream>
+#include "settings/settingstext.h"
+
 #include <iostream>
-#include <sstream>
+#include <utility>
+#include <vector>
 
 namespace LaburnumFlow::Node {
 
-namespace leaf = boost::leaf;
-
-namespace {
-
-using Result = std::optional<Settings::NodeSettings>;
-
-void print(const std::string &file, const Settings::SettingsFault &fault)
+std::optional<Settings::NodeSettings> readConfiguration(const std::string &file)
 {
-    std::cerr << file << ':' << fault.line << ':' << fault.column << ": " << fault.path << ": " << fault.problem;
-    if (!fault.accepted.empty()) {
-        std::cerr << " (" << fault.accepted << ')';
-    }
-    std::cerr << '\n';
+    return Settings::readSettings<Settings::NodeSettings>(std::cerr, "laburnumnode", file, Settings::parseNodeSettings);
 }
 
-} // namespace
-
-Result readConfiguration(const std::string &file)
+void logReload(Runtime::DecisionLog &log, const std::string &file)
 {
-    std::ifstream stream(file, std::ios::binary);
-    std::ostringstream text;
-    if (!stream || !(text << stream.rdbuf())) {
-        std::cerr << "laburnumnode: " << file << ": empty or unreadable\n";
-        return std::nullopt;
-    }
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<Result> {
-            BOOST_LEAF_AUTO(settings, Settings::parseNodeSettings(text.str()));
-            return Result(std::move(settings));
-        },
-        [&](const Settings::SettingsFaults &faults) -> Result {
-            for (const Settings::SettingsFault &fault : faults.faults) {
-                print(file, fault);
-            }
-            return std::nullopt;
-        },
-        [&]() -> Result {
-            std::cerr << "laburnumnode: " << file << ": can't be parsed\n";
-            return std::nullopt;
-        });
+    const std::vector<std::pair<std::string, std::string>> fields{{"valid", readConfiguration(file) ? "1" : "0"}};
+    log.writeAlways("process.reload", fields);
 }
 
 } // namespace LaburnumFlow::Node
--- a/src/app/laburnumnode/nodeconfiguration.h
+++ b/src/app/laburnumnode/nodeconfiguration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "runtime/decisionlog.h"
 #include "settings/nodesettings.h"
 
 #include <optional>
@@ -10,4 +11,7 @@
 /// Reads and checks a settings file; prints every fault to standard error.
 std::optional<Settings::NodeSettings> readConfiguration(const std::string &file);
 
+/// Checks the settings file again and logs whether it is valid. The process keeps the settings that it started with.
+void logReload(Runtime::DecisionLog &log, const std::string &file);
+
 } // namespace LaburnumFlow::Node
--- a/src/app/laburnumnode/nodeconstants.h
+++ b/src/app/laburnumnode/nodeconstants.h
@@ -17,6 +17,7 @@
 constexpr long storeConnections = 8;
 constexpr long workerConnections = 8;
 constexpr Base::Duration notOwnerRetry = 80ms; ///< before a call is passed on again that its receiver did not take
+constexpr Base::Duration resignCheck = 5ms;
 constexpr Base::Duration resignLimit = 600ms; ///< for recording what has gathered before the jobs are given up
 constexpr Base::Duration entryDrainLeast = 2500ms; ///< a balancer that checks once a second sends connections until then
 constexpr Base::Duration drainMost = 5400ms; ///< the platform kills the process after 6 s
--- /dev/null
+++ b/src/libs/entrynode/claims.cpp
@@ -0,0 +1,160 @@
+#include "ownershipsteps.h"
+
+#include "entrynodeconstants.h"
+
+#include <algorithm>
+
+namespace LaburnumFlow::EntryNode::Internal {
+
+namespace {
+
+using Mode = OwnershipState::Mode;
+
+bool isSelf(const OwnershipState &state, const Jobs::OwnerRecord &owner)
+{
+    return owner.owner == state.self.name && owner.incarnation == state.self.incarnation;
+}
+
+const Peer *ownerPeer(const OwnershipState &state)
+{
+    if (!state.owner) {
+        return nullptr;
+    }
+    const auto found = state.peers.find(state.owner->owner);
+    return found == state.peers.end() ? nullptr : &found->second;
+}
+
+/// An entry that is cut off from most others would serve fewer callers than the present owner.
+bool reachesMostEntries(const OwnershipState &state)
+{
+    std::size_t present = 0;
+    std::size_t linked = 0;
+    for (const auto &[name, peer] : state.peers) {
+        present += peer.present ? 1 : 0;
+        linked += peer.present && peer.linked ? 1 : 0;
+    }
+    return linked > 0 && linked * 2 >= present;
+}
+
+/// Why the owner should be replaced; empty if it should not.
+std::string claimReason(const OwnershipState &state)
+{
+    if (!state.everRead || !storeReachable(state) || state.mode != Mode::Following) {
+        return {};
+    }
+    if (!state.owner || state.owner->owner.empty()) {
+        return "vacant";
+    }
+    if (state.owner->owner == state.self.name) {
+        return "own-former-life";
+    }
+    const Peer *peer = ownerPeer(state);
+    const bool present = peer != nullptr && peer->present && peer->record.incarnation == state.owner->incarnation;
+    const Base::Duration silence = state.now - state.ownerSeenAt;
+    if (!present && silence > ownerQuietLimit) {
+        return "absent";
+    }
+    if (state.ownerGone && reachesMostEntries(state)) {
+        return "gone";
+    }
+    if (silence > ownerUnreachableLimit && reachesMostEntries(state)) {
+        return "unreachable";
+    }
+    // The store must have answered since: it may be down for all.
+    const bool onlyOwnerCutOff = state.cutOffSince != Base::MonoTime{} && state.storeAnsweredAt > state.cutOffSince + ownerCutOffLimit / 2;
+    if (onlyOwnerCutOff && state.now - state.cutOffSince > ownerCutOffLimit) {
+        return "cut-off";
+    }
+    return {};
+}
+
+void beginLoading(Context &context, std::int64_t revision)
+{
+    context.state.mode = Mode::Loading;
+    context.state.ownerRevision = revision;
+    context.effects.push_back(LoadJobs{});
+}
+
+} // namespace
+
+void claimIfNeeded(Context &context)
+{
+    OwnershipState &state = context.state;
+    const std::string reason = claimReason(state);
+    if (reason.empty() || state.leaving) {
+        return;
+    }
+    const auto stagger = claimStagger * (100 - std::min<std::int64_t>(state.self.processorPercent, 100)) / 100;
+    const bool silent = reason == "absent" || reason == "unreachable";
+    if (silent && state.now - state.ownerSeenAt < ownerQuietLimit + stagger) {
+        return;
+    }
+    state.claim = {state.owner ? state.owner->epoch + 1 : 1, 0, state.self.name, state.self.incarnation, {}};
+    if (state.owner) {
+        state.claim.agents = state.owner->agents;
+    }
+    state.mode = Mode::Claiming;
+    decide(context, "owner.claim", {{"epoch", std::to_string(state.claim.epoch)}, {"reason", reason}, {"former", state.owner ? state.owner->owner : ""}});
+    context.effects.push_back(Claim{state.ownerRevision, state.claim});
+}
+
+void handleClaimEnded(Context &context, const ClaimEnded &event)
+{
+    OwnershipState &state = context.state;
+    if (state.mode != Mode::Claiming) {
+        return;
+    }
+    decide(context, "owner.claim-ended", {{"epoch", std::to_string(state.claim.epoch)}, {"outcome", std::to_string(static_cast<int>(event.outcome))}});
+    switch (event.outcome) {
+    case ClaimEnded::Outcome::Won:
+        state.storeAnsweredAt = state.now;
+        beginLoading(context, event.revision);
+        return;
+    case ClaimEnded::Outcome::Unknown:
+        state.mode = Mode::Confirming;
+        state.readNotBefore = state.now;
+        return;
+    case ClaimEnded::Outcome::Lost:
+    case ClaimEnded::Outcome::Refused:
+        follow(context);
+        return;
+    }
+}
+
+void confirmClaim(Context &context)
+{
+    OwnershipState &state = context.state;
+    const bool won = state.owner && isSelf(state, *state.owner) && state.owner->epoch == state.claim.epoch;
+    state.mode = Mode::Following;
+    if (won) {
+        beginLoading(context, state.ownerRevision);
+    }
+}
+
+void follow(Context &context)
+{
+    OwnershipState &state = context.state;
+    state.mode = Mode::Following;
+    // What was read before is out of date.
+    state.everRead = false;
+    state.readNotBefore = state.now;
+    state.ownerSeenAt = state.now;
+}
+
+void noteOwner(Context &context, const ClusterRead::Content &content)
+{
+    OwnershipState &state = context.state;
+    const bool sameOwner = state.owner && content.owner && state.owner->owner == content.owner->owner && state.owner->epoch == content.owner->epoch;
+    if (!sameOwner) {
+        state.ownerSeenAt = state.now;
+        state.ownerGone = false;
+        state.cutOffSince = {};
+    }
+    state.owner = content.owner;
+    state.ownerRevision = content.ownerRevision;
+    if (!sameOwner) {
+        context.effects.push_back(OwnerKnown{content.owner ? content.owner->owner : std::string()});
+    }
+}
+
+} // namespace LaburnumFlow::EntryNode::Internal
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -35,10 +35,10 @@
         Confirming, ///< its outcome is unknown; the next read tells
         Loading, ///< the jobs are being read
         Owning,
-        Leaving, ///< the process is to stop
     };
 
     Mode mode = Mode::Following;
+    bool leaving = false; ///< the process is to stop; it claims nothing any more
     std::optional<Jobs::OwnerRecord> owner; ///< as last read; nothing if the key does not exist
     std::int64_t ownerRevision = 0;
     bool everRead = false;
--- /dev/null
+++ b/src/libs/entrynode/peers.cpp
@@ -0,0 +1,141 @@
+#include "ownershipsteps.h"
+
+#include "entrynodeconstants.h"
+
+#include <utility>
+
+namespace LaburnumFlow::EntryNode::Internal {
+
+namespace {
+
+using Mode = OwnershipState::Mode;
+
+std::vector<Base::Endpoint> entryEndpoints(const OwnershipState &state)
+{
+    std::vector<Base::Endpoint> endpoints{state.self.peers};
+    for (const auto &[name, peer] : state.peers) {
+        if (peer.present) {
+            endpoints.push_back(peer.record.peers);
+        }
+    }
+    return endpoints;
+}
+
+/// An entry that the store turns away still learns of a new owner.
+void learnOwner(Context &context, const PeerBeat &event)
+{
+    OwnershipState &state = context.state;
+    state.readNotBefore = state.now;
+    if (state.mode == Mode::Owning || state.mode == Mode::Loading) {
+        context.effects.push_back(Deposed{event.beat.ownedEpoch});
+        return;
+    }
+    state.owner = Jobs::OwnerRecord{event.beat.ownedEpoch, 0, event.name, 0, {}};
+    state.ownerSeenAt = state.now;
+    state.ownerGone = false;
+    state.cutOffSince = {};
+    // The revision that a claim needs is not known.
+    state.everRead = false;
+    context.effects.push_back(OwnerKnown{event.name});
+}
+
+} // namespace
+
+void noteEntries(Context &context, const std::vector<Jobs::EntryRecord> &entries)
+{
+    OwnershipState &state = context.state;
+    const std::vector<Base::Endpoint> before = entryEndpoints(state);
+    for (auto &[name, peer] : state.peers) {
+        peer.present = false;
+    }
+    for (const Jobs::EntryRecord &record : entries) {
+        if (record.name == state.self.name) {
+            continue;
+        }
+        Peer &peer = state.peers[record.name];
+        if (peer.record != record && (peer.linked || peer.dialing)) {
+            context.effects.push_back(HangUpPeer{record.name});
+            peer.linked = false;
+            peer.dialing = false;
+        }
+        peer.record = record;
+        peer.present = true;
+    }
+    std::erase_if(state.peers, [](const auto &entry) { return !entry.second.present && !entry.second.linked && !entry.second.dialing; });
+    const std::vector<Base::Endpoint> after = entryEndpoints(state);
+    if (before != after) {
+        context.effects.push_back(EntriesKnown{after});
+    }
+}
+
+void handlePeer(Context &context, const PeerLinked &event)
+{
+    Peer &peer = context.state.peers[event.name];
+    peer.linked = true;
+    peer.dialing = false;
+    context.state.beatNotBefore = context.state.now;
+}
+
+void handlePeer(Context &context, const PeerUnlinked &event)
+{
+    Peer &peer = context.state.peers[event.name];
+    peer.dialing = false;
+    // The first dial after a loss tells at once whether the process is still there.
+    const bool first = std::exchange(peer.linked, false);
+    peer.dialNotBefore = first && !event.refused ? context.state.now : context.state.now + dialRetry;
+    const bool isOwner = context.state.owner && context.state.owner->owner == event.name;
+    context.state.ownerGone = (context.state.ownerGone && !isOwner) || (isOwner && event.refused);
+}
+
+void handlePeer(Context &context, const PeerBeat &event)
+{
+    OwnershipState &state = context.state;
+    if (event.beat.resigned) {
+        state.readNotBefore = state.now;
+        return;
+    }
+    const bool fromOwner = state.owner && state.owner->owner == event.name;
+    if (event.beat.ownedEpoch == 0 || (state.owner && event.beat.ownedEpoch < state.owner->epoch)) {
+        return;
+    }
+    if (!fromOwner || state.owner->epoch != event.beat.ownedEpoch) {
+        learnOwner(context, event);
+        return;
+    }
+    state.ownerSeenAt = state.now;
+    state.ownerGone = false;
+    if (event.beat.storeReachable) {
+        state.cutOffSince = {};
+    } else if (state.cutOffSince == Base::MonoTime{}) {
+        state.cutOffSince = state.now;
+    }
+}
+
+void dialPeers(Context &context)
+{
+    OwnershipState &state = context.state;
+    for (auto &[name, peer] : state.peers) {
+        if (peer.linked || peer.dialing || !peer.present || state.now < peer.dialNotBefore) {
+            continue;
+        }
+        peer.dialing = true;
+        context.effects.push_back(DialPeer{name, peer.record.peers});
+    }
+}
+
+void sendBeats(Context &context)
+{
+    OwnershipState &state = context.state;
+    if (state.mode != Mode::Owning || state.now < state.beatNotBefore) {
+        return;
+    }
+    state.beatNotBefore = state.now + beatInterval;
+    const Jobs::EntryBeat beat{state.claim.epoch, storeReachable(state), false};
+    for (const auto &[name, peer] : state.peers) {
+        if (peer.linked) {
+            context.effects.push_back(SendBeat{name, beat});
+        }
+    }
+}
+
+} // namespace LaburnumFlow::EntryNode::Internal
--- /dev/null
+++ b/src/libs/entrynode/presence.cpp
@@ -0,0 +1,74 @@
+#include "ownershipsteps.h"
+
+#include "entrynodeconstants.h"
+
+#include <algorithm>
+
+namespace LaburnumFlow::EntryNode::Internal {
+
+void handleLease(Context &context, const LeaseGranted &event)
+{
+    OwnershipState &state = context.state;
+    state.presenceCallInProgress = false;
+    state.presenceWritten = false;
+    state.lease = event.lease;
+    if (event.lease == 0) {
+        state.presenceNotBefore = state.now + presenceRenewal;
+    }
+}
+
+void handleLease(Context &context, const LeaseKept &event)
+{
+    OwnershipState &state = context.state;
+    state.presenceCallInProgress = false;
+    state.presenceNotBefore = state.now + presenceRenewal;
+    if (event.outcome == LeaseKept::Outcome::Kept) {
+        state.storeAnsweredAt = state.now;
+    }
+    if (event.outcome == LeaseKept::Outcome::Gone) {
+        state.lease = 0;
+        state.presenceNotBefore = state.now;
+    }
+}
+
+void handlePresence(Context &context, const PresenceWritten &event)
+{
+    OwnershipState &state = context.state;
+    state.presenceCallInProgress = false;
+    state.presenceNotBefore = state.now + presenceRenewal;
+    state.presenceWritten = event.outcome == PresenceWritten::Outcome::Written;
+    if (event.outcome == PresenceWritten::Outcome::LeaseGone) {
+        state.lease = 0;
+    }
+}
+
+void checkPresence(Context &context, const std::vector<Jobs::EntryRecord> &entries)
+{
+    OwnershipState &state = context.state;
+    const bool listed = std::any_of(entries.begin(), entries.end(), [&state](const Jobs::EntryRecord &record) {
+        return record.name == state.self.name && record.incarnation == state.self.incarnation;
+    });
+    // The key may vanish without notice while the lease seems to be alive.
+    if (!listed && state.presenceWritten && !state.presenceCallInProgress) {
+        state.presenceWritten = false;
+        state.lease = 0;
+    }
+}
+
+void maintainPresence(Context &context)
+{
+    OwnershipState &state = context.state;
+    if (state.presenceCallInProgress || state.now < state.presenceNotBefore || state.leaving) {
+        return;
+    }
+    state.presenceCallInProgress = true;
+    if (state.lease == 0) {
+        context.effects.push_back(GrantLease{state.presenceTerm});
+    } else if (!state.presenceWritten) {
+        context.effects.push_back(WritePresence{state.lease, state.self});
+    } else {
+        context.effects.push_back(KeepLease{state.lease});
+    }
+}
+
+} // namespace LaburnumFlow::EntryNode::Internal
--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -18,6 +18,12 @@
 constexpr std::array<std::string_view, 2> roles{"entry", "agent"};
 constexpr std::size_t maxNameLength = 120; ///< names are parts of keys of at most 200 bytes
 
+void requireEndpoint(MapReader &reader, std::string_view key, EndpointUse use, Base::Endpoint &target)
+{
+    reader.require(key);
+    readEndpoint(reader, key, use, target);
+}
+
 NodeStoreSettings readStore(MapReader &parent)
 {
     NodeStoreSettings store;
@@ -27,8 +33,7 @@
         return store;
     }
     MapReader reader(*node, parent.pathOf("store"), parent.faults());
-    reader.require("address");
-    readEndpoint(reader, "address", EndpointUse::Reaching, store.endpoint);
+    requireEndpoint(reader, "address", EndpointUse::Reaching, store.endpoint);
     reader.number("shortestLeaseMs", store.shortestLeaseMs, 1, 600'000);
     reader.finish();
     return store;
@@ -37,20 +42,16 @@
 JobEntrySettings readEntry(MapReader &reader)
 {
     JobEntrySettings entry;
-    reader.require("callers");
-    readEndpoint(reader, "callers", EndpointUse::Listening, entry.callers);
-    reader.require("ready");
-    readEndpoint(reader, "ready", EndpointUse::Listening, entry.ready);
+    requireEndpoint(reader, "callers", EndpointUse::Listening, entry.callers);
+    requireEndpoint(reader, "ready", EndpointUse::Listening, entry.ready);
     return entry;
 }
 
 JobAgentSettings readAgent(MapReader &reader)
 {
     JobAgentSettings agent;
-    reader.require("registration");
-    readEndpoint(reader, "registration", EndpointUse::Listening, agent.registration);
-    reader.require("worker");
-    readEndpoint(reader, "worker", EndpointUse::Reaching, agent.worker);
+    requireEndpoint(reader, "registration", EndpointUse::Listening, agent.registration);
+    requireEndpoint(reader, "worker", EndpointUse::Reaching, agent.worker);
     return agent;
 }
 
@@ -78,8 +79,7 @@
     // Without a role the other keys cannot be checked.
     if (reader.choice("role", role, roles)) {
         if (role == "entry") {
-            reader.require("peers");
-            readEndpoint(reader, "peers", EndpointUse::Reaching, settings.peers);
+            requireEndpoint(reader, "peers", EndpointUse::Reaching, settings.peers);
             settings.role = readEntry(reader);
         } else {
             settings.role = readAgent(reader);
--- /dev/null
+++ b/tests/auto/agent/agentexpectations.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "agentharness.h"
+
+#include <cppunit/TestAssert.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace LaburnumFlow::Agent {
+
+inline const Base::AttemptKey key1 = keyOf(1);
+
+inline std::uint64_t counted(const Harness &agent, std::string_view counter)
+{
+    std::uint64_t n = 0;
+    for (const Count &count : agent.allOf<Count>()) {
+        n += count.counter == counter ? count.n : 0;
+    }
+    return n;
+}
+
+/// Checks the newest update, or that there is none if state is empty.
+inline void expectUpdate(const Harness &agent,
+                         const std::string &what,
+                         const std::string &entry,
+                         const Base::AttemptKey &key,
+                         std::optional<AttemptState> state,
+                         AgentReason reason = AgentReason::None)
+{
+    const auto update = agent.updateTo(entry, key);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, state.has_value(), update.has_value());
+    if (state) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::string(toString(*state)), std::string(toString(update->state)));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::string(toString(reason)), std::string(toString(update->reason)));
+    }
+}
+
+} // namespace LaburnumFlow::Agent
--- a/tests/auto/entrynode/tst_ownership.cpp
+++ b/tests/auto/entrynode/tst_ownership.cpp
@@ -121,6 +121,8 @@
     CPPUNIT_TEST(vanishedPresenceIsWrittenAgain);
     CPPUNIT_TEST(resignsOnlyWithSuccessor);
     CPPUNIT_TEST(leavingEntryClaimsNothing);
+    CPPUNIT_TEST(leavingOwnerBeatsUntilItResigns);
+    CPPUNIT_TEST(claimWonWhileLeavingIsNotForgotten);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -357,6 +359,31 @@
         entry.read(ownedBy("", 3), 10, {});
         CPPUNIT_ASSERT(entry.all<Claim>().empty());
     }
+
+    /// Guards against entries that replace a stopping owner which goes on serving until a successor is there.
+    void leavingOwnerBeatsUntilItResigns()
+    {
+        EntryHarness entry;
+        entry.own();
+        entry.feed(PeerLinked{"entry-2"});
+        entry.feed(LeaveRequested{});
+        const std::size_t before = entry.all<SendBeat>().size();
+        entry.pass(beatInterval);
+        CPPUNIT_ASSERT_EQUAL(before + 1, entry.all<SendBeat>().size());
+        entry.read(ownedBy("entry-2", 2), 20, {entryNamed("entry-2")});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<Deposed>().size());
+    }
+
+    /// Guards against jobs that belong to an entry which does not know so, as it was told to stop meanwhile.
+    void claimWonWhileLeavingIsNotForgotten()
+    {
+        EntryHarness entry;
+        entry.read(std::nullopt, 0, {});
+        entry.feed(LeaveRequested{});
+        entry.feed(ClaimEnded{ClaimEnded::Outcome::Won, 5});
+        entry.feed(JobsLoaded{true});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<BeginOwning>().size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestOwnership);
--- a/tests/auto/net/tst_looplinks.cpp
+++ b/tests/auto/net/tst_looplinks.cpp
@@ -81,6 +81,27 @@
     std::function<bool()> condition_;
 };
 
+/// Two ends of a link, on one loop.
+struct Linked {
+    Linked() : recorder(loop), links(loop, recorder)
+    {
+        const Base::Endpoint endpoint{"127.0.0.1", Testing::freePort()};
+        CPPUNIT_ASSERT(links.listen(endpoint));
+        dialed = links.dial(endpoint);
+        recorder.await([this] { return recorder.accepted.size() == 1 && recorder.connected.size() == 1; });
+    }
+
+    LinkId accepted() const
+    {
+        return recorder.accepted.at(0);
+    }
+
+    EventLoop::Loop loop;
+    Recorder recorder;
+    LoopLinks links;
+    LinkId dialed = 0;
+};
+
 } // namespace
 
 class TestLoopLinks : public CppUnit::TestFixture
@@ -96,19 +117,13 @@
     /// Guards against frames that are cut, joined or reordered.
     void keepsFramesWholeAndInOrder()
     {
-        EventLoop::Loop loop;
-        Recorder recorder(loop);
-        LoopLinks links(loop, recorder);
-        const Base::Endpoint endpoint{"127.0.0.1", Testing::freePort()};
-        CPPUNIT_ASSERT(links.listen(endpoint));
-        const LinkId link = links.dial(endpoint);
-        recorder.await([&] { return recorder.connected.size() == 1 && recorder.accepted.size() == 1; });
+        Linked ends;
         const std::vector<std::string> sent{"a", "", std::string(300'000, 'x'), "last"};
         for (const std::string &frame : sent) {
-            links.send(link, bytesOf(frame));
+            ends.links.send(ends.dialed, bytesOf(frame));
         }
-        recorder.await([&] { return recorder.frames.size() == sent.size(); });
-        CPPUNIT_ASSERT(recorder.frames == sent);
+        ends.recorder.await([&] { return ends.recorder.frames.size() == sent.size(); });
+        CPPUNIT_ASSERT(ends.recorder.frames == sent);
     }
 
     /// Guards against an address that is dialed for ever although nothing listens there.
@@ -127,33 +142,21 @@
     /// Guards against a peer that is thought to be there after its process has ended.
     void reportsPeersEnd()
     {
-        EventLoop::Loop loop;
-        Recorder recorder(loop);
-        LoopLinks links(loop, recorder);
-        const Base::Endpoint endpoint{"127.0.0.1", Testing::freePort()};
-        CPPUNIT_ASSERT(links.listen(endpoint));
-        const LinkId link = links.dial(endpoint);
-        recorder.await([&] { return recorder.accepted.size() == 1 && recorder.connected.size() == 1; });
-        links.close(recorder.accepted[0]);
-        recorder.await([&] { return recorder.closed.size() == 1; });
-        CPPUNIT_ASSERT_EQUAL(link, recorder.closed[0]);
+        Linked ends;
+        ends.links.close(ends.accepted());
+        ends.recorder.await([&] { return ends.recorder.closed.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(ends.dialed, ends.recorder.closed[0]);
     }
 
     /// Guards against calls back for a link that its user has given up.
     void closedLinkIsSilent()
     {
-        EventLoop::Loop loop;
-        Recorder recorder(loop);
-        LoopLinks links(loop, recorder);
-        const Base::Endpoint endpoint{"127.0.0.1", Testing::freePort()};
-        CPPUNIT_ASSERT(links.listen(endpoint));
-        const LinkId link = links.dial(endpoint);
-        recorder.await([&] { return recorder.accepted.size() == 1 && recorder.connected.size() == 1; });
-        links.close(link);
-        links.send(link, bytesOf("lost"));
-        recorder.await([&] { return recorder.closed.size() == 1; });
-        CPPUNIT_ASSERT_EQUAL(recorder.accepted[0], recorder.closed[0]);
-        CPPUNIT_ASSERT(recorder.frames.empty());
+        Linked ends;
+        ends.links.close(ends.dialed);
+        ends.links.send(ends.dialed, bytesOf("lost"));
+        ends.recorder.await([&] { return ends.recorder.closed.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(ends.accepted(), ends.recorder.closed[0]);
+        CPPUNIT_ASSERT(ends.recorder.frames.empty());
     }
 };
 
