Test laburnumnode's real processes around stand-ins of the platform's store and of a worker

Kills of all processes, of the owner and of the agent, planned stops, and a store that turns the entry away; the worker's own record shows that no two runs of a task overlapped.

--- a/tests/auto/jobs/tst_load.cpp
+++ b/tests/auto/jobs/tst_load.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(hopelessJobSuspendsNobody);
     CPPUNIT_TEST(unansweredStartsWeighLess);
     CPPUNIT_TEST(suspendedWorkerIsProbed);
+    CPPUNIT_TEST(suspensionEndsByTime);
     CPPUNIT_TEST(respectsRoom);
     CPPUNIT_TEST_SUITE_END();
 
@@ -145,6 +146,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), owner.allStarts());
     }
 
+    /// Pattern: a suspension ends while nothing else happens. Guards against jobs that wait for the next event.
+    void suspensionEndsByTime()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        learnFailed(owner.state.agents[0].health, 100, failureWeight, owner.state.now);
+        learnFailed(owner.state.agents[0].health, 101, failureWeight, owner.state.now);
+        const Base::MonoTime until = owner.state.agents[0].health.suspendedUntil;
+        owner.submit(1, bestEffort(1, 1));
+        while (owner.state.now + ownerPing < until) {
+            owner.pass(ownerPing - 10ms);
+            owner.feed(AgentReported{"agent-1", owner.report("agent-1")});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
+        CPPUNIT_ASSERT(nextDue(owner.state) <= until);
+        owner.pass(until - owner.state.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+    }
+
     /// Pattern: jobs of many tasks on small workers. Guards against starts that the workers reject for want of room.
     void respectsRoom()
     {
--- /dev/null
+++ b/tests/auto/node/platformstandin.cpp
@@ -0,0 +1,169 @@
+#include "platformstandin.h"
+
+#include "store/base64.h"
+
+#include <vector>
+
+namespace NodeTest {
+
+using nlohmann::json;
+
+namespace {
+
+std::int64_t numberAfter(const std::string &path, std::size_t prefix)
+{
+    return std::strtoll(path.c_str() + prefix, nullptr, 10);
+}
+
+} // namespace
+
+PlatformStandIn::PlatformStandIn() : server_([this](const StandInRequest &request) { return answer(request); }) { }
+
+void PlatformStandIn::put(const std::string &key, const std::string &value)
+{
+    const std::lock_guard lock(mutex_);
+    ++revision_;
+    Item &written = items_[key];
+    written.value = LaburnumFlow::Store::encodeBase64(value);
+    written.revision = revision_;
+}
+
+StandInReply PlatformStandIn::answer(const StandInRequest &request)
+{
+    const std::lock_guard lock(mutex_);
+    if (turnsAway) {
+        return {503, {}};
+    }
+    removeLapsed();
+    if (request.path == "/kv-key") {
+        return item(request.query.at("Key"));
+    }
+    if (request.path == "/kv-range") {
+        const auto after = request.query.find("After");
+        return range(request.query.at("Prefix"), after == request.query.end() ? "" : after->second);
+    }
+    if (request.path == "/kv-txn") {
+        return transaction(request.body);
+    }
+    if (request.path == "/kv-lease") {
+        return grant(request.body);
+    }
+    constexpr std::string_view keepPrefix = "/kv-keep/";
+    constexpr std::string_view endPrefix = "/kv-lease-end/";
+    if (request.path.starts_with(keepPrefix)) {
+        return keep(numberAfter(request.path, keepPrefix.size()));
+    }
+    if (request.path.starts_with(endPrefix)) {
+        return end(numberAfter(request.path, endPrefix.size()));
+    }
+    return {404, {}};
+}
+
+json PlatformStandIn::row(const std::string &key) const
+{
+    const auto found = items_.find(key);
+    if (found == items_.end()) {
+        return {{"Key", key}, {"Revision", 0}};
+    }
+    const Item &item = found->second;
+    return {{"Key", key}, {"Value", item.value}, {"Revision", item.revision}, {"Created", item.created}, {"Lease", item.lease}};
+}
+
+StandInReply PlatformStandIn::item(const std::string &key) const
+{
+    if (!items_.contains(key)) {
+        return {404, "{}"};
+    }
+    json body = row(key);
+    body["StoreRevision"] = revision_;
+    return {200, body.dump()};
+}
+
+StandInReply PlatformStandIn::range(const std::string &prefix, const std::string &after) const
+{
+    json rows = json::array();
+    for (auto next = after.empty() ? items_.lower_bound(prefix) : items_.upper_bound(after); next != items_.end(); ++next) {
+        if (!next->first.starts_with(prefix)) {
+            break;
+        }
+        rows.push_back(row(next->first));
+    }
+    return {200, json{{"items", rows}, {"HasMore", false}, {"StoreRevision", revision_}}.dump()};
+}
+
+StandInReply PlatformStandIn::transaction(const std::string &body)
+{
+    const json request = json::parse(body);
+    json conflicts = json::array();
+    bool holds = true;
+    for (const json &expected : request["Expect"]) {
+        const json current = row(expected["Key"]);
+        holds = holds && current["Revision"] == expected["Revision"];
+        conflicts.push_back(current);
+    }
+    if (!holds) {
+        return {412, json{{"items", conflicts}}.dump()};
+    }
+    for (const json &write : request["Writes"]) {
+        if (write.contains("Lease") && !leases_.contains(write["Lease"])) {
+            return {404, "{}"};
+        }
+    }
+    ++revision_;
+    for (const json &write : request["Writes"]) {
+        Item &item = items_[write["Key"]];
+        item.created = item.created == 0 ? revision_ : item.created;
+        item.value = write["Value"];
+        item.revision = revision_;
+        item.lease = write.value("Lease", std::int64_t(0));
+    }
+    for (const json &key : request["Deletes"]) {
+        items_.erase(key.get<std::string>());
+    }
+    return {200, json{{"Revision", revision_}}.dump()};
+}
+
+StandInReply PlatformStandIn::grant(const std::string &body)
+{
+    const std::chrono::milliseconds term(json::parse(body)["TtlMs"].get<std::int64_t>());
+    leases_[++lastLease_] = {term, Clock::now() + term};
+    return {200, json{{"Lease", lastLease_}, {"TtlMs", term.count()}}.dump()};
+}
+
+StandInReply PlatformStandIn::keep(std::int64_t lease)
+{
+    const auto found = leases_.find(lease);
+    if (found == leases_.end()) {
+        return {404, "{}"};
+    }
+    found->second.end = Clock::now() + found->second.term;
+    return {200, json{{"TtlMs", found->second.term.count()}}.dump()};
+}
+
+StandInReply PlatformStandIn::end(std::int64_t lease)
+{
+    removeLease(lease);
+    return {200, "{}"};
+}
+
+void PlatformStandIn::removeLapsed()
+{
+    std::vector<std::int64_t> lapsed;
+    for (const auto &[id, lease] : leases_) {
+        if (lease.end < Clock::now()) {
+            lapsed.push_back(id);
+        }
+    }
+    for (const std::int64_t id : lapsed) {
+        removeLease(id);
+    }
+}
+
+void PlatformStandIn::removeLease(std::int64_t lease)
+{
+    leases_.erase(lease);
+    const auto removed = std::erase_if(items_, [lease](const auto &item) { return item.second.lease == lease; });
+    revision_ += removed > 0 ? 1 : 0;
+}
+
+} // namespace NodeTest
--- /dev/null
+++ b/tests/auto/node/platformstandin.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "standinserver.h"
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace NodeTest {
+
+/// The platform's store: keys with revisions, conditional transactions and leases that lapse.
+class PlatformStandIn
+{
+public:
+    PlatformStandIn();
+
+    std::string endpoint() const
+    {
+        return server_.endpoint();
+    }
+
+    /// Writes a key as the operator does.
+    void put(const std::string &key, const std::string &value);
+
+    /// While set, each call is answered 503 without effect.
+    std::atomic<bool> turnsAway = false;
+
+private:
+    using Clock = std::chrono::steady_clock;
+
+    struct Item {
+        std::string value; ///< base64
+        std::int64_t revision = 0;
+        std::int64_t created = 0;
+        std::int64_t lease = 0;
+    };
+
+    struct Lease {
+        std::chrono::milliseconds term{};
+        Clock::time_point end;
+    };
+
+    StandInReply answer(const StandInRequest &request);
+    StandInReply item(const std::string &key) const;
+    StandInReply range(const std::string &prefix, const std::string &after) const;
+    StandInReply transaction(const std::string &body);
+    StandInReply grant(const std::string &body);
+    StandInReply keep(std::int64_t lease);
+    StandInReply end(std::int64_t lease);
+    nlohmann::json row(const std::string &key) const;
+    void removeLapsed();
+    void removeLease(std::int64_t lease);
+
+    std::mutex mutex_;
+    std::map<std::string, Item> items_;
+    std::map<std::int64_t, Lease> leases_;
+    std::int64_t revision_ = 1;
+    std::int64_t lastLease_ = 0;
+    StandInServer server_;
+};
+
+} // namespace NodeTest
--- /dev/null
+++ b/tests/auto/node/tst_processes.cpp
@@ -0,0 +1,246 @@
+#include "platformstandin.h"
+#include "workerstandin.h"
+
+#include "../freeport.h"
+#include "../system/childprocess.h"
+#include "../system/httpcall.h"
+#include "../system/waiting.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace NodeTest;
+using SystemTest::call;
+using SystemTest::ChildProcess;
+using SystemTest::generousSeconds;
+using SystemTest::HttpResult;
+using SystemTest::waitFor;
+
+namespace {
+
+const std::string rules = R"({"Version":1,"Routes":[{"Name":"q","Host":"q.example","Prefix":"/q/","Service":"service","MaxAttempts":3,)"
+                          R"("Stretch":1.6,"TargetDurationMs":60}],"Services":[],"Limits":{}})";
+
+std::string local(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+/// The real programs around stand-ins of the platform's store and of a worker.
+class Site
+{
+public:
+    explicit Site(int entries)
+    {
+        std::string folder = "/tmp/laburnumnode-test-XXXXXX";
+        CPPUNIT_ASSERT(mkdtemp(folder.data()) != nullptr);
+        folder_ = folder;
+        platform.put("op/config", rules);
+        for (int i = 0; i < entries; ++i) {
+            entries_.push_back(
+                {local(LaburnumFlow::Testing::freePort()), local(LaburnumFlow::Testing::freePort()), local(LaburnumFlow::Testing::freePort()), {}});
+            startEntry(i);
+        }
+        agentAddress_ = local(LaburnumFlow::Testing::freePort());
+        startAgent();
+    }
+
+    ~Site()
+    {
+        agent.reset();
+        entries_.clear();
+        std::filesystem::remove_all(folder_);
+    }
+
+    Site(const Site &) = delete;
+    Site &operator=(const Site &) = delete;
+
+    void startEntry(int index)
+    {
+        Entry &entry = entries_.at(static_cast<std::size_t>(index));
+        const std::string name = "entry-" + std::to_string(index);
+        entry.process
+            = launch(name, "role: entry\nname: " + name + "\ncallers: " + entry.callers + "\nready: " + entry.ready + "\npeers: " + entry.peers + "\n");
+    }
+
+    void startAgent()
+    {
+        agent = launch("agent", "role: agent\nname: agent\nregistration: " + agentAddress_ + "\nworker: " + worker.endpoint() + "\n");
+    }
+
+    /// Waits until the entry is ready and the worker is known.
+    void awaitReady(int index)
+    {
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return call("GET", entries_.at(static_cast<std::size_t>(index)).ready, "/ready").status == 200; }));
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return worker.announce(agentAddress_) == 200; }));
+    }
+
+    ChildProcess &entry(int index)
+    {
+        return *entries_.at(static_cast<std::size_t>(index)).process;
+    }
+
+    HttpResult submit(int index, const std::string &id, int tasks, int workMs, bool bestEffort, long timeoutMs = 60'000) const
+    {
+        const std::string body = R"({"Spec":")" + std::to_string(workMs) + R"(","Steps":[{"Count":)" + std::to_string(tasks) + R"(,"Cpu":1000,"EstimateMs":)"
+                                 + std::to_string(workMs) + "}]" + (bestEffort ? R"(,"BestEffort":true})" : "}");
+        return call("POST", entries_.at(static_cast<std::size_t>(index)).callers, "/q/" + id, body, {"Host: q.example", "X-Deadline-Ms: 50000"}, timeoutMs);
+    }
+
+    std::string stateOf(int index, const std::string &id) const
+    {
+        const HttpResult result = call("GET", entries_.at(static_cast<std::size_t>(index)).callers, "/q/" + id, {}, {"Host: q.example"});
+        return result.json().value("State", std::string());
+    }
+
+    PlatformStandIn platform;
+    WorkerStandIn worker;
+    std::unique_ptr<ChildProcess> agent;
+
+private:
+    struct Entry {
+        std::string callers;
+        std::string ready;
+        std::string peers;
+        std::unique_ptr<ChildProcess> process;
+    };
+
+    std::unique_ptr<ChildProcess> launch(const std::string &name, const std::string &settings) const
+    {
+        const std::string file = folder_ + "/" + name + ".yaml";
+        std::ofstream(file) << settings << "store: {address: '" << platform.endpoint() << "'}\n";
+        return std::make_unique<ChildProcess>("laburnumnode", std::vector<std::string>{"--config", file}, folder_ + "/" + name + ".log");
+    }
+
+    std::string folder_;
+    std::vector<Entry> entries_;
+    std::string agentAddress_;
+};
+
+constexpr const char *job1 = "00000000000000a1";
+constexpr const char *job2 = "00000000000000a2";
+
+} // namespace
+
+class TestProcesses : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestProcesses);
+    CPPUNIT_TEST(servesBothKindsOfJobs);
+    CPPUNIT_TEST(storedJobSurvivesAllProcesses);
+    CPPUNIT_TEST(secondEntryTakesOver);
+    CPPUNIT_TEST(stoppingOwnerAnswersWhatItTook);
+    CPPUNIT_TEST(restartedAgentKeepsRuns);
+    CPPUNIT_TEST(refusesStoredJobsWhileTurnedAway);
+    CPPUNIT_TEST(processesEndWhenStopped);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a break anywhere on the path from a caller to a worker and back.
+    void servesBothKindsOfJobs()
+    {
+        Site site(1);
+        site.awaitReady(0);
+        CPPUNIT_ASSERT_EQUAL(std::string("completed"), site.submit(0, job1, 4, 50, true).json().value("State", std::string()));
+        CPPUNIT_ASSERT_EQUAL(200L, site.submit(0, job2, 4, 50, false).status);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.stateOf(0, job2) == "completed"; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), site.worker.runs().size());
+    }
+
+    /// Guards against an accepted job that is lost, or runs twice at once, when every process is killed.
+    void storedJobSurvivesAllProcesses()
+    {
+        Site site(1);
+        site.awaitReady(0);
+        CPPUNIT_ASSERT_EQUAL(200L, site.submit(0, job1, 3, 400, false).status);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.worker.runs().size() == 3; }));
+        site.entry(0).kill();
+        site.agent->kill();
+        site.startEntry(0);
+        site.startAgent();
+        site.awaitReady(0);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.stateOf(0, job1) == "completed"; }));
+        CPPUNIT_ASSERT(!site.worker.overlapped());
+    }
+
+    /// Guards against callers without an owner after its process was killed, and against a second run of what goes on.
+    void secondEntryTakesOver()
+    {
+        Site site(2);
+        site.awaitReady(0);
+        site.awaitReady(1);
+        CPPUNIT_ASSERT_EQUAL(200L, site.submit(1, job1, 3, 1500, false).status);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.worker.runs().size() == 3; }));
+        site.entry(0).kill();
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.stateOf(1, job1) == "completed"; }));
+        CPPUNIT_ASSERT(!site.worker.overlapped());
+        CPPUNIT_ASSERT_EQUAL(std::string("completed"), site.submit(1, job2, 2, 50, true).json().value("State", std::string()));
+    }
+
+    /// Guards against answers that are cut off by a planned stop.
+    void stoppingOwnerAnswersWhatItTook()
+    {
+        Site site(2);
+        site.awaitReady(0);
+        site.awaitReady(1);
+        std::vector<std::future<HttpResult>> open;
+        for (int i = 0; i < 2; ++i) {
+            open.push_back(std::async(std::launch::async, [&site, i] { return site.submit(i, i == 0 ? job1 : job2, 2, 1000, true); }));
+        }
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.worker.runs().size() == 4; }));
+        site.entry(0).signal(SIGTERM);
+        for (auto &result : open) {
+            CPPUNIT_ASSERT_EQUAL(std::string("completed"), result.get().json().value("State", std::string()));
+        }
+        CPPUNIT_ASSERT_EQUAL(EXIT_SUCCESS, site.entry(0).waitExit(generousSeconds));
+        CPPUNIT_ASSERT(!site.worker.overlapped());
+    }
+
+    /// Guards against runs that are lost, or started a second time, because their agent was killed.
+    void restartedAgentKeepsRuns()
+    {
+        Site site(1);
+        site.awaitReady(0);
+        CPPUNIT_ASSERT_EQUAL(200L, site.submit(0, job1, 2, 2500, false).status);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.worker.runs().size() == 2; }));
+        site.agent->kill();
+        site.startAgent();
+        site.awaitReady(0);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.stateOf(0, job1) == "completed"; }));
+        CPPUNIT_ASSERT(!site.worker.overlapped());
+    }
+
+    /// Guards against jobs that are accepted without being stored, and against best-effort ones that wait for the store.
+    void refusesStoredJobsWhileTurnedAway()
+    {
+        Site site(1);
+        site.awaitReady(0);
+        CPPUNIT_ASSERT_EQUAL(std::string("completed"), site.submit(0, job1, 1, 20, true).json().value("State", std::string()));
+        site.platform.turnsAway = true;
+        // A job that may have been stored is not refused, so each try is a job of its own.
+        int tries = 0;
+        CPPUNIT_ASSERT(
+            waitFor(generousSeconds, [&] { return site.submit(0, "00000000000001" + std::to_string(10 + tries++ % 90), 1, 20, false, 300).status == 503; }));
+        CPPUNIT_ASSERT_EQUAL(std::string("completed"), site.submit(0, "00000000000000a3", 1, 20, true).json().value("State", std::string()));
+        site.platform.turnsAway = false;
+    }
+
+    /// Guards against processes that a supervisor has to kill, as when a library's threads do not end.
+    void processesEndWhenStopped()
+    {
+        Site site(1);
+        site.awaitReady(0);
+        site.agent->signal(SIGTERM);
+        CPPUNIT_ASSERT_EQUAL(EXIT_SUCCESS, site.agent->waitExit(generousSeconds));
+        site.entry(0).signal(SIGTERM);
+        CPPUNIT_ASSERT_EQUAL(EXIT_SUCCESS, site.entry(0).waitExit(generousSeconds));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestProcesses);
--- a/tests/auto/taskagent/tst_agent.cpp
+++ b/tests/auto/taskagent/tst_agent.cpp
@@ -341,11 +341,18 @@
     {
         AgentHarness agent;
         agent.beat();
-        agent.orders(2);
+        // An owner that has had no token of this life yet gives no authority to renew the lease.
+        Jobs::OwnerOrders first;
+        first.epoch = 2;
+        first.number = 1;
+        agent.feed(OrdersArrived{entry, first});
         agent.hold({{runOf(7), 40}});
+        CPPUNIT_ASSERT(!agent.holds.back().until.has_value());
         agent.pass(10ms);
         CPPUNIT_ASSERT(!agent.reported([](const auto &report) { return !report.ends.empty(); }));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), agent.lastFull().running.size());
+        agent.orders(2);
+        agent.hold({{runOf(7), 41}});
         CPPUNIT_ASSERT(agent.holds.back().until.has_value());
     }
 
