--- a/tests/auto/node/tst_processes.cpp
+++ b/tests/auto/node/tst_processes.cpp
@@ -190,6 +190,7 @@
         site.awaitReady(0);
         site.awaitReady(1);
         std::vector<std::future<HttpResult>> open;
+        open.reserve(2);
         for (int i = 0; i < 2; ++i) {
             open.push_back(std::async(std::launch::async, [&site, i] { return site.submit(i, i == 0 ? job1 : job2, 2, 1000, true); }));
         }
