Serve counters and histograms of laburnumnode, tell when the store is lost

Metrics are kept with prometheus-cpp (Debian's prometheus-cpp-dev) and served by the event loop under /metrics of the setting `metrics`; its own exposer was ruled out, as it runs a web server with threads beside the loop. Latencies of answers, store calls and worker calls, entries per commit, decisions by event, gauges of the owner. An address that can't be bound is logged and costs no request.

store.lost and store.regained come from the results of all store calls (0.5 s of failures without an answer between). run.barring names its run as the owner's lines do: it had the id as a decimal number, so that a search for the id missed it.

--- a/src/app/laburnumnode/agentprocess.cpp
+++ b/src/app/laburnumnode/agentprocess.cpp
@@ -1,6 +1,7 @@
 #include "agentprocess.h"
 
 #include "duetimer.h"
+#include "metricsserver.h"
 #include "nodeconfiguration.h"
 #include "nodeconstants.h"
 #include "signals.h"
@@ -9,6 +10,7 @@
 #include "eventloop/eventloop.h"
 #include "httpio/httpclient.h"
 #include "httpio/httpfront.h"
+#include "metrics/processmetrics.h"
 #include "net/looplinks.h"
 #include "platform/heartbeats.h"
 #include "platform/storedialect.h"
@@ -21,7 +23,9 @@
 #include <cstdlib>
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace LaburnumFlow::Node {
 
@@ -62,6 +66,11 @@
     void carryOut(LearnEntries &learn);
     void carryOut(Decision &decision);
     void onTimer();
+    /// name: of the call in the metrics. The answer is fed to the reducer by what read makes of it.
+    template<typename Read>
+    void callWorker(std::string_view name, HttpIo::ClientRequest request, Base::Duration timeout, Read read);
+    void refreshMetrics();
+    void decide(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields);
 
     void handleRequest(const HttpIo::ServerRequest &request);
     void readEntries();
@@ -76,6 +85,8 @@
     EventLoop::Loop loop_;
     Signals signals_;
     Runtime::DecisionLog log_;
+    Metrics::ProcessMetrics metrics_;
+    MetricsServer metricsServer_;
     HttpIo::HttpClient workerCalls_;
     HttpIo::HttpClient storeCalls_;
     HttpIo::HttpFront registration_;
@@ -96,6 +107,7 @@
     , settingsFile_(std::move(settingsFile))
     , signals_(loop_)
     , log_(settings.name, settings.logLinesPerSecond)
+    , metricsServer_(loop_, settings.metrics, metrics_, [this] { refreshMetrics(); })
     , workerCalls_(loop_, workerConnections)
     , storeCalls_(loop_, 1)
     , registration_(loop_,
@@ -118,6 +130,9 @@
         log_.writeAlways("process.failed", {});
         return EXIT_FAILURE;
     }
+    if (!metricsServer_.start()) {
+        log_.writeAlways("metrics.failed", {});
+    }
     signals_.onStop = [this] { stop(); };
     signals_.onReload = [this] { logReload(log_, settingsFile_); };
     const std::vector<std::pair<std::string, std::string>> fields{{"role", "agent"}};
@@ -149,24 +164,25 @@
 void AgentProcess::carryOut(CallStart &call)
 {
     HttpIo::ClientRequest request = Platform::startRequest(worker_, call);
-    request.timeout = call.timeout;
     call.payload.clear();
-    workerCalls_.send(std::move(request),
-                      [this, call = std::move(call)](const HttpIo::ClientResponse &response) { feed(Platform::startAnswer(call, response)); });
+    const Base::Duration timeout = call.timeout;
+    callWorker("start", std::move(request), timeout, [call = std::move(call)](const HttpIo::ClientResponse &response) {
+        return Platform::startAnswer(call, response);
+    });
 }
 
 void AgentProcess::carryOut(CallStop &call)
 {
-    HttpIo::ClientRequest request = Platform::stopRequest(worker_, call);
-    request.timeout = call.timeout;
-    workerCalls_.send(std::move(request), [this, call](const HttpIo::ClientResponse &response) { feed(Platform::stopAnswer(call, response)); });
+    callWorker("stop", Platform::stopRequest(worker_, call), call.timeout, [call](const HttpIo::ClientResponse &response) {
+        return Platform::stopAnswer(call, response);
+    });
 }
 
 void AgentProcess::carryOut(CallHold &call)
 {
-    HttpIo::ClientRequest request = Platform::holdRequest(worker_, call);
-    request.timeout = call.timeout;
-    workerCalls_.send(std::move(request), [this, call](const HttpIo::ClientResponse &response) { feed(Platform::holdAnswer(call, response)); });
+    callWorker("hold", Platform::holdRequest(worker_, call), call.timeout, [call](const HttpIo::ClientResponse &response) {
+        return Platform::holdAnswer(call, response);
+    });
 }
 
 void AgentProcess::carryOut(SendReport &report)
@@ -182,7 +198,31 @@
 
 void AgentProcess::carryOut(Decision &decision)
 {
-    log_.write(decision.event, decision.fields, loop_.now());
+    decide(decision.event, decision.fields);
+}
+
+template<typename Read>
+void AgentProcess::callWorker(std::string_view name, HttpIo::ClientRequest request, Base::Duration timeout, Read read)
+{
+    request.timeout = timeout;
+    const Base::MonoTime begun = Base::monoNow();
+    workerCalls_.send(std::move(request), [this, name, begun, read = std::move(read)](const HttpIo::ClientResponse &response) {
+        metrics_.observeCall(name, outcomeOf(response), Base::monoNow() - begun);
+        feed(read(response));
+    });
+}
+
+void AgentProcess::refreshMetrics()
+{
+    metrics_.set(Metrics::Gauge::RunningTasks, static_cast<double>(state_.runs.size()));
+    metrics_.set(Metrics::Gauge::LinkedEntries,
+                 static_cast<double>(std::count_if(entries_.begin(), entries_.end(), [](const auto &entry) { return entry.second.connected; })));
+}
+
+void AgentProcess::decide(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields)
+{
+    metrics_.countDecision(event);
+    log_.write(event, fields, loop_.now());
 }
 
 void AgentProcess::onTimer()
@@ -218,8 +258,7 @@
     }
     const auto beat = request.method == "PUT" ? Platform::parseHeartbeat(*id, request.body) : std::nullopt;
     if (!beat) {
-        const std::vector<std::pair<std::string, std::string>> fields{{"worker", *id}, {"bytes", std::to_string(request.body.size())}};
-        log_.write("heartbeat.unreadable", fields, loop_.now());
+        decide("heartbeat.unreadable", {{"worker", *id}, {"bytes", std::to_string(request.body.size())}});
         registration_.answer(request.id, {400, {}, {}});
         return;
     }
@@ -240,7 +279,9 @@
     readingEntries_ = true;
     HttpIo::ClientRequest request = Platform::rangeRequest(store_, Jobs::clusterPrefix, {}, true);
     request.timeout = storeTimeoutMost;
-    storeCalls_.send(std::move(request), [this](const HttpIo::ClientResponse &response) {
+    const Base::MonoTime begun = Base::monoNow();
+    storeCalls_.send(std::move(request), [this, begun](const HttpIo::ClientResponse &response) {
+        metrics_.observeCall("read-cluster", outcomeOf(response), Base::monoNow() - begun);
         readingEntries_ = false;
         const auto page = Platform::pageOf(response);
         if (!page || !state_.leader.empty()) {
--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -134,7 +134,8 @@
 void EntryProcess::carryOut(Jobs::StartCommit &commit)
 {
     const std::uint64_t epoch = owner_->epoch;
-    callStore(Platform::commitRequest(store_, commit.commit), std::nullopt, [this, epoch](const HttpIo::ClientResponse &response) {
+    metrics_.countCommittedEntries(commit.commit.writes.size() + commit.commit.deletes.size());
+    callStore("commit", Platform::commitRequest(store_, commit.commit), std::nullopt, [this, epoch](const HttpIo::ClientResponse &response) {
         if (!owner_ || owner_->epoch != epoch) {
             return;
         }
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -22,6 +22,28 @@
     return {settings.name, incarnation, settings.peers, settings.processorPercent};
 }
 
+struct NameOfCall {
+    std::string_view operator()(const Jobs::SubmitCall &) const
+    {
+        return "submit";
+    }
+
+    std::string_view operator()(const Jobs::QueryCall &) const
+    {
+        return "query";
+    }
+
+    std::string_view operator()(const Jobs::CancelCall &) const
+    {
+        return "cancel";
+    }
+
+    std::string_view operator()(const Jobs::CountCall &) const
+    {
+        return "count";
+    }
+};
+
 } // namespace
 
 EntryProcess::EntryProcess(const Settings::NodeSettings &settings, std::string settingsFile)
@@ -29,11 +51,13 @@
     , settingsFile_(std::move(settingsFile))
     , signals_(loop_)
     , log_(settings.name, settings.logLinesPerSecond)
+    , metricsServer_(loop_, settings.metrics, metrics_, [this] { refreshMetrics(); })
     , storeCalls_(loop_, storeConnections)
     , callers_(loop_, {std::get<Settings::JobEntrySettings>(settings.role).callers}, [this](const HttpIo::ServerRequest &request) { handleRequest(request); })
     , ready_(loop_, {std::get<Settings::JobEntrySettings>(settings.role).ready}, [this](const HttpIo::ServerRequest &request) { handleReady(request); })
     , links_(loop_, *this)
     , store_(settings.store.endpoint.address + ':' + std::to_string(settings.store.endpoint.port))
+    , storeWatch_(storeLostAfter)
     , ownership_(EntryNode::makeOwnership(recordOf(settings), std::chrono::milliseconds(settings.store.shortestLeaseMs), Base::monoNow()))
     , timer_(
           loop_,
@@ -48,6 +72,10 @@
         log_.writeAlways("process.failed", {});
         return EXIT_FAILURE;
     }
+    // Callers matter more than their metrics.
+    if (!metricsServer_.start()) {
+        log_.writeAlways("metrics.failed", {});
+    }
     signals_.onStop = [this] { stop(); };
     signals_.onReload = [this] { logReload(log_, settingsFile_); };
     const std::vector<std::pair<std::string, std::string>> fields{{"role", "entry"}, {"incarnation", std::to_string(ownership_.self.incarnation)}};
@@ -61,9 +89,11 @@
 
 void EntryProcess::handleRequest(const HttpIo::ServerRequest &request)
 {
+    OpenRequest &open = requests_[request.id];
+    open = {Base::monoNow(), "unreadable"};
     Platform::Decoded decoded = Platform::decodeCall(request, rules_ ? &*rules_ : nullptr);
     if (auto *response = std::get_if<HttpIo::ServerResponse>(&decoded)) {
-        callers_.answer(request.id, std::move(*response));
+        answerCaller(request.id, std::move(*response));
         return;
     }
     std::optional<Base::Duration> patience;
@@ -71,8 +101,9 @@
         patience = std::chrono::milliseconds(*request.deadlineMs);
     }
     auto &call = std::get<Jobs::Call>(decoded);
+    open.kind = std::visit(NameOfCall{}, call);
     if (auto *submit = std::get_if<Jobs::SubmitCall>(&call); submit != nullptr && stopping_ && !endsBeforeStop(*submit)) {
-        callers_.answer(request.id, {503, {}, 1});
+        answerCaller(request.id, {503, {}, 1});
         return;
     }
     if (auto *submit = std::get_if<Jobs::SubmitCall>(&call); submit != nullptr && patience) {
@@ -82,6 +113,15 @@
     timer_.arm();
 }
 
+void EntryProcess::answerCaller(HttpIo::RequestId request, HttpIo::ServerResponse response)
+{
+    if (const auto open = requests_.find(request); open != requests_.end()) {
+        metrics_.observeAnswer(open->second.kind, response.status, Base::monoNow() - open->second.begunAt);
+        requests_.erase(open);
+    }
+    callers_.answer(request, std::move(response));
+}
+
 void EntryProcess::handleReady(const HttpIo::ServerRequest &request)
 {
     const bool ready = rules_ && hasRoute() && !stopping_;
@@ -117,7 +157,7 @@
 
 void EntryProcess::carryOut(EntryNode::AnswerCaller &answer)
 {
-    callers_.answer(answer.number, Platform::encodeAnswer(answer.answer));
+    answerCaller(answer.number, Platform::encodeAnswer(answer.answer));
 }
 
 bool EntryProcess::hasRoute() const
@@ -173,7 +213,7 @@
     callers_.closeConnectionsAfterAnswers();
     feedOwnership(EntryNode::LeaveRequested{});
     if (ownership_.lease != 0) {
-        callStore(Platform::endLeaseRequest(store_, ownership_.lease), std::nullopt, [](const HttpIo::ClientResponse & /*response*/) {});
+        callStore("lease-end", Platform::endLeaseRequest(store_, ownership_.lease), std::nullopt, [](const HttpIo::ClientResponse & /*response*/) {});
     }
     finishWhenIdle();
 }
@@ -190,7 +230,7 @@
     }
     const Jobs::OwnerRecord &record = owner_->recorder.owner();
     const EntryNode::Claim vacate{owner_->recorder.revision(), {record.epoch, record.sequence + 1, {}, 0, record.agents}};
-    callStore(Platform::claimRequest(store_, vacate), std::nullopt, [this, epoch = record.epoch](const HttpIo::ClientResponse & /*response*/) {
+    callStore("vacate", Platform::claimRequest(store_, vacate), std::nullopt, [this, epoch = record.epoch](const HttpIo::ClientResponse & /*response*/) {
         stepDown("stopping");
         for (const auto &[name, link] : peerLinks_) {
             links_.send(link, Jobs::encodeMessage(Jobs::EntryBeat{epoch, true, true}));
@@ -216,8 +256,20 @@
     loop_.callAt(std::min<Base::MonoTime>(now + drainCheck, stopBy_), [this] { finishWhenIdle(); });
 }
 
+void EntryProcess::refreshMetrics()
+{
+    metrics_.set(Metrics::Gauge::OwnerEpoch, owner_ ? static_cast<double>(owner_->epoch) : 0);
+    metrics_.set(Metrics::Gauge::OpenJobs, owner_ ? static_cast<double>(owner_->jobs.size()) : 0);
+    metrics_.set(Metrics::Gauge::WaitingJobs, owner_ ? static_cast<double>(owner_->ready.size()) : 0);
+    metrics_.set(Metrics::Gauge::LinkedAgents, static_cast<double>(agentLinks_.size()));
+    metrics_.set(Metrics::Gauge::LinkedEntries, static_cast<double>(peerLinks_.size()));
+    metrics_.set(Metrics::Gauge::OpenRequests, static_cast<double>(requests_.size()));
+    metrics_.set(Metrics::Gauge::RulesVersion, rules_ ? static_cast<double>(rules_->version) : 0);
+}
+
 void EntryProcess::decide(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields)
 {
+    metrics_.countDecision(event);
     log_.write(event, fields, loop_.now());
 }
 
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "duetimer.h"
+#include "metricsserver.h"
 #include "signals.h"
 #include "storetimeout.h"
 
@@ -10,16 +11,19 @@
 #include "httpio/httpclient.h"
 #include "httpio/httpfront.h"
 #include "jobs/owner.h"
+#include "metrics/processmetrics.h"
 #include "net/looplinks.h"
 #include "platform/rulesdocument.h"
 #include "platform/storedialect.h"
 #include "runtime/decisionlog.h"
+#include "runtime/dependencywatch.h"
 #include "settings/nodesettings.h"
 
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -50,6 +54,12 @@
         std::uint64_t number = 0;
     };
 
+    /// A caller's request that is not answered yet.
+    struct OpenRequest {
+        Base::MonoTime begunAt{};
+        std::string_view kind; ///< as in the metrics
+    };
+
     using Waiting = std::variant<LocalCaller, RelayingEntry>;
 
     // Links.
@@ -67,6 +77,7 @@
 
     // Callers.
     void handleRequest(const HttpIo::ServerRequest &request);
+    void answerCaller(HttpIo::RequestId request, HttpIo::ServerResponse response);
     void handleReady(const HttpIo::ServerRequest &request);
     void carryOut(EntryNode::RouterEffects effects);
     void carryOut(EntryNode::HandleHere &call);
@@ -108,7 +119,13 @@
     // Rules and the store.
     void readRules();
     void adoptRules(const Platform::StoreItem &item);
-    void callStore(HttpIo::ClientRequest request, std::optional<Base::Duration> timeout, std::function<void(const HttpIo::ClientResponse &)> handle);
+    /// name: of the call in the metrics.
+    void callStore(std::string_view name,
+                   HttpIo::ClientRequest request,
+                   std::optional<Base::Duration> timeout,
+                   std::function<void(const HttpIo::ClientResponse &)> handle);
+
+    void watchStore(std::string_view name, const HttpIo::ClientResponse &response);
 
     // Time and the end.
     std::optional<Base::MonoTime> nextDue() const;
@@ -116,6 +133,7 @@
     void stop();
     void resignWhenRecorded();
     void finishWhenIdle();
+    void refreshMetrics();
     void decide(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields);
 
     Settings::NodeSettings settings_;
@@ -123,12 +141,15 @@
     EventLoop::Loop loop_;
     Signals signals_;
     Runtime::DecisionLog log_;
+    Metrics::ProcessMetrics metrics_;
+    MetricsServer metricsServer_;
     HttpIo::HttpClient storeCalls_;
     HttpIo::HttpFront callers_;
     HttpIo::HttpFront ready_;
     Net::LoopLinks links_;
     std::string store_;
     StoreTimeout storeTimeout_;
+    Runtime::DependencyWatch storeWatch_;
 
     EntryNode::OwnershipState ownership_;
     EntryNode::CallRouter router_;
@@ -137,6 +158,7 @@
     Jobs::StoredJobs loading_;
     std::vector<std::pair<Waiting, Jobs::Call>> waitingForOwner_; ///< relayed calls that came while the jobs were being read
 
+    std::unordered_map<HttpIo::RequestId, OpenRequest> requests_;
     std::unordered_map<Jobs::CallId, Waiting> waiting_;
     Jobs::CallId lastCall_ = 0;
     std::map<std::string, Net::LinkId> peerLinks_; ///< links that this entry dialed
--- a/src/app/laburnumnode/entrystore.cpp
+++ b/src/app/laburnumnode/entrystore.cpp
@@ -6,20 +6,39 @@
 
 namespace LaburnumFlow::Node {
 
-void EntryProcess::callStore(HttpIo::ClientRequest request, std::optional<Base::Duration> timeout, std::function<void(const HttpIo::ClientResponse &)> handle)
+void EntryProcess::callStore(std::string_view name,
+                             HttpIo::ClientRequest request,
+                             std::optional<Base::Duration> timeout,
+                             std::function<void(const HttpIo::ClientResponse &)> handle)
 {
     request.timeout = timeout.value_or(storeTimeout_.current());
     const Base::MonoTime begun = Base::monoNow();
-    storeCalls_.send(std::move(request), [this, begun, handle = std::move(handle)](const HttpIo::ClientResponse &response) {
+    storeCalls_.send(std::move(request), [this, name, begun, handle = std::move(handle)](const HttpIo::ClientResponse &response) {
+        metrics_.observeCall(name, outcomeOf(response), Base::monoNow() - begun);
         if (response.outcome == HttpIo::ClientResponse::Outcome::Answered) {
             storeTimeout_.answered(Base::monoNow() - begun);
         } else {
             storeTimeout_.timedOut();
         }
+        watchStore(name, response);
         handle(response);
     });
 }
 
+void EntryProcess::watchStore(std::string_view name, const HttpIo::ClientResponse &response)
+{
+    const bool served = response.outcome == HttpIo::ClientResponse::Outcome::Answered && response.status < 500;
+    if (!served) {
+        if (storeWatch_.failed(Base::monoNow())) {
+            decide("store.lost", {{"call", std::string(name)}, {"status", std::to_string(response.status)}});
+        }
+        return;
+    }
+    if (const auto lost = storeWatch_.answered(Base::monoNow())) {
+        decide("store.regained", {{"ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*lost).count())}});
+    }
+}
+
 void EntryProcess::feedOwnership(const EntryNode::OwnershipEvent &event)
 {
     EntryNode::OwnershipEffects effects = EntryNode::reduce(ownership_, EntryNode::ClusterTime{Base::monoNow()});
@@ -35,7 +54,7 @@
 
 void EntryProcess::carryOut(EntryNode::ReadCluster & /*read*/)
 {
-    callStore(Platform::rangeRequest(store_, Jobs::clusterPrefix, {}, false), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+    callStore("read-cluster", Platform::rangeRequest(store_, Jobs::clusterPrefix, {}, false), std::nullopt, [this](const HttpIo::ClientResponse &response) {
         const auto page = Platform::pageOf(response);
         feedOwnership(page ? Platform::clusterOf(page->items) : EntryNode::ClusterRead{});
     });
@@ -43,14 +62,14 @@
 
 void EntryProcess::carryOut(EntryNode::GrantLease &grant)
 {
-    callStore(Platform::grantRequest(store_, grant.term), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+    callStore("lease-grant", Platform::grantRequest(store_, grant.term), std::nullopt, [this](const HttpIo::ClientResponse &response) {
         feedOwnership(Platform::grantResult(response));
     });
 }
 
 void EntryProcess::carryOut(EntryNode::KeepLease &keep)
 {
-    callStore(Platform::keepRequest(store_, keep.lease), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+    callStore("lease-keep", Platform::keepRequest(store_, keep.lease), std::nullopt, [this](const HttpIo::ClientResponse &response) {
         feedOwnership(Platform::keepResult(response));
     });
 }
@@ -58,14 +77,14 @@
 void EntryProcess::carryOut(EntryNode::WritePresence &write)
 {
     const Platform::StoreWrite row{Jobs::entryKey(write.record.name), Jobs::encodeRecord(write.record), write.lease};
-    callStore(Platform::writeRequest(store_, {row}), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+    callStore("write-presence", Platform::writeRequest(store_, {row}), std::nullopt, [this](const HttpIo::ClientResponse &response) {
         feedOwnership(Platform::presenceResult(response));
     });
 }
 
 void EntryProcess::carryOut(EntryNode::Claim &claim)
 {
-    callStore(Platform::claimRequest(store_, claim), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+    callStore("claim", Platform::claimRequest(store_, claim), std::nullopt, [this](const HttpIo::ClientResponse &response) {
         feedOwnership(Platform::claimResult(response));
     });
 }
@@ -79,7 +98,7 @@
 void EntryProcess::loadPage(std::string prefix, const std::string &after)
 {
     HttpIo::ClientRequest request = Platform::rangeRequest(store_, prefix, after, false);
-    callStore(std::move(request), loadTimeout, [this, prefix = std::move(prefix)](const HttpIo::ClientResponse &response) {
+    callStore("load-jobs", std::move(request), loadTimeout, [this, prefix = std::move(prefix)](const HttpIo::ClientResponse &response) {
         if (ownership_.mode != EntryNode::OwnershipState::Mode::Loading) {
             return;
         }
@@ -109,7 +128,7 @@
 
 void EntryProcess::readRules()
 {
-    callStore(Platform::itemRequest(store_, Platform::rulesKey), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+    callStore("read-rules", Platform::itemRequest(store_, Platform::rulesKey), std::nullopt, [this](const HttpIo::ClientResponse &response) {
         bool missing = false;
         if (const auto item = Platform::itemOf(response, missing); item && item->revision != rulesRevision_) {
             adoptRules(*item);
--- /dev/null
+++ b/src/app/laburnumnode/metricsserver.cpp
@@ -0,0 +1,48 @@
+#include "metricsserver.h"
+
+#include "nodeconstants.h"
+
+#include <utility>
+
+namespace LaburnumFlow::Node {
+
+MetricsServer::MetricsServer(EventLoop::Loop &loop,
+                             const std::optional<Base::Endpoint> &listen,
+                             Metrics::ProcessMetrics &metrics,
+                             std::function<void()> refresh)
+    : metrics_(metrics), refresh_(std::move(refresh))
+{
+    if (listen) {
+        front_.emplace(loop, HttpIo::FrontConfig{*listen, 0, metricsConnections}, [this](const HttpIo::ServerRequest &request) { handleRequest(request); });
+    }
+}
+
+bool MetricsServer::start()
+{
+    return !front_ || static_cast<bool>(front_->start());
+}
+
+void MetricsServer::handleRequest(const HttpIo::ServerRequest &request)
+{
+    if (request.path != "/metrics") {
+        front_->answer(request.id, {404, {}, {}});
+        return;
+    }
+    refresh_();
+    front_->answer(request.id, {200, metrics_.text(), {}, "text/plain; version=0.0.4"});
+}
+
+Metrics::CallOutcome outcomeOf(const HttpIo::ClientResponse &response)
+{
+    switch (response.outcome) {
+    case HttpIo::ClientResponse::Outcome::Answered:
+        return response.status < 400 ? Metrics::CallOutcome::Done : Metrics::CallOutcome::Rejected;
+    case HttpIo::ClientResponse::Outcome::NotSent:
+        return Metrics::CallOutcome::NotSent;
+    case HttpIo::ClientResponse::Outcome::Unknown:
+        break;
+    }
+    return Metrics::CallOutcome::Unknown;
+}
+
+} // namespace LaburnumFlow::Node
--- /dev/null
+++ b/src/app/laburnumnode/metricsserver.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/types.h"
+#include "eventloop/eventloop.h"
+#include "httpio/httpclient.h"
+#include "httpio/httpfront.h"
+#include "metrics/processmetrics.h"
+
+#include <functional>
+#include <optional>
+#include <string_view>
+
+namespace LaburnumFlow::Node {
+
+/// Serves the metrics of the process under /metrics.
+class MetricsServer
+{
+public:
+    /// refresh: sets the gauges before each answer.
+    MetricsServer(EventLoop::Loop &loop, const std::optional<Base::Endpoint> &listen, Metrics::ProcessMetrics &metrics, std::function<void()> refresh);
+
+    /// Whether the address could be bound, or there is none.
+    bool start();
+
+private:
+    void handleRequest(const HttpIo::ServerRequest &request);
+
+    Metrics::ProcessMetrics &metrics_;
+    std::function<void()> refresh_;
+    std::optional<HttpIo::HttpFront> front_;
+};
+
+Metrics::CallOutcome outcomeOf(const HttpIo::ClientResponse &response);
+
+} // namespace LaburnumFlow::Node
--- a/src/libs/httpio/httpfront.cpp
+++ b/src/libs/httpio/httpfront.cpp
@@ -170,7 +170,7 @@
     auto *bytes = const_cast<char *>(answer.body.data());
     MHD_Response *response = MHD_create_response_from_buffer(answer.body.size(), bytes, MHD_RESPMEM_MUST_COPY);
     if (!answer.body.empty()) {
-        MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, "application/json");
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, answer.contentType.c_str());
     }
     if (answer.retryAfterSeconds) {
         MHD_add_response_header(response, MHD_HTTP_HEADER_RETRY_AFTER, std::to_string(*answer.retryAfterSeconds).c_str());
--- a/src/libs/httpio/httpfront.h
+++ b/src/libs/httpio/httpfront.h
@@ -27,8 +27,9 @@
 
 struct ServerResponse {
     int status = 200;
-    std::string body; ///< sent as application/json
+    std::string body;
     std::optional<int> retryAfterSeconds;
+    std::string contentType = "application/json"; ///< of a body that is not empty
 };
 
 struct FrontConfig {
--- /dev/null
+++ b/src/libs/jobs/jobtext.cpp
@@ -0,0 +1,20 @@
+#include "jobtext.h"
+
+#include <array>
+#include <cstdio>
+
+namespace LaburnumFlow::Jobs {
+
+std::string idText(std::uint64_t id)
+{
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(id));
+    return text.data();
+}
+
+std::string runText(const RunRef &run)
+{
+    return idText(run.task.job) + '.' + std::to_string(run.task.step) + '.' + std::to_string(run.task.index) + '/' + std::to_string(run.run);
+}
+
+} // namespace LaburnumFlow::Jobs
--- /dev/null
+++ b/src/libs/jobs/jobtext.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "job.h"
+
+#include <string>
+
+namespace LaburnumFlow::Jobs {
+
+/// 16 hexadecimal digits, as in keys of the store and in logs.
+std::string idText(std::uint64_t id);
+
+/// JOB.STEP.INDEX/RUN
+std::string runText(const RunRef &run);
+
+} // namespace LaburnumFlow::Jobs
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -6,8 +6,6 @@
 #include "base/earliest.h"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <utility>
 
 namespace LaburnumFlow::Jobs {
@@ -193,18 +191,6 @@
     context.effects.push_back(Decision{std::move(event), std::move(fields)});
 }
 
-std::string idText(JobId id)
-{
-    std::array<char, 17> text{};
-    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(id));
-    return text.data();
-}
-
-std::string runText(const RunRef &run)
-{
-    return idText(run.task.job) + '.' + std::to_string(run.task.step) + '.' + std::to_string(run.task.index) + '/' + std::to_string(run.run);
-}
-
 } // namespace Internal
 
 OwnerState takeOver(StoredJobs stored, Base::MonoTime now, Base::WallTime wall)
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobtext.h"
 #include "ownerstate.h"
 
 #include <string>
@@ -14,8 +15,6 @@
 };
 
 void decide(Context &context, std::string event, std::vector<std::pair<std::string, std::string>> fields);
-std::string idText(JobId id);
-std::string runText(const RunRef &run);
 
 // Jobs.
 Job makeJob(JobId id, QueueRules rules, JobSpec spec, Base::MonoTime arrivedAt);
--- a/src/libs/jobs/records.cpp
+++ b/src/libs/jobs/records.cpp
@@ -1,23 +1,14 @@
 #include "records.h"
 
+#include "jobtext.h"
 #include "messages.h"
 
 #include "protocol/checkedcodec.h"
 
-#include <array>
-#include <cstdio>
-
 namespace LaburnumFlow::Jobs {
 
 namespace {
 
-std::string hex(std::uint64_t value)
-{
-    std::array<char, 17> text{};
-    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(value));
-    return text.data();
-}
-
 template<class Record>
 std::string encodeText(const Record &record)
 {
@@ -43,12 +34,12 @@
 
 std::string packKey(std::uint64_t epoch, std::uint64_t number)
 {
-    return std::string(jobPrefix) + hex(epoch) + '-' + hex(number);
+    return std::string(jobPrefix) + idText(epoch) + '-' + idText(number);
 }
 
 std::string finishedKey(std::uint64_t epoch, std::uint64_t segment)
 {
-    return std::string(finishedPrefix) + hex(epoch) + '-' + hex(segment);
+    return std::string(finishedPrefix) + idText(epoch) + '-' + idText(segment);
 }
 
 std::string entryKey(std::string_view name)
--- /dev/null
+++ b/src/libs/metrics/processmetrics.cpp
@@ -0,0 +1,136 @@
+#include "processmetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <tuple>
+#include <utility>
+
+namespace LaburnumFlow::Metrics {
+
+namespace {
+
+/// Seconds, from a call within a rack to the longest wait of a caller.
+const prometheus::Histogram::BucketBoundaries latencyBuckets{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30};
+
+struct GaugeText {
+    Gauge gauge;
+    const char *name;
+    const char *help;
+};
+
+constexpr std::array gaugeTexts{
+    GaugeText{Gauge::OwnerEpoch, "laburnumflow_owner_epoch", "Epoch under which this process owns the jobs; 0 if it does not"},
+    GaugeText{Gauge::OpenJobs, "laburnumflow_open_jobs", "Jobs that the owner has accepted and that have not ended"},
+    GaugeText{Gauge::WaitingJobs, "laburnumflow_waiting_jobs", "Open jobs with tasks that may start and have no worker yet"},
+    GaugeText{Gauge::LinkedAgents, "laburnumflow_linked_agents", "Agents with a link to this entry"},
+    GaugeText{Gauge::LinkedEntries, "laburnumflow_linked_entries", "Entries to which this process has a link"},
+    GaugeText{Gauge::OpenRequests, "laburnumflow_open_requests", "Requests of callers without an answer yet"},
+    GaugeText{Gauge::RunningTasks, "laburnumflow_running_tasks", "Tasks that run, or may run, on the worker"},
+    GaugeText{Gauge::RulesVersion, "laburnumflow_rules_version", "Version of the rules in force; 0 before the first"},
+};
+
+std::string_view nameOf(CallOutcome outcome)
+{
+    switch (outcome) {
+    case CallOutcome::Done:
+        return "done";
+    case CallOutcome::Rejected:
+        return "rejected";
+    case CallOutcome::NotSent:
+        return "not-sent";
+    case CallOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+double seconds(Base::Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+struct ProcessMetrics::Private {
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter> &decisionFamily = prometheus::BuildCounter()
+                                                                  .Name("laburnumflow_decisions_total")
+                                                                  .Help("Decisions by their event in the log, also those whose line was dropped")
+                                                                  .Register(registry);
+    prometheus::Family<prometheus::Histogram> &answerFamily
+        = prometheus::BuildHistogram().Name("laburnumflow_answer_seconds").Help("Time from a caller's request to its answer").Register(registry);
+    prometheus::Family<prometheus::Histogram> &callFamily
+        = prometheus::BuildHistogram().Name("laburnumflow_call_seconds").Help("Time of calls to the store and to the worker").Register(registry);
+    prometheus::Counter &committedEntries = prometheus::BuildCounter()
+                                                .Name("laburnumflow_committed_entries_total")
+                                                .Help("Entries of the store that commits of the owner wrote or removed, repeated commits included")
+                                                .Register(registry)
+                                                .Add({});
+    std::map<std::string, prometheus::Counter *, std::less<>> decisions;
+    std::map<std::pair<std::string, int>, prometheus::Histogram *, std::less<>> answers;
+    std::map<std::pair<std::string, CallOutcome>, prometheus::Histogram *, std::less<>> calls;
+    std::map<Gauge, prometheus::Gauge *> gauges;
+};
+
+ProcessMetrics::ProcessMetrics() : d_(std::make_unique<Private>()) { }
+
+ProcessMetrics::~ProcessMetrics() = default;
+
+void ProcessMetrics::countDecision(std::string_view event)
+{
+    auto found = d_->decisions.find(event);
+    if (found == d_->decisions.end()) {
+        const std::string name(event);
+        found = d_->decisions.emplace(name, &d_->decisionFamily.Add({{"event", name}})).first;
+    }
+    found->second->Increment();
+}
+
+void ProcessMetrics::observeAnswer(std::string_view kind, int status, Base::Duration took)
+{
+    prometheus::Histogram *&histogram = d_->answers[{std::string(kind), status}];
+    if (histogram == nullptr) {
+        histogram = &d_->answerFamily.Add({{"request", std::string(kind)}, {"status", std::to_string(status)}}, latencyBuckets);
+    }
+    histogram->Observe(seconds(took));
+}
+
+void ProcessMetrics::observeCall(std::string_view call, CallOutcome outcome, Base::Duration took)
+{
+    prometheus::Histogram *&histogram = d_->calls[{std::string(call), outcome}];
+    if (histogram == nullptr) {
+        histogram = &d_->callFamily.Add({{"call", std::string(call)}, {"outcome", std::string(nameOf(outcome))}}, latencyBuckets);
+    }
+    histogram->Observe(seconds(took));
+}
+
+void ProcessMetrics::countCommittedEntries(std::size_t entries)
+{
+    d_->committedEntries.Increment(static_cast<double>(entries));
+}
+
+void ProcessMetrics::set(Gauge gauge, double value)
+{
+    prometheus::Gauge *&metric = d_->gauges[gauge];
+    if (metric == nullptr) {
+        const auto *const found = std::find_if(gaugeTexts.begin(), gaugeTexts.end(), [gauge](const GaugeText &text) { return text.gauge == gauge; });
+        metric = &prometheus::BuildGauge().Name(found->name).Help(found->help).Register(d_->registry).Add({});
+    }
+    metric->Set(value);
+}
+
+std::string ProcessMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(d_->registry.Collect());
+}
+
+} // namespace LaburnumFlow::Metrics
--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -73,6 +73,9 @@
     reader.real("processorShare", share, 0.01, 1024.0);
     settings.processorPercent = static_cast<std::uint32_t>(std::lround(share * 100.0));
     reader.number("logLinesPerSecond", settings.logLinesPerSecond, 1, 100'000);
+    if (Base::Endpoint metrics; readEndpoint(reader, "metrics", EndpointUse::Listening, metrics)) {
+        settings.metrics = metrics;
+    }
     settings.store = readStore(reader);
     std::string role;
     reader.require("role");
--- a/src/libs/settings/nodesettings.h
+++ b/src/libs/settings/nodesettings.h
@@ -7,6 +7,7 @@
 #include <boost/leaf.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -38,6 +39,7 @@
     std::uint32_t processorPercent = 100; ///< share of a core that the process may use
     Base::Endpoint peers; ///< listens for links of other laburnumflow processes
     NodeStoreSettings store;
+    std::optional<Base::Endpoint> metrics; ///< serves counters and histograms; none if absent
     std::uint32_t logLinesPerSecond = 1000; ///< on average; further lines are dropped and counted
     std::variant<JobEntrySettings, JobAgentSettings> role;
 };
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -3,6 +3,7 @@
 #include "taskagentconstants.h"
 
 #include "jobs/jobsconstants.h"
+#include "jobs/jobtext.h"
 
 #include <algorithm>
 
@@ -24,7 +25,7 @@
 void bar(Context &context, const RunRef &run, LocalRun &local)
 {
     local.phase = LocalRun::Phase::Barring;
-    decide(context, "run.barring", {{"job", std::to_string(run.task.job)}, {"run", std::to_string(run.run)}});
+    decide(context, "run.barring", {{"run", Jobs::runText(run)}});
     stopRun(context, run);
 }
 
--- a/tests/auto/node/tst_processes.cpp
+++ b/tests/auto/node/tst_processes.cpp
@@ -13,6 +13,7 @@
 #include <filesystem>
 #include <fstream>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,25 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
+std::string freeEndpoint()
+{
+    return local(LaburnumFlow::Testing::freePort());
+}
+
+/// The sum of all samples of the metric whose labels contain the text.
+double sampleOf(const std::string &metrics, const std::string &name, const std::string &label = {})
+{
+    std::istringstream lines(metrics);
+    double sum = 0;
+    for (std::string line; std::getline(lines, line);) {
+        const bool named = line.rfind(name, 0) == 0 && (line[name.size()] == ' ' || line[name.size()] == '{');
+        if (named && line.find(label) != std::string::npos) {
+            sum += std::stod(line.substr(line.rfind(' ')));
+        }
+    }
+    return sum;
+}
+
 /// The real programs around stand-ins of the platform's store and of a worker.
 class Site
 {
@@ -44,11 +64,11 @@
         folder_ = folder;
         platform.put("op/config", rules);
         for (int i = 0; i < entries; ++i) {
-            entries_.push_back(
-                {local(LaburnumFlow::Testing::freePort()), local(LaburnumFlow::Testing::freePort()), local(LaburnumFlow::Testing::freePort()), {}});
+            entries_.push_back({freeEndpoint(), freeEndpoint(), freeEndpoint(), freeEndpoint(), {}});
             startEntry(i);
         }
-        agentAddress_ = local(LaburnumFlow::Testing::freePort());
+        agentAddress_ = freeEndpoint();
+        agentMetrics_ = freeEndpoint();
         startAgent();
     }
 
@@ -66,13 +86,15 @@
     {
         Entry &entry = entries_.at(static_cast<std::size_t>(index));
         const std::string name = "entry-" + std::to_string(index);
-        entry.process
-            = launch(name, "role: entry\nname: " + name + "\ncallers: " + entry.callers + "\nready: " + entry.ready + "\npeers: " + entry.peers + "\n");
+        entry.process = launch(name,
+                               "role: entry\nname: " + name + "\ncallers: " + entry.callers + "\nready: " + entry.ready + "\npeers: " + entry.peers
+                                   + "\nmetrics: " + entry.metrics + "\n");
     }
 
     void startAgent()
     {
-        agent = launch("agent", "role: agent\nname: agent\nregistration: " + agentAddress_ + "\nworker: " + worker.endpoint() + "\n");
+        agent = launch("agent",
+                       "role: agent\nname: agent\nregistration: " + agentAddress_ + "\nworker: " + worker.endpoint() + "\nmetrics: " + agentMetrics_ + "\n");
     }
 
     /// Waits until the entry is ready and the worker is known.
@@ -100,6 +122,16 @@
         return result.json().value("State", std::string());
     }
 
+    std::string entryMetrics(int index) const
+    {
+        return call("GET", entries_.at(static_cast<std::size_t>(index)).metrics, "/metrics").body;
+    }
+
+    std::string agentMetrics() const
+    {
+        return call("GET", agentMetrics_, "/metrics").body;
+    }
+
     PlatformStandIn platform;
     WorkerStandIn worker;
     std::unique_ptr<ChildProcess> agent;
@@ -109,6 +141,7 @@
         std::string callers;
         std::string ready;
         std::string peers;
+        std::string metrics;
         std::unique_ptr<ChildProcess> process;
     };
 
@@ -122,6 +155,7 @@
     std::string folder_;
     std::vector<Entry> entries_;
     std::string agentAddress_;
+    std::string agentMetrics_;
 };
 
 constexpr const char *job1 = "00000000000000a1";
@@ -139,6 +173,7 @@
     CPPUNIT_TEST(restartedAgentKeepsRuns);
     CPPUNIT_TEST(refusesStoredJobsWhileTurnedAway);
     CPPUNIT_TEST(processesEndWhenStopped);
+    CPPUNIT_TEST(servesMetrics);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -229,7 +264,10 @@
         CPPUNIT_ASSERT(
             waitFor(generousSeconds, [&] { return site.submit(0, "00000000000001" + std::to_string(10 + tries++ % 90), 1, 20, false, 300).status == 503; }));
         CPPUNIT_ASSERT_EQUAL(std::string("completed"), site.submit(0, "00000000000000a3", 1, 20, true).json().value("State", std::string()));
+        const auto decisions = [&](const std::string &event) { return sampleOf(site.entryMetrics(0), "laburnumflow_decisions_total", '"' + event + '"'); };
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return decisions("store.lost") == 1; }));
         site.platform.turnsAway = false;
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return decisions("store.regained") == 1; }));
     }
 
     /// Guards against processes that a supervisor has to kill, as when a library's threads do not end.
@@ -242,6 +280,27 @@
         site.entry(0).signal(SIGTERM);
         CPPUNIT_ASSERT_EQUAL(EXIT_SUCCESS, site.entry(0).waitExit(generousSeconds));
     }
+
+    /// Guards against metrics that do not show what callers, the store and the worker saw.
+    void servesMetrics()
+    {
+        Site site(1);
+        site.awaitReady(0);
+        CPPUNIT_ASSERT_EQUAL(200L, site.submit(0, job1, 4, 50, true).status);
+        CPPUNIT_ASSERT_EQUAL(200L, site.submit(0, job2, 4, 50, false).status);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.stateOf(0, job2) == "completed"; }));
+        const std::string entry = site.entryMetrics(0);
+        CPPUNIT_ASSERT_EQUAL(2.0, sampleOf(entry, "laburnumflow_answer_seconds_count", "request=\"submit\",status=\"200\""));
+        CPPUNIT_ASSERT(sampleOf(entry, "laburnumflow_call_seconds_count", "call=\"commit\",outcome=\"done\"") >= 2);
+        CPPUNIT_ASSERT(sampleOf(entry, "laburnumflow_committed_entries_total") >= 4);
+        CPPUNIT_ASSERT(sampleOf(entry, "laburnumflow_owner_epoch") >= 1);
+        CPPUNIT_ASSERT_EQUAL(1.0, sampleOf(entry, "laburnumflow_linked_agents"));
+        CPPUNIT_ASSERT_EQUAL(1.0, sampleOf(entry, "laburnumflow_rules_version"));
+        CPPUNIT_ASSERT_EQUAL(1.0, sampleOf(entry, "laburnumflow_decisions_total", "event=\"job.accepted\""));
+        const std::string agent = site.agentMetrics();
+        CPPUNIT_ASSERT_EQUAL(8.0, sampleOf(agent, "laburnumflow_call_seconds_count", "call=\"start\",outcome=\"done\""));
+        CPPUNIT_ASSERT_EQUAL(1.0, sampleOf(agent, "laburnumflow_linked_entries"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestProcesses);
--- /dev/null
+++ b/tests/auto/runtime/tst_dependencywatch.cpp
@@ -0,0 +1,34 @@
+#include "runtime/dependencywatch.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::Runtime;
+using namespace std::chrono_literals;
+
+class TestDependencyWatch : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestDependencyWatch);
+    CPPUNIT_TEST(tellsEachChangeOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a line for every failed call of an outage, against none, and against one for a single lost answer.
+    void tellsEachChangeOnce()
+    {
+        DependencyWatch watch(500ms);
+        CPPUNIT_ASSERT(!watch.answered(10s));
+        CPPUNIT_ASSERT(!watch.failed(11s));
+        CPPUNIT_ASSERT(!watch.answered(12s));
+        CPPUNIT_ASSERT(!watch.failed(20s));
+        CPPUNIT_ASSERT(!watch.failed(20s + 400ms));
+        CPPUNIT_ASSERT(watch.failed(20s + 600ms));
+        CPPUNIT_ASSERT(!watch.failed(25s));
+        const auto lost = watch.answered(26s);
+        CPPUNIT_ASSERT(lost && *lost == 6s);
+        CPPUNIT_ASSERT(!watch.answered(27s));
+        CPPUNIT_ASSERT(!watch.failed(28s));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestDependencyWatch);
--- a/tests/auto/settings/tst_nodesettings.cpp
+++ b/tests/auto/settings/tst_nodesettings.cpp
@@ -37,6 +37,7 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(25), entry.processorPercent);
         CPPUNIT_ASSERT_EQUAL(std::uint16_t(8080), std::get<JobEntrySettings>(entry.role).callers.port);
         CPPUNIT_ASSERT_EQUAL(std::uint16_t(8082), entry.peers.port);
+        CPPUNIT_ASSERT(entry.metrics && entry.metrics->port == 8083);
         const NodeSettings agent = parsed(readExample("node/agent.yaml"));
         CPPUNIT_ASSERT_EQUAL(std::uint16_t(8101), std::get<JobAgentSettings>(agent.role).worker.port);
         CPPUNIT_ASSERT_EQUAL(std::uint16_t(8090), agent.store.endpoint.port);
@@ -48,6 +49,8 @@
         const FaultCase cases[] = {
             {agentText, "", ""},
             {"name: a\n" + storeText, "1:1 role", ""},
+            {agentText + "metrics: 10.0.0.2:9\n", "", ""},
+            {agentText + "metrics: 9100\n", "6:10 metrics", ""},
             {agentText + "extra: 1\n", "6:1 extra", ""},
             {agentText + "processorShare: 0\n", "6:17 processorShare", ""},
             {agentText + "logLinesPerSecond: 0\n", "6:20 logLinesPerSecond", ""},
