Explain a job from saved logs: laburnumctl explain ID FILE...

An on-call engineer had to search the id in the logs of all processes, and the lines that hold the cause (a change of owner, a lost store, a worker that went) do not name the job. The command prints one timeline: the job's lines, and those on what it depended on while it was open, with the gaps in time.

Ruled out: asking the entries, as they keep no history; the logs are what survives them.

--- a/src/app/laburnumctl/commands.cpp
+++ b/src/app/laburnumctl/commands.cpp
@@ -229,6 +229,9 @@
     if (command == "entries" && arguments.size() == 3 && arguments[1] == "confirm-dead") {
         return simple(options, "POST", "/v1/entries/" + escaped(arguments[2]) + "/confirm-dead");
     }
+    if (command == "explain" && arguments.size() >= 3) {
+        return explainJob(arguments[1], std::span(arguments).subspan(2));
+    }
     return usageError("unknown command or wrong number of arguments");
 }
 
--- a/src/app/laburnumctl/commands.h
+++ b/src/app/laburnumctl/commands.h
@@ -3,6 +3,10 @@
 #include "httpclient.h"
 #include "options.h"
 
+#include <span>
+#include <string>
+#include <vector>
+
 namespace LaburnumFlow::Ctl {
 
 /// Runs the command that the arguments name and returns the exit code.
@@ -11,6 +15,9 @@
 /// Runs "settings ..."; arguments begin behind the word "settings".
 int runSettingsCommand(const Options &options, const std::vector<std::string> &arguments);
 
+/// Prints the timeline of a stored or best-effort job from saved logs; "-" is standard input.
+int explainJob(const std::string &id, std::span<const std::string> files);
+
 /// Prints an answer that is not a success and returns the exit code for it.
 int reportFailure(const Options &options, const HttpReply &reply);
 
