Serve queues by their priority before the end of the objective

Cause: the operator's Priority (0 comes first) was read and stored with each job and never used: jobs were placed, and counted as being ahead in admission, by the end of their objective alone. An urgent job could wait behind, and be refused for, less urgent work.

Tests, both failing before: urgentQueuesComeFirst (order 1, 3, 4, 2) and urgentJobsAreNotRefusedForOthers.

Ruled out: a weight on the objective instead of strict order; with the sites' objectives (140 ms to 1.3 s) it gives nearly the same order and needs a constant.

--- a/src/libs/jobs/admission.cpp
+++ b/src/libs/jobs/admission.cpp
@@ -44,13 +44,13 @@
     if (capacity <= 0.0) {
         return {};
     }
-    const Base::MonoTime due = job.arrivedAt + job.objective;
+    const QueuePlace place = placeOf(job);
     double before = 0.0;
     double all = 0.0;
-    for (const auto &[queuedDue, id] : state.ready) {
-        const double work = readyWork(state.jobs.at(id));
+    for (const QueuePlace &queued : state.ready) {
+        const double work = readyWork(state.jobs.at(queued.job));
         all += work;
-        if (queuedDue <= due) {
+        if (queued <= place) {
             before += work;
         }
     }
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -226,7 +226,7 @@
 {
     OwnerState &state = context.state;
     const bool wanted = job.readyTasks > 0 && job.stored && !job.finishing;
-    const std::pair<Base::MonoTime, JobId> place{job.arrivedAt + job.objective, job.id};
+    const QueuePlace place = placeOf(job);
     if (wanted) {
         state.ready.insert(place);
         state.schedulingDue = true;
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -85,7 +85,7 @@
     std::vector<JobId> outdated;
     auto next = state.ready.begin();
     while (next != state.ready.end() && free > 0 && passedOver < maxUnplacedScanned) {
-        Job &job = state.jobs.at(next->second);
+        Job &job = state.jobs.at(next->job);
         ++next;
         if (state.now > job.arrivedAt + std::chrono::duration_cast<Base::Duration>(job.objective * lateFactor)) {
             outdated.push_back(job.id);
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -66,6 +66,20 @@
     std::vector<CallId> waitingForState; ///< queries that are held until the job is final, or for queryWait
 };
 
+/// The place of a job in the order in which jobs get workers.
+struct QueuePlace {
+    std::uint32_t priority = 0; ///< 0 comes first
+    Base::MonoTime dueAt{}; ///< the end of its objective
+    JobId job = 0;
+
+    auto operator<=>(const QueuePlace &) const = default;
+};
+
+inline QueuePlace placeOf(const Job &job)
+{
+    return {job.rules.priority, job.arrivedAt + job.objective, job.id};
+}
+
 /// A run that a former owner started for a job that has not been submitted to this one yet.
 struct Orphan {
     AgentIndex agent = noAgent;
@@ -87,7 +101,7 @@
     std::set<std::pair<Base::MonoTime, JobId>> expiring; ///< best-effort jobs by the end of their callers' patience
     std::unordered_map<JobId, std::vector<Orphan>> orphans; ///< runs of jobs that are not known yet
     Base::MonoTime orphansUntil{}; ///< they are stopped then, or when their job does not want them
-    std::set<std::pair<Base::MonoTime, JobId>> ready; ///< jobs with ready tasks, by the end of their objective
+    std::set<QueuePlace> ready; ///< jobs with ready tasks
     std::set<std::pair<Base::MonoTime, JobId>> progressDue; ///< jobs whose progress is to be recorded
     struct HeldQuery {
         Base::MonoTime until{};
--- a/tests/auto/jobs/tst_load.cpp
+++ b/tests/auto/jobs/tst_load.cpp
@@ -4,17 +4,30 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <vector>
 
 using namespace LaburnumFlow;
 using namespace LaburnumFlow::Jobs;
 using namespace LaburnumFlow::Jobs::Testing;
 using namespace std::chrono_literals;
 
+namespace {
+
+SubmitCall ofPriority(std::uint32_t priority, SubmitCall submission)
+{
+    submission.rules.priority = priority;
+    return submission;
+}
+
+} // namespace
+
 class TestLoad : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestLoad);
     CPPUNIT_TEST(shortJobsPassLongOnes);
     CPPUNIT_TEST(refusesWhatWouldBeTooLate);
+    CPPUNIT_TEST(urgentQueuesComeFirst);
+    CPPUNIT_TEST(urgentJobsAreNotRefusedForOthers);
     CPPUNIT_TEST(fasterWorkersFirst);
     CPPUNIT_TEST(slowWorkerLosesWork);
     CPPUNIT_TEST(slowWorkerComesBack);
@@ -56,6 +69,40 @@
         CPPUNIT_ASSERT(!owner.state.jobs.contains(submissions));
     }
 
+    /// Pattern: jobs of a queue with priority 0 behind those of another. Guards against a priority without effect.
+    void urgentQueuesComeFirst()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", 1000);
+        owner.submit(1, bestEffort(1, 1, 100));
+        owner.submit(2, ofPriority(2, bestEffort(2, 1, 100)));
+        owner.submit(3, ofPriority(0, bestEffort(3, 1, 400)));
+        owner.submit(4, ofPriority(1, bestEffort(4, 1, 200)));
+        for (std::size_t ended = 0; ended < 4; ++ended) {
+            owner.end("agent-1", owner.startsAt("agent-1").at(ended), EndKind::Done, 100);
+        }
+        std::vector<JobId> order;
+        for (const RunRef &run : owner.startsAt("agent-1")) {
+            order.push_back(run.task.job);
+        }
+        CPPUNIT_ASSERT((order == std::vector<JobId>{1, 3, 4, 2}));
+    }
+
+    /// Pattern: a backlog of less urgent jobs. Guards against refusing an urgent job for work that it need not wait for.
+    void urgentJobsAreNotRefusedForOthers()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", 1000);
+        constexpr CallId submissions = 60;
+        for (CallId call = 1; call <= submissions; ++call) {
+            owner.submit(call, ofPriority(2, bestEffort(call, 1, 100)));
+        }
+        CPPUNIT_ASSERT(owner.answerTo(submissions).has_value());
+        owner.submit(submissions + 1, ofPriority(0, bestEffort(submissions + 1, 1, 100)));
+        CPPUNIT_ASSERT(!owner.answerTo(submissions + 1));
+        CPPUNIT_ASSERT(owner.state.jobs.contains(submissions + 1));
+    }
+
     /// Pattern: workers of different speed, both idle. Guards against jobs that wait for their slowest task.
     void fasterWorkersFirst()
     {
