Refuse jobs of queues with advice; tell how many rows of rules were skipped

A queue with Advice takes only starts that carry a ticket of the advice service, which is not built. Its jobs were accepted, and every start would have been turned away for as long as the job lived; a stored job would never have ended. They are refused as not run now, like gangs and lasting, repeated and filling tasks.

--- a/src/app/laburnumnode/entrystore.cpp
+++ b/src/app/laburnumnode/entrystore.cpp
@@ -148,7 +148,10 @@
     if (rules_ && document->version <= rules_->version) {
         return;
     }
-    decide("rules.adopted", {{"version", std::to_string(document->version)}, {"routes", std::to_string(document->routes.size())}});
+    decide("rules.adopted",
+           {{"version", std::to_string(document->version)},
+            {"routes", std::to_string(document->routes.size())},
+            {"skipped", std::to_string(document->skippedRows)}});
     rules_ = std::move(document);
     if (!owner_) {
         return;
--- a/tests/auto/platform/tst_dialects.cpp
+++ b/tests/auto/platform/tst_dialects.cpp
@@ -21,7 +21,8 @@
 const std::string rulesText = R"({"Version":7,"Routes":[
     {"Name":"r-1","Host":"a.example","Prefix":"/p/","Service":"s","MaxAttempts":4,"Stretch":1.6,"TargetDurationMs":60,"Priority":2},
     {"Name":"r-2","Host":"a.example","Prefix":"/p/q/","Service":"s"},
-    {"Name":5,"Host":"a.example","Prefix":"/x/","Service":"s"}],"Services":[],"Limits":{}})";
+    {"Name":5,"Host":"a.example","Prefix":"/x/","Service":"s"},
+    {"Name":"r-3","Host":"a.example","Prefix":"/advised/","Service":"s","Advice":{"DecideMs":5,"EachMs":1,"ValidMs":2000}}],"Services":[],"Limits":{}})";
 
 const std::string beatText = R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready","Capacity":{"Cpu":16000,"MemMb":32768},)"
                              R"("Labels":["a","r1-3"],"Seq":4,"born":1700000000000})";
@@ -50,6 +51,7 @@
     CPPUNIT_TEST(rules);
     CPPUNIT_TEST(submission);
     CPPUNIT_TEST(malformedSubmissions);
+    CPPUNIT_TEST(refusesWhatIsNotBuilt);
     CPPUNIT_TEST(otherCalls);
     CPPUNIT_TEST(taskNames);
     CPPUNIT_TEST(startOutcomes);
@@ -68,7 +70,8 @@
         const auto document = parseRules(rulesText);
         CPPUNIT_ASSERT(document.has_value());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), document->version);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), document->routes.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), document->routes.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), document->skippedRows);
         CPPUNIT_ASSERT_EQUAL(std::string("r-2"), document->find("a.example:80", "/p/q/1")->rules.name);
         CPPUNIT_ASSERT_EQUAL(std::string("r-1"), document->find("a.example", "/p/1")->rules.name);
         CPPUNIT_ASSERT(document->find("b.example", "/p/1") == nullptr);
@@ -120,8 +123,21 @@
             const Decoded decoded = decodeCall(request("POST", "/p/5c0e7a21d94b36f8", body), &*document);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(body, 400, statusOf(decoded));
         }
-        const std::string gang = R"({"Steps":[{"Count":2,"Gang":true}]})";
-        CPPUNIT_ASSERT_EQUAL(503, statusOf(decodeCall(request("POST", "/p/5c0e7a21d94b36f8", gang), &*document)));
+    }
+
+    /// Guards against jobs that are accepted and then run by wrong rules, or never, as workers turn their starts away.
+    void refusesWhatIsNotBuilt()
+    {
+        const auto document = parseRules(rulesText);
+        for (const std::string body : {R"({"Steps":[{"Count":2,"Gang":true}]})",
+                                       R"({"Steps":[{"Count":2,"LongRunning":true}]})",
+                                       R"({"Steps":[{"Count":2,"Fills":true}]})",
+                                       R"({"Steps":[{"Count":2}],"RepeatCount":3})"}) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(body, 503, statusOf(decodeCall(request("POST", "/p/5c0e7a21d94b36f8", body), &*document)));
+        }
+        const std::string plain = R"({"Steps":[{"Count":2}]})";
+        CPPUNIT_ASSERT_EQUAL(503, statusOf(decodeCall(request("POST", "/advised/5c0e7a21d94b36f8", plain), &*document)));
+        CPPUNIT_ASSERT_EQUAL(0, statusOf(decodeCall(request("GET", "/advised/5c0e7a21d94b36f8"), &*document)));
     }
 
     /// Guards against requests that are taken for others, and against 404 before any configuration is known.
