Prove recovery from two troubles at once with real processes

The fleet of node.processes moved to site.h for that.

5 of 5 passed at the first run, so they were run against broken copies. With silent owners not replaced frozenOwnerIsReplaced and ownerLostWhileStoreIsDown fail; with stored jobs not loaded also secondLossDuringTakeover; with own commits not recognised as well lostAnswersOfTheStore. Not caught, as other parts make up for it: an owner that trusts its picture at once (one agent reports before it can get work), a commit conflict taken for deposition (the jobs are read again), a report before the worker's lists are read, incarnations taken for one. restartedWorkerRunsItsTasksAgain was not seen failing.

--- a/tests/auto/node/platformstandin.cpp
+++ b/tests/auto/node/platformstandin.cpp
@@ -43,7 +43,9 @@
         return range(request.query.at("Prefix"), after == request.query.end() ? "" : after->second);
     }
     if (request.path == "/kv-txn") {
-        return transaction(request.body);
+        const StandInReply reply = transaction(request.body);
+        const bool lost = losesEach > 0 && ++transactions_ % losesEach == 0;
+        return lost ? StandInReply{0, {}} : reply;
     }
     if (request.path == "/kv-lease") {
         return grant(request.body);
--- a/tests/auto/node/platformstandin.h
+++ b/tests/auto/node/platformstandin.h
@@ -30,6 +30,9 @@
     /// While set, each call is answered 503 without effect.
     std::atomic<bool> turnsAway = false;
 
+    /// If not 0, each so many-th transaction is carried out and its answer lost.
+    std::atomic<unsigned> losesEach = 0;
+
 private:
     using Clock = std::chrono::steady_clock;
 
@@ -60,6 +63,7 @@
     std::map<std::string, Item> items_;
     std::map<std::int64_t, Lease> leases_;
     std::int64_t revision_ = 1;
+    unsigned transactions_ = 0;
     std::int64_t lastLease_ = 0;
     StandInServer server_;
 };
--- /dev/null
+++ b/tests/auto/node/site.cpp
@@ -0,0 +1,146 @@
+#include "site.h"
+
+#include "../freeport.h"
+#include "../system/waiting.h"
+
+#include <cppunit/TestAssert.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace NodeTest {
+
+using SystemTest::call;
+using SystemTest::ChildProcess;
+using SystemTest::generousSeconds;
+using SystemTest::HttpResult;
+using SystemTest::waitFor;
+
+namespace {
+
+const std::string rules = R"({"Version":1,"Routes":[{"Name":"q","Host":"q.example","Prefix":"/q/","Service":"service","MaxAttempts":3,)"
+                          R"("Stretch":1.6,"TargetDurationMs":60}],"Services":[],"Limits":{}})";
+
+std::string local(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+std::string freeEndpoint()
+{
+    return local(LaburnumFlow::Testing::freePort());
+}
+
+} // namespace
+
+double sampleOf(const std::string &metrics, const std::string &name, const std::string &label)
+{
+    std::istringstream lines(metrics);
+    double sum = 0;
+    for (std::string line; std::getline(lines, line);) {
+        const bool named = line.rfind(name, 0) == 0 && (line[name.size()] == ' ' || line[name.size()] == '{');
+        if (named && line.find(label) != std::string::npos) {
+            sum += std::stod(line.substr(line.rfind(' ')));
+        }
+    }
+    return sum;
+}
+
+Site::Site(int entries)
+{
+    std::string folder = "/tmp/laburnumnode-test-XXXXXX";
+    CPPUNIT_ASSERT(mkdtemp(folder.data()) != nullptr);
+    folder_ = folder;
+    platform.put("op/config", rules);
+    for (int i = 0; i < entries; ++i) {
+        entries_.push_back({freeEndpoint(), freeEndpoint(), freeEndpoint(), freeEndpoint(), {}});
+        startEntry(i);
+    }
+    agentAddress_ = freeEndpoint();
+    agentMetrics_ = freeEndpoint();
+    startAgent();
+}
+
+Site::~Site()
+{
+    agent.reset();
+    entries_.clear();
+    std::filesystem::remove_all(folder_);
+}
+
+void Site::startEntry(int index)
+{
+    Entry &entry = entries_.at(static_cast<std::size_t>(index));
+    const std::string name = "entry-" + std::to_string(index);
+    entry.process = launch(name,
+                           "role: entry\nname: " + name + "\ncallers: " + entry.callers + "\nready: " + entry.ready + "\npeers: " + entry.peers
+                               + "\nmetrics: " + entry.metrics + "\n");
+}
+
+void Site::startAgent()
+{
+    agent
+        = launch("agent", "role: agent\nname: agent\nregistration: " + agentAddress_ + "\nworker: " + worker.endpoint() + "\nmetrics: " + agentMetrics_ + "\n");
+}
+
+void Site::awaitReady(int index)
+{
+    CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return call("GET", entries_.at(static_cast<std::size_t>(index)).ready, "/ready").status == 200; }));
+    CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return worker.announce(agentAddress_) == 200; }));
+}
+
+std::optional<int> Site::owner() const
+{
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+        if (sampleOf(entryMetrics(static_cast<int>(i)), "laburnumflow_owner_epoch") > 0) {
+            return static_cast<int>(i);
+        }
+    }
+    return std::nullopt;
+}
+
+int Site::awaitOwner() const
+{
+    std::optional<int> found;
+    CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return (found = owner()).has_value(); }));
+    return *found;
+}
+
+ChildProcess &Site::entry(int index)
+{
+    return *entries_.at(static_cast<std::size_t>(index)).process;
+}
+
+HttpResult Site::submit(int index, const std::string &id, int tasks, int workMs, bool bestEffort, long timeoutMs) const
+{
+    const std::string body = R"({"Spec":")" + std::to_string(workMs) + R"(","Steps":[{"Count":)" + std::to_string(tasks) + R"(,"Cpu":1000,"EstimateMs":)"
+                             + std::to_string(workMs) + "}]" + (bestEffort ? R"(,"BestEffort":true})" : "}");
+    return call("POST", entries_.at(static_cast<std::size_t>(index)).callers, "/q/" + id, body, {"Host: q.example", "X-Deadline-Ms: 50000"}, timeoutMs);
+}
+
+std::string Site::stateOf(int index, const std::string &id) const
+{
+    const HttpResult result = call("GET", entries_.at(static_cast<std::size_t>(index)).callers, "/q/" + id, {}, {"Host: q.example"});
+    return result.json().value("State", std::string());
+}
+
+std::string Site::entryMetrics(int index) const
+{
+    return call("GET", entries_.at(static_cast<std::size_t>(index)).metrics, "/metrics").body;
+}
+
+std::string Site::agentMetrics() const
+{
+    return call("GET", agentMetrics_, "/metrics").body;
+}
+
+std::unique_ptr<ChildProcess> Site::launch(const std::string &name, const std::string &settings) const
+{
+    const std::string file = folder_ + "/" + name + ".yaml";
+    std::ofstream(file) << settings << "store: {address: '" << platform.endpoint() << "'}\n";
+    return std::make_unique<ChildProcess>("laburnumnode", std::vector<std::string>{"--config", file}, folder_ + "/" + name + ".log");
+}
+
+} // namespace NodeTest
--- /dev/null
+++ b/tests/auto/node/site.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "platformstandin.h"
+#include "workerstandin.h"
+
+#include "../system/childprocess.h"
+#include "../system/httpcall.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace NodeTest {
+
+/// The sum of all samples of the metric whose labels contain the text.
+double sampleOf(const std::string &metrics, const std::string &name, const std::string &label = {});
+
+/// The real programs around stand-ins of the platform's store and of a worker.
+class Site
+{
+public:
+    explicit Site(int entries);
+    ~Site();
+    Site(const Site &) = delete;
+    Site &operator=(const Site &) = delete;
+
+    void startEntry(int index);
+    void startAgent();
+
+    /// Waits until the entry is ready and the worker is known.
+    void awaitReady(int index);
+
+    /// The index of the entry that owns the jobs by its own metrics; nothing if there is none.
+    std::optional<int> owner() const;
+    int awaitOwner() const;
+
+    SystemTest::ChildProcess &entry(int index);
+    SystemTest::HttpResult submit(int index, const std::string &id, int tasks, int workMs, bool bestEffort, long timeoutMs = 60'000) const;
+    std::string stateOf(int index, const std::string &id) const;
+    std::string entryMetrics(int index) const;
+    std::string agentMetrics() const;
+
+    PlatformStandIn platform;
+    WorkerStandIn worker;
+    std::unique_ptr<SystemTest::ChildProcess> agent;
+
+private:
+    struct Entry {
+        std::string callers;
+        std::string ready;
+        std::string peers;
+        std::string metrics;
+        std::unique_ptr<SystemTest::ChildProcess> process;
+    };
+
+    std::unique_ptr<SystemTest::ChildProcess> launch(const std::string &name, const std::string &settings) const;
+
+    std::string folder_;
+    std::vector<Entry> entries_;
+    std::string agentAddress_;
+    std::string agentMetrics_;
+};
+
+} // namespace NodeTest
--- a/tests/auto/node/tst_processes.cpp
+++ b/tests/auto/node/tst_processes.cpp
@@ -1,163 +1,22 @@
-#include "platformstandin.h"
-#include "workerstandin.h"
+#include "site.h"
 
-#include "../freeport.h"
-#include "../system/childprocess.h"
-#include "../system/httpcall.h"
 #include "../system/waiting.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <csignal>
 #include <cstdlib>
-#include <filesystem>
-#include <fstream>
-#include <memory>
-#include <sstream>
+#include <future>
 #include <string>
 #include <vector>
 
 using namespace NodeTest;
-using SystemTest::call;
-using SystemTest::ChildProcess;
 using SystemTest::generousSeconds;
 using SystemTest::HttpResult;
 using SystemTest::waitFor;
 
 namespace {
 
-const std::string rules = R"({"Version":1,"Routes":[{"Name":"q","Host":"q.example","Prefix":"/q/","Service":"service","MaxAttempts":3,)"
-                          R"("Stretch":1.6,"TargetDurationMs":60}],"Services":[],"Limits":{}})";
-
-std::string local(std::uint16_t port)
-{
-    return "127.0.0.1:" + std::to_string(port);
-}
-
-std::string freeEndpoint()
-{
-    return local(LaburnumFlow::Testing::freePort());
-}
-
-/// The sum of all samples of the metric whose labels contain the text.
-double sampleOf(const std::string &metrics, const std::string &name, const std::string &label = {})
-{
-    std::istringstream lines(metrics);
-    double sum = 0;
-    for (std::string line; std::getline(lines, line);) {
-        const bool named = line.rfind(name, 0) == 0 && (line[name.size()] == ' ' || line[name.size()] == '{');
-        if (named && line.find(label) != std::string::npos) {
-            sum += std::stod(line.substr(line.rfind(' ')));
-        }
-    }
-    return sum;
-}
-
-/// The real programs around stand-ins of the platform's store and of a worker.
-class Site
-{
-public:
-    explicit Site(int entries)
-    {
-        std::string folder = "/tmp/laburnumnode-test-XXXXXX";
-        CPPUNIT_ASSERT(mkdtemp(folder.data()) != nullptr);
-        folder_ = folder;
-        platform.put("op/config", rules);
-        for (int i = 0; i < entries; ++i) {
-            entries_.push_back({freeEndpoint(), freeEndpoint(), freeEndpoint(), freeEndpoint(), {}});
-            startEntry(i);
-        }
-        agentAddress_ = freeEndpoint();
-        agentMetrics_ = freeEndpoint();
-        startAgent();
-    }
-
-    ~Site()
-    {
-        agent.reset();
-        entries_.clear();
-        std::filesystem::remove_all(folder_);
-    }
-
-    Site(const Site &) = delete;
-    Site &operator=(const Site &) = delete;
-
-    void startEntry(int index)
-    {
-        Entry &entry = entries_.at(static_cast<std::size_t>(index));
-        const std::string name = "entry-" + std::to_string(index);
-        entry.process = launch(name,
-                               "role: entry\nname: " + name + "\ncallers: " + entry.callers + "\nready: " + entry.ready + "\npeers: " + entry.peers
-                                   + "\nmetrics: " + entry.metrics + "\n");
-    }
-
-    void startAgent()
-    {
-        agent = launch("agent",
-                       "role: agent\nname: agent\nregistration: " + agentAddress_ + "\nworker: " + worker.endpoint() + "\nmetrics: " + agentMetrics_ + "\n");
-    }
-
-    /// Waits until the entry is ready and the worker is known.
-    void awaitReady(int index)
-    {
-        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return call("GET", entries_.at(static_cast<std::size_t>(index)).ready, "/ready").status == 200; }));
-        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return worker.announce(agentAddress_) == 200; }));
-    }
-
-    ChildProcess &entry(int index)
-    {
-        return *entries_.at(static_cast<std::size_t>(index)).process;
-    }
-
-    HttpResult submit(int index, const std::string &id, int tasks, int workMs, bool bestEffort, long timeoutMs = 60'000) const
-    {
-        const std::string body = R"({"Spec":")" + std::to_string(workMs) + R"(","Steps":[{"Count":)" + std::to_string(tasks) + R"(,"Cpu":1000,"EstimateMs":)"
-                                 + std::to_string(workMs) + "}]" + (bestEffort ? R"(,"BestEffort":true})" : "}");
-        return call("POST", entries_.at(static_cast<std::size_t>(index)).callers, "/q/" + id, body, {"Host: q.example", "X-Deadline-Ms: 50000"}, timeoutMs);
-    }
-
-    std::string stateOf(int index, const std::string &id) const
-    {
-        const HttpResult result = call("GET", entries_.at(static_cast<std::size_t>(index)).callers, "/q/" + id, {}, {"Host: q.example"});
-        return result.json().value("State", std::string());
-    }
-
-    std::string entryMetrics(int index) const
-    {
-        return call("GET", entries_.at(static_cast<std::size_t>(index)).metrics, "/metrics").body;
-    }
-
-    std::string agentMetrics() const
-    {
-        return call("GET", agentMetrics_, "/metrics").body;
-    }
-
-    PlatformStandIn platform;
-    WorkerStandIn worker;
-    std::unique_ptr<ChildProcess> agent;
-
-private:
-    struct Entry {
-        std::string callers;
-        std::string ready;
-        std::string peers;
-        std::string metrics;
-        std::unique_ptr<ChildProcess> process;
-    };
-
-    std::unique_ptr<ChildProcess> launch(const std::string &name, const std::string &settings) const
-    {
-        const std::string file = folder_ + "/" + name + ".yaml";
-        std::ofstream(file) << settings << "store: {address: '" << platform.endpoint() << "'}\n";
-        return std::make_unique<ChildProcess>("laburnumnode", std::vector<std::string>{"--config", file}, folder_ + "/" + name + ".log");
-    }
-
-    std::string folder_;
-    std::vector<Entry> entries_;
-    std::string agentAddress_;
-    std::string agentMetrics_;
-};
-
 constexpr const char *job1 = "00000000000000a1";
 constexpr const char *job2 = "00000000000000a2";
 
--- /dev/null
+++ b/tests/auto/node/tst_recovery.cpp
@@ -0,0 +1,134 @@
+#include "site.h"
+
+#include "../system/waiting.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <csignal>
+#include <set>
+#include <string>
+#include <thread>
+
+using namespace NodeTest;
+using namespace std::chrono_literals;
+using SystemTest::generousSeconds;
+using SystemTest::waitFor;
+
+namespace {
+
+constexpr const char *job1 = "00000000000000b1";
+constexpr const char *job2 = "00000000000000b2";
+
+bool completes(const Site &site, int entry, const std::string &job)
+{
+    return waitFor(generousSeconds, [&] { return site.stateOf(entry, job) == "completed"; });
+}
+
+} // namespace
+
+/// Two troubles at once, with real processes.
+class TestRecovery : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestRecovery);
+    CPPUNIT_TEST(frozenOwnerIsReplaced);
+    CPPUNIT_TEST(secondLossDuringTakeover);
+    CPPUNIT_TEST(ownerLostWhileStoreIsDown);
+    CPPUNIT_TEST(lostAnswersOfTheStore);
+    CPPUNIT_TEST(restartedWorkerRunsItsTasksAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against two owners, or a second run, when an owner stands still and wakes after another took over.
+    void frozenOwnerIsReplaced()
+    {
+        Site site(2);
+        site.awaitReady(0);
+        site.awaitReady(1);
+        const int former = site.awaitOwner();
+        const int other = 1 - former;
+        CPPUNIT_ASSERT_EQUAL(200L, site.submit(other, job1, 4, 3000, false).status);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.worker.runs().size() == 4; }));
+        site.entry(former).freeze();
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return sampleOf(site.entryMetrics(other), "laburnumflow_owner_epoch") > 0; }));
+        CPPUNIT_ASSERT_EQUAL(std::string("completed"), site.submit(other, job2, 2, 50, true).json().value("State", std::string()));
+        site.entry(former).signal(SIGCONT);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return sampleOf(site.entryMetrics(former), "laburnumflow_owner_epoch") == 0; }));
+        CPPUNIT_ASSERT(completes(site, former, job1));
+        CPPUNIT_ASSERT(!site.worker.overlapped());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), site.worker.runs().size());
+    }
+
+    /// Guards against an accepted job that is lost, or runs twice at once, when all processes are lost twice in a row.
+    void secondLossDuringTakeover()
+    {
+        Site site(2);
+        site.awaitReady(0);
+        site.awaitReady(1);
+        CPPUNIT_ASSERT_EQUAL(200L, site.submit(0, job1, 4, 700, false).status);
+        for (const auto pause : {0ms, 250ms}) {
+            site.entry(0).kill();
+            site.entry(1).kill();
+            site.agent->kill();
+            site.startEntry(0);
+            site.startEntry(1);
+            site.startAgent();
+            std::this_thread::sleep_for(pause);
+        }
+        site.awaitReady(1);
+        CPPUNIT_ASSERT(completes(site, 1, job1));
+        CPPUNIT_ASSERT(!site.worker.overlapped());
+    }
+
+    /// Guards against a takeover that does not happen, or that ends tasks, when the store comes back after the owner's loss.
+    void ownerLostWhileStoreIsDown()
+    {
+        Site site(2);
+        site.awaitReady(0);
+        site.awaitReady(1);
+        const int former = site.awaitOwner();
+        const int other = 1 - former;
+        CPPUNIT_ASSERT_EQUAL(200L, site.submit(other, job1, 4, 500, false).status);
+        site.platform.turnsAway = true;
+        site.entry(former).kill();
+        std::this_thread::sleep_for(1500ms);
+        CPPUNIT_ASSERT(!site.owner());
+        site.platform.turnsAway = false;
+        CPPUNIT_ASSERT(completes(site, other, job1));
+        CPPUNIT_ASSERT(!site.worker.overlapped());
+    }
+
+    /// Guards against jobs that are run twice or forgotten when the store carries out commits whose answers are lost.
+    void lostAnswersOfTheStore()
+    {
+        Site site(1);
+        site.awaitReady(0);
+        site.platform.losesEach = 3;
+        std::set<std::string> accepted;
+        for (int i = 10; i < 30; ++i) {
+            const std::string id = "00000000000002" + std::to_string(i);
+            CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.submit(0, id, 2, 20, false, 3000).status == 200; }));
+            accepted.insert(id);
+        }
+        for (const std::string &id : accepted) {
+            CPPUNIT_ASSERT_MESSAGE(id, completes(site, 0, id));
+        }
+        CPPUNIT_ASSERT_EQUAL(2 * accepted.size(), site.worker.runs().size());
+    }
+
+    /// Guards against tasks that are waited for in vain on a worker that has begun anew.
+    void restartedWorkerRunsItsTasksAgain()
+    {
+        Site site(1);
+        site.awaitReady(0);
+        CPPUNIT_ASSERT_EQUAL(200L, site.submit(0, job1, 4, 600, false).status);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.worker.runs().size() == 4; }));
+        site.worker.restart();
+        site.awaitReady(0);
+        CPPUNIT_ASSERT(completes(site, 0, job1));
+        CPPUNIT_ASSERT(!site.worker.overlapped());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), site.worker.runs().size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestRecovery);
--- a/tests/auto/node/workerstandin.cpp
+++ b/tests/auto/node/workerstandin.cpp
@@ -35,6 +35,27 @@
     return SystemTest::call("PUT", agent, "/instances/worker-1", beat.dump()).status;
 }
 
+void WorkerStandIn::restart()
+{
+    const std::lock_guard lock(mutex_);
+    settle();
+    for (Run &run : runs_) {
+        if (run.how.empty()) {
+            run.how = "gone";
+            run.end = Clock::now();
+        }
+    }
+    ended_.clear();
+    barred_.clear();
+    lastNumber_ = 0;
+    forgotten_ = 0;
+    fence_ = 0;
+    leaseEnd_ = {};
+    born_ = Clock::now();
+    ++bornMs_;
+    changed_.notify_all();
+}
+
 std::vector<WorkerStandIn::Run> WorkerStandIn::runs()
 {
     const std::lock_guard lock(mutex_);
--- a/tests/auto/node/workerstandin.h
+++ b/tests/auto/node/workerstandin.h
@@ -36,6 +36,9 @@
     /// Announces the worker to its agent, once. Returns the status.
     long announce(const std::string &agent);
 
+    /// Begins a new incarnation: what runs is gone, and ends that were not forgotten are no longer known.
+    void restart();
+
     /// All runs that were ever started, in order.
     std::vector<Run> runs();
 
