--- a/src/libs/entrynode/claims.cpp
+++ b/src/libs/entrynode/claims.cpp
@@ -3,6 +3,7 @@
 #include "entrynodeconstants.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace LaburnumFlow::EntryNode::Internal {
 
@@ -68,6 +69,21 @@
     return {};
 }
 
+std::string_view nameOf(ClaimEnded::Outcome outcome)
+{
+    switch (outcome) {
+    case ClaimEnded::Outcome::Won:
+        return "won";
+    case ClaimEnded::Outcome::Lost:
+        return "lost";
+    case ClaimEnded::Outcome::Refused:
+        return "refused";
+    case ClaimEnded::Outcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 void beginLoading(Context &context, std::int64_t revision)
 {
     context.state.mode = Mode::Loading;
@@ -104,7 +120,7 @@
     if (state.mode != Mode::Claiming) {
         return;
     }
-    decide(context, "owner.claim-ended", {{"epoch", std::to_string(state.claim.epoch)}, {"outcome", std::to_string(static_cast<int>(event.outcome))}});
+    decide(context, "owner.claim-ended", {{"epoch", std::to_string(state.claim.epoch)}, {"outcome", std::string(nameOf(event.outcome))}});
     switch (event.outcome) {
     case ClaimEnded::Outcome::Won:
         state.storeAnsweredAt = state.now;
