Move waiting jobs when the operator changes their queue's priority

Found by reading the change again. The job could then not be found at its former place when it ended, and the next look at the order ended the process (unordered_map::at).

Before: changedPriorityMovesWaitingJobs failed with that exception.

--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -90,9 +90,13 @@
     }
     for (auto &[id, job] : state.jobs) {
         const auto found = state.rules.find(job.rules.name);
-        if (found != state.rules.end()) {
-            job.rules = found->second;
+        if (found == state.rules.end()) {
+            continue;
         }
+        // The job's place depends on its rules.
+        state.ready.erase(placeOf(job));
+        job.rules = found->second;
+        Internal::requeue(context, job);
     }
     state.schedulingDue = true;
 }
--- a/tests/auto/jobs/tst_load.cpp
+++ b/tests/auto/jobs/tst_load.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(refusesWhatWouldBeTooLate);
     CPPUNIT_TEST(urgentQueuesComeFirst);
     CPPUNIT_TEST(urgentJobsAreNotRefusedForOthers);
+    CPPUNIT_TEST(changedPriorityMovesWaitingJobs);
     CPPUNIT_TEST(fasterWorkersFirst);
     CPPUNIT_TEST(slowWorkerLosesWork);
     CPPUNIT_TEST(slowWorkerComesBack);
@@ -103,6 +104,32 @@
         CPPUNIT_ASSERT(owner.state.jobs.contains(submissions + 1));
     }
 
+    /// Pattern: the operator changes a queue's priority while its jobs wait. Guards against jobs that stay at their former
+    /// place in the order, which would be left behind there once they have ended.
+    void changedPriorityMovesWaitingJobs()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", 1000);
+        QueueRules urgent = rulesOf("urgent");
+        QueueRules other = rulesOf("other");
+        other.priority = 1;
+        const auto of = [](const QueueRules &rules, SubmitCall submission) {
+            submission.rules = rules;
+            return submission;
+        };
+        owner.submit(1, of(urgent, bestEffort(1, 1)));
+        owner.submit(2, of(urgent, bestEffort(2, 1)));
+        owner.submit(3, of(other, bestEffort(3, 1)));
+        urgent.priority = 2;
+        owner.feed(RulesChanged{2, {urgent, other}});
+        for (std::size_t ended = 0; ended < 3; ++ended) {
+            owner.end("agent-1", owner.startsAt("agent-1").at(ended), EndKind::Done, 100);
+        }
+        CPPUNIT_ASSERT_EQUAL(JobId(3), owner.startsAt("agent-1").at(1).task.job);
+        CPPUNIT_ASSERT_EQUAL(JobId(2), owner.startsAt("agent-1").at(2).task.job);
+        CPPUNIT_ASSERT(owner.state.jobs.empty() && owner.state.ready.empty());
+    }
+
     /// Pattern: workers of different speed, both idle. Guards against jobs that wait for their slowest task.
     void fasterWorkersFirst()
     {
