Keep the records of jobs whose pack's first job ended in the same commit

Cause: a job that was accepted and ended within one commit (cancelled while it waited to be stored) emptied the commit's pack, which put the pack's key on the list of keys to remove. Jobs after it in the same commit went under that key again, and the next commit removed the key with their records. Their owner still knew them; after a takeover they were gone: an accepted job was lost, or ran again when its caller sent it once more.

Ruled out: a read of the packs that lacked a page (neighbouring commits were there), and an unreadable record (the record's bytes were written like all others).

Before: keyStaysIfItIsUsedAgain failed, the second commit removed the key. After: 12 of 12 in jobs.recorder.

--- a/src/libs/jobs/jobpacks.cpp
+++ b/src/libs/jobs/jobpacks.cpp
@@ -15,6 +15,8 @@
     Pack &pack = packs_[key];
     if (pack.jobs.empty()) {
         pack.writtenMs = nowMs;
+        // The key may have been emptied by a job that ended in the same commit.
+        std::erase(emptied_, key);
     }
     pack.jobs.insert(job);
 }
--- a/tests/auto/jobs/tst_recorder.cpp
+++ b/tests/auto/jobs/tst_recorder.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(anotherOwnerDeposes);
     CPPUNIT_TEST(keyIsRemovedLater);
     CPPUNIT_TEST(keyStaysWhileAJobNeedsIt);
+    CPPUNIT_TEST(keyStaysIfItIsUsedAgain);
     CPPUNIT_TEST(namesJobsUnderOldKeys);
     CPPUNIT_TEST(staysWithinTheStoresLimit);
     CPPUNIT_TEST(recordsAgents);
@@ -209,6 +210,26 @@
         CPPUNIT_ASSERT(!recorder.next(2s, wall).has_value());
     }
 
+    /// Guards against removing the records of accepted jobs because the first job of their commit had ended in it, as when
+    /// it is cancelled while it waits to be stored.
+    void keyStaysIfItIsUsedAgain()
+    {
+        Recorder recorder = makeRecorder();
+        recorder.add(put(1));
+        recorder.add(finish(1));
+        recorder.add(put(2));
+        const std::string key = recorder.next(1s, wall)->writes.at(1).key;
+        recorder.finish(Committed{8}, 1s);
+        recorder.add(put(3));
+        CPPUNIT_ASSERT(recorder.next(2s, wall)->deletes.empty());
+        recorder.finish(Committed{9}, 2s);
+        recorder.add(finish(2));
+        CPPUNIT_ASSERT(recorder.next(3s, wall)->deletes.empty());
+        recorder.finish(Committed{10}, 3s);
+        recorder.add(put(4));
+        CPPUNIT_ASSERT((recorder.next(4s, wall)->deletes == std::vector<std::string>{key}));
+    }
+
     /// Guards against a store that fills up with final states.
     void removesOldSegments()
     {
