--- a/src/libs/jobs/admission.cpp
+++ b/src/libs/jobs/admission.cpp
@@ -1,6 +1,7 @@
 #include "admission.h"
 
 #include "jobsconstants.h"
+#include "placement.h"
 
 #include <algorithm>
 #include <cmath>
@@ -33,10 +34,24 @@
     return capacity;
 }
 
+/// Lasting tasks never make room again, so those that would not all find room are refused.
+Admission admitLasting(const OwnerState &state, const Job &job)
+{
+    double need = 0.0;
+    for (const StepSpec &step : job.spec.steps) {
+        need += step.lasting ? static_cast<double>(step.count) * step.need.cpuMilli : 0.0;
+    }
+    const bool fits = need <= lastingRoomMilli(state, job.rules.service);
+    return {fits, Base::Duration::zero(), fits ? 0 : lastingRetryAfterS};
+}
+
 } // namespace
 
 Admission admit(const OwnerState &state, const Job &job)
 {
+    if (job.lasting) {
+        return admitLasting(state, job);
+    }
     if (state.ready.empty()) {
         return {};
     }
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -40,9 +40,9 @@
            && agent.used.gpus + need.gpus <= capacity.gpus;
 }
 
-void addRun(Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders)
+void addRun(Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders, Base::MonoTime since)
 {
-    if (!agent.runs.emplace(run, ActiveRun{need, orders, false}).second) {
+    if (!agent.runs.emplace(run, ActiveRun{need, orders, false, since}).second) {
         return;
     }
     agent.used.cpuMilli += need.cpuMilli;
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -19,6 +19,7 @@
     Resources need;
     std::uint64_t orders = 0; ///< number of the orders with its start; 0 if the agent listed it
     bool stopping = false;
+    Base::MonoTime since{}; ///< when this owner learned of it or ordered it
 };
 
 /// What the ends of a worker's runs say about it.
@@ -64,7 +65,7 @@
 bool fits(const Agent &agent, const Resources &need);
 
 /// orders: number of the orders with the start; 0 for a run that the agent listed.
-void addRun(Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders);
+void addRun(Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders, Base::MonoTime since);
 
 /// Returns whether the run was known.
 bool removeRun(Agent &agent, const RunRef &run);
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -38,13 +38,17 @@
     std::string requiredLabel; ///< empty: any worker
     std::string dataRack; ///< rack on which the tasks run fastest; empty: none
     std::uint32_t maxPerWorker = 0; ///< 0: no limit
+    bool gang = false; ///< the tasks work only while all of them run, and end as done together
+    bool sameRack = false; ///< the tasks run fastest when all are on one rack
+    bool checkpointing = false; ///< a task can resume from a checkpoint of an earlier run
+    bool lasting = false; ///< the tasks run until their job is cancelled, and start again however they end
 
     bool operator==(const StepSpec &) const = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(count, need, estimateMs, after, requiredLabel, dataRack, maxPerWorker);
+        archive(count, need, estimateMs, after, requiredLabel, dataRack, maxPerWorker, gang, sameRack, checkpointing, lasting);
     }
 };
 
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -50,6 +50,12 @@
 constexpr std::size_t maxUnplacedScanned = 64; ///< jobs that do not fit and are passed over in one round
 constexpr std::uint32_t defaultEstimateMs = 200; ///< of a task about which nothing is known
 
+constexpr double remoteFactor = 1.5; ///< run time away from the data's rack, or from the others of the step
+constexpr Base::Duration roomKeptAfter = 300ms; ///< a gang that waits for longer has workers kept free for it, as smaller work would always come first
+constexpr Base::Duration preemptAfter = 1500ms; ///< a lasting task that waits for longer takes the room of other work
+constexpr std::uint32_t lastingRetryAfterS = 10; ///< room for lasting tasks comes with a cancelling or new workers, which take their time
+constexpr double lastingShare = 0.9; ///< of a service's capacity that lasting tasks may fill
+
 // Worker health.
 constexpr std::uint32_t failureWeight = 2; ///< of a run that failed or stalled
 constexpr std::uint32_t noAnswerWeight = 1; ///< of a start that was not answered; single calls get lost on sound workers too
--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -54,13 +54,14 @@
     RunRef run;
     EndKind how = EndKind::Done;
     std::uint32_t ranMs = 0; ///< 0 if unknown
+    std::string checkpoint = {}; ///< the latest of the run; empty if there is none
 
     bool operator==(const RunEnd &) const = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(number, run, how, ranMs);
+        archive(number, run, how, ranMs, checkpoint);
     }
 };
 
@@ -88,11 +89,26 @@
 struct PossibleRun {
     RunRef run;
     Resources need; ///< 0 if the agent does not know, as it was started by a former life of the agent
+    std::string checkpoint = {}; ///< the latest; empty if there is none
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(run, need);
+        archive(run, need, checkpoint);
+    }
+};
+
+/// A new checkpoint of a run.
+struct RunCheckpoint {
+    RunRef run;
+    std::string checkpoint;
+
+    bool operator==(const RunCheckpoint &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(run, checkpoint);
     }
 };
 
@@ -110,11 +126,12 @@
     std::vector<RunEnd> ends;
     std::vector<RunRefusal> refusals;
     std::vector<RunRef> stalled; ///< runs that make no progress
+    std::vector<RunCheckpoint> checkpoints;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(token, epoch, ordersSeen, full, worker, workerSilent, workerGone, endsAcknowledged, running, ends, refusals, stalled);
+        archive(token, epoch, ordersSeen, full, worker, workerSilent, workerGone, endsAcknowledged, running, ends, refusals, stalled, checkpoints);
     }
 };
 
@@ -123,13 +140,14 @@
     std::vector<RunRef> runs;
     Resources need; ///< of each run
     std::string payload;
+    std::string checkpoint = {}; ///< from which the runs resume; empty: from the start
 
     bool operator==(const StartOrder &) const = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(runs, need, payload);
+        archive(runs, need, payload, checkpoint);
     }
 };
 
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -20,6 +20,7 @@
         const Base::MonoTime until = agent.health.suspendedUntil;
         context.state.schedulingDue |= until > context.state.now && until <= event.now;
     }
+    context.state.schedulingDue |= context.state.rescheduleAt && *context.state.rescheduleAt <= event.now;
     context.state.now = event.now;
     context.state.wall = event.wall;
     Internal::expireAgents(context);
@@ -150,6 +151,7 @@
     for (std::size_t flat = 0; flat < job.tasks.size(); ++flat) {
         Task &task = job.tasks[flat];
         task.failures = flat < record.failures.size() ? record.failures[flat] : 0;
+        task.checkpoint = flat < record.checkpoints.size() ? std::move(record.checkpoints[flat]) : std::string();
         if (flat < record.done.size() && record.done[flat] != 0) {
             task.phase = Task::Phase::Done;
             ++job.doneTasks;
@@ -238,6 +240,7 @@
     if (!state.progressDue.empty()) {
         due.consider(state.progressDue.begin()->first);
     }
+    due.consider(state.rescheduleAt);
     if (state.uncertainTasks > 0) {
         due.consider(state.certainAt);
     }
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -66,7 +66,7 @@
         }
         return;
     }
-    addRun(agent, run, possible.need, 0);
+    addRun(agent, run, possible.need, 0, state.now);
     Job *job = findJob(state, run.task.job);
     if (job == nullptr && state.now < state.orphansUntil && !state.finished.contains(run.task.job)) {
         state.orphans[run.task.job].push_back({index, run});
@@ -77,6 +77,7 @@
         return;
     }
     adoptRun(context, *job, index, run);
+    handleCheckpoint(context, {run, possible.checkpoint});
 }
 
 void reconcile(Context &context, AgentIndex index, const AgentReport &report)
@@ -102,6 +103,14 @@
     for (const PossibleRun &possible : report.running) {
         handleListed(context, index, possible);
     }
+    if (!isCertain(context.state)) {
+        return;
+    }
+    for (const PossibleRun &possible : report.running) {
+        if (Job *job = findJob(context.state, possible.run.task.job)) {
+            breakPartialGangs(context, *job);
+        }
+    }
 }
 
 void noteAcknowledged(Agent &agent, std::uint64_t upTo)
@@ -179,6 +188,9 @@
     for (const RunRef &run : report.stalled) {
         handleStalled(context, index, run);
     }
+    for (const RunCheckpoint &checkpoint : report.checkpoints) {
+        handleCheckpoint(context, checkpoint);
+    }
 }
 
 void handleUnlinked(Context &context, const std::string &name)
--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -66,6 +66,7 @@
     }
     adoptOrphans(context, job);
     if (isCertain(state)) {
+        breakPartialGangs(context, job);
         unblockSteps(context, job);
     }
 }
@@ -106,6 +107,10 @@
 {
     OwnerState &state = context.state;
     if (Job *job = findJob(state, call.job)) {
+        if (job->lasting) {
+            reply(context, id, {.kind = CallAnswer::Kind::State, .state = job->state});
+            return;
+        }
         job->waitingForState.push_back(id);
         state.heldQueries.push_back({state.now + queryWait, id, call.job});
         return;
--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -54,17 +54,6 @@
     return task.phase == Task::Phase::Uncertain || task.phase == Task::Phase::Ready ? &task : nullptr;
 }
 
-/// Ends of best-effort jobs need not be recorded.
-void noteUnrecorded(Context &context, Job &job, AgentIndex agent, const Settlement &settlement, Base::MonoTime due)
-{
-    if (job.bestEffort) {
-        settleEnd(context.state.agents[agent], settlement.number);
-        return;
-    }
-    job.unrecorded.push_back(settlement);
-    recordProgress(context, job, due);
-}
-
 void taskDone(Context &context, Job &job, Task &task, AgentIndex agent, const Settlement &settlement)
 {
     leavePhase(context.state, job, task);
@@ -74,7 +63,7 @@
         finishJob(context, job, JobState::Completed, {settlement});
         return;
     }
-    noteUnrecorded(context, job, agent, settlement, context.state.now + progressDelay);
+    settleWithRecord(context, job, agent, settlement, context.state.now + progressDelay);
     unblockSteps(context, job);
 }
 
@@ -90,7 +79,7 @@
         return;
     }
     releaseTask(context, job, task);
-    noteUnrecorded(context, job, agent, settlement, context.state.now);
+    settleWithRecord(context, job, agent, settlement, context.state.now);
 }
 
 void learn(Context &context, Agent &agent, const Job &job, const RunEnd &end)
@@ -114,8 +103,79 @@
     }
 }
 
+/// Gangs save and resume together.
+void noteCheckpoint(Job &job, const TaskRef &ref, const std::string &checkpoint)
+{
+    const StepSpec &step = job.spec.steps[ref.step];
+    if (checkpoint.empty() || !step.checkpointing) {
+        return;
+    }
+    if (!step.gang) {
+        job.tasks[flatIndex(job, ref)].checkpoint = checkpoint;
+        return;
+    }
+    for (std::uint32_t flat = job.firstTask[ref.step]; flat < job.firstTask[ref.step + 1U]; ++flat) {
+        job.tasks[flat].checkpoint = checkpoint;
+    }
+}
+
+/// An end that decides nothing any more. That of a gang's member may stand for tasks whose end is not recorded yet.
+void settleOutdated(Context &context, Job *job, AgentIndex agent, const RunEnd &end, const Settlement &settlement)
+{
+    const bool ofGang = job != nullptr && hasTask(*job, end.run.task) && job->spec.steps[end.run.task.step].gang;
+    if (!ofGang || end.how != EndKind::Done || job->bestEffort) {
+        settleEnd(context.state.agents[agent], settlement.number);
+        return;
+    }
+    settleWithRecord(context, *job, agent, settlement, context.state.now + progressDelay);
+}
+
+void gangEnded(Context &context, Job &job, AgentIndex index, const RunEnd &end, const Settlement &settlement)
+{
+    switch (end.how) {
+    case EndKind::Done:
+        gangDone(context, job, end.run.task.step, index, settlement);
+        return;
+    case EndKind::Failed:
+        gangFailed(context, job, end.run.task, index, settlement);
+        return;
+    case EndKind::Stopped:
+    case EndKind::Lapsed:
+    case EndKind::Broken:
+        settleEnd(context.state.agents[index], settlement.number);
+        if (job.tasks[flatIndex(job, end.run.task)].phase == Task::Phase::Active) {
+            gangMemberLost(context, job, end.run.task);
+        }
+        return;
+    }
+}
+
+/// A lasting task starts again however it ended.
+void lastingEnded(Context &context, Job &job, Task &task, AgentIndex index, const RunEnd &end)
+{
+    settleEnd(context.state.agents[index], end.number);
+    if (end.how == EndKind::Failed) {
+        task.avoid = index;
+    }
+    if (task.phase == Task::Phase::Active) {
+        releaseTask(context, job, task);
+    }
+}
+
 } // namespace
 
+void settleWithRecord(Context &context, Job &job, AgentIndex agent, const Settlement &settlement, Base::MonoTime due)
+{
+    if (job.bestEffort) {
+        settleEnd(context.state.agents[agent], settlement.number);
+        return;
+    }
+    job.unrecorded.push_back(settlement);
+    if (!job.finishing) {
+        recordProgress(context, job, due);
+    }
+}
+
 void taskLost(Context &context, const RunRef &run, AgentIndex agent)
 {
     Job *job = findJob(context.state, run.task.job);
@@ -126,6 +186,10 @@
     if (task == nullptr || task->phase != Task::Phase::Active) {
         return;
     }
+    if (stepOf(*job, flatIndex(*job, run.task)).gang) {
+        gangMemberLost(context, *job, run.task);
+        return;
+    }
     releaseTask(context, *job, *task);
 }
 
@@ -144,11 +208,23 @@
                "task.ended",
                {{"run", runText(end.run)}, {"agent", agent.name}, {"how", std::string(nameOf(end.how))}, {"ms", std::to_string(end.ranMs)}});
     }
+    if (job != nullptr && hasTask(*job, end.run.task)) {
+        noteCheckpoint(*job, end.run.task, end.checkpoint);
+    }
     if (task == nullptr) {
-        settleEnd(agent, end.number);
+        settleOutdated(context, job, index, end, settlement);
+        return;
+    }
+    const StepSpec &step = job->spec.steps[end.run.task.step];
+    if (step.lasting) {
+        lastingEnded(context, *job, *task, index, end);
         return;
     }
     learn(context, agent, *job, end);
+    if (step.gang) {
+        gangEnded(context, *job, index, end, settlement);
+        return;
+    }
     switch (end.how) {
     case EndKind::Done:
         taskDone(context, *job, *task, index, settlement);
@@ -200,4 +276,16 @@
     orderStop(agent, run);
 }
 
+void handleCheckpoint(Context &context, const RunCheckpoint &checkpoint)
+{
+    Job *job = findJob(context.state, checkpoint.run.task.job);
+    if (job == nullptr || !hasTask(*job, checkpoint.run.task)) {
+        return;
+    }
+    // An older run's value may come late; the present run has gone on from a later one.
+    if (job->tasks[flatIndex(*job, checkpoint.run.task)].run == checkpoint.run.run) {
+        noteCheckpoint(*job, checkpoint.run.task, checkpoint.checkpoint);
+    }
+}
+
 } // namespace LaburnumFlow::Jobs::Internal
--- /dev/null
+++ b/src/libs/jobs/ownergangs.cpp
@@ -0,0 +1,121 @@
+#include "ownersteps.h"
+
+#include "jobsconstants.h"
+
+#include <algorithm>
+#include <span>
+
+namespace LaburnumFlow::Jobs::Internal {
+
+namespace {
+
+bool isGang(const Job &job, std::uint16_t step)
+{
+    return job.spec.steps[step].gang;
+}
+
+std::span<Task> membersOf(Job &job, std::uint16_t step)
+{
+    return std::span(job.tasks).subspan(job.firstTask[step], job.spec.steps[step].count);
+}
+
+void stopMembers(Context &context, Job &job, std::uint16_t step)
+{
+    for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U]; ++flat) {
+        const Task &task = job.tasks[flat];
+        if (task.phase == Task::Phase::Active) {
+            orderStop(context.state.agents[task.agent], {refOf(job, flat), task.run});
+        }
+    }
+}
+
+/// The member's run is over. Until all runs of a former owner are known, another one may be somewhere.
+void releaseMember(Context &context, Job &job, Task &task)
+{
+    leavePhase(context.state, job, task);
+    task.agent = noAgent;
+    task.phase = Task::Phase::Blocked;
+    if (!isCertain(context.state)) {
+        task.phase = Task::Phase::Uncertain;
+        ++context.state.uncertainTasks;
+    }
+}
+
+} // namespace
+
+void gangDone(Context &context, Job &job, std::uint16_t step, AgentIndex agent, const Settlement &settlement)
+{
+    for (Task &task : membersOf(job, step)) {
+        if (task.phase != Task::Phase::Done) {
+            leavePhase(context.state, job, task);
+            task.phase = Task::Phase::Done;
+            ++job.doneTasks;
+        }
+    }
+    if (job.doneTasks == job.tasks.size()) {
+        finishJob(context, job, JobState::Completed, {settlement});
+        return;
+    }
+    settleWithRecord(context, job, agent, settlement, context.state.now + progressDelay);
+    unblockSteps(context, job);
+}
+
+void gangFailed(Context &context, Job &job, const TaskRef &task, AgentIndex agent, const Settlement &settlement)
+{
+    Task &failed = job.tasks[flatIndex(job, task)];
+    StepProgress &progress = job.steps[task.step];
+    const std::span<Task> members = membersOf(job, task.step);
+    failed.avoid = agent;
+    if (progress.failedRun != failed.run || failed.run == 0) {
+        progress.failedRun = failed.run;
+        std::for_each(members.begin(), members.end(), [](Task &member) { ++member.failures; });
+    }
+    if (failed.failures >= job.rules.maxAttempts) {
+        releaseMember(context, job, failed);
+        finishJob(context, job, JobState::Failed, {settlement});
+        return;
+    }
+    settleWithRecord(context, job, agent, settlement, context.state.now);
+    gangMemberLost(context, job, task);
+}
+
+void gangMemberLost(Context &context, Job &job, const TaskRef &task)
+{
+    releaseMember(context, job, job.tasks[flatIndex(job, task)]);
+    for (Task &member : membersOf(job, task.step)) {
+        if (member.phase == Task::Phase::Ready) {
+            leavePhase(context.state, job, member);
+            member.phase = Task::Phase::Blocked;
+        }
+    }
+    stopMembers(context, job, task.step);
+    unblockSteps(context, job);
+}
+
+void breakPartialGangs(Context &context, Job &job)
+{
+    for (std::uint16_t step = 0; step < job.spec.steps.size(); ++step) {
+        const std::span<Task> members = membersOf(job, step);
+        const auto isActive = [](const Task &task) { return task.phase == Task::Phase::Active; };
+        if (isGang(job, step) && !std::all_of(members.begin(), members.end(), isActive)) {
+            stopMembers(context, job, step);
+        }
+    }
+}
+
+bool mayJoinGang(const Job &job, const RunRef &run)
+{
+    if (!isGang(job, run.task.step)) {
+        return true;
+    }
+    const auto first = job.tasks.begin() + job.firstTask[run.task.step];
+    const auto last = job.tasks.begin() + job.firstTask[run.task.step + 1U];
+    return std::all_of(first, last, [&run](const Task &task) {
+        if (task.phase == Task::Phase::Active) {
+            return task.run == run.run;
+        }
+        return task.phase == Task::Phase::Uncertain || task.phase == Task::Phase::Blocked;
+    });
+}
+
+} // namespace LaburnumFlow::Jobs::Internal
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -113,6 +113,7 @@
     if (job.expiresAt) {
         owner.expiring.erase({*job.expiresAt, job.id});
     }
+    settleAll(context, job.unrecorded);
     const JobId id = job.id;
     owner.jobs.erase(id);
 }
@@ -131,7 +132,9 @@
     for (const StepSpec &step : job.spec.steps) {
         job.firstTask.push_back(count);
         count += step.count;
+        job.lasting |= step.lasting;
     }
+    job.steps.resize(job.spec.steps.size());
     job.firstTask.push_back(count);
     job.tasks.resize(count);
     return job;
@@ -161,11 +164,16 @@
 
 JobRecord recordOf(const Job &job)
 {
-    JobRecord record{job.id, job.rules, job.spec, {}, {}};
+    JobRecord record{job.id, job.rules, job.spec, {}, {}, {}};
     for (const Task &task : job.tasks) {
         record.done.push_back(task.phase == Task::Phase::Done ? 1 : 0);
         record.failures.push_back(task.failures);
     }
+    if (std::any_of(job.tasks.begin(), job.tasks.end(), [](const Task &task) { return !task.checkpoint.empty(); })) {
+        for (const Task &task : job.tasks) {
+            record.checkpoints.push_back(task.checkpoint);
+        }
+    }
     return record;
 }
 
@@ -201,10 +209,15 @@
         if (std::none_of(first, last, [](const Task &task) { return task.phase == Task::Phase::Blocked; })) {
             continue;
         }
+        // The members of a gang start together, once no former run of any is left.
+        if (job.spec.steps[step].gang && !std::all_of(first, last, [](const Task &task) { return task.phase == Task::Phase::Blocked; })) {
+            continue;
+        }
         const auto &after = job.spec.steps[step].after;
         if (!std::all_of(after.begin(), after.end(), isDone)) {
             continue;
         }
+        job.steps[step].readySince = context.state.now;
         for (auto task = first; task != last; ++task) {
             if (task->phase == Task::Phase::Blocked) {
                 setReady(context, job, *task);
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -4,11 +4,20 @@
 #include "placement.h"
 
 #include <algorithm>
+#include <span>
+#include <tuple>
 
 namespace LaburnumFlow::Jobs::Internal {
 
 namespace {
 
+/// One pass over the jobs with ready tasks.
+struct Round {
+    Context &context;
+    std::uint32_t largestFree = 0; ///< processor that the emptiest worker has left
+    KeptFree keptFree;
+};
+
 /// Jobs of a service that need more processor than any worker has free are passed over without a look at each worker.
 std::uint32_t largestFree(const OwnerState &state)
 {
@@ -24,52 +33,177 @@
 void addToOrders(Agent &agent, const Job &job, const RunRef &run)
 {
     auto &starts = agent.outbox.starts;
+    const std::string &checkpoint = job.tasks[flatIndex(job, run.task)].checkpoint;
     const bool sameStep = !starts.empty() && starts.back().runs.front().task.job == job.id && starts.back().runs.front().task.step == run.task.step;
-    if (!sameStep) {
-        starts.push_back({{}, job.spec.steps[run.task.step].need, job.spec.payload});
+    if (!sameStep || starts.back().checkpoint != checkpoint) {
+        starts.push_back({{}, job.spec.steps[run.task.step].need, job.spec.payload, checkpoint});
     }
     starts.back().runs.push_back(run);
 }
 
-void start(Context &context, Job &job, std::uint32_t flat, AgentIndex index)
+/// starts: how often the task has been started under this owner, with this start.
+void start(Round &round, Job &job, std::uint32_t flat, AgentIndex index, std::uint16_t starts)
 {
-    OwnerState &state = context.state;
+    OwnerState &state = round.context.state;
     Agent &agent = state.agents[index];
     Task &task = job.tasks[flat];
     task.phase = Task::Phase::Active;
     task.agent = index;
-    ++task.starts;
-    task.run = static_cast<std::uint32_t>((state.epoch - 1) * runsPerEpoch) + task.starts;
+    task.starts = starts;
+    task.run = static_cast<std::uint32_t>((state.epoch - 1) * runsPerEpoch) + starts;
     --job.readyTasks;
     const RunRef run{refOf(job, flat), task.run};
-    addRun(agent, run, stepOf(job, flat).need, agent.ordersSent + 1);
+    addRun(agent, run, stepOf(job, flat).need, agent.ordersSent + 1, state.now);
     addToOrders(agent, job, run);
     markStarted(state, job);
-    decide(context,
+    decide(round.context,
            "task.placed",
            {{"run", runText(run)}, {"agent", agent.name}, {"used", std::to_string(agent.used.cpuMilli)}, {"speed", std::to_string(agent.health.logSpeed)}});
+    round.largestFree = largestFree(state);
 }
 
-/// Returns whether all ready tasks of the job were placed.
-bool placeTasks(Context &context, Job &job, std::uint32_t &free)
+/// Looks at the job again after it has waited for so long, unless that time has come.
+bool hasWaited(Round &round, const StepProgress &progress, Base::Duration limit)
+{
+    OwnerState &state = round.context.state;
+    const Base::MonoTime due = progress.readySince + limit;
+    if (state.now >= due) {
+        return true;
+    }
+    state.rescheduleAt = state.rescheduleAt ? std::min(*state.rescheduleAt, due) : due;
+    return false;
+}
+
+void keepFree(Round &round, const std::vector<AgentIndex> &agents)
+{
+    round.keptFree.resize(round.context.state.agents.size());
+    for (const AgentIndex index : agents) {
+        round.keptFree[index] = true;
+    }
+}
+
+/// A step that runs fastest on one rack waits for one as long as that may save time.
+bool mayPartRacks(Round &round, const Job &job, std::uint16_t step)
+{
+    const StepSpec &spec = job.spec.steps[step];
+    const std::uint32_t estimateMs = spec.estimateMs == 0 ? defaultEstimateMs : spec.estimateMs;
+    const Base::Duration saving = std::chrono::microseconds(static_cast<std::int64_t>((remoteFactor - 1.0) * 1000.0 * estimateMs));
+    return !spec.sameRack || hasWaited(round, job.steps[step], saving) || !fitsOneRack(round.context.state, job, step);
+}
+
+void placeGang(Round &round, Job &job, std::uint16_t step)
 {
-    for (std::uint32_t flat = 0; flat < job.tasks.size() && job.readyTasks > 0; ++flat) {
+    const std::uint32_t first = job.firstTask[step];
+    if (job.tasks[first].phase != Task::Phase::Ready) {
+        return;
+    }
+    std::vector<AgentIndex> agents;
+    if (job.spec.steps[step].need.cpuMilli <= round.largestFree) {
+        agents = placeTogether(round.context.state, job, step, mayPartRacks(round, job, step), round.keptFree);
+    }
+    if (agents.empty()) {
+        if (hasWaited(round, job.steps[step], roomKeptAfter)) {
+            keepFree(round, workersToClear(round.context.state, job, step));
+        }
+        return;
+    }
+    const auto members = std::span(job.tasks).subspan(first, agents.size());
+    const auto fewer = [](const Task &left, const Task &right) { return left.starts < right.starts; };
+    const auto starts = static_cast<std::uint16_t>(std::max_element(members.begin(), members.end(), fewer)->starts + 1);
+    for (std::uint32_t member = 0; member < agents.size(); ++member) {
+        start(round, job, first + member, agents[member], starts);
+    }
+}
+
+/// Stops the work on the worker that loses least, until the task fits there.
+void preempt(Round &round, const Job &job, std::uint16_t step, AgentIndex index)
+{
+    OwnerState &state = round.context.state;
+    Agent &agent = state.agents[index];
+    const StepSpec &spec = job.spec.steps[step];
+    struct Victim {
+        bool losesWork = false; ///< as it saves no checkpoints
+        Base::MonoTime since{};
+        RunRef run;
+    };
+    std::vector<Victim> victims;
+    std::int64_t missing = static_cast<std::int64_t>(agent.used.cpuMilli) + spec.need.cpuMilli - agent.worker->capacity.cpuMilli;
+    for (const auto &[ref, run] : agent.runs) {
+        const Job *other = findJob(state, ref.task.job);
+        if (run.stopping || other == nullptr) {
+            missing -= run.need.cpuMilli;
+        } else if (!other->lasting) {
+            victims.push_back({!other->spec.steps[ref.task.step].checkpointing, run.since, ref});
+        }
+    }
+    // Among those that lose their work the youngest lose least.
+    std::sort(victims.begin(), victims.end(), [](const Victim &left, const Victim &right) {
+        return std::tie(left.losesWork, right.since, left.run) < std::tie(right.losesWork, left.since, right.run);
+    });
+    for (const Victim &victim : victims) {
+        if (missing <= 0) {
+            return;
+        }
+        missing -= agent.runs.at(victim.run).need.cpuMilli;
+        decide(round.context, "task.preempted", {{"run", runText(victim.run)}, {"agent", agent.name}, {"for", idText(job.id)}});
+        orderStop(agent, victim.run);
+    }
+}
+
+/// A lasting task that finds no room gets that of work which can wait.
+void makeRoom(Round &round, Job &job, std::uint16_t step)
+{
+    const std::vector<AgentIndex> agents = workersToClear(round.context.state, job, step);
+    keepFree(round, agents);
+    if (!hasWaited(round, job.steps[step], preemptAfter)) {
+        return;
+    }
+    std::uint32_t unplaced = 0;
+    for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U]; ++flat) {
+        unplaced += job.tasks[flat].phase == Task::Phase::Ready ? 1 : 0;
+    }
+    for (std::uint32_t i = 0; i < std::min<std::size_t>(unplaced, agents.size()); ++i) {
+        preempt(round, job, step, agents[i]);
+    }
+}
+
+void placeSingly(Round &round, Job &job, std::uint16_t step)
+{
+    const StepSpec &spec = job.spec.steps[step];
+    bool allPlaced = true;
+    for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U] && job.readyTasks > 0; ++flat) {
         if (job.tasks[flat].phase != Task::Phase::Ready) {
             continue;
         }
-        if (stepOf(job, flat).need.cpuMilli > free) {
-            continue;
+        const AgentIndex index = spec.need.cpuMilli > round.largestFree ? noAgent : place(round.context.state, job, flat, round.keptFree);
+        allPlaced &= index != noAgent;
+        if (index != noAgent) {
+            start(round, job, flat, index, static_cast<std::uint16_t>(job.tasks[flat].starts + 1));
         }
-        const AgentIndex index = place(context.state, job, flat);
-        if (index == noAgent) {
-            continue;
+    }
+    if (spec.lasting && !allPlaced) {
+        makeRoom(round, job, step);
+    }
+}
+
+/// Returns whether all ready tasks of the job were placed.
+bool placeTasks(Round &round, Job &job)
+{
+    for (std::uint16_t step = 0; step < job.spec.steps.size() && job.readyTasks > 0; ++step) {
+        if (job.spec.steps[step].gang) {
+            placeGang(round, job, step);
+        } else {
+            placeSingly(round, job, step);
         }
-        start(context, job, flat, index);
-        free = largestFree(context.state);
     }
     return job.readyTasks == 0;
 }
 
+bool isOutdated(const OwnerState &state, const Job &job)
+{
+    return !job.lasting && state.now > job.arrivedAt + std::chrono::duration_cast<Base::Duration>(job.objective * lateFactor);
+}
+
 } // namespace
 
 void schedule(Context &context)
@@ -78,30 +212,34 @@
     if (!state.schedulingDue) {
         return;
     }
-    state.schedulingDue = false;
-    std::uint32_t free = largestFree(state);
+    state.rescheduleAt.reset();
+    Round round{context, largestFree(state), {}};
     std::size_t passedOver = 0;
     // Jobs that are past all use come last, as every job in time would otherwise become late behind them.
     std::vector<JobId> outdated;
     auto next = state.ready.begin();
-    while (next != state.ready.end() && free > 0 && passedOver < maxUnplacedScanned) {
+    while (next != state.ready.end() && passedOver < maxUnplacedScanned) {
         Job &job = state.jobs.at(next->job);
+        // Lasting jobs, which may take the room of others, come first.
+        if (round.largestFree == 0 && !job.lasting) {
+            break;
+        }
         ++next;
-        if (state.now > job.arrivedAt + std::chrono::duration_cast<Base::Duration>(job.objective * lateFactor)) {
+        if (isOutdated(state, job)) {
             outdated.push_back(job.id);
             continue;
         }
-        if (!placeTasks(context, job, free)) {
+        if (!placeTasks(round, job)) {
             ++passedOver;
         }
         requeue(context, job);
     }
     for (const JobId id : outdated) {
-        if (free == 0 || passedOver >= maxUnplacedScanned) {
+        if (round.largestFree == 0 || passedOver >= maxUnplacedScanned) {
             break;
         }
         Job &job = state.jobs.at(id);
-        if (!placeTasks(context, job, free)) {
+        if (!placeTasks(round, job)) {
             ++passedOver;
         }
         requeue(context, job);
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -40,6 +40,12 @@
     std::uint32_t run = 0;
     AgentIndex agent = noAgent; ///< of the active run
     AgentIndex avoid = noAgent; ///< where the last run failed or stalled
+    std::string checkpoint; ///< of the latest run that had one; the next run resumes from it
+};
+
+struct StepProgress {
+    Base::MonoTime readySince{}; ///< when tasks of the step became ready last
+    std::uint32_t failedRun = 0; ///< of a gang: its last run that a member failed, so that a run counts as one failure
 };
 
 struct Job {
@@ -53,13 +59,15 @@
     bool cancelRequested = false; ///< before it was stored
     std::vector<Task> tasks; ///< of all steps, in order
     std::vector<std::uint32_t> firstTask; ///< by step, and the number of tasks at the end
+    std::vector<StepProgress> steps;
+    bool lasting = false; ///< has tasks that run until it is cancelled
     std::uint32_t doneTasks = 0;
     std::uint32_t readyTasks = 0;
     Base::MonoTime arrivedAt{};
     Base::Duration objective{}; ///< an answer within this time is in time
     std::uint32_t chainMs = 0; ///< estimated run time of the longest chain
     std::optional<Base::MonoTime> progressDue; ///< when its progress is to be recorded
-    std::vector<Settlement> unrecorded; ///< ends that the next progress record settles
+    std::vector<Settlement> unrecorded; ///< ends that the next progress record, or the final state, settles
     std::optional<Base::MonoTime> expiresAt; ///< when the caller of a best-effort job stops waiting
     std::vector<CallId> waitingForAcceptance; ///< of a best-effort job: for its end
     std::vector<CallId> waitingForCancel;
@@ -75,9 +83,10 @@
     auto operator<=>(const QueuePlace &) const = default;
 };
 
+/// A lasting task that is down is missed by its users all the time, so it goes before all work that can wait.
 inline QueuePlace placeOf(const Job &job)
 {
-    return {job.rules.priority, job.arrivedAt + job.objective, job.id};
+    return job.lasting ? QueuePlace{0, {}, job.id} : QueuePlace{job.rules.priority, job.arrivedAt + job.objective, job.id};
 }
 
 /// A run that a former owner started for a job that has not been submitted to this one yet.
@@ -120,6 +129,7 @@
     std::uint64_t rulesVersion = 0;
     std::vector<Base::Endpoint> entries;
     bool schedulingDue = false;
+    std::optional<Base::MonoTime> rescheduleAt; ///< when a job has waited long enough to be placed by other rules
     std::unordered_map<std::string, std::uint32_t> unstarted; ///< by queue: stored jobs of which no task has started
 };
 
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -78,6 +78,7 @@
 void handleEnd(Context &context, AgentIndex index, const RunEnd &end);
 void handleRefusal(Context &context, AgentIndex index, const RunRefusal &refusal);
 void handleStalled(Context &context, AgentIndex index, const RunRef &run);
+void handleCheckpoint(Context &context, const RunCheckpoint &checkpoint);
 
 /// The run has ended without the worker listing an end; its task may start again.
 void taskLost(Context &context, const RunRef &run, AgentIndex agent);
@@ -105,6 +106,26 @@
 /// Frees the tasks that a former owner may have started, once nothing of them can run any more.
 void resolveUncertain(Context &context);
 
+// Gangs: steps whose tasks run together or not at all.
+
+/// A member's run has ended as done, which stands for all members. settlement: of that end.
+void gangDone(Context &context, Job &job, std::uint16_t step, AgentIndex agent, const Settlement &settlement);
+
+/// A member's run has failed.
+void gangFailed(Context &context, Job &job, const TaskRef &task, AgentIndex agent, const Settlement &settlement);
+
+/// A member's run has ended otherwise, or never began. The others are stopped, and all start again together.
+void gangMemberLost(Context &context, Job &job, const TaskRef &task);
+
+/// Stops gangs of which only some members run, as a former owner's runs of the others are lost.
+void breakPartialGangs(Context &context, Job &job);
+
+/// Whether a listed run may belong to the gang's present run.
+bool mayJoinGang(const Job &job, const RunRef &run);
+
+/// Settles an end with the job's next record; at once for a best-effort job, which has none.
+void settleWithRecord(Context &context, Job &job, AgentIndex agent, const Settlement &settlement, Base::MonoTime due);
+
 // Scheduling.
 void schedule(Context &context);
 
--- a/src/libs/jobs/ownertakeover.cpp
+++ b/src/libs/jobs/ownertakeover.cpp
@@ -34,7 +34,7 @@
     Agent &agent = state.agents[index];
     Task &task = job.tasks[flatIndex(job, run.task)];
     const bool open = task.phase == Task::Phase::Uncertain || task.phase == Task::Phase::Ready || task.phase == Task::Phase::Blocked;
-    if (job.finishing || !open) {
+    if (job.finishing || !open || !mayJoinGang(job, run)) {
         orderStop(agent, run);
         return;
     }
@@ -107,6 +107,7 @@
                 task.phase = Task::Phase::Blocked;
             }
         }
+        breakPartialGangs(context, job);
         unblockSteps(context, job);
     }
 }
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -4,38 +4,83 @@
 #include "ownersteps.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace LaburnumFlow::Jobs {
 
 namespace {
 
-constexpr double remoteRackFactor = 1.5; ///< run time on another rack than the data's
 constexpr double crowdingWeight = 0.1; ///< spreads tasks over workers that are equally fast
 
+/// What a placement that is being made takes of the workers, beside what runs there.
+struct Planned {
+    std::vector<Resources> taken; ///< by agent
+    std::vector<std::uint32_t> tasks; ///< of the step, by agent
+    bool emptyWorkers = false; ///< as if nothing ran
+
+    explicit Planned(std::size_t agents) : taken(agents), tasks(agents) { }
+
+    void add(AgentIndex index, const Resources &need)
+    {
+        taken[index].cpuMilli += need.cpuMilli;
+        taken[index].memoryMb += need.memoryMb;
+        taken[index].gpus += need.gpus;
+        ++tasks[index];
+    }
+};
+
 std::uint32_t runsOfStep(const Agent &agent, JobId job, std::uint16_t step)
 {
     return static_cast<std::uint32_t>(
         std::count_if(agent.runs.begin(), agent.runs.end(), [&](const auto &run) { return run.first.task.job == job && run.first.task.step == step; }));
 }
 
+Resources sum(const Resources &left, const Resources &right)
+{
+    return {left.cpuMilli + right.cpuMilli, left.memoryMb + right.memoryMb, left.gpus + right.gpus};
+}
+
+bool within(const Resources &need, const Resources &capacity)
+{
+    return need.cpuMilli <= capacity.cpuMilli && need.memoryMb <= capacity.memoryMb && need.gpus <= capacity.gpus;
+}
+
+bool suits(const WorkerInfo &worker, const Job &job, const StepSpec &step)
+{
+    if (worker.service != job.rules.service) {
+        return false;
+    }
+    return step.requiredLabel.empty() || std::find(worker.labels.begin(), worker.labels.end(), step.requiredLabel) != worker.labels.end();
+}
+
 bool allowed(const Agent &agent, const Job &job, std::uint16_t stepIndex)
 {
     const StepSpec &step = job.spec.steps[stepIndex];
-    const WorkerInfo &worker = *agent.worker;
-    if (worker.service != job.rules.service || !fits(agent, step.need)) {
+    if (!suits(*agent.worker, job, step) || !fits(agent, step.need)) {
         return false;
     }
-    if (!step.requiredLabel.empty() && std::find(worker.labels.begin(), worker.labels.end(), step.requiredLabel) == worker.labels.end()) {
+    return step.maxPerWorker == 0 || runsOfStep(agent, job.id, stepIndex) < step.maxPerWorker;
+}
+
+bool allowed(const OwnerState &state, const Job &job, std::uint16_t stepIndex, AgentIndex index, const Planned &planned)
+{
+    const StepSpec &step = job.spec.steps[stepIndex];
+    const Agent &agent = state.agents[index];
+    if (!suits(*agent.worker, job, step)) {
         return false;
     }
-    return step.maxPerWorker == 0 || runsOfStep(agent, job.id, stepIndex) < step.maxPerWorker;
+    const Resources used = planned.emptyWorkers ? planned.taken[index] : sum(agent.used, planned.taken[index]);
+    if (!within(sum(used, step.need), agent.worker->capacity)) {
+        return false;
+    }
+    const std::uint32_t running = planned.emptyWorkers ? 0 : runsOfStep(agent, job.id, stepIndex);
+    return step.maxPerWorker == 0 || running + planned.tasks[index] < step.maxPerWorker;
 }
 
 bool couldRun(const Agent &agent, const Job &job, const StepSpec &step, Base::MonoTime now)
 {
-    const Resources &capacity = agent.worker ? agent.worker->capacity : Resources{};
-    return takesWork(agent, now) && agent.worker->service == job.rules.service && step.need.cpuMilli <= capacity.cpuMilli
-           && step.need.memoryMb <= capacity.memoryMb && step.need.gpus <= capacity.gpus;
+    return takesWork(agent, now) && agent.worker->service == job.rules.service && within(step.need, agent.worker->capacity);
 }
 
 /// A task that failed on a worker waits for another one, as attempts are few; unless there is no other.
@@ -58,9 +103,103 @@
     return static_cast<double>(agent.used.cpuMilli) / std::max(1U, agent.worker->capacity.cpuMilli);
 }
 
+/// Whether tasks of the step run on another rack.
+bool isApart(const OwnerState &state, const Job &job, std::uint16_t step, const std::string &rack)
+{
+    for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U]; ++flat) {
+        const Task &task = job.tasks[flat];
+        if (task.phase != Task::Phase::Active) {
+            continue;
+        }
+        const auto &worker = state.agents[task.agent].worker;
+        if (worker && worker->rack != rack) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Expected run time on the worker, relative to one of speed 1 that is idle and near the data.
+double costOf(const OwnerState &state, const StepSpec &step, const Agent &agent)
+{
+    double cost = 1.0 / expectedSpeed(agent, state.kindSpeeds, state.now);
+    cost *= step.dataRack.empty() || step.dataRack == agent.worker->rack ? 1.0 : remoteFactor;
+    return cost * (1.0 + crowdingWeight * crowding(agent));
+}
+
+struct TogetherChoice {
+    std::vector<AgentIndex> agents; ///< empty if there is no room for all
+    double slowest = 0.0; ///< cost of the slowest member, which decides when all end
+};
+
+/// rack: empty for any.
+TogetherChoice
+chooseTogether(const OwnerState &state, const Job &job, std::uint16_t stepIndex, std::string_view rack, Planned planned, const KeptFree &keptFree)
+{
+    const StepSpec &step = job.spec.steps[stepIndex];
+    TogetherChoice choice;
+    for (std::uint32_t flat = job.firstTask[stepIndex]; flat < job.firstTask[stepIndex + 1U]; ++flat) {
+        AgentIndex best = noAgent;
+        double bestCost = 0.0;
+        for (AgentIndex index = 0; index < state.agents.size(); ++index) {
+            const Agent &agent = state.agents[index];
+            const bool kept = index < keptFree.size() && keptFree[index];
+            if (kept || !takesWork(agent, state.now) || (!rack.empty() && agent.worker->rack != rack)) {
+                continue;
+            }
+            if (!allowed(state, job, stepIndex, index, planned) || mustAvoid(state, job, flat, index)) {
+                continue;
+            }
+            // Where room is to be made, the workers that have the least to end come first.
+            const double cost = planned.emptyWorkers ? crowding(agent) : costOf(state, step, agent);
+            if (best == noAgent || cost < bestCost) {
+                best = index;
+                bestCost = cost;
+            }
+        }
+        if (best == noAgent) {
+            return {};
+        }
+        planned.add(best, step.need);
+        choice.agents.push_back(best);
+        choice.slowest = std::max(choice.slowest, bestCost);
+    }
+    return choice;
+}
+
+std::set<std::string> racksOf(const OwnerState &state, const std::string &service)
+{
+    std::set<std::string> racks;
+    for (const Agent &agent : state.agents) {
+        if (takesWork(agent, state.now) && agent.worker->service == service && !agent.worker->rack.empty()) {
+            racks.insert(agent.worker->rack);
+        }
+    }
+    return racks;
+}
+
+TogetherChoice bestRack(const OwnerState &state, const Job &job, std::uint16_t step, const Planned &planned, const KeptFree &keptFree)
+{
+    TogetherChoice best;
+    for (const std::string &rack : racksOf(state, job.rules.service)) {
+        TogetherChoice choice = chooseTogether(state, job, step, rack, planned, keptFree);
+        if (!choice.agents.empty() && (best.agents.empty() || choice.slowest < best.slowest)) {
+            best = std::move(choice);
+        }
+    }
+    return best;
+}
+
+Planned onEmptyWorkers(const OwnerState &state)
+{
+    Planned planned(state.agents.size());
+    planned.emptyWorkers = true;
+    return planned;
+}
+
 } // namespace
 
-AgentIndex place(const OwnerState &state, const Job &job, std::uint32_t flat)
+AgentIndex place(const OwnerState &state, const Job &job, std::uint32_t flat, const KeptFree &keptFree)
 {
     const std::uint16_t stepIndex = Internal::refOf(job, flat).step;
     const StepSpec &step = job.spec.steps[stepIndex];
@@ -68,12 +207,14 @@
     double bestCost = 0.0;
     for (AgentIndex index = 0; index < state.agents.size(); ++index) {
         const Agent &agent = state.agents[index];
+        if (index < keptFree.size() && keptFree[index]) {
+            continue;
+        }
         if (!takesWork(agent, state.now) || !allowed(agent, job, stepIndex) || mustAvoid(state, job, flat, index)) {
             continue;
         }
-        double cost = 1.0 / expectedSpeed(agent, state.kindSpeeds, state.now);
-        cost *= step.dataRack.empty() || step.dataRack == agent.worker->rack ? 1.0 : remoteRackFactor;
-        cost *= 1.0 + crowdingWeight * crowding(agent);
+        double cost = costOf(state, step, agent);
+        cost *= step.sameRack && isApart(state, job, stepIndex, agent.worker->rack) ? remoteFactor : 1.0;
         if (best == noAgent || cost < bestCost) {
             best = index;
             bestCost = cost;
@@ -82,4 +223,52 @@
     return best;
 }
 
+std::vector<AgentIndex> placeTogether(const OwnerState &state, const Job &job, std::uint16_t step, bool mayPart, const KeptFree &keptFree)
+{
+    const Planned planned(state.agents.size());
+    if (!job.spec.steps[step].sameRack) {
+        return chooseTogether(state, job, step, {}, planned, keptFree).agents;
+    }
+    TogetherChoice onOne = bestRack(state, job, step, planned, keptFree);
+    if (!onOne.agents.empty() || !mayPart) {
+        return onOne.agents;
+    }
+    return chooseTogether(state, job, step, {}, planned, keptFree).agents;
+}
+
+std::vector<AgentIndex> workersToClear(const OwnerState &state, const Job &job, std::uint16_t step)
+{
+    if (job.spec.steps[step].sameRack) {
+        TogetherChoice onOne = bestRack(state, job, step, onEmptyWorkers(state), {});
+        if (!onOne.agents.empty()) {
+            return onOne.agents;
+        }
+    }
+    return chooseTogether(state, job, step, {}, onEmptyWorkers(state), {}).agents;
+}
+
+bool fitsOneRack(const OwnerState &state, const Job &job, std::uint16_t step)
+{
+    return !bestRack(state, job, step, onEmptyWorkers(state), {}).agents.empty();
+}
+
+double lastingRoomMilli(const OwnerState &state, const std::string &service)
+{
+    double room = 0.0;
+    for (const Agent &agent : state.agents) {
+        if (agent.linked && agent.worker && !agent.worker->draining && agent.worker->service == service) {
+            room += lastingShare * agent.worker->capacity.cpuMilli;
+        }
+    }
+    for (const auto &[id, job] : state.jobs) {
+        if (!job.lasting || job.finishing || job.rules.service != service) {
+            continue;
+        }
+        for (const StepSpec &step : job.spec.steps) {
+            room -= step.lasting ? static_cast<double>(step.count) * step.need.cpuMilli : 0.0;
+        }
+    }
+    return room;
+}
+
 } // namespace LaburnumFlow::Jobs
--- a/src/libs/jobs/records.h
+++ b/src/libs/jobs/records.h
@@ -35,11 +35,12 @@
     JobSpec spec;
     std::vector<std::uint8_t> done; ///< one per task, in the order of steps; 1 if the task has ended as done
     std::vector<std::uint8_t> failures; ///< one per task
+    std::vector<std::string> checkpoints; ///< one per task; empty if no task of the job has one
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, rules, spec, done, failures);
+        archive(id, rules, spec, done, failures, checkpoints);
     }
 };
 
--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -240,7 +240,7 @@
     report.worker = reportedWorker(state);
     report.workerGone = !state.worker;
     for (const auto &[run, local] : state.runs) {
-        report.running.push_back({run, local.need});
+        report.running.push_back({run, local.need, local.checkpoint});
     }
     for (const auto &[number, end] : state.ends) {
         report.ends.push_back(end);
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -31,12 +31,18 @@
 
 void noteProgress(AgentState &state, const ListedRun &listed, LocalRun &local)
 {
+    if (!listed.checkpoint.empty() && listed.checkpoint != local.checkpoint) {
+        local.checkpoint = listed.checkpoint;
+        // Travels with the next report; a checkpoint alone is not worth a message.
+        state.outbox.checkpoints.push_back({listed.run, listed.checkpoint});
+    }
     if (local.percent != listed.percent) {
         local.percent = listed.percent;
         local.progressAt = state.now;
         return;
     }
-    const bool stalled = state.now - local.progressAt > stallLimit;
+    // A lasting task stays at 100 percent.
+    const bool stalled = listed.percent < allPercent && state.now - local.progressAt > stallLimit;
     if (stalled && !local.stallReported && !local.stopping) {
         local.stallReported = true;
         state.outbox.stalled.push_back(listed.run);
@@ -68,6 +74,9 @@
     const auto found = state.runs.find(end.run);
     if (found != state.runs.end()) {
         end.ranMs = ranMs(found->second, state.now);
+        if (end.checkpoint.empty()) {
+            end.checkpoint = found->second.checkpoint;
+        }
         state.runs.erase(found);
     }
     state.barredAtHold.erase(end.run);
@@ -167,7 +176,7 @@
     local.need = order.need;
     local.calledAt = state.now;
     noteRenewal(state);
-    context.effects.push_back(CallStart{run, order.payload, *until, state.epoch, state.worker->id, state.worker->bornMs, callTimeout(state)});
+    context.effects.push_back(CallStart{run, order.payload, order.checkpoint, *until, state.epoch, state.worker->id, state.worker->bornMs, callTimeout(state)});
 }
 
 void stopRun(Context &context, const RunRef &run)
@@ -301,7 +310,7 @@
         decide(context, "worker.runs-lost", {{"reason", reason}, {"runs", std::to_string(state.runs.size())}});
     }
     for (const auto &[run, local] : state.runs) {
-        reportEnd(state, {0, run, Jobs::EndKind::Lapsed, ranMs(local, state.now)});
+        reportEnd(state, {0, run, Jobs::EndKind::Lapsed, ranMs(local, state.now), local.checkpoint});
     }
     state.runs.clear();
     state.barredAtHold.clear();
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -34,6 +34,7 @@
     int percent = -1; ///< of its work that is done; -1 if not known
     Base::MonoTime progressAt{};
     bool stallReported = false;
+    std::string checkpoint; ///< the latest that the worker has listed
 };
 
 struct AgentState {
@@ -121,6 +122,7 @@
 struct ListedRun {
     Jobs::RunRef run;
     int percent = -1;
+    std::string checkpoint = {}; ///< empty if there is none
 };
 
 struct HoldAnswered {
@@ -145,6 +147,7 @@
 struct CallStart {
     Jobs::RunRef run;
     std::string payload;
+    std::string checkpoint; ///< to resume from; empty: from the start
     std::chrono::milliseconds until{}; ///< on the worker's clock
     std::uint64_t fence = 0;
     std::string workerId;
--- a/src/libs/taskagent/taskagentconstants.h
+++ b/src/libs/taskagent/taskagentconstants.h
@@ -18,6 +18,7 @@
 constexpr Base::Duration stopRetry = 20ms;
 constexpr Base::Duration holdRetry = 15ms; ///< after a hold that failed
 constexpr Base::Duration holdRetryWithoutWorker = 300ms;
+constexpr int allPercent = 100; ///< of a task's work; a lasting task stays there
 constexpr Base::Duration stallLimit = 900ms; ///< a run whose progress stands still for longer is reported
 constexpr Base::Duration tokenInterval = 350ms; ///< the owner gets a token at least this often
 constexpr Base::Duration workerSilentLimit = 6s; ///< a worker that neither answers nor sends heartbeats is gone after this
--- /dev/null
+++ b/tests/auto/jobs/tst_checkpoints.cpp
@@ -0,0 +1,133 @@
+#include "ownerharness.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::Jobs;
+using namespace LaburnumFlow::Jobs::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+SubmitCall saving(JobId id, std::uint32_t tasks)
+{
+    SubmitCall call = submission(id, tasks, 5000);
+    call.spec.steps.front().checkpointing = true;
+    return call;
+}
+
+} // namespace
+
+class TestCheckpoints : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestCheckpoints);
+    CPPUNIT_TEST(resumesFromTheEndsCheckpoint);
+    CPPUNIT_TEST(resumesAfterTheWorkerIsLost);
+    CPPUNIT_TEST(ignoresLateCheckpointsOfEarlierRuns);
+    CPPUNIT_TEST(tasksKeepTheirOwn);
+    CPPUNIT_TEST(gangsResumeTogether);
+    CPPUNIT_TEST(nextOwnerResumes);
+    CPPUNIT_TEST(recordedWithFailures);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against saved work that is done again after a failure.
+    void resumesFromTheEndsCheckpoint()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, saving(7, 1));
+        owner.settle();
+        CPPUNIT_ASSERT_EQUAL(std::string(), owner.checkpointOf(owner.startsAt("agent-1").at(0)));
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Failed, 100, "at-40");
+        CPPUNIT_ASSERT_EQUAL(std::string("at-40"), owner.checkpointOf(owner.startsAt("agent-1").at(1)));
+    }
+
+    /// Guards against work that was saved and is lost with the worker, which lists no end of it.
+    void resumesAfterTheWorkerIsLost()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.join("agent-1");
+        owner.submit(1, saving(7, 1));
+        owner.settle();
+        owner.saveCheckpoint("agent-1", owner.startsAt("agent-1").at(0), "at-70");
+        owner.join("agent-2");
+        AgentReport gone = owner.report("agent-1");
+        gone.workerGone = true;
+        owner.feed(AgentReported{"agent-1", gone});
+        CPPUNIT_ASSERT_EQUAL(std::string("at-70"), owner.checkpointOf(owner.startsAt("agent-2").at(0)));
+    }
+
+    /// Guards against a step back to an older checkpoint.
+    void ignoresLateCheckpointsOfEarlierRuns()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, saving(7, 1));
+        owner.settle();
+        const RunRef first = owner.startsAt("agent-1").at(0);
+        owner.end("agent-1", first, EndKind::Stopped, 100, "at-50");
+        owner.saveCheckpoint("agent-1", first, "at-30");
+        owner.end("agent-1", owner.startsAt("agent-1").at(1), EndKind::Lapsed);
+        CPPUNIT_ASSERT_EQUAL(std::string("at-50"), owner.checkpointOf(owner.startsAt("agent-1").at(2)));
+    }
+
+    /// Guards against a task that resumes from another one's checkpoint.
+    void tasksKeepTheirOwn()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, saving(7, 2));
+        owner.settle();
+        const std::vector<RunRef> runs = owner.startsAt("agent-1");
+        owner.saveCheckpoint("agent-1", runs.at(0), "first");
+        owner.end("agent-1", runs.at(1), EndKind::Lapsed);
+        owner.end("agent-1", runs.at(0), EndKind::Lapsed);
+        CPPUNIT_ASSERT_EQUAL(std::string(), owner.checkpointOf(owner.startsAt("agent-1").at(2)));
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), owner.checkpointOf(owner.startsAt("agent-1").at(3)));
+    }
+
+    /// Guards against members of a gang that resume from different points.
+    void gangsResumeTogether()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        SubmitCall call = saving(7, 2);
+        call.spec.steps.front().gang = true;
+        owner.submit(1, call);
+        owner.settle();
+        owner.saveCheckpoint("agent-1", owner.startsAt("agent-1").at(0), "both");
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Lapsed);
+        owner.confirmStops();
+        CPPUNIT_ASSERT_EQUAL(std::string("both"), owner.checkpointOf(owner.startsAt("agent-1").at(2)));
+        CPPUNIT_ASSERT_EQUAL(std::string("both"), owner.checkpointOf(owner.startsAt("agent-1").at(3)));
+    }
+
+    /// Guards against saved work that is lost with the owner's memory.
+    void nextOwnerResumes()
+    {
+        const SubmitCall call = saving(7, 1);
+        OwnerHarness owner({"agent-1"}, 2, {{7, call.rules, call.spec, {0}, {0}, {}}});
+        owner.join("agent-1", 8000, {{{{7, 0, 0}, 1}, {1000, 64, 0}, "at-60"}});
+        owner.end("agent-1", {{7, 0, 0}, 1}, EndKind::Lapsed);
+        CPPUNIT_ASSERT_EQUAL(std::string("at-60"), owner.checkpointOf(owner.startsAt("agent-1").at(0)));
+    }
+
+    /// Guards against a record of a failure without the checkpoint that the end brought.
+    void recordedWithFailures()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, saving(7, 1));
+        owner.settle();
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Failed, 100, "at-40");
+        owner.settle();
+        const std::optional<JobPack> pack = decodeJobPack(owner.commits.back().writes.at(1).value);
+        CPPUNIT_ASSERT(pack && !pack->records.empty());
+        const std::optional<JobRecord> record = decodeJobRecord(pack->records.at(0));
+        CPPUNIT_ASSERT(record.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("at-40"), record->checkpoints.at(0));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestCheckpoints);
