--- /dev/null
+++ b/tests/fuzz/fuzz_store.cpp
@@ -0,0 +1,28 @@
+#include "platform/storedialect.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+using namespace LaburnumFlow;
+
+/// Guards against an answer of the store, or a value of another writer, that ends a process.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    constexpr int statuses[] = {200, 404, 412, 503};
+    const std::string text(reinterpret_cast<const char *>(data), size);
+    for (const int status : statuses) {
+        const HttpIo::ClientResponse response{HttpIo::ClientResponse::Outcome::Answered, status, text};
+        bool missing = false;
+        Platform::itemOf(response, missing);
+        if (const auto page = Platform::pageOf(response)) {
+            Platform::clusterOf(page->items);
+        }
+        Platform::commitResult(response);
+        Platform::claimResult(response);
+        Platform::presenceResult(response);
+        Platform::grantResult(response);
+        Platform::keepResult(response);
+    }
+    return 0;
+}
