Keep work in time when more comes than the workers can do

Cause: jobs were served by the end of their objective, so that in a crest each became late behind others that were late already.

A job that cannot begin early enough to be in time goes behind those that can; a best-effort job of which nothing has run is refused when no room is expected for it soon, and a stored one comes first after 5 s. The margin for slow workers and wrong estimates is 1.45 of the estimate.

--- a/src/libs/jobs/admission.cpp
+++ b/src/libs/jobs/admission.cpp
@@ -10,17 +10,22 @@
 
 namespace {
 
+double workOf(const JobSpec &spec)
+{
+    double work = 0.0;
+    for (const StepSpec &step : spec.steps) {
+        work += static_cast<double>(step.count) * step.need.cpuMilli * (step.estimateMs == 0 ? defaultEstimateMs : step.estimateMs);
+    }
+    return work;
+}
+
 /// Work of the ready tasks in thousandths of a core and milliseconds.
 double readyWork(const Job &job)
 {
     if (job.tasks.empty()) {
         return 0.0;
     }
-    double work = 0.0;
-    for (const StepSpec &spec : job.spec.steps) {
-        work += static_cast<double>(spec.count) * spec.need.cpuMilli * (spec.estimateMs == 0 ? defaultEstimateMs : spec.estimateMs);
-    }
-    return work * job.readyTasks / static_cast<double>(job.tasks.size());
+    return workOf(job.spec) * job.readyTasks / static_cast<double>(job.tasks.size());
 }
 
 double capacityMilli(const OwnerState &state, const std::string &service)
@@ -34,6 +39,18 @@
     return capacity;
 }
 
+double decayed(const Demand &demand, Base::MonoTime now)
+{
+    return demand.coreMilliPerMs * std::exp(-std::chrono::duration<double>(now - demand.at) / std::chrono::duration<double>(demandHorizon));
+}
+
+/// All jobs that come can be in time, and so go before one that can't.
+double demandOf(const OwnerState &state, const std::string &service)
+{
+    const auto found = state.demands.find(service);
+    return found == state.demands.end() ? 0.0 : decayed(found->second, state.now);
+}
+
 /// Lasting tasks never make room again, so those that would not all find room are refused.
 Admission admitLasting(const OwnerState &state, const Job &job)
 {
@@ -47,6 +64,19 @@
 
 } // namespace
 
+Base::MonoTime latestBegin(const Job &job, double objectives)
+{
+    return job.arrivedAt + std::chrono::duration_cast<Base::Duration>(job.objective * objectives)
+           - std::chrono::duration_cast<Base::Duration>(runTimeMargin * std::chrono::milliseconds(job.chainMs));
+}
+
+void noteDemand(OwnerState &state, const Job &job)
+{
+    Demand &demand = state.demands[job.rules.service];
+    const double horizonMs = std::chrono::duration<double, std::milli>(demandHorizon).count();
+    demand = {decayed(demand, state.now) + workOf(job.spec) / horizonMs, state.now};
+}
+
 Admission admit(const OwnerState &state, const Job &job)
 {
     if (job.lasting) {
@@ -69,9 +99,12 @@
             before += work;
         }
     }
-    const auto waitMs = [capacity](double work) { return std::chrono::milliseconds(std::llround(work / capacity)); };
+    const double demand = job.gain == Gain::InTime ? 0.0 : demandOf(state, job.rules.service);
+    const double left = std::max(capacity - demand, leastShare * capacity);
+    const auto waitMs = [left](double work) { return std::chrono::milliseconds(std::llround(work / left)); };
     const Base::Duration wait = waitMs(before);
-    const Base::Duration limit = std::chrono::duration_cast<Base::Duration>(job.objective * lateFactor) - std::chrono::milliseconds(job.chainMs);
+    // An answer that comes too late for any gain is still better than none, if it does not take long.
+    const Base::Duration limit = latestBegin(job, lateFactor) - (job.gain == Gain::None ? job.arrivedAt : state.now);
     if (wait <= limit) {
         return {true, wait, 0};
     }
--- a/src/libs/jobs/admission.h
+++ b/src/libs/jobs/admission.h
@@ -14,6 +14,12 @@
     std::uint32_t retryAfterS = 0; ///< when a job like it is expected to be in time; 0 if accepted
 };
 
+/// The last moment at which the job should begin to end within so many objectives.
+Base::MonoTime latestBegin(const Job &job, double objectives);
+
+/// Counts the job's work among what comes.
+void noteDemand(OwnerState &state, const Job &job);
+
 /// Whether the job can still be of use to its caller behind the work that is queued before it.
 Admission admit(const OwnerState &state, const Job &job);
 
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -47,6 +47,11 @@
 
 // Scheduling.
 constexpr double lateFactor = 3.0; ///< an answer later than this many objectives is worth nothing to its caller
+constexpr Base::Duration longestWait = 5s; ///< an accepted job that is late anyhow comes first after this time, as it has to end
+constexpr double runTimeMargin = 1.45; ///< times the estimate; slow workers and wrong estimates make a job late that begins at the last moment
+constexpr Base::Duration demandHorizon
+    = 1500ms; ///< over which demand is averaged; what has gathered in an outage and comes at once must not look like overload
+constexpr double leastShare = 0.1; ///< of the capacity that work which is late anyhow is expected to get
 constexpr std::size_t maxUnplacedScanned = 64; ///< jobs that do not fit and are passed over in one round
 constexpr std::uint32_t defaultEstimateMs = 200; ///< of a task about which nothing is known
 
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -241,6 +241,9 @@
         due.consider(state.progressDue.begin()->first);
     }
     due.consider(state.rescheduleAt);
+    if (!state.gainEnds.empty()) {
+        due.consider(state.gainEnds.begin()->first);
+    }
     if (state.uncertainTasks > 0) {
         due.consider(state.certainAt);
     }
--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -91,6 +91,7 @@
         return;
     }
     Job job = makeJob(call.job, rulesInForce(state, call), call.spec, state.now);
+    noteDemand(state, job);
     if (!state.orphans.contains(job.id) && refuse(context, id, job, call.bestEffort)) {
         return;
     }
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -79,6 +79,17 @@
 
 } // namespace
 
+void forgetJob(OwnerState &state, Job &job)
+{
+    state.ready.erase(placeOf(job));
+    watchGain(state, job, false);
+    if (job.expiresAt) {
+        state.expiring.erase({*job.expiresAt, job.id});
+    }
+    const JobId id = job.id;
+    state.jobs.erase(id);
+}
+
 void jobFinished(Context &context, Job &job, JobState state)
 {
     OwnerState &owner = context.state;
@@ -110,12 +121,8 @@
         owner.finished[job.id] = state;
         owner.finishedOrder.emplace_back(owner.now, job.id);
     }
-    if (job.expiresAt) {
-        owner.expiring.erase({*job.expiresAt, job.id});
-    }
     settleAll(context, job.unrecorded);
-    const JobId id = job.id;
-    owner.jobs.erase(id);
+    forgetJob(owner, job);
 }
 
 Job makeJob(JobId id, QueueRules rules, JobSpec spec, Base::MonoTime arrivedAt)
@@ -246,6 +253,7 @@
     } else {
         state.ready.erase(place);
     }
+    watchGain(state, job, wanted);
 }
 
 void finishJob(Context &context, Job &job, JobState state, std::vector<Settlement> settles)
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -199,24 +199,18 @@
     return job.readyTasks == 0;
 }
 
-bool isOutdated(const OwnerState &state, const Job &job)
-{
-    return !job.lasting && state.now > job.arrivedAt + std::chrono::duration_cast<Base::Duration>(job.objective * lateFactor);
-}
-
 } // namespace
 
 void schedule(Context &context)
 {
     OwnerState &state = context.state;
+    demoteJobs(context);
     if (!state.schedulingDue) {
         return;
     }
     state.rescheduleAt.reset();
     Round round{context, largestFree(state), {}};
     std::size_t passedOver = 0;
-    // Jobs that are past all use come last, as every job in time would otherwise become late behind them.
-    std::vector<JobId> outdated;
     auto next = state.ready.begin();
     while (next != state.ready.end() && passedOver < maxUnplacedScanned) {
         Job &job = state.jobs.at(next->job);
@@ -225,20 +219,6 @@
             break;
         }
         ++next;
-        if (isOutdated(state, job)) {
-            outdated.push_back(job.id);
-            continue;
-        }
-        if (!placeTasks(round, job)) {
-            ++passedOver;
-        }
-        requeue(context, job);
-    }
-    for (const JobId id : outdated) {
-        if (round.largestFree == 0 || passedOver >= maxUnplacedScanned) {
-            break;
-        }
-        Job &job = state.jobs.at(id);
         if (!placeTasks(round, job)) {
             ++passedOver;
         }
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -48,6 +48,13 @@
     std::uint32_t failedRun = 0; ///< of a gang: its last run that a member failed, so that a run counts as one failure
 };
 
+/// What a job still gains for its caller if it gets workers now.
+enum class Gain : std::uint8_t {
+    InTime,
+    Late, ///< it can't end within its objective any more
+    None, ///< nor within lateFactor times that
+};
+
 struct Job {
     JobId id = 0;
     QueueRules rules;
@@ -66,6 +73,9 @@
     Base::MonoTime arrivedAt{};
     Base::Duration objective{}; ///< an answer within this time is in time
     std::uint32_t chainMs = 0; ///< estimated run time of the longest chain
+    Gain gain = Gain::InTime; ///< as of the last look at it
+    bool overdue = false; ///< has waited so long that it comes before jobs which can be in time
+    std::optional<Base::MonoTime> gainEndsAt; ///< while it waits for workers: when its gain is less
     std::optional<Base::MonoTime> progressDue; ///< when its progress is to be recorded
     std::vector<Settlement> unrecorded; ///< ends that the next progress record, or the final state, settles
     std::optional<Base::MonoTime> expiresAt; ///< when the caller of a best-effort job stops waiting
@@ -74,8 +84,10 @@
     std::vector<CallId> waitingForState; ///< queries that are held until the job is final, or for queryWait
 };
 
-/// The place of a job in the order in which jobs get workers.
+/// The place of a job in the order in which jobs get workers. Jobs that are late anyhow come after those that can be in
+/// time; otherwise all jobs would become late behind each other when more comes than the workers can do.
 struct QueuePlace {
+    Gain gain = Gain::InTime;
     std::uint32_t priority = 0; ///< 0 comes first
     Base::MonoTime dueAt{}; ///< the end of its objective
     JobId job = 0;
@@ -86,7 +98,7 @@
 /// A lasting task that is down is missed by its users all the time, so it goes before all work that can wait.
 inline QueuePlace placeOf(const Job &job)
 {
-    return job.lasting ? QueuePlace{0, {}, job.id} : QueuePlace{job.rules.priority, job.arrivedAt + job.objective, job.id};
+    return job.lasting ? QueuePlace{Gain::InTime, 0, {}, job.id} : QueuePlace{job.gain, job.rules.priority, job.arrivedAt + job.objective, job.id};
 }
 
 /// A run that a former owner started for a job that has not been submitted to this one yet.
@@ -95,6 +107,12 @@
     RunRef run;
 };
 
+/// Work of one service that has come lately.
+struct Demand {
+    double coreMilliPerMs = 0.0; ///< thousandths of a core that it keeps busy
+    Base::MonoTime at{};
+};
+
 /// All that the owner of the jobs knows.
 struct OwnerState {
     std::uint64_t epoch = 0;
@@ -111,6 +129,7 @@
     std::unordered_map<JobId, std::vector<Orphan>> orphans; ///< runs of jobs that are not known yet
     Base::MonoTime orphansUntil{}; ///< they are stopped then, or when their job does not want them
     std::set<QueuePlace> ready; ///< jobs with ready tasks
+    std::set<std::pair<Base::MonoTime, JobId>> gainEnds; ///< of ready jobs
     std::set<std::pair<Base::MonoTime, JobId>> progressDue; ///< jobs whose progress is to be recorded
     struct HeldQuery {
         Base::MonoTime until{};
@@ -128,6 +147,7 @@
     std::unordered_map<std::string, QueueRules> rules; ///< by queue
     std::uint64_t rulesVersion = 0;
     std::vector<Base::Endpoint> entries;
+    std::unordered_map<std::string, Demand> demands; ///< by service
     bool schedulingDue = false;
     std::optional<Base::MonoTime> rescheduleAt; ///< when a job has waited long enough to be placed by other rules
     std::unordered_map<std::string, std::uint32_t> unstarted; ///< by queue: stored jobs of which no task has started
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -36,6 +36,16 @@
 /// Places the job in the ready queue, or removes it, as its tasks demand.
 void requeue(Context &context, Job &job);
 
+/// Moves ready jobs that can't be in time any more behind the others. A best-effort job of which nothing has run is
+/// refused if it is not expected to get workers there soon.
+void demoteJobs(Context &context);
+
+/// Keeps the time at which the job's gain is less, while it waits for workers.
+void watchGain(OwnerState &state, Job &job, bool ready);
+
+/// Drops a job of which nothing is to be run, recorded or answered any more.
+void forgetJob(OwnerState &state, Job &job);
+
 /// Records the final state; the job stays visible as it is until then.
 void finishJob(Context &context, Job &job, JobState state, std::vector<Settlement> settles);
 
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -4,6 +4,7 @@
 #include "ownersteps.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <string_view>
 
@@ -127,6 +128,16 @@
     return cost * (1.0 + crowdingWeight * crowding(agent));
 }
 
+/// On a worker of a higher cost the job would end late. A job that has begun, or is late anyhow, takes any worker.
+double costInTime(const OwnerState &state, const Job &job)
+{
+    if (job.lasting || job.overdue || job.gain != Gain::InTime || job.state != JobState::Queued) {
+        return std::numeric_limits<double>::infinity();
+    }
+    const auto left = std::chrono::duration<double, std::milli>(job.arrivedAt + job.objective - state.now);
+    return left.count() / std::max(1U, job.chainMs);
+}
+
 struct TogetherChoice {
     std::vector<AgentIndex> agents; ///< empty if there is no room for all
     double slowest = 0.0; ///< cost of the slowest member, which decides when all end
@@ -203,6 +214,7 @@
 {
     const std::uint16_t stepIndex = Internal::refOf(job, flat).step;
     const StepSpec &step = job.spec.steps[stepIndex];
+    const double mostCost = costInTime(state, job);
     AgentIndex best = noAgent;
     double bestCost = 0.0;
     for (AgentIndex index = 0; index < state.agents.size(); ++index) {
@@ -215,6 +227,9 @@
         }
         double cost = costOf(state, step, agent);
         cost *= step.sameRack && isApart(state, job, stepIndex, agent.worker->rack) ? remoteFactor : 1.0;
+        if (cost > mostCost) {
+            continue;
+        }
         if (best == noAgent || cost < bestCost) {
             best = index;
             bestCost = cost;
--- a/tests/auto/jobs/ownerharness.h
+++ b/tests/auto/jobs/ownerharness.h
@@ -57,6 +57,7 @@
     std::string checkpointOf(const RunRef &run) const;
 
     OwnerState state;
+    Base::Duration timePerEvent = std::chrono::milliseconds(1);
     std::vector<Commit> commits;
     std::optional<StepDown> steppedDown;
     std::map<std::string, std::uint64_t> endsRecorded; ///< as the agents were told
