Run repeated jobs

Cause: jobs with RepeatCount were refused with 503.

An occurrence adds the tasks of all steps when it is due by the time of day, so that occurrences overlap and steps wait within their own. The owner wakes up for the next one; a successor goes on from the record and takes an occurrence that an agent names for begun, as the former owner's clock may have been ahead. Nothing runs again when the clock steps back. The way tasks lie in a job (jobshape) is a file of its own now; it stood among the owner's steps.

Ruled out: a job of its own for each occurrence, as the final state, the record and the cancelling belong to the whole.

--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -10,6 +10,7 @@
 #include "eventloop/eventloop.h"
 #include "httpio/httpclient.h"
 #include "httpio/httpfront.h"
+#include "jobs/jobshape.h"
 #include "jobs/owner.h"
 #include "metrics/processmetrics.h"
 #include "net/looplinks.h"
--- a/src/libs/jobs/admission.cpp
+++ b/src/libs/jobs/admission.cpp
@@ -1,6 +1,7 @@
 #include "admission.h"
 
 #include "jobsconstants.h"
+#include "jobshape.h"
 #include "placement.h"
 
 #include <algorithm>
@@ -14,7 +15,7 @@
 {
     double work = 0.0;
     for (const StepSpec &step : spec.steps) {
-        work += static_cast<double>(step.count) * step.need.cpuMilli * (step.estimateMs == 0 ? defaultEstimateMs : step.estimateMs);
+        work += static_cast<double>(step.count) * step.need.cpuMilli * estimateOf(step);
     }
     return work;
 }
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -52,17 +52,33 @@
     }
 };
 
+/// A job whose steps run several times, each time at its own time. Occurrences may overlap.
+struct Repetition {
+    std::uint32_t count = 0; ///< 0: the steps run once, at once
+    std::int64_t firstMs = 0; ///< Unix time of the first occurrence
+    std::uint32_t intervalMs = 0;
+
+    bool operator==(const Repetition &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(count, firstMs, intervalMs);
+    }
+};
+
 /// What a caller submits.
 struct JobSpec {
     std::string payload; ///< passed to the worker with each task
     std::vector<StepSpec> steps;
+    Repetition repetition = {};
 
     bool operator==(const JobSpec &) const = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(payload, steps);
+        archive(payload, steps, repetition);
     }
 };
 
@@ -102,13 +118,14 @@
     JobId job = 0;
     std::uint16_t step = 0;
     std::uint32_t index = 0;
+    std::uint32_t occurrence = 0; ///< of a repeated job
 
     auto operator<=>(const TaskRef &) const = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(job, step, index);
+        archive(job, step, index, occurrence);
     }
 };
 
@@ -131,6 +148,7 @@
     {
         std::uint64_t value = ref.task.job ^ (static_cast<std::uint64_t>(ref.task.step) << 48U);
         value ^= static_cast<std::uint64_t>(ref.task.index) * 0x9E3779B97F4A7C15ULL;
+        value ^= static_cast<std::uint64_t>(ref.task.occurrence) << 32U;
         return value ^ (static_cast<std::uint64_t>(ref.run) << 20U);
     }
 };
--- a/src/libs/jobs/jobtext.cpp
+++ b/src/libs/jobs/jobtext.cpp
@@ -14,7 +14,8 @@
 
 std::string runText(const RunRef &run)
 {
-    return idText(run.task.job) + '.' + std::to_string(run.task.step) + '.' + std::to_string(run.task.index) + '/' + std::to_string(run.run);
+    const std::string occurrence = run.task.occurrence == 0 ? std::string() : '#' + std::to_string(run.task.occurrence);
+    return idText(run.task.job) + '.' + std::to_string(run.task.step) + '.' + std::to_string(run.task.index) + occurrence + '/' + std::to_string(run.run);
 }
 
 } // namespace LaburnumFlow::Jobs
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -29,6 +29,7 @@
     Internal::expireOrphans(context);
     Internal::recordAgents(context);
     Internal::resolveUncertain(context);
+    Internal::beginOccurrences(context);
     Internal::flushProgress(context);
     Internal::rewriteOldRecords(context);
 }
@@ -146,8 +147,11 @@
 
 Job restoredJob(JobRecord record, Base::MonoTime now, std::size_t &uncertain)
 {
-    Job job = Internal::makeJob(record.id, std::move(record.rules), std::move(record.spec), now);
+    Job job = makeJob(record.id, std::move(record.rules), std::move(record.spec), now);
     job.stored = true;
+    while (job.tasks.size() < record.done.size() && nextOccurrenceAt(job)) {
+        beginOccurrence(job);
+    }
     for (std::size_t flat = 0; flat < job.tasks.size(); ++flat) {
         Task &task = job.tasks[flat];
         task.failures = flat < record.failures.size() ? record.failures[flat] : 0;
@@ -182,7 +186,8 @@
             Job job = restoredJob(std::move(*record), state.now, state.uncertainTasks);
             ++state.unstarted[job.rules.name];
             live.push_back(job.id);
-            state.jobs.emplace(job.id, std::move(job));
+            Job &kept = state.jobs.emplace(job.id, std::move(job)).first->second;
+            Internal::watchOccurrence(state, kept, true);
         }
         state.recorder.adoptPack(pack.key, live, pack.content.writtenMs);
     }
@@ -241,6 +246,9 @@
         due.consider(state.progressDue.begin()->first);
     }
     due.consider(state.rescheduleAt);
+    if (!state.occurrences.empty()) {
+        due.consider(state.now + std::max<Base::Duration>(state.occurrences.begin()->first - state.wall, Base::Duration(1)));
+    }
     if (!state.gainEnds.empty()) {
         due.consider(state.gainEnds.begin()->first);
     }
--- a/src/libs/jobs/owner.h
+++ b/src/libs/jobs/owner.h
@@ -31,9 +31,6 @@
 /// The owner's decisions. Time enters with TimePassed, which must precede the events of each round.
 OwnerEffects reduce(OwnerState &state, const OwnerEvent &event);
 
-/// Estimated run time of the longest chain of steps.
-std::uint32_t longestChainMs(const JobSpec &spec);
-
 /// When TimePassed is needed next.
 std::optional<Base::MonoTime> nextDue(const OwnerState &state);
 
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -72,7 +72,7 @@
         state.orphans[run.task.job].push_back({index, run});
         return;
     }
-    if (job == nullptr || !hasTask(*job, run.task)) {
+    if (job == nullptr || !knowTask(context, *job, run.task)) {
         orderStop(agent, run);
         return;
     }
--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -31,7 +31,8 @@
         reply(context, id, {.kind = CallAnswer::Kind::Unavailable, .retryAfterS = storeRetryAfterS});
         return true;
     }
-    const Admission admission = admit(state, job);
+    // The backlog of now says nothing about the times at which a repeated job runs.
+    const Admission admission = job.spec.repetition.count > 0 ? Admission{} : admit(state, job);
     if (admission.accepted) {
         return false;
     }
@@ -64,6 +65,7 @@
         }
         state.uncertainTasks += job.tasks.size();
     }
+    watchOccurrence(state, job, true);
     adoptOrphans(context, job);
     if (isCertain(state)) {
         breakPartialGangs(context, job);
@@ -91,7 +93,9 @@
         return;
     }
     Job job = makeJob(call.job, rulesInForce(state, call), call.spec, state.now);
-    noteDemand(state, job);
+    if (job.spec.repetition.count == 0) {
+        noteDemand(state, job);
+    }
     if (!state.orphans.contains(job.id) && refuse(context, id, job, call.bestEffort)) {
         return;
     }
--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -59,7 +59,7 @@
     leavePhase(context.state, job, task);
     task.phase = Task::Phase::Done;
     ++job.doneTasks;
-    if (job.doneTasks == job.tasks.size()) {
+    if (isComplete(job)) {
         finishJob(context, job, JobState::Completed, {settlement});
         return;
     }
@@ -85,7 +85,7 @@
 void learn(Context &context, Agent &agent, const Job &job, const RunEnd &end)
 {
     const StepSpec &step = job.spec.steps[end.run.task.step];
-    const std::uint32_t estimateMs = step.estimateMs == 0 ? defaultEstimateMs : step.estimateMs;
+    const std::uint32_t estimateMs = estimateOf(step);
     if (end.how == EndKind::Done) {
         learnDone(agent.health, estimateMs, end.ranMs, context.state.now);
         if (agent.worker) {
@@ -114,7 +114,8 @@
         job.tasks[flatIndex(job, ref)].checkpoint = checkpoint;
         return;
     }
-    for (std::uint32_t flat = job.firstTask[ref.step]; flat < job.firstTask[ref.step + 1U]; ++flat) {
+    const StepIndex index = stepIndexOf(job, ref);
+    for (std::uint32_t flat = job.firstTask[index]; flat < job.firstTask[index + 1U]; ++flat) {
         job.tasks[flat].checkpoint = checkpoint;
     }
 }
@@ -134,7 +135,7 @@
 {
     switch (end.how) {
     case EndKind::Done:
-        gangDone(context, job, end.run.task.step, index, settlement);
+        gangDone(context, job, stepIndexOf(job, end.run.task), index, settlement);
         return;
     case EndKind::Failed:
         gangFailed(context, job, end.run.task, index, settlement);
@@ -202,7 +203,8 @@
     context.state.schedulingDue |= removeRun(agent, end.run) && !context.state.ready.empty();
     const Settlement settlement{agent.name, agent.worker ? agent.worker->bornMs : 0, end.number};
     Job *job = findJob(context.state, end.run.task.job);
-    Task *task = job == nullptr || job->finishing ? nullptr : currentTask(*job, end.run, index);
+    const bool open = job != nullptr && !job->finishing && knowTask(context, *job, end.run.task);
+    Task *task = open ? currentTask(*job, end.run, index) : nullptr;
     if (end.how != EndKind::Done) {
         decide(context,
                "task.ended",
--- a/src/libs/jobs/ownergangs.cpp
+++ b/src/libs/jobs/ownergangs.cpp
@@ -9,17 +9,17 @@
 
 namespace {
 
-bool isGang(const Job &job, std::uint16_t step)
+bool isGang(const Job &job, StepIndex step)
 {
-    return job.spec.steps[step].gang;
+    return specOf(job, step).gang;
 }
 
-std::span<Task> membersOf(Job &job, std::uint16_t step)
+std::span<Task> membersOf(Job &job, StepIndex step)
 {
-    return std::span(job.tasks).subspan(job.firstTask[step], job.spec.steps[step].count);
+    return std::span(job.tasks).subspan(job.firstTask[step], specOf(job, step).count);
 }
 
-void stopMembers(Context &context, Job &job, std::uint16_t step)
+void stopMembers(Context &context, Job &job, StepIndex step)
 {
     for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U]; ++flat) {
         const Task &task = job.tasks[flat];
@@ -43,7 +43,7 @@
 
 } // namespace
 
-void gangDone(Context &context, Job &job, std::uint16_t step, AgentIndex agent, const Settlement &settlement)
+void gangDone(Context &context, Job &job, StepIndex step, AgentIndex agent, const Settlement &settlement)
 {
     for (Task &task : membersOf(job, step)) {
         if (task.phase != Task::Phase::Done) {
@@ -52,7 +52,7 @@
             ++job.doneTasks;
         }
     }
-    if (job.doneTasks == job.tasks.size()) {
+    if (isComplete(job)) {
         finishJob(context, job, JobState::Completed, {settlement});
         return;
     }
@@ -63,8 +63,8 @@
 void gangFailed(Context &context, Job &job, const TaskRef &task, AgentIndex agent, const Settlement &settlement)
 {
     Task &failed = job.tasks[flatIndex(job, task)];
-    StepProgress &progress = job.steps[task.step];
-    const std::span<Task> members = membersOf(job, task.step);
+    StepProgress &progress = job.steps[stepIndexOf(job, task)];
+    const std::span<Task> members = membersOf(job, stepIndexOf(job, task));
     failed.avoid = agent;
     if (progress.failedRun != failed.run || failed.run == 0) {
         progress.failedRun = failed.run;
@@ -82,19 +82,19 @@
 void gangMemberLost(Context &context, Job &job, const TaskRef &task)
 {
     releaseMember(context, job, job.tasks[flatIndex(job, task)]);
-    for (Task &member : membersOf(job, task.step)) {
+    for (Task &member : membersOf(job, stepIndexOf(job, task))) {
         if (member.phase == Task::Phase::Ready) {
             leavePhase(context.state, job, member);
             member.phase = Task::Phase::Blocked;
         }
     }
-    stopMembers(context, job, task.step);
+    stopMembers(context, job, stepIndexOf(job, task));
     unblockSteps(context, job);
 }
 
 void breakPartialGangs(Context &context, Job &job)
 {
-    for (std::uint16_t step = 0; step < job.spec.steps.size(); ++step) {
+    for (StepIndex step = 0; step < job.steps.size(); ++step) {
         const std::span<Task> members = membersOf(job, step);
         const auto isActive = [](const Task &task) { return task.phase == Task::Phase::Active; };
         if (isGang(job, step) && !std::all_of(members.begin(), members.end(), isActive)) {
@@ -105,11 +105,12 @@
 
 bool mayJoinGang(const Job &job, const RunRef &run)
 {
-    if (!isGang(job, run.task.step)) {
+    const StepIndex step = stepIndexOf(job, run.task);
+    if (!isGang(job, step)) {
         return true;
     }
-    const auto first = job.tasks.begin() + job.firstTask[run.task.step];
-    const auto last = job.tasks.begin() + job.firstTask[run.task.step + 1U];
+    const auto first = job.tasks.begin() + job.firstTask[step];
+    const auto last = job.tasks.begin() + job.firstTask[step + 1U];
     return std::all_of(first, last, [&run](const Task &task) {
         if (task.phase == Task::Phase::Active) {
             return task.run == run.run;
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -1,37 +1,11 @@
 #include "ownersteps.h"
 
 #include "jobsconstants.h"
-#include "owner.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace LaburnumFlow::Jobs {
 
-namespace {
-
-std::uint32_t estimateOf(const StepSpec &step)
-{
-    return step.estimateMs == 0 ? defaultEstimateMs : step.estimateMs;
-}
-
-} // namespace
-
-std::uint32_t longestChainMs(const JobSpec &spec)
-{
-    std::vector<std::uint32_t> endMs(spec.steps.size());
-    std::uint32_t longest = 0;
-    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
-        std::uint32_t begin = 0;
-        for (const std::uint16_t earlier : spec.steps[step].after) {
-            begin = std::max(begin, endMs[earlier]);
-        }
-        endMs[step] = begin + estimateOf(spec.steps[step]);
-        longest = std::max(longest, endMs[step]);
-    }
-    return longest;
-}
-
 namespace Internal {
 
 namespace {
@@ -74,6 +48,7 @@
         finishJob(context, job, JobState::Cancelled, {});
         return;
     }
+    watchOccurrence(context.state, job, true);
     unblockSteps(context, job);
 }
 
@@ -83,6 +58,7 @@
 {
     state.ready.erase(placeOf(job));
     watchGain(state, job, false);
+    watchOccurrence(state, job, false);
     if (job.expiresAt) {
         state.expiring.erase({*job.expiresAt, job.id});
     }
@@ -125,50 +101,6 @@
     forgetJob(owner, job);
 }
 
-Job makeJob(JobId id, QueueRules rules, JobSpec spec, Base::MonoTime arrivedAt)
-{
-    Job job;
-    job.id = id;
-    job.rules = std::move(rules);
-    job.spec = std::move(spec);
-    job.arrivedAt = arrivedAt;
-    job.chainMs = longestChainMs(job.spec);
-    const double objectiveMs = job.rules.stretch * job.chainMs + job.rules.targetMs;
-    job.objective = std::chrono::milliseconds(std::llround(objectiveMs));
-    std::uint32_t count = 0;
-    for (const StepSpec &step : job.spec.steps) {
-        job.firstTask.push_back(count);
-        count += step.count;
-        job.lasting |= step.lasting;
-    }
-    job.steps.resize(job.spec.steps.size());
-    job.firstTask.push_back(count);
-    job.tasks.resize(count);
-    return job;
-}
-
-std::uint32_t flatIndex(const Job &job, const TaskRef &task)
-{
-    return job.firstTask[task.step] + task.index;
-}
-
-bool hasTask(const Job &job, const TaskRef &task)
-{
-    return task.step < job.spec.steps.size() && task.index < job.spec.steps[task.step].count;
-}
-
-const StepSpec &stepOf(const Job &job, std::uint32_t flat)
-{
-    return job.spec.steps[refOf(job, flat).step];
-}
-
-TaskRef refOf(const Job &job, std::uint32_t flat)
-{
-    const auto next = std::upper_bound(job.firstTask.begin(), job.firstTask.end(), flat);
-    const auto step = static_cast<std::uint16_t>(std::distance(job.firstTask.begin(), next) - 1);
-    return {job.id, step, flat - job.firstTask[step]};
-}
-
 JobRecord recordOf(const Job &job)
 {
     JobRecord record{job.id, job.rules, job.spec, {}, {}, {}};
@@ -202,7 +134,7 @@
 
 void unblockSteps(Context &context, Job &job)
 {
-    const auto isDone = [&job](std::uint16_t step) {
+    const auto isDone = [&job](StepIndex step) {
         for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U]; ++flat) {
             if (job.tasks[flat].phase != Task::Phase::Done) {
                 return false;
@@ -210,18 +142,19 @@
         }
         return true;
     };
-    for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+    for (StepIndex step = 0; step < job.steps.size(); ++step) {
         const auto first = job.tasks.begin() + job.firstTask[step];
         const auto last = job.tasks.begin() + job.firstTask[step + 1U];
         if (std::none_of(first, last, [](const Task &task) { return task.phase == Task::Phase::Blocked; })) {
             continue;
         }
         // The members of a gang start together, once no former run of any is left.
-        if (job.spec.steps[step].gang && !std::all_of(first, last, [](const Task &task) { return task.phase == Task::Phase::Blocked; })) {
+        if (specOf(job, step).gang && !std::all_of(first, last, [](const Task &task) { return task.phase == Task::Phase::Blocked; })) {
             continue;
         }
-        const auto &after = job.spec.steps[step].after;
-        if (!std::all_of(after.begin(), after.end(), isDone)) {
+        const auto &after = specOf(job, step).after;
+        const StepIndex firstOfOccurrence = step - step % static_cast<StepIndex>(job.spec.steps.size());
+        if (!std::all_of(after.begin(), after.end(), [&](std::uint16_t earlier) { return isDone(firstOfOccurrence + earlier); })) {
             continue;
         }
         job.steps[step].readySince = context.state.now;
@@ -263,6 +196,7 @@
     }
     job.finishing = true;
     requeue(context, job);
+    watchOccurrence(context.state, job, false);
     dropProgress(context.state, job);
     settles.insert(settles.end(), job.unrecorded.begin(), job.unrecorded.end());
     job.unrecorded.clear();
--- /dev/null
+++ b/src/libs/jobs/owneroccurrences.cpp
@@ -0,0 +1,75 @@
+#include "ownersteps.h"
+
+namespace LaburnumFlow::Jobs::Internal {
+
+namespace {
+
+/// Callers expect each occurrence in time from when it is due, so that the job's place is that of the oldest open one.
+void restartObjective(OwnerState &state, Job &job)
+{
+    if (job.doneTasks != job.tasks.size()) {
+        return;
+    }
+    job.arrivedAt = state.now;
+    job.gain = Gain::InTime;
+    job.overdue = false;
+}
+
+void begin(Context &context, Job &job)
+{
+    OwnerState &state = context.state;
+    restartObjective(state, job);
+    const std::size_t first = job.tasks.size();
+    beginOccurrence(job);
+    decide(context, "job.occurrence", {{"id", idText(job.id)}, {"occurrence", std::to_string(occurrencesBegun(job) - 1)}});
+    if (isCertain(state)) {
+        return;
+    }
+    // A former owner, by whose clock it was due earlier, may have started its tasks.
+    for (std::size_t flat = first; flat < job.tasks.size(); ++flat) {
+        job.tasks[flat].phase = Task::Phase::Uncertain;
+        ++state.uncertainTasks;
+    }
+}
+
+} // namespace
+
+void beginOccurrences(Context &context)
+{
+    OwnerState &state = context.state;
+    while (!state.occurrences.empty() && state.occurrences.begin()->first <= state.wall) {
+        Job &job = state.jobs.at(state.occurrences.begin()->second);
+        begin(context, job);
+        watchOccurrence(state, job, true);
+        unblockSteps(context, job);
+    }
+}
+
+bool knowTask(Context &context, Job &job, const TaskRef &task)
+{
+    if (task.occurrence < job.spec.repetition.count && occurrencesBegun(job) <= task.occurrence) {
+        while (occurrencesBegun(job) <= task.occurrence) {
+            begin(context, job);
+        }
+        watchOccurrence(context.state, job, true);
+        unblockSteps(context, job);
+    }
+    return hasTask(job, task);
+}
+
+void watchOccurrence(OwnerState &state, Job &job, bool wanted)
+{
+    const std::optional<Base::WallTime> next = wanted && job.stored && !job.finishing ? nextOccurrenceAt(job) : std::nullopt;
+    if (next == job.nextOccurrence) {
+        return;
+    }
+    if (job.nextOccurrence) {
+        state.occurrences.erase({*job.nextOccurrence, job.id});
+    }
+    job.nextOccurrence = next;
+    if (next) {
+        state.occurrences.emplace(*next, job.id);
+    }
+}
+
+} // namespace LaburnumFlow::Jobs::Internal
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -36,7 +36,7 @@
     const std::string &checkpoint = job.tasks[flatIndex(job, run.task)].checkpoint;
     const bool sameStep = !starts.empty() && starts.back().runs.front().task.job == job.id && starts.back().runs.front().task.step == run.task.step;
     if (!sameStep || starts.back().checkpoint != checkpoint) {
-        starts.push_back({{}, job.spec.steps[run.task.step].need, job.spec.payload, checkpoint});
+        starts.push_back({{}, specOf(job, stepIndexOf(job, run.task)).need, job.spec.payload, checkpoint});
     }
     starts.back().runs.push_back(run);
 }
@@ -83,22 +83,21 @@
 }
 
 /// A step that runs fastest on one rack waits for one as long as that may save time.
-bool mayPartRacks(Round &round, const Job &job, std::uint16_t step)
+bool mayPartRacks(Round &round, const Job &job, StepIndex step)
 {
-    const StepSpec &spec = job.spec.steps[step];
-    const std::uint32_t estimateMs = spec.estimateMs == 0 ? defaultEstimateMs : spec.estimateMs;
-    const Base::Duration saving = std::chrono::microseconds(static_cast<std::int64_t>((remoteFactor - 1.0) * 1000.0 * estimateMs));
+    const StepSpec &spec = specOf(job, step);
+    const Base::Duration saving = std::chrono::microseconds(static_cast<std::int64_t>((remoteFactor - 1.0) * 1000.0 * estimateOf(spec)));
     return !spec.sameRack || hasWaited(round, job.steps[step], saving) || !fitsOneRack(round.context.state, job, step);
 }
 
-void placeGang(Round &round, Job &job, std::uint16_t step)
+void placeGang(Round &round, Job &job, StepIndex step)
 {
     const std::uint32_t first = job.firstTask[step];
     if (job.tasks[first].phase != Task::Phase::Ready) {
         return;
     }
     std::vector<AgentIndex> agents;
-    if (job.spec.steps[step].need.cpuMilli <= round.largestFree) {
+    if (specOf(job, step).need.cpuMilli <= round.largestFree) {
         agents = placeTogether(round.context.state, job, step, mayPartRacks(round, job, step), round.keptFree);
     }
     if (agents.empty()) {
@@ -116,11 +115,11 @@
 }
 
 /// Stops the work on the worker that loses least, until the task fits there.
-void preempt(Round &round, const Job &job, std::uint16_t step, AgentIndex index)
+void preempt(Round &round, const Job &job, StepIndex step, AgentIndex index)
 {
     OwnerState &state = round.context.state;
     Agent &agent = state.agents[index];
-    const StepSpec &spec = job.spec.steps[step];
+    const StepSpec &spec = specOf(job, step);
     struct Victim {
         bool losesWork = false; ///< as it saves no checkpoints
         Base::MonoTime since{};
@@ -151,7 +150,7 @@
 }
 
 /// A lasting task that finds no room gets that of work which can wait.
-void makeRoom(Round &round, Job &job, std::uint16_t step)
+void makeRoom(Round &round, Job &job, StepIndex step)
 {
     const std::vector<AgentIndex> agents = workersToClear(round.context.state, job, step);
     keepFree(round, agents);
@@ -167,9 +166,9 @@
     }
 }
 
-void placeSingly(Round &round, Job &job, std::uint16_t step)
+void placeSingly(Round &round, Job &job, StepIndex step)
 {
-    const StepSpec &spec = job.spec.steps[step];
+    const StepSpec &spec = specOf(job, step);
     bool allPlaced = true;
     for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U] && job.readyTasks > 0; ++flat) {
         if (job.tasks[flat].phase != Task::Phase::Ready) {
@@ -189,8 +188,8 @@
 /// Returns whether all ready tasks of the job were placed.
 bool placeTasks(Round &round, Job &job)
 {
-    for (std::uint16_t step = 0; step < job.spec.steps.size() && job.readyTasks > 0; ++step) {
-        if (job.spec.steps[step].gang) {
+    for (StepIndex step = 0; step < job.steps.size() && job.readyTasks > 0; ++step) {
+        if (specOf(job, step).gang) {
             placeGang(round, job, step);
         } else {
             placeSingly(round, job, step);
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -43,6 +43,9 @@
     std::string checkpoint; ///< of the latest run that had one; the next run resumes from it
 };
 
+/// Counts a job's steps one after the other for each occurrence that has begun; so a plain job has those of its spec.
+using StepIndex = std::uint32_t;
+
 struct StepProgress {
     Base::MonoTime readySince{}; ///< when tasks of the step became ready last
     std::uint32_t failedRun = 0; ///< of a gang: its last run that a member failed, so that a run counts as one failure
@@ -64,9 +67,10 @@
     bool stored = false; ///< its tasks may start
     bool finishing = false; ///< its final state is being recorded
     bool cancelRequested = false; ///< before it was stored
-    std::vector<Task> tasks; ///< of all steps, in order
-    std::vector<std::uint32_t> firstTask; ///< by step, and the number of tasks at the end
-    std::vector<StepProgress> steps;
+    std::vector<Task> tasks; ///< of all steps that have begun, in order
+    std::vector<std::uint32_t> firstTask; ///< by StepIndex, and the number of tasks at the end
+    std::vector<StepProgress> steps; ///< by StepIndex
+    std::optional<Base::WallTime> nextOccurrence; ///< when it begins, if the owner waits for it
     bool lasting = false; ///< has tasks that run until it is cancelled
     std::uint32_t doneTasks = 0;
     std::uint32_t readyTasks = 0;
@@ -130,6 +134,7 @@
     Base::MonoTime orphansUntil{}; ///< they are stopped then, or when their job does not want them
     std::set<QueuePlace> ready; ///< jobs with ready tasks
     std::set<std::pair<Base::MonoTime, JobId>> gainEnds; ///< of ready jobs
+    std::set<std::pair<Base::WallTime, JobId>> occurrences; ///< that are to begin next, of repeated jobs
     std::set<std::pair<Base::MonoTime, JobId>> progressDue; ///< jobs whose progress is to be recorded
     struct HeldQuery {
         Base::MonoTime until{};
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobshape.h"
 #include "jobtext.h"
 #include "ownerstate.h"
 
@@ -17,17 +18,21 @@
 void decide(Context &context, std::string event, std::vector<std::pair<std::string, std::string>> fields);
 
 // Jobs.
-Job makeJob(JobId id, QueueRules rules, JobSpec spec, Base::MonoTime arrivedAt);
-std::uint32_t flatIndex(const Job &job, const TaskRef &task);
-bool hasTask(const Job &job, const TaskRef &task);
-const StepSpec &stepOf(const Job &job, std::uint32_t flat);
-TaskRef refOf(const Job &job, std::uint32_t flat);
 JobRecord recordOf(const Job &job);
 Job *findJob(OwnerState &state, JobId id);
 
 /// A task of the job runs, or the job has ended.
 void markStarted(OwnerState &state, Job &job);
 
+/// Begins the occurrences that are due, or that a former owner has begun.
+void beginOccurrences(Context &context);
+
+/// Begins those of the job up to the task's, which an agent has named. Returns whether the job has the task.
+bool knowTask(Context &context, Job &job, const TaskRef &task);
+
+/// Keeps the time at which the job's next occurrence begins. wanted: the job goes on.
+void watchOccurrence(OwnerState &state, Job &job, bool wanted);
+
 /// Makes the tasks of steps ready whose earlier steps are done.
 void unblockSteps(Context &context, Job &job);
 
@@ -119,7 +124,7 @@
 // Gangs: steps whose tasks run together or not at all.
 
 /// A member's run has ended as done, which stands for all members. settlement: of that end.
-void gangDone(Context &context, Job &job, std::uint16_t step, AgentIndex agent, const Settlement &settlement);
+void gangDone(Context &context, Job &job, StepIndex step, AgentIndex agent, const Settlement &settlement);
 
 /// A member's run has failed.
 void gangFailed(Context &context, Job &job, const TaskRef &task, AgentIndex agent, const Settlement &settlement);
--- a/src/libs/jobs/ownertakeover.cpp
+++ b/src/libs/jobs/ownertakeover.cpp
@@ -65,7 +65,7 @@
         if (!agent.runs.contains(orphan.run)) {
             continue;
         }
-        if (!hasTask(job, orphan.run.task)) {
+        if (!knowTask(context, job, orphan.run.task)) {
             orderStop(agent, orphan.run);
             continue;
         }
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -1,6 +1,7 @@
 #include "placement.h"
 
 #include "jobsconstants.h"
+#include "jobshape.h"
 #include "ownersteps.h"
 
 #include <algorithm>
@@ -31,10 +32,10 @@
     }
 };
 
-std::uint32_t runsOfStep(const Agent &agent, JobId job, std::uint16_t step)
+std::uint32_t runsOfStep(const Agent &agent, const Job &job, StepIndex step)
 {
-    return static_cast<std::uint32_t>(
-        std::count_if(agent.runs.begin(), agent.runs.end(), [&](const auto &run) { return run.first.task.job == job && run.first.task.step == step; }));
+    return static_cast<std::uint32_t>(std::count_if(
+        agent.runs.begin(), agent.runs.end(), [&](const auto &run) { return run.first.task.job == job.id && stepIndexOf(job, run.first.task) == step; }));
 }
 
 Resources sum(const Resources &left, const Resources &right)
@@ -55,18 +56,18 @@
     return step.requiredLabel.empty() || std::find(worker.labels.begin(), worker.labels.end(), step.requiredLabel) != worker.labels.end();
 }
 
-bool allowed(const Agent &agent, const Job &job, std::uint16_t stepIndex)
+bool allowed(const Agent &agent, const Job &job, StepIndex stepIndex)
 {
-    const StepSpec &step = job.spec.steps[stepIndex];
+    const StepSpec &step = specOf(job, stepIndex);
     if (!suits(*agent.worker, job, step) || !fits(agent, step.need)) {
         return false;
     }
-    return step.maxPerWorker == 0 || runsOfStep(agent, job.id, stepIndex) < step.maxPerWorker;
+    return step.maxPerWorker == 0 || runsOfStep(agent, job, stepIndex) < step.maxPerWorker;
 }
 
-bool allowed(const OwnerState &state, const Job &job, std::uint16_t stepIndex, AgentIndex index, const Planned &planned)
+bool allowed(const OwnerState &state, const Job &job, StepIndex stepIndex, AgentIndex index, const Planned &planned)
 {
-    const StepSpec &step = job.spec.steps[stepIndex];
+    const StepSpec &step = specOf(job, stepIndex);
     const Agent &agent = state.agents[index];
     if (!suits(*agent.worker, job, step)) {
         return false;
@@ -75,7 +76,7 @@
     if (!within(sum(used, step.need), agent.worker->capacity)) {
         return false;
     }
-    const std::uint32_t running = planned.emptyWorkers ? 0 : runsOfStep(agent, job.id, stepIndex);
+    const std::uint32_t running = planned.emptyWorkers ? 0 : runsOfStep(agent, job, stepIndex);
     return step.maxPerWorker == 0 || running + planned.tasks[index] < step.maxPerWorker;
 }
 
@@ -90,7 +91,7 @@
     if (job.tasks[flat].avoid != index) {
         return false;
     }
-    const StepSpec &step = Internal::stepOf(job, flat);
+    const StepSpec &step = stepOf(job, flat);
     for (AgentIndex other = 0; other < state.agents.size(); ++other) {
         if (other != index && couldRun(state.agents[other], job, step, state.now)) {
             return true;
@@ -105,7 +106,7 @@
 }
 
 /// Whether tasks of the step run on another rack.
-bool isApart(const OwnerState &state, const Job &job, std::uint16_t step, const std::string &rack)
+bool isApart(const OwnerState &state, const Job &job, StepIndex step, const std::string &rack)
 {
     for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U]; ++flat) {
         const Task &task = job.tasks[flat];
@@ -144,10 +145,9 @@
 };
 
 /// rack: empty for any.
-TogetherChoice
-chooseTogether(const OwnerState &state, const Job &job, std::uint16_t stepIndex, std::string_view rack, Planned planned, const KeptFree &keptFree)
+TogetherChoice chooseTogether(const OwnerState &state, const Job &job, StepIndex stepIndex, std::string_view rack, Planned planned, const KeptFree &keptFree)
 {
-    const StepSpec &step = job.spec.steps[stepIndex];
+    const StepSpec &step = specOf(job, stepIndex);
     TogetherChoice choice;
     for (std::uint32_t flat = job.firstTask[stepIndex]; flat < job.firstTask[stepIndex + 1U]; ++flat) {
         AgentIndex best = noAgent;
@@ -189,7 +189,7 @@
     return racks;
 }
 
-TogetherChoice bestRack(const OwnerState &state, const Job &job, std::uint16_t step, const Planned &planned, const KeptFree &keptFree)
+TogetherChoice bestRack(const OwnerState &state, const Job &job, StepIndex step, const Planned &planned, const KeptFree &keptFree)
 {
     TogetherChoice best;
     for (const std::string &rack : racksOf(state, job.rules.service)) {
@@ -212,8 +212,8 @@
 
 AgentIndex place(const OwnerState &state, const Job &job, std::uint32_t flat, const KeptFree &keptFree)
 {
-    const std::uint16_t stepIndex = Internal::refOf(job, flat).step;
-    const StepSpec &step = job.spec.steps[stepIndex];
+    const StepIndex stepIndex = stepIndexOf(job, flat);
+    const StepSpec &step = specOf(job, stepIndex);
     const double mostCost = costInTime(state, job);
     AgentIndex best = noAgent;
     double bestCost = 0.0;
@@ -238,10 +238,10 @@
     return best;
 }
 
-std::vector<AgentIndex> placeTogether(const OwnerState &state, const Job &job, std::uint16_t step, bool mayPart, const KeptFree &keptFree)
+std::vector<AgentIndex> placeTogether(const OwnerState &state, const Job &job, StepIndex step, bool mayPart, const KeptFree &keptFree)
 {
     const Planned planned(state.agents.size());
-    if (!job.spec.steps[step].sameRack) {
+    if (!specOf(job, step).sameRack) {
         return chooseTogether(state, job, step, {}, planned, keptFree).agents;
     }
     TogetherChoice onOne = bestRack(state, job, step, planned, keptFree);
@@ -251,9 +251,9 @@
     return chooseTogether(state, job, step, {}, planned, keptFree).agents;
 }
 
-std::vector<AgentIndex> workersToClear(const OwnerState &state, const Job &job, std::uint16_t step)
+std::vector<AgentIndex> workersToClear(const OwnerState &state, const Job &job, StepIndex step)
 {
-    if (job.spec.steps[step].sameRack) {
+    if (specOf(job, step).sameRack) {
         TogetherChoice onOne = bestRack(state, job, step, onEmptyWorkers(state), {});
         if (!onOne.agents.empty()) {
             return onOne.agents;
@@ -262,7 +262,7 @@
     return chooseTogether(state, job, step, {}, onEmptyWorkers(state), {}).agents;
 }
 
-bool fitsOneRack(const OwnerState &state, const Job &job, std::uint16_t step)
+bool fitsOneRack(const OwnerState &state, const Job &job, StepIndex step)
 {
     return !bestRack(state, job, step, onEmptyWorkers(state), {}).agents.empty();
 }
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -15,14 +15,14 @@
 
 /// Chooses a worker for each task of the step, so that all can start now. Empty if there is no room for all.
 /// For a step that runs fastest on one rack, mayPart allows several racks.
-std::vector<AgentIndex> placeTogether(const OwnerState &state, const Job &job, std::uint16_t step, bool mayPart, const KeptFree &keptFree);
+std::vector<AgentIndex> placeTogether(const OwnerState &state, const Job &job, StepIndex step, bool mayPart, const KeptFree &keptFree);
 
 /// Chooses workers that could run all tasks of the step if nothing else ran there, those with the most room first.
 /// Empty if there are none.
-std::vector<AgentIndex> workersToClear(const OwnerState &state, const Job &job, std::uint16_t step);
+std::vector<AgentIndex> workersToClear(const OwnerState &state, const Job &job, StepIndex step);
 
 /// Whether one rack could run all tasks of the step if nothing else ran there.
-bool fitsOneRack(const OwnerState &state, const Job &job, std::uint16_t step);
+bool fitsOneRack(const OwnerState &state, const Job &job, StepIndex step);
 
 /// Room that lasting tasks may still take from the service, in thousandths of a core.
 double lastingRoomMilli(const OwnerState &state, const std::string &service);
--- /dev/null
+++ b/tests/auto/jobs/tst_repetition.cpp
@@ -0,0 +1,185 @@
+#include "ownerharness.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::Jobs;
+using namespace LaburnumFlow::Jobs::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The harness begins at this Unix time.
+constexpr std::int64_t beginMs = 1'100'000;
+
+SubmitCall repeated(JobId id, std::uint32_t count, std::int64_t firstMs, std::uint32_t intervalMs)
+{
+    SubmitCall call = submission(id, 1);
+    call.spec.repetition = {count, firstMs, intervalMs};
+    return call;
+}
+
+} // namespace
+
+class TestRepetition : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestRepetition);
+    CPPUNIT_TEST(startsWhenDue);
+    CPPUNIT_TEST(wakesUpForTheNextOccurrence);
+    CPPUNIT_TEST(occurrencesOverlap);
+    CPPUNIT_TEST(stepsWaitWithinTheirOccurrence);
+    CPPUNIT_TEST(completedAfterTheLast);
+    CPPUNIT_TEST(cancellingEndsTheRest);
+    CPPUNIT_TEST(clockThatJumpsBackRepeatsNothing);
+    CPPUNIT_TEST(nextOwnerGoesOn);
+    CPPUNIT_TEST(nextOwnerKnowsEarlierStarts);
+    CPPUNIT_TEST(laterOccurrencesAreInTime);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against tasks that start before their time, or not at it.
+    void startsWhenDue()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, repeated(7, 2, beginMs + 500, 1000));
+        owner.commit();
+        CPPUNIT_ASSERT(owner.answerTo(1).has_value());
+        owner.passWithReports(450ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
+        owner.passWithReports(100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+        owner.passWithReports(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.allStarts());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), owner.startsAt("agent-1").at(1).task.occurrence);
+    }
+
+    /// Guards against an occurrence that waits for the next event.
+    void wakesUpForTheNextOccurrence()
+    {
+        OwnerHarness owner({});
+        owner.submit(1, repeated(7, 1, beginMs + 500, 0));
+        owner.commit();
+        const auto due = nextDue(owner.state);
+        CPPUNIT_ASSERT(due && *due <= owner.state.now + 500ms);
+    }
+
+    /// Guards against an occurrence that waits for the end of the one before it.
+    void occurrencesOverlap()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, repeated(7, 3, beginMs, 100));
+        owner.commit();
+        owner.passWithReports(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), owner.allStarts());
+    }
+
+    /// Guards against a step that starts because the step before it is done in another occurrence.
+    void stepsWaitWithinTheirOccurrence()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        SubmitCall call = repeated(7, 2, beginMs, 0);
+        call.spec.steps.push_back(call.spec.steps.front());
+        call.spec.steps.back().after = {0};
+        owner.submit(1, call);
+        owner.commit();
+        owner.passWithReports(50ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.allStarts());
+        owner.end("agent-1", owner.startsAt("agent-1").at(1), EndKind::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), owner.allStarts());
+        const TaskRef third = owner.startsAt("agent-1").at(2).task;
+        CPPUNIT_ASSERT(third == (TaskRef{7, 1, 0, owner.startsAt("agent-1").at(1).task.occurrence}));
+    }
+
+    /// Guards against a job that is shown as completed while occurrences are still to come.
+    void completedAfterTheLast()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, repeated(7, 2, beginMs, 1000));
+        owner.commit();
+        owner.passWithReports(50ms);
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Done);
+        owner.settle();
+        CPPUNIT_ASSERT(owner.state.jobs.contains(7));
+        owner.passWithReports(100ms);
+        owner.end("agent-1", owner.startsAt("agent-1").at(1), EndKind::Done);
+        owner.settle();
+        CPPUNIT_ASSERT(owner.state.finished.at(7) == JobState::Completed);
+        CPPUNIT_ASSERT(owner.state.occurrences.empty());
+    }
+
+    /// Guards against an occurrence that begins after its job was cancelled.
+    void cancellingEndsTheRest()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, repeated(7, 5, beginMs + 1000, 100));
+        owner.commit();
+        owner.feed(CallArrived{2, CancelCall{7}});
+        owner.settle();
+        owner.passWithReports(2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
+        CPPUNIT_ASSERT(owner.state.finished.at(7) == JobState::Cancelled);
+    }
+
+    /// Guards against a second run of an occurrence when the time of day steps back.
+    void clockThatJumpsBackRepeatsNothing()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, repeated(7, 2, beginMs, 1000));
+        owner.commit();
+        owner.passWithReports(50ms);
+        owner.feed(TimePassed{owner.state.now + 1ms, Base::WallTime(beginMs - 5000)});
+        owner.feed(TimePassed{owner.state.now + 1ms, Base::WallTime(beginMs + 100)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+    }
+
+    /// Guards against occurrences that are lost, or run again, when the owner changes between them.
+    void nextOwnerGoesOn()
+    {
+        const SubmitCall call = repeated(7, 3, beginMs - 1000, 1100);
+        OwnerHarness owner({"agent-1"}, 2, {{7, call.rules, call.spec, {1}, {0}, {}}});
+        owner.join("agent-1");
+        owner.passWithReports(50ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
+        owner.passWithReports(100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), owner.startsAt("agent-1").at(0).task.occurrence);
+    }
+
+    /// Guards against a second run of an occurrence that began by the former owner's clock, which was ahead.
+    void nextOwnerKnowsEarlierStarts()
+    {
+        const SubmitCall call = repeated(7, 2, beginMs + 1000, 2000);
+        OwnerHarness owner({"agent-1"}, 2, {{7, call.rules, call.spec, {}, {}, {}}});
+        owner.join("agent-1", 8000, {}, {{1, {{7, 0, 0}, 1}, EndKind::Done, 100}});
+        owner.passWithReports(1500ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
+        owner.passWithReports(1600ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), owner.startsAt("agent-1").at(0).task.occurrence);
+    }
+
+    /// Guards against occurrences that come after all other jobs because their job was submitted long ago.
+    void laterOccurrencesAreInTime()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", 1000);
+        owner.submit(1, repeated(7, 2, beginMs, 3000));
+        owner.commit();
+        owner.passWithReports(50ms);
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Done);
+        owner.passWithReports(2800ms);
+        owner.submit(2, bestEffort(8, 1, 500));
+        owner.passWithReports(250ms);
+        owner.submit(3, bestEffort(9, 1, 500));
+        owner.end("agent-1", owner.startsAt("agent-1").at(1), EndKind::Done);
+        CPPUNIT_ASSERT_EQUAL(JobId(7), owner.startsAt("agent-1").at(2).task.job);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestRepetition);
