Refuse no job that a lost owner may have started

Ruled out: a second submission by the client (the log shows one call).

A call that is passed on a second time, after an owner that took it, says so: the owner does not refuse it, and the entry turns a refusal of a best-effort job into undecided. Before: refusalAfterAnotherOwnerIsUndecided, tellsTheNextOwnerThatItMayHaveRun and jobsOfLostOwnersAreNotRefused failed; after: they pass.

--- a/src/libs/entrynode/callrouter.cpp
+++ b/src/libs/entrynode/callrouter.cpp
@@ -10,6 +10,22 @@
 
 constexpr std::uint32_t retryAfterS = 1; ///< an owner is found within about a second
 
+bool isRefusal(const Jobs::CallAnswer &answer)
+{
+    using Kind = Jobs::CallAnswer::Kind;
+    return answer.kind == Kind::Overloaded || answer.kind == Kind::Unavailable || answer.kind == Kind::Unsupported;
+}
+
+/// An owner that finds no stored job knows that none was accepted. Of a best-effort job it knows only what it did itself.
+Jobs::CallAnswer truthful(const Jobs::Call &call, const Jobs::CallAnswer &answer)
+{
+    const auto *submit = std::get_if<Jobs::SubmitCall>(&call);
+    if (submit != nullptr && submit->bestEffort && submit->mayHaveRun && isRefusal(answer)) {
+        return {.kind = Jobs::CallAnswer::Kind::Undecided};
+    }
+    return answer;
+}
+
 /// Whether the answer stays true whatever other owners do.
 bool isLasting(const Jobs::CallAnswer &answer)
 {
@@ -33,6 +49,10 @@
     if (std::holds_alternative<NoRoute>(route_)) {
         return std::nullopt;
     }
+    auto *submit = std::get_if<Jobs::SubmitCall>(&pending.call);
+    if (submit != nullptr && pending.pass != 0 && !pending.returned) {
+        submit->mayHaveRun = true;
+    }
     pending.pass = ++lastPass_;
     pending.returned = false;
     pending.passes.push_back(pending.pass);
@@ -97,8 +117,9 @@
     if (calls_.at(number).pass != pass && !isLasting(answer)) {
         return {};
     }
+    const Jobs::CallAnswer told = truthful(calls_.at(number).call, answer);
     forget(number);
-    return {AnswerCaller{number, answer}};
+    return {AnswerCaller{number, told}};
 }
 
 void CallRouter::returned(PassNumber pass)
--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -198,13 +198,14 @@
     QueueRules rules; ///< as the entry that took the call knows them
     std::uint64_t rulesVersion = 0;
     bool bestEffort = false; ///< not stored; answered when the job has ended
+    bool mayHaveRun = false; ///< an earlier owner had the call and was lost; a refusal would not be true
     std::uint32_t patienceMs = 0; ///< for which the caller waits; 0 if unknown
     JobSpec spec;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(job, rules, rulesVersion, bestEffort, patienceMs, spec);
+        archive(job, rules, rulesVersion, bestEffort, mayHaveRun, patienceMs, spec);
     }
 };
 
--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -80,6 +80,7 @@
         if (known->stored && !known->bestEffort) {
             reply(context, id, {.kind = CallAnswer::Kind::Accepted});
         } else {
+            known->mayHaveRun |= call.mayHaveRun;
             known->waitingForAcceptance.push_back(id);
         }
         return;
@@ -96,7 +97,9 @@
     if (job.spec.repetition.count == 0) {
         noteDemand(state, job);
     }
-    if (!state.orphans.contains(job.id) && refuse(context, id, job, call.bestEffort)) {
+    job.mayHaveRun = call.mayHaveRun;
+    const bool mayHaveRun = call.bestEffort && (call.mayHaveRun || state.orphans.contains(job.id));
+    if (!mayHaveRun && refuse(context, id, job, call.bestEffort)) {
         return;
     }
     job.waitingForAcceptance.push_back(id);
--- a/src/libs/jobs/ownergain.cpp
+++ b/src/libs/jobs/ownergain.cpp
@@ -32,7 +32,7 @@
 /// Nothing of it has run, so that a refusal is true.
 bool canBeRefused(const OwnerState &state, const Job &job)
 {
-    return job.bestEffort && job.state == JobState::Queued && isCertain(state);
+    return job.bestEffort && !job.mayHaveRun && job.state == JobState::Queued && isCertain(state);
 }
 
 void giveUp(Context &context, Job &job)
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -64,6 +64,7 @@
     JobSpec spec;
     JobState state = JobState::Queued; ///< as callers may see it
     bool bestEffort = false; ///< never stored
+    bool mayHaveRun = false; ///< under a lost owner, so that a refusal would not be true
     bool stored = false; ///< its tasks may start
     bool finishing = false; ///< its final state is being recorded
     bool cancelRequested = false; ///< before it was stored
--- a/tests/auto/entrynode/tst_callrouter.cpp
+++ b/tests/auto/entrynode/tst_callrouter.cpp
@@ -35,6 +35,8 @@
     CPPUNIT_TEST(returnedCallIsRetried);
     CPPUNIT_TEST(answersOnce);
     CPPUNIT_TEST(refusalOfFormerOwnerDoesNotCount);
+    CPPUNIT_TEST(refusalAfterAnotherOwnerIsUndecided);
+    CPPUNIT_TEST(tellsTheNextOwnerThatItMayHaveRun);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -123,6 +125,42 @@
         CPPUNIT_ASSERT(only<AnswerCaller>(effects) != nullptr);
         CPPUNIT_ASSERT_EQUAL(CallNumber(1), only<AnswerCaller>(effects)->number);
     }
+
+    /// Guards against "not run" for a best-effort job that a former owner had started before it was lost. A stored job that
+    /// the next owner does not find in the store has not run.
+    void refusalAfterAnotherOwnerIsUndecided()
+    {
+        for (const bool bestEffort : {true, false}) {
+            Jobs::SubmitCall call;
+            call.job = 7;
+            call.bestEffort = bestEffort;
+            for (const Kind refusal : {Kind::Overloaded, Kind::Unavailable}) {
+                CallRouter router;
+                router.route(PeerRoute{"entry-2"});
+                router.accept(1, call, 2s, 100s);
+                const RouterEffects second = router.route(PeerRoute{"entry-3"});
+                const RouterEffects effects = router.answered(only<SendToPeer>(second)->call.number, {.kind = refusal});
+                CPPUNIT_ASSERT(only<AnswerCaller>(effects) != nullptr);
+                CPPUNIT_ASSERT(only<AnswerCaller>(effects)->answer.kind == (bestEffort ? Kind::Undecided : refusal));
+            }
+        }
+    }
+
+    /// Guards against a new owner that gives up a job which has run already; one that did not take the call started nothing.
+    void tellsTheNextOwnerThatItMayHaveRun()
+    {
+        for (const bool returned : {false, true}) {
+            CallRouter router;
+            router.route(PeerRoute{"entry-2"});
+            const RouterEffects first = router.accept(1, submit(7), 2s, 100s);
+            CPPUNIT_ASSERT(!std::get<Jobs::SubmitCall>(only<SendToPeer>(first)->call.call).mayHaveRun);
+            if (returned) {
+                router.returned(only<SendToPeer>(first)->call.number);
+            }
+            const RouterEffects second = router.route(PeerRoute{"entry-3"});
+            CPPUNIT_ASSERT_EQUAL(!returned, std::get<Jobs::SubmitCall>(only<SendToPeer>(second)->call.call).mayHaveRun);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestCallRouter);
--- a/tests/auto/jobs/tst_load.cpp
+++ b/tests/auto/jobs/tst_load.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(suspensionEndsByTime);
     CPPUNIT_TEST(givenUpJobsNeverRun);
     CPPUNIT_TEST(begunJobsAreNotGivenUp);
+    CPPUNIT_TEST(jobsOfLostOwnersAreNotRefused);
     CPPUNIT_TEST(storedJobsAreNotGivenUp);
     CPPUNIT_TEST(lateJobsWaitForThoseInTime);
     CPPUNIT_TEST(respectsRoom);
@@ -284,6 +285,24 @@
         CPPUNIT_ASSERT(owner.state.jobs.contains(2));
     }
 
+    /// Pattern: jobs that were passed on to a lost owner come again when more comes than the worker can do. Guards against a
+    /// refusal of what that owner had started.
+    void jobsOfLostOwnersAreNotRefused()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", 1000);
+        constexpr JobId jobs = 60;
+        for (JobId job = 1; job <= jobs; ++job) {
+            SubmitCall call = bestEffort(job, 1, 100);
+            call.mayHaveRun = true;
+            owner.submit(job, call);
+        }
+        owner.passWithReports(1s);
+        for (JobId job = 1; job <= jobs; ++job) {
+            CPPUNIT_ASSERT(!owner.answerTo(job));
+        }
+    }
+
     /// Pattern: a stored job behind a stream of others that can be in time. Guards against an accepted job that is dropped,
     /// or waits for as long as the stream lasts.
     void storedJobsAreNotGivenUp()
