Answer what a last entry cannot end before it stops

The last entry has no successor; it gave the jobs up 0.6 s before its end, as it must to record them, and closed the connections of what was open without an answer. It also took jobs that could not end before that.

Ruled out: an end after the grace time (it ended at 5.4 s of 6 s).

What is open at the end is answered, as undecided once an owner had it; a job is taken only if it ends before the jobs are given up. Before: node.processes lastEntryAnswersWhatItCannotEnd failed with no answer; after: it passes, as does entrynode.callrouter abandonsWithTrueAnswers.

--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -132,7 +132,9 @@
 bool EntryProcess::endsBeforeStop(const Jobs::SubmitCall &submit) const
 {
     const std::uint32_t expectedMs = submit.bestEffort ? Jobs::longestChainMs(submit.spec) : 0;
-    return Base::monoNow() + std::chrono::milliseconds(drainEstimateFactor * expectedMs) + drainReserve < stopBy_;
+    // Without a successor nothing is answered once this entry has given the jobs up.
+    const Base::MonoTime end = EntryNode::hasSuccessor(ownership_) ? stopBy_ : stopBy_ - resignLimit;
+    return Base::monoNow() + std::chrono::milliseconds(drainEstimateFactor * expectedMs) + drainReserve < end;
 }
 
 void EntryProcess::carryOut(EntryNode::RouterEffects effects)
@@ -249,10 +251,15 @@
         resignWhenRecorded();
     }
     const bool idle = callers_.openRequests() == 0 && !owner_;
-    if ((idle && now >= stopAt_) || now >= stopBy_) {
+    if (idle && now >= stopAt_) {
         loop_.defer([this] { loop_.stop(); });
         return;
     }
+    if (now >= stopBy_) {
+        carryOut(router_.abandon());
+        loop_.callAfter(lastAnswersLimit, [this] { loop_.stop(); });
+        return;
+    }
     loop_.callAt(std::min<Base::MonoTime>(now + drainCheck, stopBy_), [this] { finishWhenIdle(); });
 }
 
--- a/src/app/laburnumnode/nodeconstants.h
+++ b/src/app/laburnumnode/nodeconstants.h
@@ -23,6 +23,7 @@
 constexpr Base::Duration resignLimit = 600ms; ///< for recording what has gathered before the jobs are given up
 constexpr Base::Duration entryDrainLeast = 2500ms; ///< a balancer that checks once a second sends connections until then
 constexpr Base::Duration drainMost = 5400ms; ///< the platform kills the process after 6 s
+constexpr Base::Duration lastAnswersLimit = 50ms; ///< for sending the answers of requests that did not end in time
 constexpr std::uint32_t drainEstimateFactor = 2; ///< a stopping entry takes a job only if it fits this many times into the time left
 constexpr Base::Duration drainReserve = 400ms; ///< for the way to the owner and back
 constexpr Base::Duration drainCheck = 100ms;
--- a/src/libs/entrynode/callrouter.cpp
+++ b/src/libs/entrynode/callrouter.cpp
@@ -144,6 +144,11 @@
     return effect ? RouterEffects{std::move(*effect)} : RouterEffects{};
 }
 
+RouterEffects CallRouter::abandon()
+{
+    return expire(Base::MonoTime::max());
+}
+
 RouterEffects CallRouter::expire(Base::MonoTime now)
 {
     RouterEffects effects;
--- a/src/libs/entrynode/callrouter.h
+++ b/src/libs/entrynode/callrouter.h
@@ -77,6 +77,9 @@
     /// Answers the calls whose time has run out.
     RouterEffects expire(Base::MonoTime now);
 
+    /// Answers all calls, as far as is known what became of them.
+    RouterEffects abandon();
+
     std::optional<Base::MonoTime> nextDue() const;
 
     std::size_t pending() const
--- a/tests/auto/entrynode/tst_callrouter.cpp
+++ b/tests/auto/entrynode/tst_callrouter.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(passedOnAgainToTheNextOwner);
     CPPUNIT_TEST(returnedCallIsRetried);
     CPPUNIT_TEST(answersOnce);
+    CPPUNIT_TEST(abandonsWithTrueAnswers);
     CPPUNIT_TEST(refusalOfFormerOwnerDoesNotCount);
     CPPUNIT_TEST(refusalAfterAnotherOwnerIsUndecided);
     CPPUNIT_TEST(tellsTheNextOwnerThatItMayHaveRun);
@@ -126,6 +127,23 @@
         CPPUNIT_ASSERT_EQUAL(CallNumber(1), only<AnswerCaller>(effects)->number);
     }
 
+    /// Guards against calls that a stopping entry leaves without an answer, and against "not run" for what an owner has taken.
+    void abandonsWithTrueAnswers()
+    {
+        CallRouter router;
+        router.accept(1, submit(7), 2s, 100s);
+        RouterEffects effects = router.abandon();
+        CPPUNIT_ASSERT(only<AnswerCaller>(effects) != nullptr);
+        CPPUNIT_ASSERT(only<AnswerCaller>(effects)->answer.kind == Kind::Unavailable);
+        router.route(PeerRoute{"entry-2"});
+        router.accept(2, submit(8), 2s, 100s);
+        effects = router.abandon();
+        CPPUNIT_ASSERT(only<AnswerCaller>(effects) != nullptr);
+        CPPUNIT_ASSERT(only<AnswerCaller>(effects)->answer.kind == Kind::Undecided);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), router.pending());
+        CPPUNIT_ASSERT(!router.nextDue().has_value());
+    }
+
     /// Guards against "not run" for a best-effort job that a former owner had started before it was lost. A stored job that
     /// the next owner does not find in the store has not run.
     void refusalAfterAnotherOwnerIsUndecided()
--- a/tests/auto/node/tst_processes.cpp
+++ b/tests/auto/node/tst_processes.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(storedJobSurvivesAllProcesses);
     CPPUNIT_TEST(secondEntryTakesOver);
     CPPUNIT_TEST(stoppingOwnerAnswersWhatItTook);
+    CPPUNIT_TEST(lastEntryAnswersWhatItCannotEnd);
     CPPUNIT_TEST(restartedAgentKeepsRuns);
     CPPUNIT_TEST(refusesStoredJobsWhileTurnedAway);
     CPPUNIT_TEST(processesEndWhenStopped);
@@ -77,6 +78,18 @@
         CPPUNIT_ASSERT_EQUAL(std::string("completed"), site.submit(1, job2, 2, 50, true).json().value("State", std::string()));
     }
 
+    /// Guards against connections that are closed without an answer when no other entry is left and work outlasts the stop.
+    void lastEntryAnswersWhatItCannotEnd()
+    {
+        Site site(1);
+        site.awaitReady(0);
+        auto answer = std::async(std::launch::async, [&site] { return site.submit(0, job1, 1, 9'000, true); });
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.worker.runs().size() == 1; }));
+        site.entry(0).signal(SIGTERM);
+        CPPUNIT_ASSERT_EQUAL(504L, answer.get().status);
+        CPPUNIT_ASSERT_EQUAL(EXIT_SUCCESS, site.entry(0).waitExit(generousSeconds));
+    }
+
     /// Guards against answers that are cut off by a planned stop.
     void stoppingOwnerAnswersWhatItTook()
     {
