Mend four faults of the new forms found by reading them again

A lasting task that started again took the room of others at once, as its wait counted from its first start. A late end of an earlier run set a task back to its older checkpoint. A query of a job that was given up was not answered. Runs of a task that starts more than 4,096 times under one owner reached into the next owner's numbers; 65,536 are kept apart now.

Before: lasting waitsBeforeItTakesRoomAgain, checkpoints ignoresLateCheckpointsOfEarlierRuns (with a late end added) and load givenUpJobsNeverRun (with a cancelling and a query added) failed; after: they pass.

--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -43,7 +43,7 @@
 constexpr Base::Duration finishedKept = 130s; ///< final states are kept for 120 s and some slack
 constexpr Base::Duration storeSickAfter = 700ms; ///< a commit that hangs for longer makes the owner refuse new jobs
 
-constexpr std::uint32_t runsPerEpoch = 4096; ///< runs of a task under one owner; keeps runs rising across owners
+constexpr std::uint32_t runsPerEpoch = 65'536; ///< runs of a task under one owner; keeps runs rising across owners, also of lasting tasks that start often
 
 // Scheduling.
 constexpr double lateFactor = 3.0; ///< an answer later than this many objectives is worth nothing to its caller
--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -215,9 +215,7 @@
                "task.ended",
                {{"run", runText(end.run)}, {"agent", agent.name}, {"how", std::string(nameOf(end.how))}, {"ms", std::to_string(end.ranMs)}});
     }
-    if (job != nullptr && hasTask(*job, end.run.task)) {
-        noteCheckpoint(*job, end.run.task, end.checkpoint);
-    }
+    handleCheckpoint(context, {end.run, end.checkpoint});
     if (task == nullptr) {
         settleOutdated(context, job, index, end, settlement);
         return;
@@ -289,8 +287,9 @@
     if (job == nullptr || !hasTask(*job, checkpoint.run.task)) {
         return;
     }
-    // An older run's value may come late; the present run has gone on from a later one.
-    if (job->tasks[flatIndex(*job, checkpoint.run.task)].run == checkpoint.run.run) {
+    // An older run's value may come late; the present run has gone on from a later one. Runs of former owners are not known.
+    const std::uint32_t known = job->tasks[flatIndex(*job, checkpoint.run.task)].run;
+    if (known == 0 || known == checkpoint.run.run) {
         noteCheckpoint(*job, checkpoint.run.task, checkpoint.checkpoint);
     }
 }
--- a/src/libs/jobs/ownergain.cpp
+++ b/src/libs/jobs/ownergain.cpp
@@ -44,6 +44,9 @@
     for (const CallId call : job.waitingForAcceptance) {
         context.effects.push_back(Reply{call, {.kind = CallAnswer::Kind::Overloaded, .retryAfterS = retryAfterS}});
     }
+    for (const CallId call : job.waitingForState) {
+        context.effects.push_back(Reply{call, {.kind = CallAnswer::Kind::Unknown}});
+    }
     markStarted(state, job);
     forgetJob(state, job);
 }
--- a/src/libs/jobs/ownertakeover.cpp
+++ b/src/libs/jobs/ownertakeover.cpp
@@ -19,6 +19,8 @@
 void releaseTask(Context &context, Job &job, Task &task)
 {
     if (isCertain(context.state)) {
+        const auto flat = static_cast<std::uint32_t>(std::distance(job.tasks.data(), &task));
+        job.steps[stepIndexOf(job, flat)].readySince = context.state.now;
         setReady(context, job, task);
         requeue(context, job);
         return;
--- a/tests/auto/jobs/tst_checkpoints.cpp
+++ b/tests/auto/jobs/tst_checkpoints.cpp
@@ -68,8 +68,10 @@
         const RunRef first = owner.startsAt("agent-1").at(0);
         owner.end("agent-1", first, EndKind::Stopped, 100, "at-50");
         owner.saveCheckpoint("agent-1", first, "at-30");
+        owner.saveCheckpoint("agent-1", owner.startsAt("agent-1").at(1), "at-60");
+        owner.end("agent-1", first, EndKind::Stopped, 100, "at-50");
         owner.end("agent-1", owner.startsAt("agent-1").at(1), EndKind::Lapsed);
-        CPPUNIT_ASSERT_EQUAL(std::string("at-50"), owner.checkpointOf(owner.startsAt("agent-1").at(2)));
+        CPPUNIT_ASSERT_EQUAL(std::string("at-60"), owner.checkpointOf(owner.startsAt("agent-1").at(2)));
     }
 
     /// Guards against a task that resumes from another one's checkpoint.
--- a/tests/auto/jobs/tst_lasting.cpp
+++ b/tests/auto/jobs/tst_lasting.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(queryIsAnsweredAtOnce);
     CPPUNIT_TEST(comesBeforeWorkThatCanWait);
     CPPUNIT_TEST(takesTheRoomOfOtherWork);
+    CPPUNIT_TEST(waitsBeforeItTakesRoomAgain);
     CPPUNIT_TEST(savedWorkIsStoppedFirst);
     CPPUNIT_TEST(refusedWithoutRoomForAll);
     CPPUNIT_TEST(runsOnUnderTheNextOwner);
@@ -127,6 +128,26 @@
         CPPUNIT_ASSERT(!owner.answerTo(1).has_value());
     }
 
+    /// Guards against work that is stopped at once each time a lasting task ends, as room often comes soon.
+    void waitsBeforeItTakesRoomAgain()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", 2000);
+        owner.submit(1, lasting(7, 1));
+        owner.settle();
+        owner.feed(AgentReported{"agent-1", owner.report("agent-1")});
+        owner.submit(2, bestEffort(5, 1, 60'000));
+        AgentReport gone = owner.report("agent-1");
+        owner.passWithReports(preemptAfter + 100ms);
+        owner.submit(3, bestEffort(6, 1, 60'000));
+        owner.state.agents[0].used.cpuMilli += 1000;
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Failed);
+        owner.passWithReports(preemptAfter - 100ms);
+        CPPUNIT_ASSERT(owner.stopsAt("agent-1").empty());
+        owner.passWithReports(200ms);
+        CPPUNIT_ASSERT(!owner.stopsAt("agent-1").empty());
+    }
+
     /// Guards against work that is lost although other work beside it had been saved.
     void savedWorkIsStoppedFirst()
     {
--- a/tests/auto/jobs/tst_load.cpp
+++ b/tests/auto/jobs/tst_load.cpp
@@ -254,7 +254,11 @@
         for (JobId job = 1; job <= jobs; ++job) {
             owner.submit(job, bestEffort(job, 1, 100));
         }
+        owner.feed(CallArrived{100, CancelCall{jobs}});
+        owner.feed(CallArrived{101, QueryCall{2}});
         owner.passWithReports(100ms);
+        CPPUNIT_ASSERT(owner.answerTo(100).has_value());
+        CPPUNIT_ASSERT(owner.answerTo(101).has_value());
         std::vector<JobId> refused;
         for (JobId job = 1; job <= jobs; ++job) {
             if (const auto answer = owner.answerTo(job)) {
