Tell the next owner of calls that a former one had taken

An owner that steps down returns the calls that it has taken with the same message as those that it never had, so that the next owner refused jobs that had run. Reading on showed a second gap: a task whose end, but not whose run, a former owner left behind did not mark its job as begun.

Before: callrouter tellsTheNextOwnerThatItMayHaveRun (with a handled call that came back) did not compile without the new argument, and load jobsWithEndsOfLostOwnersAreNotRefused failed; after: they pass.

--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -120,7 +120,7 @@
         return;
     }
     const auto &relaying = std::get<RelayingEntry>(waiting);
-    links_.send(relaying.link, Jobs::encodeMessage(Jobs::RelayedAnswer{relaying.number, false, reply.answer}));
+    links_.send(relaying.link, Jobs::encodeMessage(Jobs::RelayedAnswer{.number = relaying.number, .answer = reply.answer}));
 }
 
 void EntryProcess::carryOut(Jobs::SendOrders &orders)
@@ -162,7 +162,7 @@
     if (!owner_) {
         // The jobs were lost while calls waited for them.
         if (const auto *relaying = std::get_if<RelayingEntry>(&waiting)) {
-            links_.send(relaying->link, Jobs::encodeMessage(Jobs::RelayedAnswer{relaying->number, true, {}}));
+            links_.send(relaying->link, Jobs::encodeMessage(Jobs::RelayedAnswer{.number = relaying->number, .notOwner = true}));
         }
         return;
     }
@@ -183,13 +183,13 @@
     // Local calls wait in the router; other entries pass theirs on to the next owner.
     for (const auto &[id, waiting] : waiting_) {
         if (const auto *relaying = std::get_if<RelayingEntry>(&waiting)) {
-            links_.send(relaying->link, Jobs::encodeMessage(Jobs::RelayedAnswer{relaying->number, true, {}}));
+            links_.send(relaying->link, Jobs::encodeMessage(Jobs::RelayedAnswer{.number = relaying->number, .notOwner = true, .handled = true}));
         }
     }
     waiting_.clear();
     for (const auto &[caller, call] : std::exchange(waitingForOwner_, {})) {
         const auto &relaying = std::get<RelayingEntry>(caller);
-        links_.send(relaying.link, Jobs::encodeMessage(Jobs::RelayedAnswer{relaying.number, true, {}}));
+        links_.send(relaying.link, Jobs::encodeMessage(Jobs::RelayedAnswer{.number = relaying.number, .notOwner = true}));
     }
     feedOwnership(EntryNode::SteppedDown{});
     updateRoute();
@@ -288,7 +288,7 @@
         waitingForOwner_.emplace_back(relaying, std::move(call.call));
         return;
     }
-    links_.send(link, Jobs::encodeMessage(Jobs::RelayedAnswer{call.number, true, {}}));
+    links_.send(link, Jobs::encodeMessage(Jobs::RelayedAnswer{.number = call.number, .notOwner = true}));
 }
 
 void EntryProcess::handle(Net::LinkId /*link*/, Jobs::RelayedAnswer &answer)
@@ -297,7 +297,7 @@
         carryOut(router_.answered(answer.number, answer.answer));
         return;
     }
-    router_.returned(answer.number);
+    router_.returned(answer.number, answer.handled);
     loop_.callAfter(notOwnerRetry, [this, number = answer.number] { carryOut(router_.retry(number)); });
 }
 
--- a/src/libs/entrynode/callrouter.cpp
+++ b/src/libs/entrynode/callrouter.cpp
@@ -50,7 +50,8 @@
         return std::nullopt;
     }
     auto *submit = std::get_if<Jobs::SubmitCall>(&pending.call);
-    if (submit != nullptr && pending.pass != 0 && !pending.returned) {
+    pending.handled |= pending.pass != 0 && !pending.returned;
+    if (submit != nullptr && pending.handled) {
         submit->mayHaveRun = true;
     }
     pending.pass = ++lastPass_;
@@ -122,12 +123,15 @@
     return {AnswerCaller{number, told}};
 }
 
-void CallRouter::returned(PassNumber pass)
+void CallRouter::returned(PassNumber pass, bool handled)
 {
     const auto found = passes_.find(pass);
-    if (found != passes_.end() && calls_.at(found->second).pass == pass) {
-        calls_.at(found->second).returned = true;
+    if (found == passes_.end()) {
+        return;
     }
+    Pending &pending = calls_.at(found->second);
+    pending.handled |= handled;
+    pending.returned |= pending.pass == pass;
 }
 
 RouterEffects CallRouter::retry(PassNumber pass)
--- a/src/libs/entrynode/callrouter.h
+++ b/src/libs/entrynode/callrouter.h
@@ -68,8 +68,9 @@
     /// A refusal counts only if it answers the latest pass: a later owner may have accepted the call.
     RouterEffects answered(PassNumber pass, const Jobs::CallAnswer &answer);
 
-    /// The receiver does not own the jobs; the call waits for the next route, or for retry().
-    void returned(PassNumber pass);
+    /// The receiver does not own the jobs, or no more; the call waits for the next route, or for retry().
+    /// handled: the receiver had taken it before.
+    void returned(PassNumber pass, bool handled);
 
     /// Passes a returned call on by the present route.
     RouterEffects retry(PassNumber pass);
@@ -95,6 +96,7 @@
         PassNumber pass = 0; ///< the latest; 0 if there is none
         std::vector<PassNumber> passes; ///< all of them
         bool returned = false;
+        bool handled = false; ///< by an owner that is one no more
     };
 
     std::optional<RouterEffect> passOn(CallNumber number, Pending &pending);
--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -280,13 +280,14 @@
 
 struct RelayedAnswer {
     std::uint64_t number = 0;
-    bool notOwner = false; ///< the call was not handled, as the receiver does not own the jobs
-    CallAnswer answer;
+    bool notOwner = false; ///< the receiver does not own the jobs, or no more; the call is to be passed on again
+    bool handled = false; ///< with notOwner: the receiver had taken the call while it owned the jobs
+    CallAnswer answer = {};
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(number, notOwner, answer);
+        archive(number, notOwner, handled, answer);
     }
 };
 
--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -220,6 +220,8 @@
         settleOutdated(context, job, index, end, settlement);
         return;
     }
+    // The run may have been a former owner's.
+    markStarted(context.state, *job);
     const StepSpec &step = job->spec.steps[end.run.task.step];
     if (step.lasting) {
         lastingEnded(context, *job, *task, index, end);
--- a/tests/auto/entrynode/tst_callrouter.cpp
+++ b/tests/auto/entrynode/tst_callrouter.cpp
@@ -95,7 +95,7 @@
         router.route(PeerRoute{"entry-2"});
         router.accept(1, submit(7), 2s, 100s);
         CPPUNIT_ASSERT(router.retry(1).empty());
-        router.returned(1);
+        router.returned(1, false);
         CPPUNIT_ASSERT(only<SendToPeer>(router.retry(1)) != nullptr);
     }
 
@@ -167,16 +167,20 @@
     /// Guards against a new owner that gives up a job which has run already; one that did not take the call started nothing.
     void tellsTheNextOwnerThatItMayHaveRun()
     {
-        for (const bool returned : {false, true}) {
+        struct Case {
+            bool returned = false;
+            bool handled = false;
+        };
+        for (const Case former : {Case{false, true}, Case{true, false}, Case{true, true}}) {
             CallRouter router;
             router.route(PeerRoute{"entry-2"});
             const RouterEffects first = router.accept(1, submit(7), 2s, 100s);
             CPPUNIT_ASSERT(!std::get<Jobs::SubmitCall>(only<SendToPeer>(first)->call.call).mayHaveRun);
-            if (returned) {
-                router.returned(only<SendToPeer>(first)->call.number);
+            if (former.returned) {
+                router.returned(only<SendToPeer>(first)->call.number, former.handled);
             }
             const RouterEffects second = router.route(PeerRoute{"entry-3"});
-            CPPUNIT_ASSERT_EQUAL(!returned, std::get<Jobs::SubmitCall>(only<SendToPeer>(second)->call.call).mayHaveRun);
+            CPPUNIT_ASSERT_EQUAL(former.handled, std::get<Jobs::SubmitCall>(only<SendToPeer>(second)->call.call).mayHaveRun);
         }
     }
 };
--- a/tests/auto/jobs/tst_load.cpp
+++ b/tests/auto/jobs/tst_load.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(givenUpJobsNeverRun);
     CPPUNIT_TEST(begunJobsAreNotGivenUp);
     CPPUNIT_TEST(jobsOfLostOwnersAreNotRefused);
+    CPPUNIT_TEST(jobsWithEndsOfLostOwnersAreNotRefused);
     CPPUNIT_TEST(storedJobsAreNotGivenUp);
     CPPUNIT_TEST(lateJobsWaitForThoseInTime);
     CPPUNIT_TEST(respectsRoom);
@@ -307,6 +308,24 @@
         }
     }
 
+    /// Pattern: jobs of a lost owner, some of whose tasks have ended, come again and find more work than the worker can do.
+    /// Guards against a refusal of what has run, which only the ends tell.
+    void jobsWithEndsOfLostOwnersAreNotRefused()
+    {
+        OwnerHarness owner({"agent-1"}, 2);
+        constexpr JobId jobs = 12;
+        std::vector<RunEnd> ends;
+        for (JobId job = 1; job <= jobs; ++job) {
+            owner.submit(job, bestEffort(job, 2, 100));
+            ends.push_back({job, {{job, 0, 0}, 1}, job % 2 == 0 ? EndKind::Done : EndKind::Failed, 100});
+        }
+        owner.join("agent-1", 1000, {}, std::move(ends));
+        owner.passWithReports(1s);
+        for (JobId job = 1; job <= jobs; ++job) {
+            CPPUNIT_ASSERT(!owner.answerTo(job));
+        }
+    }
+
     /// Pattern: a stored job behind a stream of others that can be in time. Guards against an accepted job that is dropped,
     /// or waits for as long as the stream lasts.
     void storedJobsAreNotGivenUp()
