Refuse no best-effort job right after a takeover

All machines lost power; the callers sent their jobs again, and the new owner gave those up that found no room, with 429, not run. They had run before, of which nothing was left to tell.

Ruled out: the call being passed on by an entry (the caller sent it anew).

Before: load nothingIsRefusedRightAfterATakeover failed; after: it passes.

--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -23,6 +23,13 @@
     return found == state.rules.end() ? call.rules : found->second;
 }
 
+/// Callers of best-effort jobs that a lost owner had taken send them again for a while; nothing else tells of those jobs.
+bool mayBeSentAgain(const OwnerState &state)
+{
+    const bool hadFormerOwner = state.epoch > 1;
+    return hadFormerOwner && state.now < state.orphansUntil;
+}
+
 bool refuse(Context &context, CallId id, const Job &job, bool bestEffort)
 {
     OwnerState &state = context.state;
@@ -97,9 +104,9 @@
     if (job.spec.repetition.count == 0) {
         noteDemand(state, job);
     }
-    job.mayHaveRun = call.mayHaveRun;
-    const bool mayHaveRun = call.bestEffort && (call.mayHaveRun || state.orphans.contains(job.id));
-    if (!mayHaveRun && refuse(context, id, job, call.bestEffort)) {
+    job.mayHaveRun = call.mayHaveRun || mayBeSentAgain(state) || state.orphans.contains(job.id);
+    const bool refusalIsTrue = !call.bestEffort || !job.mayHaveRun;
+    if (refusalIsTrue && refuse(context, id, job, call.bestEffort)) {
         return;
     }
     job.waitingForAcceptance.push_back(id);
--- a/tests/auto/jobs/tst_load.cpp
+++ b/tests/auto/jobs/tst_load.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(begunJobsAreNotGivenUp);
     CPPUNIT_TEST(jobsOfLostOwnersAreNotRefused);
     CPPUNIT_TEST(jobsWithEndsOfLostOwnersAreNotRefused);
+    CPPUNIT_TEST(nothingIsRefusedRightAfterATakeover);
     CPPUNIT_TEST(storedJobsAreNotGivenUp);
     CPPUNIT_TEST(lateJobsWaitForThoseInTime);
     CPPUNIT_TEST(respectsRoom);
@@ -315,6 +316,7 @@
         OwnerHarness owner({"agent-1"}, 2);
         constexpr JobId jobs = 12;
         std::vector<RunEnd> ends;
+        owner.pass(orphanGrace);
         for (JobId job = 1; job <= jobs; ++job) {
             owner.submit(job, bestEffort(job, 2, 100));
             ends.push_back({job, {{job, 0, 0}, 1}, job % 2 == 0 ? EndKind::Done : EndKind::Failed, 100});
@@ -326,6 +328,29 @@
         }
     }
 
+    /// Pattern: all machines have lost power, and callers send again what they got no answer for. Guards against a refusal of
+    /// best-effort jobs that had run before, of which nothing is left to tell, and against an owner that never refuses again.
+    void nothingIsRefusedRightAfterATakeover()
+    {
+        OwnerHarness owner({"agent-1"}, 2);
+        owner.join("agent-1", 1000);
+        constexpr JobId jobs = 60;
+        for (JobId job = 1; job <= jobs; ++job) {
+            owner.submit(job, bestEffort(job, 1, 100));
+        }
+        owner.passWithReports(1s);
+        for (JobId job = 1; job <= jobs; ++job) {
+            CPPUNIT_ASSERT(!owner.answerTo(job));
+        }
+        owner.passWithReports(orphanGrace);
+        for (JobId job = jobs + 1; job <= 2 * jobs; ++job) {
+            owner.submit(job, bestEffort(job, 1, 100));
+        }
+        owner.passWithReports(1s);
+        CPPUNIT_ASSERT(owner.answerTo(2 * jobs).has_value());
+        CPPUNIT_ASSERT(owner.answerTo(2 * jobs)->kind == CallAnswer::Kind::Overloaded);
+    }
+
     /// Pattern: a stored job behind a stream of others that can be in time. Guards against an accepted job that is dropped,
     /// or waits for as long as the stream lasts.
     void storedJobsAreNotGivenUp()
