Say "not run" of no best-effort job that may have run

Cause: a best-effort job leaves no trace in the store, so only the owner that had it knows whether it ran. Three places refused such a job as not run without that knowledge: an owner more than 2.5 s after a takeover, although a caller that waits for its patience and then pauses may come later than that; an entry without an owner, after 1.5 s; and an entry that is stopping. An owner also forgot the answers it had given after 5 s, however long its callers wait.

Ruled out: letting agents remember the jobs that they ran and report them at a takeover. It would allow refusals earlier after a takeover, but knows nothing of what ran beside an agent that was lost or restarted, so the time bound would be needed all the same.

Before: TestLoad::lateResendsAreNotRefused, TestLoad::answersAreKeptForLateResends and TestCallRouter::unseenBestEffortIsUndecided fail. After: they pass. Both times follow the caller's own patience and the longest pause before it sends again, and an entry that has no owner's word answers "undecided". Two tests of the owner wait for the new, longer time instead of the old one; what they check is unchanged.

--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -103,7 +103,7 @@
     auto &call = std::get<Jobs::Call>(decoded);
     open.kind = std::visit(NameOfCall{}, call);
     if (auto *submit = std::get_if<Jobs::SubmitCall>(&call); submit != nullptr && stopping_ && !endsBeforeStop(*submit)) {
-        answerCaller(request.id, {503, {}, 1});
+        answerCaller(request.id, Platform::encodeAnswer(EntryNode::unseenAnswer(call)));
         return;
     }
     if (auto *submit = std::get_if<Jobs::SubmitCall>(&call); submit != nullptr && patience) {
--- a/src/libs/entrynode/callrouter.cpp
+++ b/src/libs/entrynode/callrouter.cpp
@@ -2,6 +2,8 @@
 
 #include "entrynodeconstants.h"
 
+#include "jobs/jobsconstants.h"
+
 #include <algorithm>
 
 namespace LaburnumFlow::EntryNode {
@@ -39,11 +41,20 @@
     if (everPassedOn && (submits || cancels)) {
         return {.kind = Jobs::CallAnswer::Kind::Undecided};
     }
-    return {.kind = Jobs::CallAnswer::Kind::Unavailable, .retryAfterS = retryAfterS};
+    return unseenAnswer(call);
 }
 
 } // namespace
 
+Jobs::CallAnswer unseenAnswer(const Jobs::Call &call)
+{
+    const auto *submit = std::get_if<Jobs::SubmitCall>(&call);
+    if (submit != nullptr && submit->bestEffort) {
+        return {.kind = Jobs::CallAnswer::Kind::Undecided};
+    }
+    return {.kind = Jobs::CallAnswer::Kind::Unavailable, .retryAfterS = retryAfterS};
+}
+
 std::optional<RouterEffect> CallRouter::passOn(CallNumber number, Pending &pending)
 {
     if (std::holds_alternative<NoRoute>(route_)) {
@@ -71,7 +82,7 @@
 
 RouterEffects CallRouter::accept(CallNumber number, Jobs::Call call, std::optional<Base::Duration> patience, Base::MonoTime now)
 {
-    const Base::Duration wait = std::max<Base::Duration>(patience.value_or(defaultPatience) - answerMargin, answerMargin);
+    const Base::Duration wait = std::max<Base::Duration>(patience.value_or(Jobs::usualPatience) - answerMargin, answerMargin);
     Pending &pending = calls_[number];
     pending.call = std::move(call);
     pending.answerBy = now + wait;
--- a/src/libs/entrynode/callrouter.h
+++ b/src/libs/entrynode/callrouter.h
@@ -54,6 +54,10 @@
 using RouterEffect = std::variant<HandleHere, SendToPeer, AnswerCaller>;
 using RouterEffects = std::vector<RouterEffect>;
 
+/// The answer to a call that is not passed on to an owner. A best-effort job may be one that its caller sends again after it
+/// has run under an owner, and only owners know of it; a stored job has not run.
+Jobs::CallAnswer unseenAnswer(const Jobs::Call &call);
+
 /// Calls of this entry's clients on their way to the owner. A call is passed on again when the owner changes, as jobs
 /// are known by their IDs; it is answered in time even if no owner can be reached.
 class CallRouter
--- a/src/libs/entrynode/entrynodeconstants.h
+++ b/src/libs/entrynode/entrynodeconstants.h
@@ -20,6 +20,5 @@
 
 constexpr Base::Duration submitPatience = 1500ms; ///< a submission that no owner has seen for this long is refused
 constexpr Base::Duration answerMargin = 40ms; ///< answers leave this long before the caller stops waiting
-constexpr Base::Duration defaultPatience = 3s; ///< for callers that do not say how long they wait
 
 } // namespace LaburnumFlow::EntryNode
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -20,8 +20,12 @@
 /// After this time without a younger token nothing that an agent's worker was running can still run.
 constexpr Base::Duration authorityLimit = holdTokenLimit + std::chrono::duration_cast<Base::Duration>(workerLease * clockDriftFactor) + leaseSlack;
 
-constexpr Base::Duration orphanGrace = 2500ms; ///< best-effort jobs are submitted again within this time of a takeover
-constexpr Base::Duration bestEffortKept = 5s; ///< answers of best-effort jobs, for callers that missed them
+constexpr Base::Duration orphanGrace = 2500ms; ///< runs of best-effort jobs that are not submitted again within this time of a takeover are stopped
+
+// A best-effort job comes again when its caller's patience has ended without an answer and this pause has passed.
+constexpr Base::Duration resendPause = 2s; ///< the longest, with delays on the way
+constexpr Base::Duration resendWithinMost = 60s; ///< bounds the memory that answers for callers of endless patience take
+constexpr std::chrono::milliseconds usualPatience = 3s; ///< of callers that do not say for how long they wait, and at least assumed of all
 
 constexpr Base::Duration queryWait = 200ms; ///< a query of a job that is not final is held for this long, so that its caller need not ask again
 
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -225,6 +225,7 @@
     restoreJobs(state, std::move(stored.packs));
     state.certainAt = now + authorityLimit;
     state.orphansUntil = now + orphanGrace;
+    state.tookOverAt = now;
     return state;
 }
 
--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -3,6 +3,8 @@
 #include "admission.h"
 #include "jobsconstants.h"
 
+#include <algorithm>
+
 namespace LaburnumFlow::Jobs::Internal {
 
 namespace {
@@ -23,11 +25,19 @@
     return found == state.rules.end() ? call.rules : found->second;
 }
 
-/// Callers of best-effort jobs that a lost owner had taken send them again for a while; nothing else tells of those jobs.
-bool mayBeSentAgain(const OwnerState &state)
+/// The time after an answer that gets lost, or after the loss of an owner, within which the caller sends a best-effort job again.
+Base::Duration resentWithin(const SubmitCall &call)
+{
+    // A caller may have waited longer for its first answer than it waits for this one.
+    const auto patience = std::max(std::chrono::milliseconds(call.patienceMs), usualPatience);
+    return std::min<Base::Duration>(patience + resendPause, resendWithinMost);
+}
+
+/// Nothing else tells of the best-effort jobs that a lost owner had taken.
+bool mayHaveRunUnderFormerOwner(const OwnerState &state, const SubmitCall &call)
 {
     const bool hadFormerOwner = state.epoch > 1;
-    return hadFormerOwner && state.now < state.orphansUntil;
+    return hadFormerOwner && state.now < state.tookOverAt + resentWithin(call);
 }
 
 bool refuse(Context &context, CallId id, const Job &job, bool bestEffort)
@@ -54,15 +64,16 @@
 }
 
 /// A best-effort job begins at once.
-void begin(Context &context, Job submitted, std::uint32_t patienceMs)
+void begin(Context &context, Job submitted, const SubmitCall &call)
 {
     OwnerState &state = context.state;
     Job &job = state.jobs.emplace(submitted.id, std::move(submitted)).first->second;
     job.bestEffort = true;
     job.stored = true;
+    job.resentWithin = resentWithin(call);
     ++state.unstarted[job.rules.name];
-    if (patienceMs > 0) {
-        job.expiresAt = state.now + std::chrono::milliseconds(patienceMs);
+    if (call.patienceMs > 0) {
+        job.expiresAt = state.now + std::chrono::milliseconds(call.patienceMs);
         state.expiring.emplace(*job.expiresAt, job.id);
     }
     decide(context, "job.begun", {{"id", idText(job.id)}, {"queue", job.rules.name}, {"tasks", std::to_string(job.tasks.size())}});
@@ -104,14 +115,14 @@
     if (job.spec.repetition.count == 0) {
         noteDemand(state, job);
     }
-    job.mayHaveRun = call.mayHaveRun || mayBeSentAgain(state) || state.orphans.contains(job.id);
+    job.mayHaveRun = call.mayHaveRun || mayHaveRunUnderFormerOwner(state, call) || state.orphans.contains(job.id);
     const bool refusalIsTrue = !call.bestEffort || !job.mayHaveRun;
     if (refusalIsTrue && refuse(context, id, job, call.bestEffort)) {
         return;
     }
     job.waitingForAcceptance.push_back(id);
     if (call.bestEffort) {
-        begin(context, std::move(job), call.patienceMs);
+        begin(context, std::move(job), call);
         return;
     }
     state.recorder.add({PutJob{job.id, encodeRecord(recordOf(job))}, {}});
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -92,7 +92,7 @@
             {"ms", std::to_string(tookMs)}});
     if (job.bestEffort) {
         owner.recentBestEffort[job.id] = state;
-        owner.recentOrder.emplace_back(owner.now, job.id);
+        owner.recentUntil.emplace(owner.now + job.resentWithin, job.id);
     } else {
         owner.finished[job.id] = state;
         owner.finishedOrder.emplace_back(owner.now, job.id);
@@ -245,9 +245,9 @@
         state.finished.erase(state.finishedOrder.front().second);
         state.finishedOrder.pop_front();
     }
-    while (!state.recentOrder.empty() && state.now - state.recentOrder.front().first > bestEffortKept) {
-        state.recentBestEffort.erase(state.recentOrder.front().second);
-        state.recentOrder.pop_front();
+    while (!state.recentUntil.empty() && state.recentUntil.begin()->first < state.now) {
+        state.recentBestEffort.erase(state.recentUntil.begin()->second);
+        state.recentUntil.erase(state.recentUntil.begin());
     }
 }
 
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -84,6 +84,7 @@
     std::optional<Base::MonoTime> progressDue; ///< when its progress is to be recorded
     std::vector<Settlement> unrecorded; ///< ends that the next progress record, or the final state, settles
     std::optional<Base::MonoTime> expiresAt; ///< when the caller of a best-effort job stops waiting
+    Base::Duration resentWithin{}; ///< of a best-effort job: a caller that misses the answer asks again within this time of it
     std::vector<CallId> waitingForAcceptance; ///< of a best-effort job: for its end
     std::vector<CallId> waitingForCancel;
     std::vector<CallId> waitingForState; ///< queries that are held until the job is final, or for queryWait
@@ -129,10 +130,11 @@
     std::deque<std::pair<Base::MonoTime, JobId>> finishedOrder; ///< oldest first
     Base::MonoTime packsCheckedAt{};
     std::unordered_map<JobId, JobState> recentBestEffort; ///< answers that may have been lost on their way
-    std::deque<std::pair<Base::MonoTime, JobId>> recentOrder; ///< of recentBestEffort, oldest first
+    std::set<std::pair<Base::MonoTime, JobId>> recentUntil; ///< when recentBestEffort may forget them
     std::set<std::pair<Base::MonoTime, JobId>> expiring; ///< best-effort jobs by the end of their callers' patience
     std::unordered_map<JobId, std::vector<Orphan>> orphans; ///< runs of jobs that are not known yet
     Base::MonoTime orphansUntil{}; ///< they are stopped then, or when their job does not want them
+    Base::MonoTime tookOverAt{};
     std::set<QueuePlace> ready; ///< jobs with ready tasks
     std::set<std::pair<Base::MonoTime, JobId>> gainEnds; ///< of ready jobs
     std::set<std::pair<Base::WallTime, JobId>> occurrences; ///< that are to begin next, of repeated jobs
--- a/tests/auto/entrynode/tst_callrouter.cpp
+++ b/tests/auto/entrynode/tst_callrouter.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST_SUITE(TestCallRouter);
     CPPUNIT_TEST(waitsForAnOwner);
     CPPUNIT_TEST(refusedUnseenDidNotRun);
+    CPPUNIT_TEST(unseenBestEffortIsUndecided);
     CPPUNIT_TEST(undecidedOncePassedOn);
     CPPUNIT_TEST(passedOnAgainToTheNextOwner);
     CPPUNIT_TEST(returnedCallIsRetried);
@@ -63,6 +64,23 @@
         CPPUNIT_ASSERT(only<AnswerCaller>(effects)->answer.retryAfterS > 0);
     }
 
+    /// Guards against "not run" for a best-effort job that may have run under a lost owner before its caller sent it again.
+    void unseenBestEffortIsUndecided()
+    {
+        Jobs::SubmitCall call;
+        call.job = 7;
+        call.bestEffort = true;
+        CallRouter router;
+        router.accept(1, call, 10s, 100s);
+        RouterEffects effects = router.expire(100s + submitPatience);
+        CPPUNIT_ASSERT(only<AnswerCaller>(effects) != nullptr);
+        CPPUNIT_ASSERT(only<AnswerCaller>(effects)->answer.kind == Kind::Undecided);
+        router.accept(2, call, 10s, 102s);
+        effects = router.abandon();
+        CPPUNIT_ASSERT(only<AnswerCaller>(effects) != nullptr);
+        CPPUNIT_ASSERT(only<AnswerCaller>(effects)->answer.kind == Kind::Undecided);
+    }
+
     /// Guards against "not run" for a job that an owner may have started.
     void undecidedOncePassedOn()
     {
--- a/tests/auto/jobs/tst_load.cpp
+++ b/tests/auto/jobs/tst_load.cpp
@@ -42,6 +42,8 @@
     CPPUNIT_TEST(jobsOfLostOwnersAreNotRefused);
     CPPUNIT_TEST(jobsWithEndsOfLostOwnersAreNotRefused);
     CPPUNIT_TEST(nothingIsRefusedRightAfterATakeover);
+    CPPUNIT_TEST(lateResendsAreNotRefused);
+    CPPUNIT_TEST(answersAreKeptForLateResends);
     CPPUNIT_TEST(storedJobsAreNotGivenUp);
     CPPUNIT_TEST(lateJobsWaitForThoseInTime);
     CPPUNIT_TEST(respectsRoom);
@@ -316,7 +318,7 @@
         OwnerHarness owner({"agent-1"}, 2);
         constexpr JobId jobs = 12;
         std::vector<RunEnd> ends;
-        owner.pass(orphanGrace);
+        owner.pass(usualPatience + resendPause);
         for (JobId job = 1; job <= jobs; ++job) {
             owner.submit(job, bestEffort(job, 2, 100));
             ends.push_back({job, {{job, 0, 0}, 1}, job % 2 == 0 ? EndKind::Done : EndKind::Failed, 100});
@@ -342,7 +344,7 @@
         for (JobId job = 1; job <= jobs; ++job) {
             CPPUNIT_ASSERT(!owner.answerTo(job));
         }
-        owner.passWithReports(orphanGrace);
+        owner.passWithReports(usualPatience + resendPause);
         for (JobId job = jobs + 1; job <= 2 * jobs; ++job) {
             owner.submit(job, bestEffort(job, 1, 100));
         }
@@ -351,6 +353,43 @@
         CPPUNIT_ASSERT(owner.answerTo(2 * jobs)->kind == CallAnswer::Kind::Overloaded);
     }
 
+    /// Pattern: callers who wait for long find an owner that was lost meanwhile, and more work than the worker can do. Guards
+    /// against a refusal of what had run under the lost owner and comes again only when its caller's patience has ended.
+    void lateResendsAreNotRefused()
+    {
+        OwnerHarness owner({"agent-1"}, 2);
+        owner.join("agent-1", 1000);
+        constexpr std::uint32_t patienceMs = 6000;
+        owner.passWithReports(std::chrono::milliseconds(patienceMs));
+        constexpr JobId jobs = 60;
+        for (JobId job = 1; job <= jobs; ++job) {
+            SubmitCall call = bestEffort(job, 1, 100);
+            call.patienceMs = patienceMs;
+            owner.submit(job, call);
+        }
+        owner.passWithReports(1s);
+        for (JobId job = 1; job <= jobs; ++job) {
+            CPPUNIT_ASSERT(!owner.answerTo(job));
+        }
+    }
+
+    /// Pattern: the same under one owner, which had answered. Guards against a refusal of a job whose answer was lost.
+    void answersAreKeptForLateResends()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", 1000);
+        SubmitCall call = bestEffort(1, 1, 100);
+        call.patienceMs = 6000;
+        owner.submit(1, call);
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Done);
+        CPPUNIT_ASSERT(owner.answerTo(1).has_value());
+        owner.passWithReports(7s);
+        owner.submit(2, call);
+        CPPUNIT_ASSERT(owner.answerTo(2).has_value());
+        CPPUNIT_ASSERT(owner.answerTo(2)->kind == CallAnswer::Kind::State);
+        CPPUNIT_ASSERT(owner.answerTo(2)->state == JobState::Completed);
+    }
+
     /// Pattern: a stored job behind a stream of others that can be in time. Guards against an accepted job that is dropped,
     /// or waits for as long as the stream lasts.
     void storedJobsAreNotGivenUp()
