Let entries with more processor claim the jobs first

Cause: after the loss of an owner every entry claimed at once, or with at most 150 ms between them, less than the 250 ms between reads of the store. On the grown deployments entries have 0.09 to 0.5 of a core, and one with 0.12 of a core that won the claim then placed the jobs of 55 workers late.

Ruled out: handing the jobs over to a larger entry later, as that costs a second takeover.

Before: TestOwnership::largerEntriesClaimFirst and smallEntryClaimsIfLargerOnesDoNot fail. After: they pass.

--- a/src/libs/entrynode/claims.cpp
+++ b/src/libs/entrynode/claims.cpp
@@ -25,6 +25,16 @@
     return found == state.peers.end() ? nullptr : &found->second;
 }
 
+/// The owner places all jobs, so one with little processor places them late.
+bool defersToLarger(const OwnershipState &state)
+{
+    return std::any_of(state.peers.begin(), state.peers.end(), [&state](const auto &entry) {
+        const auto &[name, peer] = entry;
+        const bool isOwner = state.owner && state.owner->owner == name;
+        return !isOwner && peer.present && peer.linked && peer.record.processorPercent > state.self.processorPercent;
+    });
+}
+
 /// An entry that is cut off from most others would serve fewer callers than the present owner.
 bool reachesMostEntries(const OwnershipState &state)
 {
@@ -98,6 +108,11 @@
     OwnershipState &state = context.state;
     const std::string reason = claimReason(state);
     if (reason.empty() || state.leaving) {
+        state.claimableSince.reset();
+        return;
+    }
+    state.claimableSince = state.claimableSince.value_or(state.now);
+    if (defersToLarger(state) && state.now - *state.claimableSince < claimDeference) {
         return;
     }
     const auto stagger = claimStagger * (100 - std::min<std::int64_t>(state.self.processorPercent, 100)) / 100;
@@ -109,6 +124,7 @@
     if (state.owner) {
         state.claim.agents = state.owner->agents;
     }
+    state.claimableSince.reset();
     state.mode = Mode::Claiming;
     decide(context, "owner.claim", {{"epoch", std::to_string(state.claim.epoch)}, {"reason", reason}, {"former", state.owner ? state.owner->owner : ""}});
     context.effects.push_back(Claim{state.ownerRevision, state.claim});
--- a/src/libs/entrynode/entrynodeconstants.h
+++ b/src/libs/entrynode/entrynodeconstants.h
@@ -15,7 +15,8 @@
 constexpr Base::Duration ownerUnreachableLimit = 1200ms; ///< the same for one that is present, if most entries can be reached
 constexpr Base::Duration storeFreshLimit = 800ms; ///< the store counts as reachable for this long after an answer
 constexpr Base::Duration ownerCutOffLimit = 600ms; ///< an owner that has not reached the store for this long is replaced
-constexpr Base::Duration claimStagger = 150ms; ///< the longest delay of a claim; entries with more processor come first
+constexpr Base::Duration claimStagger = 150ms; ///< the longest delay of a claim after a silence; entries with more processor come first
+constexpr Base::Duration claimDeference = 300ms; ///< a claim waits this long for entries with more processor, which learn the reason within a read
 constexpr Base::Duration dialRetry = 200ms;
 
 constexpr Base::Duration submitPatience = 1500ms; ///< a submission that no owner has seen for this long is refused
--- a/src/libs/entrynode/ownership.cpp
+++ b/src/libs/entrynode/ownership.cpp
@@ -180,6 +180,9 @@
     if (state.mode == Mode::Owning) {
         due.consider(state.beatNotBefore);
     }
+    if (state.claimableSince && state.now < *state.claimableSince + claimDeference) {
+        due.consider(*state.claimableSince + claimDeference);
+    }
     for (const auto &[name, peer] : state.peers) {
         if (!peer.linked && !peer.dialing && peer.present) {
             due.consider(peer.dialNotBefore);
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -47,6 +47,7 @@
     Base::MonoTime cutOffSince{}; ///< since when the owner has said that it cannot reach the store; 0 if it can
     Base::MonoTime storeAnsweredAt{};
     Base::MonoTime storeRegainedAt{}; ///< since when the store has answered without a gap
+    std::optional<Base::MonoTime> claimableSince; ///< since when there is a reason to replace the owner
     Jobs::OwnerRecord claim;
     std::map<std::string, Peer> peers; ///< without this entry
 
--- a/tests/auto/entrynode/tst_ownership.cpp
+++ b/tests/auto/entrynode/tst_ownership.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-Jobs::EntryRecord entryNamed(const std::string &name, std::uint64_t incarnation = 1)
+Jobs::EntryRecord entryNamed(const std::string &name, std::uint64_t incarnation = 1, std::uint32_t processorPercent = 25)
 {
-    return {name, incarnation, {"10.0.0.1", 7000}, 25};
+    return {name, incarnation, {"10.0.0.1", 7000}, processorPercent};
 }
 
 Jobs::OwnerRecord ownedBy(const std::string &name, std::uint64_t epoch, std::uint64_t incarnation = 1)
@@ -109,6 +109,8 @@
     CPPUNIT_TEST(keepsOwnerThatBeats);
     CPPUNIT_TEST(keepsPresentOwnerOfBrokenLink);
     CPPUNIT_TEST(replacesDeadProcessAtOnce);
+    CPPUNIT_TEST(largerEntriesClaimFirst);
+    CPPUNIT_TEST(smallEntryClaimsIfLargerOnesDoNot);
     CPPUNIT_TEST(replacesOwnerThatMostCannotReach);
     CPPUNIT_TEST(minorityReplacesNobody);
     CPPUNIT_TEST(replacesOwnerWithoutStore);
@@ -213,6 +215,40 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<Claim>().size());
     }
 
+    /// Guards against an entry with little processor that owns the jobs, and places them late, although a larger one is there.
+    void largerEntriesClaimFirst()
+    {
+        EntryHarness entry;
+        entry.read(ownedBy("entry-2", 3), 10, {entryNamed("entry-1"), entryNamed("entry-2"), entryNamed("entry-3", 1, 50)});
+        entry.feed(PeerLinked{"entry-2"});
+        entry.feed(PeerLinked{"entry-3"});
+        entry.beat();
+        entry.feed(PeerUnlinked{"entry-2", true});
+        CPPUNIT_ASSERT(entry.all<Claim>().empty());
+        entry.pass(claimDeference / 2);
+        entry.read(ownedBy("entry-3", 4), 11, {entryNamed("entry-1"), entryNamed("entry-3", 1, 50)});
+        entry.pass(claimDeference);
+        CPPUNIT_ASSERT(entry.all<Claim>().empty());
+    }
+
+    /// Guards against jobs without an owner while a larger entry is there but cannot claim, and against a wait for an entry that
+    /// is no larger.
+    void smallEntryClaimsIfLargerOnesDoNot()
+    {
+        for (const std::uint32_t othersPercent : {25U, 50U}) {
+            EntryHarness entry;
+            entry.read(ownedBy("entry-2", 3), 10, {entryNamed("entry-1"), entryNamed("entry-2"), entryNamed("entry-3", 1, othersPercent)});
+            entry.feed(PeerLinked{"entry-2"});
+            entry.feed(PeerLinked{"entry-3"});
+            entry.beat();
+            entry.feed(PeerUnlinked{"entry-2", true});
+            CPPUNIT_ASSERT_EQUAL(othersPercent == 25 ? std::size_t(1) : std::size_t(0), entry.all<Claim>().size());
+            CPPUNIT_ASSERT(othersPercent == 25 || nextDue(entry.state).value() <= entry.state.now + claimDeference);
+            entry.pass(claimDeference);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.all<Claim>().size());
+        }
+    }
+
     /// Guards against callers of most entries who wait for an owner that only the store can reach.
     void replacesOwnerThatMostCannotReach()
     {
