Give both node processes one base and count dropped log lines

The entry's and the agent's process each repeated the way from start to end: signals, log, metrics server, reload, stop. NodeProcess does it once; the two say what they listen on, how they begin and how they stop.

Dropped log lines were only told by the next line. They are now a counter, laburnumflow_log_lines_dropped_total, also for lines that standard output had no room for.

--- a/src/app/laburnumflowd/laburnumflowd.cpp
+++ b/src/app/laburnumflowd/laburnumflowd.cpp
@@ -1,4 +1,3 @@
-#include "arguments.h"
 #include "daemonconstants.h"
 #include "lifecyclewaiter.h"
 #include "logsetup.h"
@@ -8,6 +7,7 @@
 #include "base/counters.h"
 #include "entryruntime/entryruntime.h"
 #include "net/network.h"
+#include "runtime/daemonarguments.h"
 #include "runtime/logline.h"
 #include "runtime/processidentity.h"
 #include "store/storefactory.h"
@@ -97,11 +97,11 @@
     return std::visit([](const auto &role) -> const Settings::LogSettings & { return role.log; }, settings);
 }
 
-int runDaemon(const Arguments &arguments)
+int runDaemon(const Runtime::DaemonArguments &arguments)
 {
-    const std::optional<Settings::DaemonSettings> settings = readSettingsFile(arguments.configFile);
+    const std::optional<Settings::DaemonSettings> settings = readSettingsFile(arguments.settingsFile);
     if (!settings) {
-        return exitFaultySettings;
+        return Runtime::exitFaultySettings;
     }
     if (arguments.check) {
         return EXIT_SUCCESS;
@@ -118,10 +118,10 @@
 
 int main(int argc, const char **argv)
 {
-    using namespace LaburnumFlow::Daemon;
-    const std::variant<Arguments, int> arguments = parseArguments(argc, argv);
+    using namespace LaburnumFlow;
+    const auto arguments = Runtime::parseDaemonArguments({"laburnumflowd", LABURNUMFLOW_VERSION}, argc, argv);
     if (const int *status = std::get_if<int>(&arguments)) {
         return *status;
     }
-    return runDaemon(std::get<Arguments>(arguments));
+    return Daemon::runDaemon(std::get<Runtime::DaemonArguments>(arguments));
 }
--- a/src/app/laburnumnode/agentprocess.cpp
+++ b/src/app/laburnumnode/agentprocess.cpp
@@ -1,21 +1,15 @@
 #include "agentprocess.h"
 
 #include "duetimer.h"
-#include "metricsserver.h"
-#include "nodeconfiguration.h"
 #include "nodeconstants.h"
-#include "signals.h"
+#include "nodeprocess.h"
 
 #include "base/timerservice.h"
-#include "eventloop/eventloop.h"
 #include "httpio/httpclient.h"
 #include "httpio/httpfront.h"
-#include "metrics/processmetrics.h"
-#include "net/looplinks.h"
 #include "platform/heartbeats.h"
 #include "platform/storedialect.h"
 #include "platform/workerdialect.h"
-#include "runtime/decisionlog.h"
 #include "taskagent/agentreducer.h"
 #include "taskagent/taskagentconstants.h"
 
@@ -38,13 +32,11 @@
     return endpoint.address + ':' + std::to_string(endpoint.port);
 }
 
-class AgentProcess : public Net::LinkHandler
+class AgentProcess : public NodeProcess
 {
 public:
     AgentProcess(const Settings::NodeSettings &settings, std::string settingsFile);
 
-    int run();
-
 private:
     struct EntryLink {
         Base::Endpoint endpoint;
@@ -52,6 +44,12 @@
         Base::MonoTime heardAt{};
     };
 
+    bool listen() override;
+    void begin() override;
+    void beginStop() override;
+    void refreshMetrics() override;
+    LogFields identity() const override;
+
     void linkConnected(Net::LinkId link) override;
     void linkAccepted(Net::LinkId link) override;
     void linkFrame(Net::LinkId link, std::span<const std::uint8_t> frame) override;
@@ -69,24 +67,14 @@
     /// name: of the call in the metrics. The answer is fed to the reducer by what read makes of it.
     template<typename Read>
     void callWorker(std::string_view name, HttpIo::ClientRequest request, Base::Duration timeout, Read read);
-    void refreshMetrics();
-    void decide(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields);
 
     void handleRequest(const HttpIo::ServerRequest &request);
     void readEntries();
     void connectTo(const std::vector<Base::Endpoint> &entries);
     void dial(const Base::Endpoint &endpoint);
     void replaceSilentLink();
-    void stop();
     void finishWhenIdle();
 
-    Settings::NodeSettings settings_;
-    std::string settingsFile_;
-    EventLoop::Loop loop_;
-    Signals signals_;
-    Runtime::DecisionLog log_;
-    Metrics::ProcessMetrics metrics_;
-    MetricsServer metricsServer_;
     HttpIo::HttpClient workerCalls_;
     HttpIo::HttpClient storeCalls_;
     HttpIo::HttpFront registration_;
@@ -98,16 +86,10 @@
     std::vector<Base::Endpoint> known_; ///< entries to keep links to
     DueTimer timer_;
     bool readingEntries_ = false;
-    bool stopping_ = false;
-    Base::MonoTime stopBy_{};
 };
 
 AgentProcess::AgentProcess(const Settings::NodeSettings &settings, std::string settingsFile)
-    : settings_(settings)
-    , settingsFile_(std::move(settingsFile))
-    , signals_(loop_)
-    , log_(settings.name, settings.logLinesPerSecond)
-    , metricsServer_(loop_, settings.metrics, metrics_, [this] { refreshMetrics(); })
+    : NodeProcess(settings, std::move(settingsFile))
     , workerCalls_(loop_, workerConnections)
     , storeCalls_(loop_, 1)
     , registration_(loop_,
@@ -124,23 +106,19 @@
 {
 }
 
-int AgentProcess::run()
+bool AgentProcess::listen()
+{
+    return static_cast<bool>(registration_.start());
+}
+
+void AgentProcess::begin()
 {
-    if (!registration_.start()) {
-        log_.writeAlways("process.failed", {});
-        return EXIT_FAILURE;
-    }
-    if (!metricsServer_.start()) {
-        log_.writeAlways("metrics.failed", {});
-    }
-    signals_.onStop = [this] { stop(); };
-    signals_.onReload = [this] { logReload(log_, settingsFile_); };
-    const std::vector<std::pair<std::string, std::string>> fields{{"role", "agent"}};
-    log_.writeAlways("process.start", fields);
     readEntries();
-    loop_.run();
-    log_.writeAlways("process.stop", {});
-    return EXIT_SUCCESS;
+}
+
+NodeProcess::LogFields AgentProcess::identity() const
+{
+    return {{"role", "agent"}};
 }
 
 void AgentProcess::feed(const AgentEvent &event)
@@ -219,12 +197,6 @@
                  static_cast<double>(std::count_if(entries_.begin(), entries_.end(), [](const auto &entry) { return entry.second.connected; })));
 }
 
-void AgentProcess::decide(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields)
-{
-    metrics_.countDecision(event);
-    log_.write(event, fields, loop_.now());
-}
-
 void AgentProcess::onTimer()
 {
     feed(TimePassed{Base::monoNow()});
@@ -359,15 +331,8 @@
     });
 }
 
-void AgentProcess::stop()
+void AgentProcess::beginStop()
 {
-    if (stopping_) {
-        loop_.stop();
-        return;
-    }
-    stopping_ = true;
-    stopBy_ = Base::monoNow() + drainMost;
-    log_.writeAlways("process.stopping", {});
     feed(LeaveRequested{});
     finishWhenIdle();
 }
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -1,6 +1,5 @@
 #include "entryprocess.h"
 
-#include "nodeconfiguration.h"
 #include "nodeconstants.h"
 
 #include "base/earliest.h"
@@ -47,11 +46,7 @@
 } // namespace
 
 EntryProcess::EntryProcess(const Settings::NodeSettings &settings, std::string settingsFile)
-    : settings_(settings)
-    , settingsFile_(std::move(settingsFile))
-    , signals_(loop_)
-    , log_(settings.name, settings.logLinesPerSecond)
-    , metricsServer_(loop_, settings.metrics, metrics_, [this] { refreshMetrics(); })
+    : NodeProcess(settings, std::move(settingsFile))
     , storeCalls_(loop_, storeConnections)
     , callers_(loop_, {std::get<Settings::JobEntrySettings>(settings.role).callers}, [this](const HttpIo::ServerRequest &request) { handleRequest(request); })
     , ready_(loop_, {std::get<Settings::JobEntrySettings>(settings.role).ready}, [this](const HttpIo::ServerRequest &request) { handleReady(request); })
@@ -66,25 +61,20 @@
 {
 }
 
-int EntryProcess::run()
+bool EntryProcess::listen()
+{
+    return callers_.start() && ready_.start() && links_.listen(settings_.peers);
+}
+
+void EntryProcess::begin()
 {
-    if (!callers_.start() || !ready_.start() || !links_.listen(settings_.peers)) {
-        log_.writeAlways("process.failed", {});
-        return EXIT_FAILURE;
-    }
-    // Callers matter more than their metrics.
-    if (!metricsServer_.start()) {
-        log_.writeAlways("metrics.failed", {});
-    }
-    signals_.onStop = [this] { stop(); };
-    signals_.onReload = [this] { logReload(log_, settingsFile_); };
-    const std::vector<std::pair<std::string, std::string>> fields{{"role", "entry"}, {"incarnation", std::to_string(ownership_.self.incarnation)}};
-    log_.writeAlways("process.start", fields);
     readRules();
     feedOwnership(EntryNode::ClusterTime{Base::monoNow()});
-    loop_.run();
-    log_.writeAlways("process.stop", {});
-    return EXIT_SUCCESS;
+}
+
+NodeProcess::LogFields EntryProcess::identity() const
+{
+    return {{"role", "entry"}, {"incarnation", std::to_string(ownership_.self.incarnation)}};
 }
 
 void EntryProcess::handleRequest(const HttpIo::ServerRequest &request)
@@ -202,16 +192,9 @@
     timer_.arm();
 }
 
-void EntryProcess::stop()
+void EntryProcess::beginStop()
 {
-    if (stopping_) {
-        loop_.stop();
-        return;
-    }
-    stopping_ = true;
     stopAt_ = Base::monoNow() + entryDrainLeast;
-    stopBy_ = Base::monoNow() + drainMost;
-    log_.writeAlways("process.stopping", {});
     callers_.closeConnectionsAfterAnswers();
     feedOwnership(EntryNode::LeaveRequested{});
     if (ownership_.lease != 0) {
@@ -274,12 +257,6 @@
     metrics_.set(Metrics::Gauge::RulesVersion, rules_ ? static_cast<double>(rules_->version) : 0);
 }
 
-void EntryProcess::decide(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields)
-{
-    metrics_.countDecision(event);
-    log_.write(event, fields, loop_.now());
-}
-
 int runEntry(const Settings::NodeSettings &settings, const std::string &settingsFile)
 {
     return EntryProcess(settings, settingsFile).run();
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -1,24 +1,18 @@
 #pragma once
 
 #include "duetimer.h"
-#include "metricsserver.h"
-#include "signals.h"
+#include "nodeprocess.h"
 #include "storetimeout.h"
 
 #include "entrynode/callrouter.h"
 #include "entrynode/ownership.h"
-#include "eventloop/eventloop.h"
 #include "httpio/httpclient.h"
 #include "httpio/httpfront.h"
 #include "jobs/jobshape.h"
 #include "jobs/owner.h"
-#include "metrics/processmetrics.h"
-#include "net/looplinks.h"
 #include "platform/rulesdocument.h"
 #include "platform/storedialect.h"
-#include "runtime/decisionlog.h"
 #include "runtime/dependencywatch.h"
-#include "settings/nodesettings.h"
 
 #include <functional>
 #include <map>
@@ -37,13 +31,11 @@
 
 /// Carries out what the entry's reducers decide: who owns the jobs, the owner's work if it is this entry, and the way
 /// of callers' requests to the owner.
-class EntryProcess : public Net::LinkHandler
+class EntryProcess : public NodeProcess
 {
 public:
     EntryProcess(const Settings::NodeSettings &settings, std::string settingsFile);
 
-    int run();
-
 private:
     /// Who waits for the owner's answer to a call.
     struct LocalCaller {
@@ -63,6 +55,13 @@
 
     using Waiting = std::variant<LocalCaller, RelayingEntry>;
 
+    // Life of the process.
+    bool listen() override;
+    void begin() override;
+    void beginStop() override;
+    void refreshMetrics() override;
+    LogFields identity() const override;
+
     // Links.
     void linkConnected(Net::LinkId link) override;
     void linkAccepted(Net::LinkId link) override;
@@ -131,19 +130,9 @@
     // Time and the end.
     std::optional<Base::MonoTime> nextDue() const;
     void onTimer();
-    void stop();
     void resignWhenRecorded();
     void finishWhenIdle();
-    void refreshMetrics();
-    void decide(std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields);
-
-    Settings::NodeSettings settings_;
-    std::string settingsFile_;
-    EventLoop::Loop loop_;
-    Signals signals_;
-    Runtime::DecisionLog log_;
-    Metrics::ProcessMetrics metrics_;
-    MetricsServer metricsServer_;
+
     HttpIo::HttpClient storeCalls_;
     HttpIo::HttpFront callers_;
     HttpIo::HttpFront ready_;
@@ -172,11 +161,9 @@
     std::optional<Platform::RulesDocument> rules_;
     std::int64_t rulesRevision_ = 0;
     DueTimer timer_;
-    bool stopping_ = false;
     bool resigning_ = false;
     Base::MonoTime resignBy_{};
-    Base::MonoTime stopAt_{};
-    Base::MonoTime stopBy_{};
+    Base::MonoTime stopAt_{}; ///< not before
 };
 
 } // namespace LaburnumFlow::Node
--- a/src/app/laburnumnode/nodeconstants.h
+++ b/src/app/laburnumnode/nodeconstants.h
@@ -8,8 +8,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr int exitFaultySettings = 2;
-
 constexpr Base::Duration rulesReadInterval = 400ms; ///< between reads of the operator's configuration
 constexpr Base::Duration loadTimeout = 2s; ///< of one page of jobs
 constexpr Base::Duration storeTimeoutLeast = 120ms;
--- a/src/libs/metrics/processmetrics.cpp
+++ b/src/libs/metrics/processmetrics.cpp
@@ -75,6 +75,11 @@
                                                 .Help("Entries of the store that commits of the owner wrote or removed, repeated commits included")
                                                 .Register(registry)
                                                 .Add({});
+    prometheus::Counter &droppedLines = prometheus::BuildCounter()
+                                            .Name("laburnumflow_log_lines_dropped_total")
+                                            .Help("Log lines beyond the budget, or for which standard output had no room")
+                                            .Register(registry)
+                                            .Add({});
     std::map<std::string, prometheus::Counter *, std::less<>> decisions;
     std::map<std::pair<std::string, int>, prometheus::Histogram *, std::less<>> answers;
     std::map<std::pair<std::string, CallOutcome>, prometheus::Histogram *, std::less<>> calls;
@@ -118,6 +123,11 @@
     d_->committedEntries.Increment(static_cast<double>(entries));
 }
 
+void ProcessMetrics::countDroppedLines(std::uint64_t lines)
+{
+    d_->droppedLines.Increment(static_cast<double>(lines));
+}
+
 void ProcessMetrics::set(Gauge gauge, double value)
 {
     prometheus::Gauge *&metric = d_->gauges[gauge];
--- a/src/libs/metrics/processmetrics.h
+++ b/src/libs/metrics/processmetrics.h
@@ -3,6 +3,7 @@
 #include "base/types.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -46,6 +47,7 @@
     void observeCall(std::string_view call, CallOutcome outcome, Base::Duration took);
     /// A commit of the owner that writes or removes the number of entries in the store.
     void countCommittedEntries(std::size_t entries);
+    void countDroppedLines(std::uint64_t lines);
     void set(Gauge gauge, double value);
 
     /// All metrics in the text exposition format, version 0.0.4.
--- a/src/libs/runtime/decisionlog.cpp
+++ b/src/libs/runtime/decisionlog.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <memory>
 #include <sstream>
 
@@ -17,6 +18,9 @@
 
 namespace {
 
+/// Appenders belong to log4cplus, so what they lose is counted here.
+std::atomic<std::uint64_t> linesWithoutRoom = 0;
+
 class NonBlockingAppender : public log4cplus::Appender
 {
 public:
@@ -55,6 +59,7 @@
             // A line that was written in part must be completed.
             const std::size_t keep = unwritten_.find('\n') + 1;
             lost_ = static_cast<std::uint64_t>(std::count(unwritten_.begin() + static_cast<std::ptrdiff_t>(keep), unwritten_.end(), '\n'));
+            linesWithoutRoom += lost_;
             unwritten_.resize(keep);
         }
     }
@@ -83,7 +88,7 @@
 
 std::uint64_t LineBudget::takeDropped()
 {
-    return std::exchange(dropped_, 0);
+    return dropped_ - std::exchange(taken_, dropped_);
 }
 
 void DecisionLog::write(std::string_view event, std::span<const std::pair<std::string, std::string>> fields, Base::MonoTime now)
@@ -107,6 +112,11 @@
     writeLogLine(event, line);
 }
 
+std::uint64_t DecisionLog::droppedLines() const
+{
+    return budget_.dropped() + linesWithoutRoom;
+}
+
 void logToStandardOutput()
 {
     const log4cplus::SharedAppenderPtr appender(new NonBlockingAppender);
--- a/src/libs/runtime/decisionlog.h
+++ b/src/libs/runtime/decisionlog.h
@@ -25,11 +25,18 @@
     /// The number of refused lines since the last call.
     std::uint64_t takeDropped();
 
+    /// The number of all refused lines.
+    std::uint64_t dropped() const
+    {
+        return dropped_;
+    }
+
 private:
     double linesPerSecond_;
     double tokens_;
     Base::MonoTime filledAt_{};
     std::uint64_t dropped_ = 0;
+    std::uint64_t taken_ = 0; ///< of dropped_, by takeDropped()
 };
 
 /// Writes decisions to the root logger within a budget. The number of lines that were dropped stands in the next line.
@@ -43,6 +50,9 @@
     /// Outside of the budget, for rare lines such as start and stop.
     void writeAlways(std::string_view event, std::span<const std::pair<std::string, std::string>> fields);
 
+    /// The number of lines that the budget refused, or that standard output had no room for.
+    std::uint64_t droppedLines() const;
+
 private:
     std::string process_;
     LineBudget budget_;
--- a/tests/auto/metrics/tst_processmetrics.cpp
+++ b/tests/auto/metrics/tst_processmetrics.cpp
@@ -24,6 +24,7 @@
         metrics.observeAnswer("submit", 429, 3ms);
         metrics.observeCall("commit", CallOutcome::Unknown, 1500ms);
         metrics.countCommittedEntries(5);
+        metrics.countDroppedLines(3);
         metrics.set(Gauge::OpenJobs, 7);
         metrics.set(Gauge::OpenJobs, 6);
         const std::string text = metrics.text();
@@ -35,6 +36,7 @@
                                  "laburnumflow_answer_seconds_bucket{request=\"submit\",status=\"429\",le=\"0.005\"} 1",
                                  "laburnumflow_call_seconds_sum{call=\"commit\",outcome=\"unknown\"} 1.5",
                                  "laburnumflow_committed_entries_total 5",
+                                 "laburnumflow_log_lines_dropped_total 3",
                                  "# TYPE laburnumflow_open_jobs gauge",
                                  "laburnumflow_open_jobs 6"}) {
             CPPUNIT_ASSERT_MESSAGE(std::string("missing: ") + line + "\n" + text, ('\n' + text).find('\n' + std::string(line) + '\n') != std::string::npos);
--- a/tests/auto/runtime/tst_decisionlog.cpp
+++ b/tests/auto/runtime/tst_decisionlog.cpp
@@ -33,9 +33,11 @@
         CPPUNIT_ASSERT(taken <= 2 * linesPerSecond + 1);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000 - taken), budget.takeDropped());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), budget.takeDropped());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000 - taken), budget.dropped());
     }
 
-    /// Guards against a process that stands still because nobody reads its standard output.
+    /// Guards against a process that stands still because nobody reads its standard output, and against lines that are lost
+    /// uncounted.
     void neverWaitsForItsReader()
     {
         int pipeEnds[2] = {-1, -1};
@@ -52,6 +54,8 @@
             for (int i = 0; i < 2000; ++i) {
                 log.writeAlways("test.line", fields);
             }
+            CPPUNIT_ASSERT(log.droppedLines() > 1500);
+            CPPUNIT_ASSERT(log.droppedLines() < 2000);
         }
         ::dup2(savedOutput, STDOUT_FILENO);
         ::fcntl(STDOUT_FILENO, F_SETFL, savedFlags);
