Run background tasks and protect the tasks that serve beside them

Background work now takes a field of its own in the resources of a task, backgroundMilli, which no worker's capacity limits; it goes where most is left over. The agent steers its pace by the tail latency of the runs that have a target: half of it each 0.6 s while one is above 0.9 of its target, 10 percent points more after each 1.5 s of calm.

Weighed: the owner as the one who steers, which knows all workers but learns of latencies late and may be lost while users suffer.

Found on the way: an agent that was restarted reported its runs with no need at all, and the owner counted them so; a worker that doesn't guard its capacity could have got more than it has. The owner now tells such an agent what its runs need and counts them in full (TestBackground::restartedAgentsRunsCountInFull and restartedAgentsLearnWhatTheyRun fail without it).

Proved by reducers and the dialect's tests only.

--- a/src/app/laburnumnode/agentprocess.cpp
+++ b/src/app/laburnumnode/agentprocess.cpp
@@ -59,6 +59,7 @@
     void carryOut(AgentEffect &effect);
     void carryOut(CallStart &call);
     void carryOut(CallStop &call);
+    void carryOut(CallPace &call);
     void carryOut(CallHold &call);
     void carryOut(SendReport &report);
     void carryOut(LearnEntries &learn);
@@ -156,6 +157,13 @@
     });
 }
 
+void AgentProcess::carryOut(CallPace &call)
+{
+    callWorker("pace", Platform::paceRequest(worker_, call), call.timeout, [call](const HttpIo::ClientResponse &response) {
+        return Platform::paceAnswer(call, response);
+    });
+}
+
 void AgentProcess::carryOut(CallHold &call)
 {
     callWorker("hold", Platform::holdRequest(worker_, call), call.timeout, [call](const HttpIo::ClientResponse &response) {
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -35,9 +35,7 @@
 
 bool fits(const Agent &agent, const Resources &need)
 {
-    const Resources &capacity = agent.worker->capacity;
-    return agent.used.cpuMilli + need.cpuMilli <= capacity.cpuMilli && agent.used.memoryMb + need.memoryMb <= capacity.memoryMb
-           && agent.used.gpus + need.gpus <= capacity.gpus;
+    return isWithin(agent.used + need, agent.worker->capacity);
 }
 
 void addRun(Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders, Base::MonoTime since)
@@ -45,9 +43,7 @@
     if (!agent.runs.emplace(run, ActiveRun{need, orders, false, since}).second) {
         return;
     }
-    agent.used.cpuMilli += need.cpuMilli;
-    agent.used.memoryMb += need.memoryMb;
-    agent.used.gpus += need.gpus;
+    agent.used += need;
 }
 
 bool removeRun(Agent &agent, const RunRef &run)
@@ -56,13 +52,21 @@
     if (found == agent.runs.end()) {
         return false;
     }
-    agent.used.cpuMilli -= found->second.need.cpuMilli;
-    agent.used.memoryMb -= found->second.need.memoryMb;
-    agent.used.gpus -= found->second.need.gpus;
+    agent.used -= found->second.need;
     agent.runs.erase(found);
     return true;
 }
 
+void correctNeed(Agent &agent, const RunRef &run, const Resources &need)
+{
+    const auto found = agent.runs.find(run);
+    if (found != agent.runs.end()) {
+        agent.used -= found->second.need;
+        agent.used += need;
+        found->second.need = need;
+    }
+}
+
 bool noteEnd(Agent &agent, std::uint64_t number)
 {
     if (number == 0) {
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -55,7 +55,7 @@
 
     bool hasOrders() const
     {
-        return !outbox.starts.empty() || !outbox.stops.empty();
+        return !outbox.starts.empty() || !outbox.stops.empty() || !outbox.facts.empty();
     }
 };
 
@@ -67,6 +67,9 @@
 /// orders: number of the orders with the start; 0 for a run that the agent listed.
 void addRun(Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders, Base::MonoTime since);
 
+/// Sets what a known run needs, as its agent may not know it.
+void correctNeed(Agent &agent, const RunRef &run, const Resources &need);
+
 /// Returns whether the run was known.
 bool removeRun(Agent &agent, const RunRef &run);
 
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -19,16 +19,45 @@
     std::uint32_t cpuMilli = 0; ///< thousandths of a core
     std::uint32_t memoryMb = 0;
     std::uint32_t gpus = 0;
+    std::uint32_t backgroundMilli = 0; ///< thousandths of a core that it uses only where other tasks leave them; not counted against a worker's capacity
 
     bool operator==(const Resources &) const = default;
 
+    Resources &operator+=(const Resources &other)
+    {
+        cpuMilli += other.cpuMilli;
+        memoryMb += other.memoryMb;
+        gpus += other.gpus;
+        backgroundMilli += other.backgroundMilli;
+        return *this;
+    }
+
+    Resources &operator-=(const Resources &other)
+    {
+        cpuMilli -= other.cpuMilli;
+        memoryMb -= other.memoryMb;
+        gpus -= other.gpus;
+        backgroundMilli -= other.backgroundMilli;
+        return *this;
+    }
+
+    friend Resources operator+(Resources left, const Resources &right)
+    {
+        return left += right;
+    }
+
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(cpuMilli, memoryMb, gpus);
+        archive(cpuMilli, memoryMb, gpus, backgroundMilli);
     }
 };
 
+inline bool isWithin(const Resources &need, const Resources &capacity)
+{
+    return need.cpuMilli <= capacity.cpuMilli && need.memoryMb <= capacity.memoryMb && need.gpus <= capacity.gpus;
+}
+
 /// Equal tasks that may run side by side.
 struct StepSpec {
     std::uint32_t count = 1;
@@ -42,13 +71,14 @@
     bool sameRack = false; ///< the tasks run fastest when all are on one rack
     bool checkpointing = false; ///< a task can resume from a checkpoint of an earlier run
     bool lasting = false; ///< the tasks run until their job is cancelled, and start again however they end
+    std::uint32_t latencyTargetMs = 0; ///< the tasks serve users of their own, whose tail latency must stay below this; 0: none
 
     bool operator==(const StepSpec &) const = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(count, need, estimateMs, after, requiredLabel, dataRack, maxPerWorker, gang, sameRack, checkpointing, lasting);
+        archive(count, need, estimateMs, after, requiredLabel, dataRack, maxPerWorker, gang, sameRack, checkpointing, lasting, latencyTargetMs);
     }
 };
 
--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -135,19 +135,35 @@
     }
 };
 
+/// What an agent does not know of a run that a former life of it started.
+struct RunFacts {
+    RunRef run;
+    Resources need;
+    std::uint32_t latencyTargetMs = 0; ///< 0: none
+
+    bool operator==(const RunFacts &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(run, need, latencyTargetMs);
+    }
+};
+
 /// Runs of one job that are to start on a worker.
 struct StartOrder {
     std::vector<RunRef> runs;
     Resources need; ///< of each run
     std::string payload;
     std::string checkpoint = {}; ///< from which the runs resume; empty: from the start
+    std::uint32_t latencyTargetMs = 0; ///< of each run; 0: none
 
     bool operator==(const StartOrder &) const = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(runs, need, payload, checkpoint);
+        archive(runs, need, payload, checkpoint, latencyTargetMs);
     }
 };
 
@@ -161,11 +177,12 @@
     std::vector<RunRef> stops;
     std::uint64_t endsRecorded = 0; ///< ends up to this number are recorded and may be forgotten
     std::vector<Base::Endpoint> entries; ///< all entries, if they have changed
+    std::vector<RunFacts> facts;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(epoch, number, echo, workerBornMs, starts, stops, endsRecorded, entries);
+        archive(epoch, number, echo, workerBornMs, starts, stops, endsRecorded, entries, facts);
     }
 };
 
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -76,6 +76,7 @@
         orderStop(agent, run);
         return;
     }
+    tellFacts(agent, *job, run);
     adoptRun(context, *job, index, run);
     handleCheckpoint(context, {run, possible.checkpoint});
 }
@@ -142,6 +143,15 @@
     return state.agents[found->second];
 }
 
+void tellFacts(Agent &agent, const Job &job, const RunRef &run)
+{
+    const StepSpec &step = specOf(job, stepIndexOf(job, run.task));
+    if (agent.runs.at(run).need != step.need) {
+        correctNeed(agent, run, step.need);
+        agent.outbox.facts.push_back({run, step.need, step.latencyTargetMs});
+    }
+}
+
 void orderStop(Agent &agent, const RunRef &run)
 {
     const auto found = agent.runs.find(run);
--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -82,8 +82,10 @@
     const StepSpec &step = job.spec.steps[end.run.task.step];
     const std::uint32_t estimateMs = estimateOf(step);
     if (end.how == EndKind::Done) {
-        learnDone(agent.health, estimateMs, end.ranMs, context.state.now);
-        if (agent.worker) {
+        // How long a background task ran tells what the others left, not how fast the worker is.
+        const bool tellsSpeed = step.need.backgroundMilli == 0;
+        learnDone(agent.health, estimateMs, tellsSpeed ? end.ranMs : 0, context.state.now);
+        if (agent.worker && tellsSpeed) {
             context.state.kindSpeeds.learn(agent.worker->kind, estimateMs, end.ranMs);
         }
         return;
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -36,7 +36,8 @@
     const std::string &checkpoint = job.tasks[flatIndex(job, run.task)].checkpoint;
     const bool sameStep = !starts.empty() && starts.back().runs.front().task.job == job.id && starts.back().runs.front().task.step == run.task.step;
     if (!sameStep || starts.back().checkpoint != checkpoint) {
-        starts.push_back({{}, specOf(job, stepIndexOf(job, run.task)).need, job.spec.payload, checkpoint});
+        const StepSpec &step = specOf(job, stepIndexOf(job, run.task));
+        starts.push_back({{}, step.need, job.spec.payload, checkpoint, step.latencyTargetMs});
     }
     starts.back().runs.push_back(run);
 }
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -82,6 +82,9 @@
 void handleUnlinked(Context &context, const std::string &name);
 void orderStop(Agent &agent, const RunRef &run);
 
+/// Tells the agent, and notes, what a listed run needs, if the agent does not know it as it has been restarted.
+void tellFacts(Agent &agent, const Job &job, const RunRef &run);
+
 /// Sees to it that all agents that may run tasks are recorded.
 void recordAgents(Context &context);
 void noteRecordedAgents(Context &context);
--- a/src/libs/jobs/ownertakeover.cpp
+++ b/src/libs/jobs/ownertakeover.cpp
@@ -71,6 +71,7 @@
             orderStop(agent, orphan.run);
             continue;
         }
+        tellFacts(agent, job, orphan.run);
         adoptRun(context, job, orphan.agent, orphan.run);
     }
 }
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr double crowdingWeight = 0.1; ///< spreads tasks over workers that are equally fast
+constexpr double leastLeftover = 0.02; ///< of a worker's processor, which background tasks are expected to find on a full one
 
 /// What a placement that is being made takes of the workers, beside what runs there.
 struct Planned {
@@ -25,9 +26,7 @@
 
     void add(AgentIndex index, const Resources &need)
     {
-        taken[index].cpuMilli += need.cpuMilli;
-        taken[index].memoryMb += need.memoryMb;
-        taken[index].gpus += need.gpus;
+        taken[index] += need;
         ++tasks[index];
     }
 };
@@ -38,16 +37,6 @@
         agent.runs.begin(), agent.runs.end(), [&](const auto &run) { return run.first.task.job == job.id && stepIndexOf(job, run.first.task) == step; }));
 }
 
-Resources sum(const Resources &left, const Resources &right)
-{
-    return {left.cpuMilli + right.cpuMilli, left.memoryMb + right.memoryMb, left.gpus + right.gpus};
-}
-
-bool within(const Resources &need, const Resources &capacity)
-{
-    return need.cpuMilli <= capacity.cpuMilli && need.memoryMb <= capacity.memoryMb && need.gpus <= capacity.gpus;
-}
-
 bool suits(const WorkerInfo &worker, const Job &job, const StepSpec &step)
 {
     if (worker.service != job.rules.service) {
@@ -72,8 +61,8 @@
     if (!suits(*agent.worker, job, step)) {
         return false;
     }
-    const Resources used = planned.emptyWorkers ? planned.taken[index] : sum(agent.used, planned.taken[index]);
-    if (!within(sum(used, step.need), agent.worker->capacity)) {
+    const Resources used = planned.emptyWorkers ? planned.taken[index] : agent.used + planned.taken[index];
+    if (!isWithin(used + step.need, agent.worker->capacity)) {
         return false;
     }
     const std::uint32_t running = planned.emptyWorkers ? 0 : runsOfStep(agent, job, stepIndex);
@@ -82,7 +71,7 @@
 
 bool couldRun(const Agent &agent, const Job &job, const StepSpec &step, Base::MonoTime now)
 {
-    return takesWork(agent, now) && agent.worker->service == job.rules.service && within(step.need, agent.worker->capacity);
+    return takesWork(agent, now) && agent.worker->service == job.rules.service && isWithin(step.need, agent.worker->capacity);
 }
 
 /// A task that failed on a worker waits for another one, as attempts are few; unless there is no other.
@@ -102,7 +91,7 @@
 
 double crowding(const Agent &agent)
 {
-    return static_cast<double>(agent.used.cpuMilli) / std::max(1U, agent.worker->capacity.cpuMilli);
+    return (static_cast<double>(agent.used.cpuMilli) + agent.used.backgroundMilli) / std::max(1U, agent.worker->capacity.cpuMilli);
 }
 
 /// Whether tasks of the step run on another rack.
@@ -121,18 +110,27 @@
     return false;
 }
 
+/// How many times longer a background task takes, as it gets only what others leave.
+double leftoverFactor(const Agent &agent, const Resources &need)
+{
+    const double capacity = agent.worker->capacity.cpuMilli;
+    const double left = std::max(capacity - agent.used.cpuMilli - agent.used.backgroundMilli, leastLeftover * capacity);
+    return std::max(1.0, need.backgroundMilli / std::max(left, 1.0));
+}
+
 /// Expected run time on the worker, relative to one of speed 1 that is idle and near the data.
 double costOf(const OwnerState &state, const StepSpec &step, const Agent &agent)
 {
-    double cost = 1.0 / expectedSpeed(agent, state.kindSpeeds, state.now);
+    double cost = leftoverFactor(agent, step.need) / expectedSpeed(agent, state.kindSpeeds, state.now);
     cost *= step.dataRack.empty() || step.dataRack == agent.worker->rack ? 1.0 : remoteFactor;
     return cost * (1.0 + crowdingWeight * crowding(agent));
 }
 
-/// On a worker of a higher cost the job would end late. A job that has begun, or is late anyhow, takes any worker.
-double costInTime(const OwnerState &state, const Job &job)
+/// On a worker of a higher cost the job would end late. A job that has begun, or is late anyhow, takes any worker, and so does
+/// a background task, as what others leave changes all the time.
+double costInTime(const OwnerState &state, const Job &job, const StepSpec &step)
 {
-    if (job.lasting || job.overdue || job.gain != Gain::InTime || job.state != JobState::Queued) {
+    if (step.need.backgroundMilli > 0 || job.lasting || job.overdue || job.gain != Gain::InTime || job.state != JobState::Queued) {
         return std::numeric_limits<double>::infinity();
     }
     const auto left = std::chrono::duration<double, std::milli>(job.arrivedAt + job.objective - state.now);
@@ -214,7 +212,7 @@
 {
     const StepIndex stepIndex = stepIndexOf(job, flat);
     const StepSpec &step = specOf(job, stepIndex);
-    const double mostCost = costInTime(state, job);
+    const double mostCost = costInTime(state, job, step);
     AgentIndex best = noAgent;
     double bestCost = 0.0;
     for (AgentIndex index = 0; index < state.agents.size(); ++index) {
--- /dev/null
+++ b/src/libs/taskagent/agentpace.cpp
@@ -0,0 +1,80 @@
+#include "agentsteps.h"
+
+#include "taskagentconstants.h"
+
+#include <algorithm>
+
+namespace LaburnumFlow::TaskAgent::Internal {
+
+namespace {
+
+bool isBackground(const LocalRun &run)
+{
+    return run.need.backgroundMilli > 0;
+}
+
+/// The highest tail latency of the listed runs, as a share of each one's target.
+double worstLatency(const AgentState &state, const HoldAnswered &event)
+{
+    double worst = 0.0;
+    for (const ListedRun &listed : event.running) {
+        const auto found = state.runs.find(listed.run);
+        if (listed.usage && found != state.runs.end() && found->second.latencyTargetMs > 0) {
+            worst = std::max(worst, static_cast<double>(*listed.usage) / found->second.latencyTargetMs);
+        }
+    }
+    return worst;
+}
+
+/// Slows down fast, as users wait, and raises the pace in small steps, as the latency follows late.
+void choosePercent(Context &context, double worst)
+{
+    AgentState &state = context.state;
+    if (worst >= raiseBelow) {
+        state.lastDisturbedAt = state.now;
+    }
+    int percent = state.backgroundPercent;
+    if (worst > slowDownAbove && state.now - state.paceChangedAt >= paceInterval) {
+        percent = percent / 2 < leastPace ? 0 : percent / 2;
+    } else if (state.now - std::max(state.paceChangedAt, state.lastDisturbedAt) >= calmBeforeRaise) {
+        percent = std::min(fullPace, percent + paceRaise);
+    }
+    if (percent == state.backgroundPercent) {
+        return;
+    }
+    decide(context, "background.paced", {{"percent", std::to_string(percent)}, {"latency", std::to_string(worst)}});
+    state.backgroundPercent = percent;
+    state.paceChangedAt = state.now;
+}
+
+} // namespace
+
+void steerBackground(Context &context, const HoldAnswered &event)
+{
+    AgentState &state = context.state;
+    if (std::none_of(state.runs.begin(), state.runs.end(), [](const auto &run) { return isBackground(run.second); })) {
+        return;
+    }
+    choosePercent(context, worstLatency(state, event));
+    for (auto &[run, local] : state.runs) {
+        const bool differs = isBackground(local) && local.pacePercent != state.backgroundPercent;
+        if (differs && local.phase == LocalRun::Phase::Running && !local.stopping && !local.paceInProgress) {
+            local.paceInProgress = true;
+            context.effects.push_back(CallPace{run, state.backgroundPercent, state.epoch, callTimeout(state)});
+        }
+    }
+}
+
+void handlePaceAnswer(Context &context, const PaceAnswered &event)
+{
+    const auto found = context.state.runs.find(event.run);
+    if (found == context.state.runs.end()) {
+        return;
+    }
+    found->second.paceInProgress = false;
+    if (event.answered) {
+        found->second.pacePercent = event.percent;
+    }
+}
+
+} // namespace LaburnumFlow::TaskAgent::Internal
--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -154,6 +154,12 @@
     if (!sameWorker) {
         return;
     }
+    for (const Jobs::RunFacts &facts : orders.facts) {
+        if (const auto found = state.runs.find(facts.run); found != state.runs.end()) {
+            found->second.need = facts.need;
+            found->second.latencyTargetMs = facts.latencyTargetMs;
+        }
+    }
     for (const Jobs::RunRef &run : orders.stops) {
         Internal::stopRun(context, run);
     }
@@ -192,6 +198,11 @@
     Internal::handleStopAnswer(context, event);
 }
 
+void handle(Context &context, const PaceAnswered &event)
+{
+    Internal::handlePaceAnswer(context, event);
+}
+
 void handle(Context &context, const HoldAnswered &event)
 {
     Internal::handleHoldAnswer(context, event);
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -36,7 +36,8 @@
         // Travels with the next report; a checkpoint alone is not worth a message.
         state.outbox.checkpoints.push_back({listed.run, listed.checkpoint});
     }
-    if (local.percent != listed.percent) {
+    // A run that is slowed down may stand still for long without a fault of the worker.
+    if (local.percent != listed.percent || local.pacePercent < fullPace) {
         local.percent = listed.percent;
         local.progressAt = state.now;
         return;
@@ -174,6 +175,7 @@
     }
     LocalRun &local = state.runs[run];
     local.need = order.need;
+    local.latencyTargetMs = order.latencyTargetMs;
     local.calledAt = state.now;
     noteRenewal(state);
     context.effects.push_back(CallStart{run, order.payload, order.checkpoint, *until, state.epoch, state.worker->id, state.worker->bornMs, callTimeout(state)});
@@ -300,6 +302,7 @@
         noteEnd(state, end);
     }
     dropUnlisted(context, event);
+    steerBackground(context, event);
     state.listed = state.listed || event.number > state.holdBeforeEpoch;
 }
 
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -17,6 +17,8 @@
 /// renews the worker's lease while it hears from the owner, and reports what ends.
 namespace LaburnumFlow::TaskAgent {
 
+constexpr int fullPace = 100; ///< percent
+
 /// A run that is, or may be, on the worker.
 struct LocalRun {
     enum class Phase : std::uint8_t {
@@ -28,6 +30,7 @@
 
     Phase phase = Phase::Starting;
     Jobs::Resources need; ///< 0 if not known
+    std::uint32_t latencyTargetMs = 0; ///< 0: none, or not known
     bool stopping = false; ///< a stop call is in progress or done
     Base::MonoTime calledAt{};
     Base::MonoTime startedAt{};
@@ -35,6 +38,8 @@
     Base::MonoTime progressAt{};
     bool stallReported = false;
     std::string checkpoint; ///< the latest that the worker has listed
+    int pacePercent = fullPace; ///< the share at which the worker lets it work, as far as is known
+    bool paceInProgress = false; ///< a call that sets it has not been answered
 };
 
 struct AgentState {
@@ -58,6 +63,11 @@
     std::unordered_map<Jobs::RunRef, std::uint64_t, Jobs::RunRefHash> barredAtHold;
     std::map<Jobs::RunRef, Base::MonoTime> stopRetries;
 
+    // Background runs are slowed down while they disturb runs with a latency target.
+    int backgroundPercent = fullPace;
+    Base::MonoTime paceChangedAt{};
+    Base::MonoTime lastDisturbedAt{}; ///< when such a run was near its target, or over it
+
     // Ends by the worker's numbers.
     std::map<std::uint64_t, Jobs::RunEnd> ends; ///< not recorded by the owner yet
     std::uint64_t endsRecorded = 0; ///< by the owner
@@ -119,10 +129,17 @@
     bool answered = false;
 };
 
+struct PaceAnswered {
+    Jobs::RunRef run;
+    int percent = fullPace; ///< as in CallPace
+    bool answered = false;
+};
+
 struct ListedRun {
     Jobs::RunRef run;
     int percent = -1;
     std::string checkpoint = {}; ///< empty if there is none
+    std::optional<std::uint32_t> usage = {}; ///< lately: the tail latency in ms of a run with a latency target, the processor in use of others
 };
 
 struct HoldAnswered {
@@ -140,7 +157,8 @@
 struct LeaveRequested {
 };
 
-using AgentEvent = std::variant<TimePassed, LeaveRequested, WorkerBeat, WorkerLeft, EntryUnlinked, OrdersArrived, StartAnswered, StopAnswered, HoldAnswered>;
+using AgentEvent
+    = std::variant<TimePassed, LeaveRequested, WorkerBeat, WorkerLeft, EntryUnlinked, OrdersArrived, StartAnswered, StopAnswered, PaceAnswered, HoldAnswered>;
 
 // Effects.
 
@@ -161,6 +179,14 @@
     Base::Duration timeout{};
 };
 
+/// Lets a run work at a share of what it could do.
+struct CallPace {
+    Jobs::RunRef run;
+    int percent = fullPace;
+    std::uint64_t fence = 0;
+    Base::Duration timeout{};
+};
+
 struct CallHold {
     std::optional<std::chrono::milliseconds> until; ///< nothing: the lease is not renewed
     std::uint64_t fence = 0;
@@ -186,7 +212,7 @@
     std::vector<std::pair<std::string, std::string>> fields;
 };
 
-using AgentEffect = std::variant<CallStart, CallStop, CallHold, SendReport, LearnEntries, Decision>;
+using AgentEffect = std::variant<CallStart, CallStop, CallPace, CallHold, SendReport, LearnEntries, Decision>;
 using AgentEffects = std::vector<AgentEffect>;
 
 } // namespace LaburnumFlow::TaskAgent
--- a/src/libs/taskagent/agentsteps.h
+++ b/src/libs/taskagent/agentsteps.h
@@ -37,6 +37,13 @@
 void handleStopAnswer(Context &context, const StopAnswered &event);
 void handleHoldAnswer(Context &context, const HoldAnswered &event);
 
+// Pace of background runs.
+
+/// Decides on it by what the worker has listed last.
+void steerBackground(Context &context, const HoldAnswered &event);
+
+void handlePaceAnswer(Context &context, const PaceAnswered &event);
+
 /// Reports all runs as lapsed: their worker has none of them any more.
 void loseRuns(Context &context, const std::string &reason);
 
--- a/src/libs/taskagent/taskagentconstants.h
+++ b/src/libs/taskagent/taskagentconstants.h
@@ -20,6 +20,12 @@
 constexpr Base::Duration holdRetryWithoutWorker = 300ms;
 constexpr int allPercent = 100; ///< of a task's work; a lasting task stays there
 constexpr Base::Duration stallLimit = 900ms; ///< a run whose progress stands still for longer is reported
+constexpr Base::Duration paceInterval = 600ms; ///< between two changes of the pace; workers report the last half second, and follow within 100 ms
+constexpr Base::Duration calmBeforeRaise = 1500ms; ///< an unhindered run within its target for this long allows more background work
+constexpr double slowDownAbove = 0.9; ///< of the latency target
+constexpr double raiseBelow = 0.7; ///< of the latency target
+constexpr int paceRaise = 10; ///< percent points
+constexpr int leastPace = 10; ///< percent; less is not worth the disturbance
 constexpr Base::Duration tokenInterval = 350ms; ///< the owner gets a token at least this often
 constexpr Base::Duration workerSilentLimit = 6s; ///< a worker that neither answers nor sends heartbeats is gone after this
 
--- a/tests/auto/jobs/ownerharness.cpp
+++ b/tests/auto/jobs/ownerharness.cpp
@@ -72,6 +72,7 @@
             }
             auto &stops = stops_[orders->agent];
             stops.insert(stops.end(), orders->orders.stops.begin(), orders->orders.stops.end());
+            facts.insert(facts.end(), orders->orders.facts.begin(), orders->orders.facts.end());
             endsRecorded[orders->agent] = orders->orders.endsRecorded;
             ordersSeen_[orders->agent] = orders->orders.number;
         } else if (auto *commit = std::get_if<StartCommit>(&effect)) {
--- a/tests/auto/jobs/ownerharness.h
+++ b/tests/auto/jobs/ownerharness.h
@@ -60,6 +60,7 @@
     Base::Duration timePerEvent = std::chrono::milliseconds(1);
     std::vector<Commit> commits;
     std::optional<StepDown> steppedDown;
+    std::vector<RunFacts> facts; ///< as the agents were told
     std::map<std::string, std::uint64_t> endsRecorded; ///< as the agents were told
 
 private:
--- a/tests/auto/taskagent/agentharness.h
+++ b/tests/auto/taskagent/agentharness.h
@@ -99,6 +99,7 @@
 
     std::vector<CallStart> starts;
     std::vector<CallStop> stops;
+    std::vector<CallPace> paces;
     std::vector<CallHold> holds;
     std::vector<SendReport> reports;
 
@@ -110,6 +111,8 @@
                 starts.push_back(std::move(*start));
             } else if (auto *stop = std::get_if<CallStop>(&effect)) {
                 stops.push_back(*stop);
+            } else if (auto *pace = std::get_if<CallPace>(&effect)) {
+                paces.push_back(*pace);
             } else if (auto *holdCall = std::get_if<CallHold>(&effect)) {
                 holds.push_back(*holdCall);
             } else if (auto *report = std::get_if<SendReport>(&effect)) {
