Ask the advice service before the tasks of advised queues start

Jobs of queues with advice were refused. The owner now asks the service about the best workers for a step, one call at a time, and starts tasks only on workers whose ticket lasts for another 300 ms. A worker that refuses a ticket is asked about again and is not blamed.

Weighed: one call for all workers of the service, which costs EachMs for each of them and delays every other step that waits, against as many as the step has tasks and four more; the latter, as further calls follow while none is good.

Without an address of the service in the settings such jobs are refused as before.

--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -3,6 +3,7 @@
 #include "nodeconstants.h"
 
 #include "base/timerservice.h"
+#include "platform/advicedialect.h"
 
 #include <algorithm>
 
@@ -131,6 +132,17 @@
     }
 }
 
+void EntryProcess::carryOut(Jobs::AskAdvice &ask)
+{
+    const Base::MonoTime begun = Base::monoNow();
+    adviceCalls_.send(Platform::adviceRequest(advice_, ask), [this, ask, epoch = owner_->epoch, begun](const HttpIo::ClientResponse &response) {
+        metrics_.observeCall("advise", outcomeOf(response), Base::monoNow() - begun);
+        if (owner_ && owner_->epoch == epoch) {
+            feedOwner(Platform::adviceAnswer(ask, response));
+        }
+    });
+}
+
 void EntryProcess::carryOut(Jobs::StartCommit &commit)
 {
     const std::uint64_t epoch = owner_->epoch;
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -21,6 +21,16 @@
     return {settings.name, incarnation, settings.peers, settings.processorPercent};
 }
 
+std::string textOf(const Base::Endpoint &endpoint)
+{
+    return endpoint.address + ':' + std::to_string(endpoint.port);
+}
+
+std::string adviceAddress(const Settings::JobEntrySettings &settings)
+{
+    return settings.advice ? textOf(*settings.advice) : std::string();
+}
+
 struct NameOfCall {
     std::string_view operator()(const Jobs::SubmitCall &) const
     {
@@ -48,10 +58,12 @@
 EntryProcess::EntryProcess(const Settings::NodeSettings &settings, std::string settingsFile)
     : NodeProcess(settings, std::move(settingsFile))
     , storeCalls_(loop_, storeConnections)
+    , adviceCalls_(loop_, 1)
     , callers_(loop_, {std::get<Settings::JobEntrySettings>(settings.role).callers}, [this](const HttpIo::ServerRequest &request) { handleRequest(request); })
     , ready_(loop_, {std::get<Settings::JobEntrySettings>(settings.role).ready}, [this](const HttpIo::ServerRequest &request) { handleReady(request); })
     , links_(loop_, *this)
-    , store_(settings.store.endpoint.address + ':' + std::to_string(settings.store.endpoint.port))
+    , store_(textOf(settings.store.endpoint))
+    , advice_(adviceAddress(std::get<Settings::JobEntrySettings>(settings.role)))
     , storeWatch_(storeLostAfter)
     , ownership_(EntryNode::makeOwnership(recordOf(settings), std::chrono::milliseconds(settings.store.shortestLeaseMs), Base::monoNow()))
     , timer_(
@@ -96,6 +108,10 @@
         answerCaller(request.id, Platform::encodeAnswer(EntryNode::unseenAnswer(call)));
         return;
     }
+    if (auto *submit = std::get_if<Jobs::SubmitCall>(&call); submit != nullptr && submit->rules.advice && advice_.empty()) {
+        answerCaller(request.id, Platform::encodeAnswer({.kind = Jobs::CallAnswer::Kind::Unsupported}));
+        return;
+    }
     if (auto *submit = std::get_if<Jobs::SubmitCall>(&call); submit != nullptr && patience) {
         submit->patienceMs = static_cast<std::uint32_t>(*request.deadlineMs);
     }
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -111,6 +111,7 @@
     void carryOut(Jobs::Reply &reply);
     void carryOut(Jobs::SendOrders &orders);
     void carryOut(Jobs::StartCommit &commit);
+    void carryOut(Jobs::AskAdvice &ask);
     void carryOut(Jobs::StepDown &stepDown);
     void carryOut(Jobs::Decision &decision);
     void passToOwner(Waiting waiting, Jobs::Call call);
@@ -134,10 +135,12 @@
     void finishWhenIdle();
 
     HttpIo::HttpClient storeCalls_;
+    HttpIo::HttpClient adviceCalls_;
     HttpIo::HttpFront callers_;
     HttpIo::HttpFront ready_;
     Net::LoopLinks links_;
     std::string store_;
+    std::string advice_; ///< address of the service; empty if there is none
     StoreTimeout storeTimeout_;
     Runtime::DependencyWatch storeWatch_;
 
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -2,9 +2,12 @@
 
 #include "base/types.h"
 
+#include <cereal/types/optional.hpp>
+
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -112,6 +115,21 @@
     }
 };
 
+/// A service outside says which workers may run a step, and gives a ticket for each.
+struct AdviceRules {
+    std::uint32_t decideMs = 0; ///< the service takes this long for a call
+    std::uint32_t eachMs = 0; ///< and this much longer for each worker named in it
+    std::uint32_t validMs = 0; ///< workers take a ticket for this long
+
+    bool operator==(const AdviceRules &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(decideMs, eachMs, validMs);
+    }
+};
+
 /// The operator's rules for a queue of jobs.
 struct QueueRules {
     std::string name;
@@ -120,13 +138,14 @@
     std::uint32_t maxAttempts = 1; ///< a task that failed this often fails its job
     double stretch = 1.0; ///< a job is in time up to stretch times its longest chain of work, and targetMs more
     std::uint32_t targetMs = 0;
+    std::optional<AdviceRules> advice = {}; ///< nothing: any worker of the service may run the tasks
 
     bool operator==(const QueueRules &) const = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(name, service, priority, maxAttempts, stretch, targetMs);
+        archive(name, service, priority, maxAttempts, stretch, targetMs, advice);
     }
 };
 
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -65,6 +65,14 @@
 constexpr std::uint32_t lastingRetryAfterS = 10; ///< room for lasting tasks comes with a cancelling or new workers, which take their time
 constexpr double lastingShare = 0.9; ///< of a service's capacity that lasting tasks may fill
 
+// Advice on workers.
+constexpr std::uint32_t adviceSpare = 4; ///< workers asked about beyond one for each task, as some may not run the step
+constexpr std::uint32_t adviceWorkersMost = 100; ///< in one call
+constexpr Base::Duration adviceSlack = 1500ms; ///< for calls of other processes that the service takes first
+constexpr Base::Duration ticketReserve = 300ms; ///< a ticket that ends sooner may come too late to the worker
+constexpr Base::Duration advicePauseFirst = 100ms;
+constexpr Base::Duration advicePauseLast = 1s;
+
 // Worker health.
 constexpr std::uint32_t failureWeight = 2; ///< of a run that failed or stalled
 constexpr std::uint32_t noAnswerWeight = 1; ///< of a start that was not answered; single calls get lost on sound workers too
--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -73,6 +73,7 @@
         Stale, ///< the order was too old, or its run not higher than an earlier one
         NoWorker,
         NoAnswer, ///< the worker did not answer; the run was then barred from starting
+        NoTicket, ///< the worker does not take the ticket any more
     };
 
     RunRef run;
@@ -157,13 +158,14 @@
     std::string payload;
     std::string checkpoint = {}; ///< from which the runs resume; empty: from the start
     std::uint32_t latencyTargetMs = 0; ///< of each run; 0: none
+    std::string ticket = {}; ///< of the advice service; empty if the queue needs none
 
     bool operator==(const StartOrder &) const = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(runs, need, payload, checkpoint, latencyTargetMs);
+        archive(runs, need, payload, checkpoint, latencyTargetMs, ticket);
     }
 };
 
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -104,6 +104,11 @@
     state.schedulingDue = true;
 }
 
+void handle(Context &context, const AdviceGiven &event)
+{
+    Internal::handleAdvice(context, event);
+}
+
 void handle(Context &context, const EntriesChanged &event)
 {
     context.state.entries = event.entries;
--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -36,6 +36,8 @@
         return "no-worker";
     case RunRefusal::Reason::NoAnswer:
         return "no-answer";
+    case RunRefusal::Reason::NoTicket:
+        return "no-ticket";
     }
     return "unknown";
 }
@@ -259,7 +261,9 @@
     decide(context, "task.refused", {{"run", runText(refusal.run)}, {"agent", agent.name}, {"reason", std::string(nameOf(refusal.reason))}});
     if (Job *job = findJob(context.state, refusal.run.task.job); job != nullptr && hasTask(*job, refusal.run.task)) {
         Task &task = job->tasks[flatIndex(*job, refusal.run.task)];
-        if (task.phase == Task::Phase::Active && task.agent == index && task.run == refusal.run.run) {
+        if (refusal.reason == RunRefusal::Reason::NoTicket) {
+            dropTicket(context.state, {job->id, stepIndexOf(*job, refusal.run.task)}, index);
+        } else if (task.phase == Task::Phase::Active && task.agent == index && task.run == refusal.run.run) {
             task.avoid = index;
         }
         if (refusal.reason == RunRefusal::Reason::Unhealthy || refusal.reason == RunRefusal::Reason::NoAnswer) {
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -59,6 +59,7 @@
     state.ready.erase(placeOf(job));
     watchGain(state, job, false);
     watchOccurrence(state, job, false);
+    dropAdvice(state, job.id);
     if (job.expiresAt) {
         state.expiring.erase({*job.expiresAt, job.id});
     }
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -16,6 +16,7 @@
     Context &context;
     std::uint32_t largestFree = 0; ///< processor that the emptiest worker has left
     KeptFree keptFree;
+    std::vector<AdvisedStep> unadvised = {}; ///< steps whose tasks found no worker with a ticket
 };
 
 /// Jobs of a service that need more processor than any worker has free are passed over without a look at each worker.
@@ -30,14 +31,15 @@
     return largest;
 }
 
-void addToOrders(Agent &agent, const Job &job, const RunRef &run)
+void addToOrders(OwnerState &state, AgentIndex index, const Job &job, const RunRef &run)
 {
+    Agent &agent = state.agents[index];
     auto &starts = agent.outbox.starts;
     const std::string &checkpoint = job.tasks[flatIndex(job, run.task)].checkpoint;
     const bool sameStep = !starts.empty() && starts.back().runs.front().task.job == job.id && starts.back().runs.front().task.step == run.task.step;
     if (!sameStep || starts.back().checkpoint != checkpoint) {
         const StepSpec &step = specOf(job, stepIndexOf(job, run.task));
-        starts.push_back({{}, step.need, job.spec.payload, checkpoint, step.latencyTargetMs});
+        starts.push_back({{}, step.need, job.spec.payload, checkpoint, step.latencyTargetMs, ticketFor(state, job, stepIndexOf(job, run.task), index)});
     }
     starts.back().runs.push_back(run);
 }
@@ -55,7 +57,7 @@
     --job.readyTasks;
     const RunRef run{refOf(job, flat), task.run};
     addRun(agent, run, stepOf(job, flat).need, agent.ordersSent + 1, state.now);
-    addToOrders(agent, job, run);
+    addToOrders(state, index, job, run);
     markStarted(state, job);
     decide(round.context,
            "task.placed",
@@ -71,7 +73,7 @@
     if (state.now >= due) {
         return true;
     }
-    state.rescheduleAt = state.rescheduleAt ? std::min(*state.rescheduleAt, due) : due;
+    scheduleAgainAt(state, due);
     return false;
 }
 
@@ -186,6 +188,13 @@
     }
 }
 
+bool hasReadyTasks(const Job &job, StepIndex step)
+{
+    const auto first = job.tasks.begin() + job.firstTask[step];
+    const auto last = job.tasks.begin() + job.firstTask[step + 1U];
+    return std::any_of(first, last, [](const Task &task) { return task.phase == Task::Phase::Ready; });
+}
+
 /// Returns whether all ready tasks of the job were placed.
 bool placeTasks(Round &round, Job &job)
 {
@@ -195,12 +204,20 @@
         } else {
             placeSingly(round, job, step);
         }
+        if (job.rules.advice && hasReadyTasks(job, step)) {
+            round.unadvised.emplace_back(job.id, step);
+        }
     }
     return job.readyTasks == 0;
 }
 
 } // namespace
 
+void scheduleAgainAt(OwnerState &state, Base::MonoTime due)
+{
+    state.rescheduleAt = state.rescheduleAt ? std::min(*state.rescheduleAt, due) : due;
+}
+
 void schedule(Context &context)
 {
     OwnerState &state = context.state;
@@ -224,6 +241,7 @@
         }
         requeue(context, job);
     }
+    askAdvice(context, round.unadvised);
     state.schedulingDue = false;
 }
 
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -119,6 +119,24 @@
     Base::MonoTime at{};
 };
 
+/// What the advice service has said of a worker for a step.
+struct WorkerAdvice {
+    std::int64_t workerBornMs = 0; ///< another incarnation must be asked for anew
+    std::string ticket; ///< empty: the worker may not run the step, which does not change
+    Base::MonoTime ticketUntil{};
+};
+
+/// Advice is given for a step of one occurrence.
+using AdvisedStep = std::pair<JobId, StepIndex>;
+
+/// A call to the advice service that has not been answered.
+struct OpenAdvice {
+    std::uint64_t number = 0;
+    AdvisedStep step;
+    std::vector<AgentIndex> agents; ///< whose workers the call names
+    Base::MonoTime askedAt{};
+};
+
 /// All that the owner of the jobs knows.
 struct OwnerState {
     std::uint64_t epoch = 0;
@@ -156,6 +174,11 @@
     KindSpeeds kindSpeeds;
     std::unordered_map<std::string, QueueRules> rules; ///< by queue
     std::uint64_t rulesVersion = 0;
+    std::map<AdvisedStep, std::map<AgentIndex, WorkerAdvice>> advice;
+    std::optional<OpenAdvice> openAdvice; ///< the service takes the calls of a process one after the other
+    std::uint64_t adviceCalls = 0;
+    Base::MonoTime adviceNotBefore{}; ///< after a call that failed
+    Base::Duration advicePause{}; ///< after the next one
     std::vector<Base::Endpoint> entries;
     std::unordered_map<std::string, Demand> demands; ///< by service
     bool schedulingDue = false;
@@ -201,7 +224,15 @@
     std::vector<Base::Endpoint> entries;
 };
 
-using OwnerEvent = std::variant<TimePassed, CallArrived, AgentLinked, AgentUnlinked, AgentReported, CommitEnded, RulesChanged, EntriesChanged>;
+/// The advice service's answer.
+struct AdviceGiven {
+    std::uint64_t number = 0; ///< as in AskAdvice
+    bool answered = false;
+    std::vector<std::pair<std::string, std::string>> tickets; ///< by the ids of the workers that may run the step
+    std::optional<std::uint32_t> validMs; ///< nothing: as the queue's rules say
+};
+
+using OwnerEvent = std::variant<TimePassed, CallArrived, AgentLinked, AgentUnlinked, AgentReported, CommitEnded, RulesChanged, EntriesChanged, AdviceGiven>;
 
 // Effects.
 
@@ -219,6 +250,14 @@
     Commit commit;
 };
 
+/// Asks the advice service which of the workers may run the step.
+struct AskAdvice {
+    std::uint64_t number = 0;
+    TaskRef step; ///< its index does not count
+    std::vector<std::string> workers; ///< ids
+    Base::Duration timeout{};
+};
+
 /// Another entry owns the jobs: the state must be dropped, and calls without a reply passed to the new owner.
 struct StepDown {
     std::uint64_t seenEpoch = 0; ///< 0 if unknown
@@ -230,7 +269,7 @@
     std::vector<std::pair<std::string, std::string>> fields;
 };
 
-using OwnerEffect = std::variant<Reply, SendOrders, StartCommit, StepDown, Decision>;
+using OwnerEffect = std::variant<Reply, SendOrders, StartCommit, AskAdvice, StepDown, Decision>;
 using OwnerEffects = std::vector<OwnerEffect>;
 
 } // namespace LaburnumFlow::Jobs
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -141,6 +141,19 @@
 /// Whether a listed run may belong to the gang's present run.
 bool mayJoinGang(const Job &job, const RunRef &run);
 
+// Advice on workers.
+
+/// Asks for the first of the steps for which some worker has not been asked about yet.
+void askAdvice(Context &context, const std::vector<AdvisedStep> &wanted);
+
+void handleAdvice(Context &context, const AdviceGiven &given);
+
+/// The worker did not take the step's ticket.
+void dropTicket(OwnerState &state, const AdvisedStep &step, AgentIndex index);
+
+/// Drops what is known for the job's steps.
+void dropAdvice(OwnerState &state, JobId job);
+
 /// Finishes the job if all is done, and opens its next steps otherwise. settlement: of the end that says so.
 void handleProgress(Context &context, Job &job, AgentIndex agent, const Settlement &settlement);
 
@@ -150,4 +163,7 @@
 // Scheduling.
 void schedule(Context &context);
 
+/// Looks at the ready jobs again at the time, also if nothing happens until then.
+void scheduleAgainAt(OwnerState &state, Base::MonoTime due);
+
 } // namespace LaburnumFlow::Jobs::Internal
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr double crowdingWeight = 0.1; ///< spreads tasks over workers that are equally fast
+constexpr double fullWorkerCost = 100.0; ///< workers with room are asked about first
 constexpr double leastLeftover = 0.02; ///< of a worker's processor, which background tasks are expected to find on a full one
 
 /// What a placement that is being made takes of the workers, beside what runs there.
@@ -45,10 +46,28 @@
     return step.requiredLabel.empty() || std::find(worker.labels.begin(), worker.labels.end(), step.requiredLabel) != worker.labels.end();
 }
 
-bool allowed(const Agent &agent, const Job &job, StepIndex stepIndex)
+/// What the advice service has said; null if nothing, or of a former worker there.
+const WorkerAdvice *adviceOn(const OwnerState &state, const Job &job, StepIndex step, AgentIndex index)
+{
+    const auto known = state.advice.find({job.id, step});
+    if (known == state.advice.end()) {
+        return nullptr;
+    }
+    const auto found = known->second.find(index);
+    const bool same = found != known->second.end() && state.agents[index].worker && state.agents[index].worker->bornMs == found->second.workerBornMs;
+    return same ? &found->second : nullptr;
+}
+
+bool isAdvised(const OwnerState &state, const Job &job, StepIndex step, AgentIndex index)
+{
+    return !job.rules.advice || !ticketFor(state, job, step, index).empty();
+}
+
+bool allowed(const OwnerState &state, const Job &job, StepIndex stepIndex, AgentIndex index)
 {
     const StepSpec &step = specOf(job, stepIndex);
-    if (!suits(*agent.worker, job, step) || !fits(agent, step.need)) {
+    const Agent &agent = state.agents[index];
+    if (!suits(*agent.worker, job, step) || !fits(agent, step.need) || !isAdvised(state, job, stepIndex, index)) {
         return false;
     }
     return step.maxPerWorker == 0 || runsOfStep(agent, job, stepIndex) < step.maxPerWorker;
@@ -58,7 +77,7 @@
 {
     const StepSpec &step = specOf(job, stepIndex);
     const Agent &agent = state.agents[index];
-    if (!suits(*agent.worker, job, step)) {
+    if (!suits(*agent.worker, job, step) || !isAdvised(state, job, stepIndex, index)) {
         return false;
     }
     const Resources used = planned.emptyWorkers ? planned.taken[index] : agent.used + planned.taken[index];
@@ -220,7 +239,7 @@
         if (index < keptFree.size() && keptFree[index]) {
             continue;
         }
-        if (!takesWork(agent, state.now) || !allowed(agent, job, stepIndex) || mustAvoid(state, job, flat, index)) {
+        if (!takesWork(agent, state.now) || !allowed(state, job, stepIndex, index) || mustAvoid(state, job, flat, index)) {
             continue;
         }
         double cost = costOf(state, step, agent);
@@ -260,6 +279,33 @@
     return chooseTogether(state, job, step, {}, onEmptyWorkers(state), {}).agents;
 }
 
+std::string ticketFor(const OwnerState &state, const Job &job, StepIndex step, AgentIndex index)
+{
+    const WorkerAdvice *advice = job.rules.advice ? adviceOn(state, job, step, index) : nullptr;
+    return advice != nullptr && advice->ticketUntil - ticketReserve > state.now ? advice->ticket : std::string();
+}
+
+std::vector<AgentIndex> workersToAsk(const OwnerState &state, const Job &job, StepIndex stepIndex)
+{
+    const StepSpec &step = specOf(job, stepIndex);
+    std::vector<std::pair<double, AgentIndex>> candidates;
+    for (AgentIndex index = 0; index < state.agents.size(); ++index) {
+        const Agent &agent = state.agents[index];
+        if (!takesWork(agent, state.now) || !suits(*agent.worker, job, step) || !isWithin(step.need, agent.worker->capacity)) {
+            continue;
+        }
+        const WorkerAdvice *advice = adviceOn(state, job, stepIndex, index);
+        const bool expired = advice != nullptr && !advice->ticket.empty() && ticketFor(state, job, stepIndex, index).empty();
+        if (advice == nullptr || expired) {
+            candidates.emplace_back(costOf(state, step, agent) + (fits(agent, step.need) ? 0.0 : fullWorkerCost), index);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end());
+    std::vector<AgentIndex> workers;
+    std::transform(candidates.begin(), candidates.end(), std::back_inserter(workers), [](const auto &candidate) { return candidate.second; });
+    return workers;
+}
+
 bool fitsOneRack(const OwnerState &state, const Job &job, StepIndex step)
 {
     return !bestRack(state, job, step, onEmptyWorkers(state), {}).agents.empty();
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -27,4 +27,10 @@
 /// Room that lasting tasks may still take from the service, in thousandths of a core.
 double lastingRoomMilli(const OwnerState &state, const std::string &service);
 
+/// The advice service's ticket for the worker, which may run the step; empty if there is none or it ends soon.
+std::string ticketFor(const OwnerState &state, const Job &job, StepIndex step, AgentIndex index);
+
+/// Workers that might run the step and of which the advice service has not said yet whether they may. The best come first.
+std::vector<AgentIndex> workersToAsk(const OwnerState &state, const Job &job, StepIndex step);
+
 } // namespace LaburnumFlow::Jobs
--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -44,6 +44,9 @@
     JobEntrySettings entry;
     requireEndpoint(reader, "callers", EndpointUse::Listening, entry.callers);
     requireEndpoint(reader, "ready", EndpointUse::Listening, entry.ready);
+    if (Base::Endpoint advice; readEndpoint(reader, "advice", EndpointUse::Reaching, advice)) {
+        entry.advice = advice;
+    }
     return entry;
 }
 
--- a/src/libs/settings/nodesettings.h
+++ b/src/libs/settings/nodesettings.h
@@ -24,6 +24,7 @@
 struct JobEntrySettings {
     Base::Endpoint callers; ///< callers' HTTP interface
     Base::Endpoint ready; ///< answers whether new connections are welcome
+    std::optional<Base::Endpoint> advice; ///< the service that says which workers may run a step; none if absent
 };
 
 /// The process beside a worker.
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -178,7 +178,8 @@
     local.latencyTargetMs = order.latencyTargetMs;
     local.calledAt = state.now;
     noteRenewal(state);
-    context.effects.push_back(CallStart{run, order.payload, order.checkpoint, *until, state.epoch, state.worker->id, state.worker->bornMs, callTimeout(state)});
+    context.effects.push_back(
+        CallStart{run, order.payload, order.checkpoint, order.ticket, *until, state.epoch, state.worker->id, state.worker->bornMs, callTimeout(state)});
 }
 
 void stopRun(Context &context, const RunRef &run)
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -166,6 +166,7 @@
     Jobs::RunRef run;
     std::string payload;
     std::string checkpoint; ///< to resume from; empty: from the start
+    std::string ticket; ///< of the advice service; empty: none
     std::chrono::milliseconds until{}; ///< on the worker's clock
     std::uint64_t fence = 0;
     std::string workerId;
--- a/tests/auto/jobs/ownerharness.cpp
+++ b/tests/auto/jobs/ownerharness.cpp
@@ -68,6 +68,7 @@
                 starts.insert(starts.end(), start.runs.begin(), start.runs.end());
                 for (const RunRef &run : start.runs) {
                     checkpoints_[run] = start.checkpoint;
+                    tickets_[run] = start.ticket;
                 }
             }
             auto &stops = stops_[orders->agent];
@@ -78,6 +79,8 @@
         } else if (auto *commit = std::get_if<StartCommit>(&effect)) {
             commits.push_back(std::move(commit->commit));
             commitOpen_ = true;
+        } else if (auto *ask = std::get_if<AskAdvice>(&effect)) {
+            asked.push_back(std::move(*ask));
         } else if (auto *stepDown = std::get_if<StepDown>(&effect)) {
             steppedDown = *stepDown;
         }
@@ -158,6 +161,12 @@
     }
 }
 
+std::string OwnerHarness::ticketOf(const RunRef &run) const
+{
+    const auto found = tickets_.find(run);
+    return found == tickets_.end() ? std::string() : found->second;
+}
+
 std::string OwnerHarness::checkpointOf(const RunRef &run) const
 {
     const auto found = checkpoints_.find(run);
--- a/tests/auto/jobs/ownerharness.h
+++ b/tests/auto/jobs/ownerharness.h
@@ -55,12 +55,14 @@
     std::size_t allStarts() const;
     /// Of the last order to start the run.
     std::string checkpointOf(const RunRef &run) const;
+    std::string ticketOf(const RunRef &run) const;
 
     OwnerState state;
     Base::Duration timePerEvent = std::chrono::milliseconds(1);
     std::vector<Commit> commits;
     std::optional<StepDown> steppedDown;
     std::vector<RunFacts> facts; ///< as the agents were told
+    std::vector<AskAdvice> asked;
     std::map<std::string, std::uint64_t> endsRecorded; ///< as the agents were told
 
 private:
@@ -71,6 +73,7 @@
     std::map<std::string, std::vector<RunRef>> starts_;
     std::map<std::string, std::vector<RunRef>> stops_;
     std::map<RunRef, std::string> checkpoints_;
+    std::map<RunRef, std::string> tickets_;
     std::map<std::string, std::size_t> stopsConfirmed_;
     std::map<std::string, std::uint64_t> lastEnd_;
     std::map<std::string, std::uint64_t> ordersSeen_;
--- a/tests/fuzz/fuzz_worker.cpp
+++ b/tests/fuzz/fuzz_worker.cpp
@@ -1,3 +1,4 @@
+#include "platform/advicedialect.h"
 #include "platform/workerdialect.h"
 
 #include <cstddef>
@@ -6,7 +7,7 @@
 
 using namespace LaburnumFlow;
 
-/// Guards against an answer of the worker that ends the agent's process.
+/// Guards against an answer of the worker, or of the advice service, that ends a process.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     constexpr int statuses[] = {200, 400, 409, 421, 503};
@@ -16,6 +17,8 @@
         Platform::startAnswer({}, response);
         Platform::stopAnswer({}, response);
         Platform::holdAnswer({}, response);
+        Platform::paceAnswer({}, response);
+        Platform::adviceAnswer({}, response);
     }
     Platform::parseTaskName(text);
     return 0;
