Pause before the next start of a lasting task that ends at once

Cause: a lasting task starts again however it ends, and one that failed at its start was started again at once, as fast as reports came.

Before: TestLasting::pausesBetweenQuickEnds counts a start each 50 ms. After: the first two ends in succession, each within 5 s of its start and by the task's own fault, are followed by a start at once, the next ones by pauses of 0.1 to 1.6 s, which stays below the 3 s after which the platform counts a job as lost. An end by the system's or a worker's fault costs no pause, and a run of 5 s ends the pauses. The test of a task that fails eleven times lets the longer time pass; it checks the same.

--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -63,6 +63,10 @@
 constexpr Base::Duration roomKeptAfter = 300ms; ///< a gang that waits for longer has workers kept free for it, as smaller work would always come first
 constexpr Base::Duration preemptAfter = 1500ms; ///< a lasting task that waits for longer takes the room of other work
 constexpr std::uint32_t lastingRetryAfterS = 10; ///< room for lasting tasks comes with a cancelling or new workers, which take their time
+constexpr Base::Duration lastingSoundAfter = 5s; ///< a lasting task that ran for longer was sound
+constexpr std::uint8_t lastingQuickEnds = 2; ///< so many in succession are followed by a start at once, further ones by a pause
+constexpr Base::Duration lastingPauseFirst = 100ms; ///< doubles with each quick end
+constexpr Base::Duration lastingPauseLast = 1600ms; ///< the platform counts a job as lost of which nothing runs for 3 s
 constexpr double lastingShare = 0.9; ///< of a service's capacity that lasting tasks may fill
 
 // Advice on workers.
--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -2,6 +2,8 @@
 
 #include "jobsconstants.h"
 
+#include <algorithm>
+
 namespace LaburnumFlow::Jobs::Internal {
 
 namespace {
@@ -150,6 +152,28 @@
     }
 }
 
+/// A task that ends by itself again and again must not keep a worker busy with starts.
+void pauseAfterQuickEnd(const OwnerState &state, Task &task, const RunEnd &end)
+{
+    if (end.how != EndKind::Failed && end.how != EndKind::Done) {
+        return;
+    }
+    if (end.ranMs == 0 || std::chrono::milliseconds(end.ranMs) >= lastingSoundAfter) {
+        task.quickEnds = 0;
+        return;
+    }
+    if (task.quickEnds < lastingQuickEnds) {
+        ++task.quickEnds;
+        return;
+    }
+    const int doublings = task.quickEnds - lastingQuickEnds;
+    const Base::Duration pause = std::min<Base::Duration>(lastingPauseFirst * (1 << doublings), lastingPauseLast);
+    task.notBefore = state.now + pause;
+    if (pause < lastingPauseLast) {
+        ++task.quickEnds;
+    }
+}
+
 /// A lasting task starts again however it ended.
 void lastingEnded(Context &context, Job &job, Task &task, AgentIndex index, const RunEnd &end)
 {
@@ -157,6 +181,7 @@
     if (end.how == EndKind::Failed) {
         task.avoid = index;
     }
+    pauseAfterQuickEnd(context.state, task, end);
     if (task.phase == Task::Phase::Active) {
         releaseTask(context, job, task);
     }
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -169,12 +169,23 @@
     }
 }
 
+/// Looks at the task again at the end of its pause.
+bool isPausing(Round &round, const Task &task)
+{
+    OwnerState &state = round.context.state;
+    if (state.now >= task.notBefore) {
+        return false;
+    }
+    scheduleAgainAt(state, task.notBefore);
+    return true;
+}
+
 void placeSingly(Round &round, Job &job, StepIndex step)
 {
     const StepSpec &spec = specOf(job, step);
     bool allPlaced = true;
     for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U] && job.readyTasks > 0; ++flat) {
-        if (job.tasks[flat].phase != Task::Phase::Ready) {
+        if (job.tasks[flat].phase != Task::Phase::Ready || isPausing(round, job.tasks[flat])) {
             continue;
         }
         const AgentIndex index = spec.need.cpuMilli > round.largestFree ? noAgent : place(round.context.state, job, flat, round.keptFree);
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -41,6 +41,8 @@
     AgentIndex agent = noAgent; ///< of the active run
     AgentIndex avoid = noAgent; ///< where the last run failed or stalled
     std::string checkpoint; ///< of the latest run that had one; the next run resumes from it
+    std::uint8_t quickEnds = 0; ///< of a lasting task: ends by its own fault in succession, each soon after the start
+    Base::MonoTime notBefore{}; ///< the next start
 };
 
 /// Counts a job's steps one after the other for each occurrence that has begun; so a plain job has those of its spec.
