--- a/src/tools/laburnumload/main.cpp
+++ b/src/tools/laburnumload/main.cpp
@@ -76,7 +76,7 @@
 void run(const Scenario &scenario, const Arguments &arguments)
 {
     const auto seed = static_cast<std::uint64_t>(arguments.seed);
-    const double roundTripMs = measureRoundTripMs(arguments.entries.front());
+    const double roundTripMs = measureRoundTripMs(scenario, arguments.entries.front());
     const std::vector<PlannedJob> jobs = drawSchedule(scenario, seed, arguments.entries.size());
     const std::vector<JobResult> results = runSchedule(scenario, jobs, arguments.entries, seed);
     const RunData data{scenario, jobs, results, roundTripMs, seed, checkRecords(arguments.records)};
--- a/src/tools/laburnumload/runner.cpp
+++ b/src/tools/laburnumload/runner.cpp
@@ -1,10 +1,6 @@
 #include "runner.h"
 
-#include "base/timerservice.h"
-#include "base/uuid.h"
-
 #include <curl/curl.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -13,6 +9,7 @@
 #include <queue>
 #include <random>
 #include <unordered_map>
+#include <utility>
 
 namespace LaburnumFlow::Load {
 
@@ -22,19 +19,16 @@
 
 constexpr long answerSlackMs = 10'000; ///< beyond the deadline before the tool gives a job up
 constexpr int maxPollMs = 100;
+constexpr std::size_t mostResends = 4;
+constexpr std::chrono::milliseconds queryPause{20}; ///< between queries of a stored job; an entry holds each until the job ends, or for 200 ms
 constexpr int roundTripSamples = 51;
 constexpr long maxConnections = 4'000;
 
-enum class CallPurpose : std::uint8_t {
-    Submit,
-    Resubmit,
-    Cancel,
-};
-
 struct DueCall {
     Clock::time_point at;
     std::size_t job = 0;
     CallPurpose purpose = CallPurpose::Submit;
+    std::size_t detour = 0; ///< how many entries after the job's own
 
     bool operator<(const DueCall &other) const
     {
@@ -45,8 +39,9 @@
 struct OpenCall {
     std::size_t job = 0;
     CallPurpose purpose = CallPurpose::Submit;
+    std::size_t detour = 0; ///< as in DueCall
     std::string url;
-    std::string sent;
+    CallForm form;
     std::string received;
     curl_slist *headers = nullptr;
 };
@@ -57,30 +52,6 @@
     return size * count;
 }
 
-std::string bodyOf(const Scenario &scenario, const PlannedJob &job)
-{
-    nlohmann::json body{{"deadlineMs", scenario.deadlineMs}, {"tasks", nlohmann::json::array()}};
-    for (const double runMs : job.runMs) {
-        body["tasks"].push_back({{"kind", scenario.mix[job.workClass].kind}, {"payload", {{"runMs", std::lround(std::max(runMs, 1.0))}}}});
-    }
-    return body.dump();
-}
-
-JobEnd endOf(long status, const nlohmann::json &json)
-{
-    if (status == 200) {
-        return JobEnd::Succeeded;
-    }
-    if (json.value("reason", std::string()) == "cancelled") {
-        return JobEnd::Cancelled;
-    }
-    const std::string outcome = json.value("outcome", std::string());
-    if (outcome == "not-run") {
-        return JobEnd::Refused;
-    }
-    return outcome == "unknown" ? JobEnd::Unknown : JobEnd::Failed;
-}
-
 class Runner
 {
 public:
@@ -118,12 +89,11 @@
     void planJob(std::size_t index)
     {
         const PlannedJob &job = jobs_[index];
-        results_[index].id
-            = Base::toString(Base::makeUuidV7(Base::wallNow() + std::chrono::milliseconds(std::lround(job.atSeconds * 1000)), random_(), random_()));
+        results_[index].id = makeJobId(scenario_, job.atSeconds, random_);
         const Clock::time_point at = intended(index);
         due_.push({at, index, CallPurpose::Submit});
         if (job.resubmit) {
-            due_.push({at, index, CallPurpose::Resubmit});
+            due_.push({at, index, CallPurpose::Resubmit, 1});
         }
         if (job.cancel) {
             due_.push({at + std::chrono::microseconds(std::lround(idealMs(scenario_, job) * 500)), index, CallPurpose::Cancel});
@@ -155,21 +125,22 @@
     void send(const DueCall &call)
     {
         const PlannedJob &job = jobs_[call.job];
-        const std::size_t entry = call.purpose == CallPurpose::Resubmit ? (job.entry + 1) % entries_.size() : job.entry;
+        const std::size_t entry = (job.entry + call.detour) % entries_.size();
         auto open = std::make_unique<OpenCall>();
         open->job = call.job;
         open->purpose = call.purpose;
-        open->url = "http://" + entries_[entry] + "/v1/teams/" + scenario_.team + "/jobs";
+        open->detour = call.detour;
+        open->form = formOf(scenario_, job, results_[call.job].id, call.purpose);
+        open->url = "http://" + entries_[entry] + open->form.path;
         CURL *handle = curl_easy_init();
-        if (call.purpose == CallPurpose::Cancel) {
-            open->url += "/" + results_[call.job].id;
-            curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, "DELETE");
-        } else {
-            open->sent = bodyOf(scenario_, job);
-            open->headers = curl_slist_append(open->headers, ("Idempotency-Key: " + results_[call.job].id).c_str());
-            curl_easy_setopt(handle, CURLOPT_HTTPHEADER, open->headers);
-            curl_easy_setopt(handle, CURLOPT_POSTFIELDS, open->sent.data());
-            curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(open->sent.size()));
+        for (const std::string &header : open->form.headers) {
+            open->headers = curl_slist_append(open->headers, header.c_str());
+        }
+        curl_easy_setopt(handle, CURLOPT_HTTPHEADER, open->headers);
+        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, open->form.method.c_str());
+        if (!open->form.body.empty()) {
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDS, open->form.body.data());
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(open->form.body.size()));
         }
         curl_easy_setopt(handle, CURLOPT_URL, open->url.c_str());
         curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
@@ -195,7 +166,7 @@
         const auto found = open_.find(handle);
         const std::unique_ptr<OpenCall> open = std::move(found->second);
         open_.erase(found);
-        if (open->purpose == CallPurpose::Submit) {
+        if (open->purpose == CallPurpose::Submit || open->purpose == CallPurpose::Query) {
             record(*open, handle, code);
         }
         curl_multi_remove_handle(multi_, handle);
@@ -210,13 +181,28 @@
         result.latencyMs = latency.count() + 2 * scenario_.clientDelayMs;
         if (code != CURLE_OK) {
             result.reason = curl_easy_strerror(code);
+            sendAgain(open);
             return;
         }
         long status = 0;
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
-        const nlohmann::json json = status == 200 ? nlohmann::json::object() : nlohmann::json::parse(open.received, nullptr, false);
-        result.end = endOf(status, json.is_discarded() ? nlohmann::json::object() : json);
-        result.reason = json.is_object() ? json.value("reason", std::string()) : std::string();
+        CallMeaning meaning = meaningOf(scenario_, status, open.received);
+        if (!meaning.end) {
+            due_.push({Clock::now() + queryPause, open.job, CallPurpose::Query, open.detour});
+            return;
+        }
+        result.end = *meaning.end;
+        result.reason = std::move(meaning.reason);
+        if (meaning.sendAgain) {
+            sendAgain(open);
+        }
+    }
+
+    void sendAgain(const OpenCall &open)
+    {
+        if (scenario_.resendMs > 0 && open.detour < mostResends) {
+            due_.push({Clock::now() + std::chrono::milliseconds(scenario_.resendMs), open.job, open.purpose, open.detour + 1});
+        }
     }
 
     const Scenario &scenario_;
@@ -237,11 +223,11 @@
     return Runner(scenario, jobs, entries, seed).run();
 }
 
-double measureRoundTripMs(const std::string &entry)
+double measureRoundTripMs(const Scenario &scenario, const std::string &entry)
 {
     const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> handle(curl_easy_init(), &curl_easy_cleanup);
     std::string received;
-    curl_easy_setopt(handle.get(), CURLOPT_URL, ("http://" + entry + "/v1/health").c_str());
+    curl_easy_setopt(handle.get(), CURLOPT_URL, ("http://" + entry + probePath(scenario)).c_str());
     curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, &append);
     curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &received);
     curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, 5'000L);
--- a/src/tools/laburnumload/runner.h
+++ b/src/tools/laburnumload/runner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "callforms.h"
 #include "scenario.h"
 #include "schedule.h"
 
@@ -9,15 +10,6 @@
 
 namespace LaburnumFlow::Load {
 
-enum class JobEnd : std::uint8_t {
-    Succeeded,
-    Refused, ///< outcome not-run
-    Failed,
-    Unknown,
-    Cancelled,
-    NoAnswer, ///< the connection broke or the tool's own limit passed
-};
-
 struct JobResult {
     JobEnd end = JobEnd::NoAnswer;
     double latencyMs = 0; ///< from the intended arrival to the whole answer
@@ -28,7 +20,7 @@
 /// Sends every planned job at its time and waits for all answers. One thread, libcurl multi.
 std::vector<JobResult> runSchedule(const Scenario &scenario, const std::vector<PlannedJob> &jobs, const std::vector<std::string> &entries, std::uint64_t seed);
 
-/// Median time of a GET /v1/health at the entry, in milliseconds.
-double measureRoundTripMs(const std::string &entry);
+/// Median time of a request to the entry that takes no work, in milliseconds.
+double measureRoundTripMs(const Scenario &scenario, const std::string &entry);
 
 } // namespace LaburnumFlow::Load
--- a/src/tools/laburnumload/scenario.cpp
+++ b/src/tools/laburnumload/scenario.cpp
@@ -47,14 +47,29 @@
     return worker;
 }
 
+Interface readInterface(const YAML::Node &node)
+{
+    std::string name = "jobs";
+    read(node, "interface", name);
+    if (name != "jobs" && name != "platform") {
+        throw YAML::RepresentationException(node["interface"].Mark(), "interface must be jobs or platform");
+    }
+    return name == "jobs" ? Interface::Jobs : Interface::Platform;
+}
+
 Scenario readScenario(const YAML::Node &node)
 {
     Scenario scenario;
     scenario.name = node["name"].as<std::string>();
+    scenario.interface = readInterface(node);
     read(node, "team", scenario.team);
+    read(node, "host", scenario.host);
+    read(node, "prefix", scenario.prefix);
+    read(node, "stored", scenario.stored);
     read(node, "durationSeconds", scenario.durationSeconds);
     read(node, "clientDelayMs", scenario.clientDelayMs);
     read(node, "deadlineMs", scenario.deadlineMs);
+    read(node, "resendMs", scenario.resendMs);
     read(node, "cancelShare", scenario.cancelShare);
     read(node, "resubmitShare", scenario.resubmitShare);
     for (const YAML::Node &item : node["mix"]) {
--- a/src/tools/laburnumload/scenario.h
+++ b/src/tools/laburnumload/scenario.h
@@ -33,13 +33,24 @@
     double speed = 1;
 };
 
+/// How jobs are handed in.
+enum class Interface : std::uint8_t {
+    Jobs, ///< the product's own: one call answers with the results
+    Platform, ///< that of the users' platform
+};
+
 /// An experiment, read from YAML.
 struct Scenario {
     std::string name;
-    std::string team = "adire";
+    Interface interface = Interface::Jobs;
+    std::string team = "adire"; ///< Interface::Jobs
+    std::string host = "q.example"; ///< Interface::Platform: of the queue's route
+    std::string prefix = "/q/"; ///< Interface::Platform: of the queue's route
+    bool stored = false; ///< Interface::Platform: jobs are stored, and their state is asked for until they have ended
     double durationSeconds = 10;
     double clientDelayMs = 0; ///< one way, added to each answer's time on both ends
     int deadlineMs = 10'000;
+    int resendMs = 0; ///< pause before a job without an answer is sent again, under its id and to the next entry; 0: it is not
     double cancelShare = 0; ///< of the jobs, cancelled at half of their ideal time
     double resubmitShare = 0; ///< of the jobs, sent a second time to another entry at once
     std::vector<WorkClass> mix;
--- a/src/tools/laburnumload/schedule.cpp
+++ b/src/tools/laburnumload/schedule.cpp
@@ -72,7 +72,9 @@
         job.workClass = chooseClass(random);
         const WorkClass &work = scenario.mix[job.workClass];
         for (int i = 0; i < work.tasksPerJob; ++i) {
-            job.runMs.push_back(drawRunMs(work, random));
+            // On the platform the tasks of a step are equal.
+            const bool equal = scenario.interface == Interface::Platform && i > 0;
+            job.runMs.push_back(equal ? job.runMs.front() : drawRunMs(work, random));
         }
         job.entry = chooseEntry(random);
         job.cancel = unit(random) < scenario.cancelShare;
--- a/tests/auto/node/site.cpp
+++ b/tests/auto/node/site.cpp
@@ -88,7 +88,7 @@
 void Site::awaitReady(int index)
 {
     CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return call("GET", entries_.at(static_cast<std::size_t>(index)).ready, "/ready").status == 200; }));
-    CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return worker.announce(agentAddress_) == 200; }));
+    CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return call("PUT", agentAddress_, worker.heartbeatPath(), worker.heartbeat()).status == 200; }));
 }
 
 std::optional<int> Site::owner() const
--- a/tests/auto/node/site.h
+++ b/tests/auto/node/site.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "platformstandin.h"
-#include "workerstandin.h"
-
 #include "../system/childprocess.h"
 #include "../system/httpcall.h"
 
+#include "standins/platformsite/platformstandin.h"
+#include "standins/platformsite/workerstandin.h"
+
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,8 +41,8 @@
     std::string entryMetrics(int index) const;
     std::string agentMetrics() const;
 
-    PlatformStandIn platform;
-    WorkerStandIn worker;
+    PlatformSite::PlatformStandIn platform;
+    PlatformSite::WorkerStandIn worker;
     std::unique_ptr<SystemTest::ChildProcess> agent;
 
 private:
--- a/tests/auto/platform/tst_dialects.cpp
+++ b/tests/auto/platform/tst_dialects.cpp
@@ -1,4 +1,5 @@
 #include "platform/advicedialect.h"
+#include "platform/callerclient.h"
 #include "platform/callerdialect.h"
 #include "platform/heartbeats.h"
 #include "platform/rulesdocument.h"
@@ -53,6 +54,7 @@
     CPPUNIT_TEST(submission);
     CPPUNIT_TEST(malformedSubmissions);
     CPPUNIT_TEST(advice);
+    CPPUNIT_TEST(callersSide);
     CPPUNIT_TEST(stepsThatShareAWorker);
     CPPUNIT_TEST(formsOfSteps);
     CPPUNIT_TEST(repeatedJobs);
@@ -185,6 +187,30 @@
         CPPUNIT_ASSERT(!paceAnswer(call, answer(409, "{}")).answered);
     }
 
+    /// Guards against load and demonstrations that send something else than callers do, and against states that are misread.
+    void callersSide()
+    {
+        const auto document = parseRules(rulesText);
+        const CallerRoute route{"a.example", "/p/"};
+        Submission sent{0x5c0e7a21d94b36f8, {"payload", {}}, true, 1500};
+        sent.spec.steps.push_back({4, {500, 64, 0}, 30, {}, {}, {}});
+        sent.spec.steps.push_back({1, {1000, 64, 0}, 50, {0}, {}, {}});
+        const CallerRequest submission = submissionRequest(route, sent);
+        CPPUNIT_ASSERT_EQUAL(std::string("Host: a.example"), submission.headers.front());
+        const Decoded decoded = decodeCall(request(submission.method, submission.path, submission.body), &*document);
+        const auto &call = std::get<Jobs::SubmitCall>(std::get<Jobs::Call>(decoded));
+        CPPUNIT_ASSERT_EQUAL(sent.job, call.job);
+        CPPUNIT_ASSERT(call.bestEffort && call.spec == sent.spec);
+        const CallerRequest query = stateRequest(route, sent.job);
+        CPPUNIT_ASSERT(std::holds_alternative<Jobs::QueryCall>(std::get<Jobs::Call>(decodeCall(request(query.method, query.path), &*document))));
+        const CallerRequest cancel = cancelRequest(route, sent.job);
+        CPPUNIT_ASSERT(std::holds_alternative<Jobs::CancelCall>(std::get<Jobs::Call>(decodeCall(request(cancel.method, cancel.path), &*document))));
+        for (const Jobs::JobState state : {Jobs::JobState::Queued, Jobs::JobState::Running, Jobs::JobState::Completed, Jobs::JobState::Failed}) {
+            CPPUNIT_ASSERT(stateIn(encodeAnswer({.kind = Jobs::CallAnswer::Kind::State, .state = state}).body) == state);
+        }
+        CPPUNIT_ASSERT(!stateIn("{}") && !stateIn("?") && !stateIn(R"({"State":"other"})"));
+    }
+
     /// Guards against requests that are taken for others, and against 404 before any configuration is known.
     void otherCalls()
     {
--- a/tests/auto/node/platformstandin.cpp
+++ b/tests/standins/platformsite/platformstandin.cpp
@@ -4,7 +4,7 @@
 
 #include <vector>
 
-namespace NodeTest {
+namespace PlatformSite {
 
 using nlohmann::json;
 
@@ -30,6 +30,9 @@
 
 StandInReply PlatformStandIn::answer(const StandInRequest &request)
 {
+    if (request.path == "/control") {
+        return control(request.body);
+    }
     const std::lock_guard lock(mutex_);
     if (turnsAway) {
         return {503, {}};
@@ -61,6 +64,17 @@
     return {404, {}};
 }
 
+StandInReply PlatformStandIn::control(const std::string &body)
+{
+    const json faults = json::parse(body, nullptr, false);
+    if (!faults.is_object()) {
+        return {400, {}};
+    }
+    turnsAway = faults.value("turnsAway", false);
+    losesEach = faults.value("losesEach", 0U);
+    return {200, "{}"};
+}
+
 json PlatformStandIn::row(const std::string &key) const
 {
     const auto found = items_.find(key);
@@ -168,4 +182,4 @@
     revision_ += removed > 0 ? 1 : 0;
 }
 
-} // namespace NodeTest
+} // namespace PlatformSite
--- a/tests/auto/node/platformstandin.h
+++ b/tests/standins/platformsite/platformstandin.h
@@ -11,7 +11,7 @@
 #include <mutex>
 #include <string>
 
-namespace NodeTest {
+namespace PlatformSite {
 
 /// The platform's store: keys with revisions, conditional transactions and leases that lapse.
 class PlatformStandIn
@@ -24,7 +24,7 @@
         return server_.endpoint();
     }
 
-    /// Writes a key as the operator does.
+    /// Writes a key as the operator does. POST /control with {"turnsAway":true,"losesEach":3} sets the faults below.
     void put(const std::string &key, const std::string &value);
 
     /// While set, each call is answered 503 without effect.
@@ -49,6 +49,7 @@
     };
 
     StandInReply answer(const StandInRequest &request);
+    StandInReply control(const std::string &body);
     StandInReply item(const std::string &key) const;
     StandInReply range(const std::string &prefix, const std::string &after) const;
     StandInReply transaction(const std::string &body);
@@ -68,4 +69,4 @@
     StandInServer server_;
 };
 
-} // namespace NodeTest
+} // namespace PlatformSite
--- a/tests/auto/node/standinserver.cpp
+++ b/tests/standins/platformsite/standinserver.cpp
@@ -8,7 +8,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace NodeTest {
+namespace PlatformSite {
 
 namespace {
 
@@ -99,4 +99,4 @@
     return "127.0.0.1:" + std::to_string(MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_BIND_PORT)->port);
 }
 
-} // namespace NodeTest
+} // namespace PlatformSite
--- a/tests/auto/node/standinserver.h
+++ b/tests/standins/platformsite/standinserver.h
@@ -7,7 +7,7 @@
 
 struct MHD_Daemon;
 
-namespace NodeTest {
+namespace PlatformSite {
 
 struct StandInRequest {
     std::string method;
@@ -48,4 +48,4 @@
     MHD_Daemon *daemon_ = nullptr;
 };
 
-} // namespace NodeTest
+} // namespace PlatformSite
--- a/tests/auto/node/workerstandin.cpp
+++ b/tests/standins/platformsite/workerstandin.cpp
@@ -1,50 +1,58 @@
 #include "workerstandin.h"
 
-#include "../system/httpcall.h"
-
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
-namespace NodeTest {
+namespace PlatformSite {
 
 using nlohmann::json;
 
 namespace {
 
 constexpr std::int64_t holdMaxMs = 1000;
+constexpr std::uint32_t milliPerTask = 1000; ///< thousandths of a core; the worker is not told what a task takes
 
 } // namespace
 
-WorkerStandIn::WorkerStandIn()
-    : bornMs_(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
+WorkerStandIn::WorkerStandIn(WorkerShape shape)
+    : shape_(std::move(shape))
+    , bornMs_(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
     , server_([this](const StandInRequest &request) { return answer(request); })
 {
 }
 
-long WorkerStandIn::announce(const std::string &agent)
+std::string WorkerStandIn::heartbeatPath() const
 {
-    const json beat{{"Service", "service"},
-                    {"Address", endpoint()},
-                    {"Zone", "domain-1"},
-                    {"State", "ready"},
-                    {"Capacity", {{"Cpu", 8000}, {"MemMb", 4096}, {"Gpu", 0}}},
-                    {"Labels", {"a", "r1"}},
-                    {"Seq", ++beats_},
-                    {"born", bornMs_}};
-    return SystemTest::call("PUT", agent, "/instances/worker-1", beat.dump()).status;
+    return "/instances/" + shape_.id;
+}
+
+std::string WorkerStandIn::heartbeat()
+{
+    const std::lock_guard lock(mutex_);
+    return json{{"Service", "service"},
+                {"Address", endpoint()},
+                {"Zone", "domain-1"},
+                {"State", "ready"},
+                {"Capacity", {{"Cpu", shape_.slots * milliPerTask}, {"MemMb", 4096}, {"Gpu", 0}}},
+                {"Labels", {"a", shape_.rack}},
+                {"Seq", ++beats_},
+                {"born", bornMs_}}
+        .dump();
 }
 
 void WorkerStandIn::restart()
 {
     const std::lock_guard lock(mutex_);
     settle();
-    for (Run &run : runs_) {
-        if (run.how.empty()) {
-            run.how = "gone";
-            run.end = Clock::now();
-        }
+    for (const std::size_t index : active_) {
+        runs_[index].how = "gone";
+        runs_[index].end = Clock::now();
     }
+    active_.clear();
+    highestRun_.clear();
     ended_.clear();
     barred_.clear();
     lastNumber_ = 0;
@@ -65,15 +73,7 @@
 
 bool WorkerStandIn::overlapped()
 {
-    const std::vector<Run> all = runs();
-    for (std::size_t i = 0; i < all.size(); ++i) {
-        for (std::size_t k = i + 1; k < all.size(); ++k) {
-            if (all[i].task == all[k].task && all[i].begin < all[k].end && all[k].begin < all[i].end) {
-                return true;
-            }
-        }
-    }
-    return false;
+    return overlap(runs());
 }
 
 std::int64_t WorkerStandIn::clockMs() const
@@ -86,15 +86,11 @@
     leaseEnd_ = std::max(leaseEnd_, born_ + std::chrono::milliseconds(std::min(untilMs, clockMs() + holdMaxMs)));
 }
 
-bool WorkerStandIn::isRunning(std::size_t index) const
-{
-    return runs_[index].how.empty();
-}
-
 void WorkerStandIn::finish(std::size_t index, const std::string &how, Clock::time_point at)
 {
     runs_[index].how = how;
     runs_[index].end = at;
+    std::erase(active_, index);
     ended_.emplace_back(++lastNumber_, index);
     changed_.notify_all();
 }
@@ -103,14 +99,12 @@
 void WorkerStandIn::settle()
 {
     const Clock::time_point now = Clock::now();
-    for (std::size_t i = 0; i < runs_.size(); ++i) {
-        if (!isRunning(i)) {
-            continue;
-        }
-        if (runs_[i].end <= now && runs_[i].end <= leaseEnd_) {
-            finish(i, "done", runs_[i].end);
+    const std::vector<std::size_t> active = active_;
+    for (const std::size_t index : active) {
+        if (runs_[index].end <= now && runs_[index].end <= leaseEnd_) {
+            finish(index, "done", runs_[index].end);
         } else if (leaseEnd_ <= now) {
-            finish(i, "lapsed", leaseEnd_);
+            finish(index, "lapsed", leaseEnd_);
         }
     }
 }
@@ -145,12 +139,16 @@
         return refuse("late");
     }
     renew(until);
-    const bool old = std::any_of(runs_.begin(), runs_.end(), [&key](const Run &run) { return run.task == key.first && run.run >= key.second; });
-    if (old || barred_.contains(key)) {
+    if (highestRun_[key.first] >= key.second || barred_.contains(key)) {
         return refuse("old");
     }
-    const std::chrono::milliseconds work(std::stol(order["Spec"].get<std::string>()));
-    runs_.push_back({key.first, key.second, Clock::now(), Clock::now() + work, {}});
+    if (active_.size() >= shape_.slots) {
+        return refuse("room");
+    }
+    highestRun_[key.first] = key.second;
+    active_.push_back(runs_.size());
+    const std::chrono::duration<double, std::milli> work(std::stod(order["Spec"].get<std::string>()) / shape_.speed);
+    runs_.push_back({key.first, key.second, Clock::now(), Clock::now() + std::chrono::duration_cast<Clock::duration>(work), {}});
     changed_.notify_all();
     return {200, json{{"ClockMs", clockMs()}}.dump()};
 }
@@ -163,9 +161,10 @@
     }
     fence_ = order["Fence"];
     barred_[{order["Task"], order["Run"]}] = true;
-    for (std::size_t i = 0; i < runs_.size(); ++i) {
-        if (isRunning(i) && runs_[i].task == order["Task"] && runs_[i].run == order["Run"]) {
-            finish(i, "stopped", Clock::now());
+    const std::vector<std::size_t> active = active_;
+    for (const std::size_t index : active) {
+        if (runs_[index].task == order["Task"] && runs_[index].run == order["Run"]) {
+            finish(index, "stopped", Clock::now());
         }
     }
     return {200, json{{"ClockMs", clockMs()}}.dump()};
@@ -179,34 +178,39 @@
     }
     fence_ = order["Fence"];
     forgotten_ = std::max(forgotten_, order["AckedUpto"].get<std::uint64_t>());
+    std::erase_if(ended_, [this](const auto &end) { return end.first <= forgotten_; });
     if (order.contains("UntilMs")) {
         renew(order["UntilMs"]);
     }
     const Clock::time_point limit = Clock::now() + std::chrono::milliseconds(order.value("WaitMs", 0));
-    const auto anyEnd = [this] { return !ended_.empty() && ended_.back().first > forgotten_; };
-    while (!anyEnd() && Clock::now() < limit) {
+    while (ended_.empty() && Clock::now() < limit) {
         Clock::time_point wake = limit;
-        for (std::size_t i = 0; i < runs_.size(); ++i) {
-            wake = isRunning(i) ? std::min({wake, runs_[i].end, leaseEnd_}) : wake;
+        for (const std::size_t index : active_) {
+            wake = std::min({wake, runs_[index].end, leaseEnd_});
         }
         changed_.wait_until(lock, wake);
         settle();
     }
     json running = json::array();
-    for (std::size_t i = 0; i < runs_.size(); ++i) {
-        if (isRunning(i)) {
-            const double total = std::chrono::duration<double>(runs_[i].end - runs_[i].begin).count();
-            const double passed = std::chrono::duration<double>(Clock::now() - runs_[i].begin).count();
-            running.push_back({runs_[i].task, runs_[i].run, "", static_cast<int>(100.0 * passed / total)});
-        }
+    for (const std::size_t index : active_) {
+        const Run &run = runs_[index];
+        const double total = std::chrono::duration<double>(run.end - run.begin).count();
+        const double passed = std::chrono::duration<double>(Clock::now() - run.begin).count();
+        running.push_back({run.task, run.run, "", static_cast<int>(100.0 * passed / total)});
     }
     json ends = json::array();
     for (const auto &[number, index] : ended_) {
-        if (number > forgotten_) {
-            ends.push_back({number, runs_[index].task, runs_[index].run, runs_[index].how, ""});
-        }
+        ends.push_back({number, runs_[index].task, runs_[index].run, runs_[index].how, ""});
     }
     return {200, json{{"ClockMs", clockMs()}, {"born", bornMs_}, {"Running", running}, {"Ended", ends}}.dump()};
 }
 
-} // namespace NodeTest
+bool overlap(std::vector<WorkerStandIn::Run> runs)
+{
+    using Run = WorkerStandIn::Run;
+    std::sort(runs.begin(), runs.end(), [](const Run &left, const Run &right) { return std::tie(left.task, left.begin) < std::tie(right.task, right.begin); });
+    const auto overlapsNext = [](const Run &earlier, const Run &later) { return earlier.task == later.task && later.begin < earlier.end; };
+    return std::adjacent_find(runs.begin(), runs.end(), overlapsNext) != runs.end();
+}
+
+} // namespace PlatformSite
--- a/tests/auto/node/workerstandin.h
+++ b/tests/standins/platformsite/workerstandin.h
@@ -11,7 +11,14 @@
 #include <utility>
 #include <vector>
 
-namespace NodeTest {
+namespace PlatformSite {
+
+struct WorkerShape {
+    std::string id = "worker-1";
+    std::string rack = "r1";
+    std::uint32_t slots = 8; ///< tasks of one core each
+    double speed = 1.0;
+};
 
 /// A worker that runs tasks for as many milliseconds as their payload says, under a lease, and keeps a record of what it
 /// started.
@@ -26,15 +33,16 @@
         std::string how; ///< empty while it runs
     };
 
-    WorkerStandIn();
+    explicit WorkerStandIn(WorkerShape shape = {});
 
     std::string endpoint() const
     {
         return server_.endpoint();
     }
 
-    /// Announces the worker to its agent, once. Returns the status.
-    long announce(const std::string &agent);
+    /// The path and the body of its next heartbeat.
+    std::string heartbeatPath() const;
+    std::string heartbeat();
 
     /// Begins a new incarnation: what runs is gone, and ends that were not forgotten are no longer known.
     void restart();
@@ -56,14 +64,16 @@
     void renew(std::int64_t untilMs);
     void settle();
     void finish(std::size_t index, const std::string &how, Clock::time_point at);
-    bool isRunning(std::size_t index) const;
 
+    WorkerShape shape_;
     std::mutex mutex_;
     std::condition_variable changed_;
     Clock::time_point born_ = Clock::now();
     std::int64_t bornMs_;
     std::vector<Run> runs_;
-    std::vector<std::pair<std::uint64_t, std::size_t>> ended_; ///< number and run
+    std::vector<std::size_t> active_; ///< indexes of runs that are at work
+    std::map<std::string, std::uint32_t> highestRun_; ///< by task
+    std::vector<std::pair<std::uint64_t, std::size_t>> ended_; ///< number and run of what was not forgotten
     std::map<std::pair<std::string, std::uint32_t>, bool> barred_;
     std::uint64_t lastNumber_ = 0;
     std::uint64_t forgotten_ = 0;
@@ -73,4 +83,7 @@
     StandInServer server_;
 };
 
-} // namespace NodeTest
+/// Whether two runs of one task were at work at the same time.
+bool overlap(std::vector<WorkerStandIn::Run> runs);
+
+} // namespace PlatformSite
