Keep a best-effort job for its caller's second call

Cause: at the end of the first call's patience a best-effort job was finished as cancelled, and that state was remembered as its answer. A caller who had sent the job again in time was answered "cancelled" when the first call's patience ended, and one who sent it again afterwards was told so at once; nobody had cancelled anything.

Weighed: forgetting the job at the end of the patience. Its runs may still be stopping then, and a second call would begin run numbers anew, so that two runs of one task could work at once.

Before: TestLoad::resendsGetTheirOwnPatience and resendsAfterTheirCallersPatienceRunAgain fail. After: each call extends the job's time; when nobody waits any more the job is unattended: its runs are stopped, nothing of it starts, calls in doubt are answered "undecided", and a call within the time in which callers send again takes it up where it was, run numbers included.

TestOwner::dropsJobsOfImpatientCallers now lets that time pass before it looks at the memory, and checks that nothing starts meanwhile.

--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -4,6 +4,7 @@
 #include "jobsconstants.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace LaburnumFlow::Jobs::Internal {
 
@@ -63,6 +64,21 @@
     return true;
 }
 
+/// The caller of a best-effort job waits for it.
+void attend(Context &context, Job &job, const SubmitCall &call)
+{
+    if (!job.bestEffort) {
+        return;
+    }
+    const bool again = std::exchange(job.unattended, false);
+    if (call.patienceMs > 0) {
+        keepUntil(context.state, job, context.state.now + std::chrono::milliseconds(call.patienceMs));
+    }
+    if (again) {
+        requeue(context, job);
+    }
+}
+
 /// A best-effort job begins at once.
 void begin(Context &context, Job submitted, const SubmitCall &call)
 {
@@ -72,10 +88,7 @@
     job.stored = true;
     job.resentWithin = resentWithin(call);
     ++state.unstarted[job.rules.name];
-    if (call.patienceMs > 0) {
-        job.expiresAt = state.now + std::chrono::milliseconds(call.patienceMs);
-        state.expiring.emplace(*job.expiresAt, job.id);
-    }
+    attend(context, job, call);
     decide(context, "job.begun", {{"id", idText(job.id)}, {"queue", job.rules.name}, {"tasks", std::to_string(job.tasks.size())}});
     if (!isCertain(state)) {
         for (Task &task : job.tasks) {
@@ -100,6 +113,7 @@
         } else {
             known->mayHaveRun |= call.mayHaveRun;
             known->waitingForAcceptance.push_back(id);
+            attend(context, *known, call);
         }
         return;
     }
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -52,6 +52,44 @@
     unblockSteps(context, job);
 }
 
+/// Nothing of the job is wanted any more, wherever it may run.
+void dropUncertainTasks(OwnerState &state, Job &job)
+{
+    for (Task &task : job.tasks) {
+        if (task.phase == Task::Phase::Uncertain) {
+            --state.uncertainTasks;
+            task.phase = Task::Phase::Blocked;
+        }
+    }
+}
+
+void stopActiveTasks(OwnerState &state, const Job &job)
+{
+    for (std::uint32_t flat = 0; flat < job.tasks.size(); ++flat) {
+        const Task &task = job.tasks[flat];
+        if (task.phase == Task::Phase::Active) {
+            orderStop(state.agents[task.agent], {refOf(job, flat), task.run});
+        }
+    }
+}
+
+/// The callers have stopped waiting. One may send the job again, so its runs and their numbers stay known for a while.
+void leaveUnattended(Context &context, Job &job)
+{
+    OwnerState &state = context.state;
+    const auto waitedMs = std::chrono::duration_cast<std::chrono::milliseconds>(state.now - job.arrivedAt).count();
+    decide(context, "job.unattended", {{"id", idText(job.id)}, {"queue", job.rules.name}, {"waited_ms", std::to_string(waitedMs)}});
+    for (const CallId call : job.waitingForAcceptance) {
+        context.effects.push_back(Reply{call, {.kind = CallAnswer::Kind::Undecided}});
+    }
+    job.waitingForAcceptance.clear();
+    job.unattended = true;
+    job.mayHaveRun |= job.state != JobState::Queued;
+    requeue(context, job);
+    stopActiveTasks(state, job);
+    keepUntil(state, job, state.now + job.resentWithin);
+}
+
 } // namespace
 
 void forgetJob(OwnerState &state, Job &job)
@@ -179,7 +217,7 @@
 void requeue(Context &context, Job &job)
 {
     OwnerState &state = context.state;
-    const bool wanted = job.readyTasks > 0 && job.stored && !job.finishing;
+    const bool wanted = job.readyTasks > 0 && job.stored && !job.finishing && !job.unattended;
     const QueuePlace place = placeOf(job);
     if (wanted) {
         state.ready.insert(place);
@@ -201,16 +239,8 @@
     dropProgress(context.state, job);
     settles.insert(settles.end(), job.unrecorded.begin(), job.unrecorded.end());
     job.unrecorded.clear();
-    for (std::uint32_t flat = 0; flat < job.tasks.size(); ++flat) {
-        Task &task = job.tasks[flat];
-        if (task.phase == Task::Phase::Uncertain) {
-            --context.state.uncertainTasks;
-            task.phase = Task::Phase::Blocked;
-        }
-        if (task.phase == Task::Phase::Active) {
-            orderStop(context.state.agents[task.agent], {refOf(job, flat), task.run});
-        }
-    }
+    dropUncertainTasks(context.state, job);
+    stopActiveTasks(context.state, job);
     if (!job.bestEffort) {
         context.state.recorder.add({FinishJob{job.id, state}, std::move(settles)});
         return;
@@ -232,14 +262,31 @@
     }
 }
 
+void keepUntil(OwnerState &state, Job &job, Base::MonoTime until)
+{
+    if (job.expiresAt && *job.expiresAt >= until) {
+        return;
+    }
+    if (job.expiresAt) {
+        state.expiring.erase({*job.expiresAt, job.id});
+    }
+    job.expiresAt = until;
+    state.expiring.emplace(until, job.id);
+}
+
 void expireJobs(Context &context)
 {
     OwnerState &state = context.state;
     while (!state.expiring.empty() && state.expiring.begin()->first <= state.now) {
         Job *job = findJob(state, state.expiring.begin()->second);
-        state.expiring.erase(state.expiring.begin());
-        if (job != nullptr) {
-            finishJob(context, *job, JobState::Cancelled, {});
+        if (job == nullptr) {
+            state.expiring.erase(state.expiring.begin());
+        } else if (job->unattended) {
+            markStarted(state, *job);
+            dropUncertainTasks(state, *job);
+            forgetJob(state, *job);
+        } else {
+            leaveUnattended(context, *job);
         }
     }
     while (!state.finishedOrder.empty() && state.now - state.finishedOrder.front().first > finishedKept) {
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -85,7 +85,8 @@
     std::optional<Base::MonoTime> gainEndsAt; ///< while it waits for workers: when its gain is less
     std::optional<Base::MonoTime> progressDue; ///< when its progress is to be recorded
     std::vector<Settlement> unrecorded; ///< ends that the next progress record, or the final state, settles
-    std::optional<Base::MonoTime> expiresAt; ///< when the caller of a best-effort job stops waiting
+    std::optional<Base::MonoTime> expiresAt; ///< when the callers of a best-effort job stop waiting; once they have, when it is forgotten
+    bool unattended = false; ///< nobody waits for it; nothing of it starts until a caller sends it again
     Base::Duration resentWithin{}; ///< of a best-effort job: a caller that misses the answer asks again within this time of it
     std::vector<CallId> waitingForAcceptance; ///< of a best-effort job: for its end
     std::vector<CallId> waitingForCancel;
@@ -151,7 +152,7 @@
     Base::MonoTime packsCheckedAt{};
     std::unordered_map<JobId, JobState> recentBestEffort; ///< answers that may have been lost on their way
     std::set<std::pair<Base::MonoTime, JobId>> recentUntil; ///< when recentBestEffort may forget them
-    std::set<std::pair<Base::MonoTime, JobId>> expiring; ///< best-effort jobs by the end of their callers' patience
+    std::set<std::pair<Base::MonoTime, JobId>> expiring; ///< best-effort jobs by expiresAt
     std::unordered_map<JobId, std::vector<Orphan>> orphans; ///< runs of jobs that are not known yet
     Base::MonoTime orphansUntil{}; ///< they are stopped then, or when their job does not want them
     Base::MonoTime tookOverAt{};
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -58,9 +58,12 @@
 void recordProgress(Context &context, Job &job, Base::MonoTime due);
 void flushProgress(Context &context);
 
-/// Drops best-effort jobs whose callers have stopped waiting.
+/// Stops best-effort jobs whose callers have stopped waiting.
 void expireJobs(Context &context);
 
+/// A best-effort job is to be kept at least until then.
+void keepUntil(OwnerState &state, Job &job, Base::MonoTime until);
+
 /// Answers queries that were held long enough.
 void answerHeldQueries(Context &context);
 
--- a/tests/auto/jobs/tst_load.cpp
+++ b/tests/auto/jobs/tst_load.cpp
@@ -44,6 +44,9 @@
     CPPUNIT_TEST(nothingIsRefusedRightAfterATakeover);
     CPPUNIT_TEST(lateResendsAreNotRefused);
     CPPUNIT_TEST(answersAreKeptForLateResends);
+    CPPUNIT_TEST(resendsGetTheirOwnPatience);
+    CPPUNIT_TEST(unattendedJobsAreForgotten);
+    CPPUNIT_TEST(resendsAfterTheirCallersPatienceRunAgain);
     CPPUNIT_TEST(storedJobsAreNotGivenUp);
     CPPUNIT_TEST(lateJobsWaitForThoseInTime);
     CPPUNIT_TEST(respectsRoom);
@@ -390,6 +393,67 @@
         CPPUNIT_ASSERT(owner.answerTo(2)->state == JobState::Completed);
     }
 
+    /// Pattern: a job waits for so long that its caller sends it again. Guards against dropping it when the first call's patience
+    /// ends, although the second call still waits.
+    void resendsGetTheirOwnPatience()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", 1000);
+        SubmitCall call = bestEffort(1, 1, 100);
+        call.patienceMs = 1500;
+        owner.submit(1, call);
+        owner.passWithReports(1s);
+        owner.submit(2, call);
+        owner.passWithReports(1s);
+        CPPUNIT_ASSERT(!owner.answerTo(2));
+        CPPUNIT_ASSERT(owner.stopsAt("agent-1").empty());
+        owner.end("agent-1", owner.startsAt("agent-1").at(0), EndKind::Done);
+        CPPUNIT_ASSERT(owner.answerTo(2).has_value());
+        CPPUNIT_ASSERT(owner.answerTo(2)->state == JobState::Completed);
+    }
+
+    /// Pattern: the same, with a pause before the second call. Guards against "cancelled" as the answer to a job that nobody has
+    /// cancelled, and against a refusal of what has run.
+    void resendsAfterTheirCallersPatienceRunAgain()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", 1000);
+        SubmitCall call = bestEffort(1, 1, 100);
+        call.patienceMs = 1500;
+        owner.submit(1, call);
+        owner.passWithReports(1600ms);
+        CPPUNIT_ASSERT(!owner.answerTo(1) || owner.answerTo(1)->kind == CallAnswer::Kind::Undecided);
+        owner.confirmStops();
+        owner.passWithReports(1s);
+        for (JobId job = 2; job <= 60; ++job) {
+            owner.submit(job + 100, bestEffort(job, 1, 100));
+        }
+        owner.submit(2, call);
+        owner.passWithReports(1s);
+        CPPUNIT_ASSERT(!owner.answerTo(2));
+        CPPUNIT_ASSERT(owner.state.jobs.at(1).mayHaveRun);
+    }
+
+    /// Pattern: callers leave for good. Guards against memory, and counts, that grow with every job whose caller has left.
+    void unattendedJobsAreForgotten()
+    {
+        for (const std::uint64_t epoch : {1U, 2U}) {
+            OwnerHarness owner({"agent-1"}, epoch);
+            for (JobId job = 1; job <= 20; ++job) {
+                SubmitCall call = bestEffort(job, 2, 100);
+                call.patienceMs = 300;
+                owner.submit(job, call);
+            }
+            owner.join("agent-1", 4000);
+            owner.passWithReports(400ms);
+            owner.confirmStops();
+            owner.passWithReports(usualPatience + resendPause + 100ms);
+            CPPUNIT_ASSERT(owner.state.jobs.empty() && owner.state.ready.empty() && owner.state.expiring.empty());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.state.uncertainTasks);
+            CPPUNIT_ASSERT_EQUAL(0U, owner.state.unstarted["queue"]);
+        }
+    }
+
     /// Pattern: a stored job behind a stream of others that can be in time. Guards against an accepted job that is dropped,
     /// or waits for as long as the stream lasts.
     void storedJobsAreNotGivenUp()
--- a/tests/auto/jobs/tst_owner.cpp
+++ b/tests/auto/jobs/tst_owner.cpp
@@ -276,6 +276,10 @@
         owner.submit(1, call);
         owner.pass(510ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.stopsAt("agent-1").size());
+        owner.confirmStops();
+        CPPUNIT_ASSERT(owner.state.ready.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.allStarts());
+        owner.pass(usualPatience + resendPause);
         CPPUNIT_ASSERT(owner.state.jobs.empty());
     }
 
