Tell operators what a node process is doing

The metrics say how much, not which: an operator could not see which worker gets no tasks and why, which queue waits, or whether an agent has an owner. GET /status on the metrics address answers with it as JSON, made from the reducers' state by the library nodestatus, and "laburnumctl nodes" prints the processes, queues and workers as tables.

Found by the first use: the emulator's sites counted as ready while their workers had not announced themselves; the scripts now wait for that.

--- a/scripts/lib/platformsite.sh
+++ b/scripts/lib/platformsite.sh
@@ -65,6 +65,15 @@
     return 1
 }
 
+# ready_workers: how many workers the owner of the jobs would use.
+ready_workers()
+{
+    local i
+    for i in "${!metrics[@]}"; do
+        ask "${metrics[$i]}" /status 2>/dev/null || true
+    done | grep -o '"state":"ready"' | wc -l
+}
+
 # start_site ENTRIES SLOTS:SPEED...: one agent for each shape of a worker. Returns when the entries are ready.
 start_site()
 {
@@ -110,11 +119,9 @@
 YAML
         start "agent-$i" "$bin/laburnumnode" --config "$work/agent-$i.yaml"
     done
-    local known=0
     for i in $(seq 300); do
         sleep 0.1
-        known=$(ask "${metrics[0]}" /metrics 2>/dev/null | sed -n 's/^laburnumflow_linked_agents \([0-9]*\).*/\1/p') || continue
-        [ "${known:-0}" -eq $# ] && owner >/dev/null && return 0
+        [ "$(ready_workers)" -eq $# ] && return 0
     done
     echo "the processes are not ready; see $work" >&2
     return 1
--- a/src/app/laburnumctl/commands.cpp
+++ b/src/app/laburnumctl/commands.cpp
@@ -232,6 +232,9 @@
     if (command == "explain" && arguments.size() >= 3) {
         return explainJob(arguments[1], std::span(arguments).subspan(2));
     }
+    if (command == "nodes" && arguments.size() >= 2) {
+        return showNodes(options, std::span(arguments).subspan(1));
+    }
     return usageError("unknown command or wrong number of arguments");
 }
 
--- a/src/app/laburnumctl/commands.h
+++ b/src/app/laburnumctl/commands.h
@@ -18,6 +18,9 @@
 /// Prints the timeline of a stored or best-effort job from saved logs; "-" is standard input.
 int explainJob(const std::string &id, std::span<const std::string> files);
 
+/// Prints what processes of laburnumnode are doing; addresses: of their metrics.
+int showNodes(const Options &options, std::span<const std::string> addresses);
+
 /// Prints an answer that is not a success and returns the exit code for it.
 int reportFailure(const Options &options, const HttpReply &reply);
 
--- a/src/app/laburnumctl/main.cpp
+++ b/src/app/laburnumctl/main.cpp
@@ -25,6 +25,7 @@
       "  drain                       drain this entry; it exits when its work is done\n"
       "  entries confirm-dead NAME   confirm that an entry is gone for good\n"
       "  explain ID FILE...          timeline of a job of laburnumnode from saved logs\n"
+      "  nodes ADDRESS:PORT...       what processes of laburnumnode are doing, by their metrics addresses\n"
       "  settings list\n"
       "  settings get|history|check|set|diff TEAM\n"
       "  settings rollback TEAM REVISION\n"
--- a/src/app/laburnumnode/agentprocess.cpp
+++ b/src/app/laburnumnode/agentprocess.cpp
@@ -13,6 +13,8 @@
 #include "taskagent/agentreducer.h"
 #include "taskagent/taskagentconstants.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <cstdlib>
 #include <map>
@@ -48,6 +50,7 @@
     void begin() override;
     void beginStop() override;
     void refreshMetrics() override;
+    std::string status() const override;
     LogFields identity() const override;
 
     void linkConnected(Net::LinkId link) override;
@@ -117,6 +120,11 @@
     readEntries();
 }
 
+std::string AgentProcess::status() const
+{
+    return NodeStatus::agentStatus(facts(), state_).dump();
+}
+
 NodeProcess::LogFields AgentProcess::identity() const
 {
     return {{"role", "agent"}};
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -6,6 +6,8 @@
 #include "base/timerservice.h"
 #include "platform/callerdialect.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <cstdlib>
 #include <random>
@@ -84,6 +86,12 @@
     feedOwnership(EntryNode::ClusterTime{Base::monoNow()});
 }
 
+std::string EntryProcess::status() const
+{
+    const NodeStatus::EntryFacts entry{facts(), rules_ ? rules_->version : 0, ownerName_, requests_.size()};
+    return NodeStatus::entryStatus(entry, ownership_, owner_ ? &*owner_ : nullptr).dump();
+}
+
 NodeProcess::LogFields EntryProcess::identity() const
 {
     return {{"role", "entry"}, {"incarnation", std::to_string(ownership_.self.incarnation)}};
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -60,6 +60,7 @@
     void begin() override;
     void beginStop() override;
     void refreshMetrics() override;
+    std::string status() const override;
     LogFields identity() const override;
 
     // Links.
--- a/src/app/laburnumnode/nodeprocess.cpp
+++ b/src/app/laburnumnode/nodeprocess.cpp
@@ -14,10 +14,15 @@
     , log_(settings_.name, settings_.logLinesPerSecond)
     , settingsFile_(std::move(settingsFile))
     , signals_(loop_)
-    , metricsServer_(loop_, settings_.metrics, metrics_, [this] {
-        refreshMetrics();
-        countDroppedLines();
-    })
+    , operatorServer_(
+          loop_,
+          settings_.metrics,
+          metrics_,
+          [this] {
+              refreshMetrics();
+              countDroppedLines();
+          },
+          [this] { return status(); })
 {
 }
 
@@ -28,7 +33,7 @@
         return EXIT_FAILURE;
     }
     // The work matters more than its metrics.
-    if (!metricsServer_.start()) {
+    if (!operatorServer_.start()) {
         log_.writeAlways("metrics.failed", {});
     }
     signals_.onStop = [this] { stop(); };
@@ -52,6 +57,11 @@
     beginStop();
 }
 
+NodeStatus::ProcessFacts NodeProcess::facts() const
+{
+    return {settings_.name, settings_.failureDomain, stopping_};
+}
+
 void NodeProcess::countDroppedLines()
 {
     const std::uint64_t dropped = log_.droppedLines();
--- a/src/app/laburnumnode/nodeprocess.h
+++ b/src/app/laburnumnode/nodeprocess.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "metricsserver.h"
+#include "operatorserver.h"
 #include "signals.h"
 
 #include "eventloop/eventloop.h"
 #include "metrics/processmetrics.h"
 #include "net/looplinks.h"
+#include "nodestatus/nodestatus.h"
 #include "runtime/decisionlog.h"
 #include "settings/nodesettings.h"
 
@@ -45,9 +46,14 @@
     /// Sets the gauges.
     virtual void refreshMetrics() = 0;
 
+    /// What the process is doing, for its operator; a JSON text.
+    virtual std::string status() const = 0;
+
     /// Of the line at the start.
     virtual LogFields identity() const = 0;
 
+    NodeStatus::ProcessFacts facts() const;
+
     /// Counts the decision and writes it to the log.
     void decide(std::string_view event, const LogFields &fields);
 
@@ -64,7 +70,7 @@
 
     std::string settingsFile_;
     Signals signals_;
-    MetricsServer metricsServer_;
+    OperatorServer operatorServer_;
     std::uint64_t droppedLines_ = 0; ///< as counted in the metrics
 };
 
--- a/src/app/laburnumnode/metricsserver.cpp
+++ b/src/app/laburnumnode/operatorserver.cpp
@@ -1,4 +1,4 @@
-#include "metricsserver.h"
+#include "operatorserver.h"
 
 #include "nodeconstants.h"
 
@@ -6,24 +6,29 @@
 
 namespace LaburnumFlow::Node {
 
-MetricsServer::MetricsServer(EventLoop::Loop &loop,
-                             const std::optional<Base::Endpoint> &listen,
-                             Metrics::ProcessMetrics &metrics,
-                             std::function<void()> refresh)
-    : metrics_(metrics), refresh_(std::move(refresh))
+OperatorServer::OperatorServer(EventLoop::Loop &loop,
+                               const std::optional<Base::Endpoint> &listen,
+                               Metrics::ProcessMetrics &metrics,
+                               std::function<void()> refresh,
+                               std::function<std::string()> status)
+    : metrics_(metrics), refresh_(std::move(refresh)), status_(std::move(status))
 {
     if (listen) {
         front_.emplace(loop, HttpIo::FrontConfig{*listen, 0, metricsConnections}, [this](const HttpIo::ServerRequest &request) { handleRequest(request); });
     }
 }
 
-bool MetricsServer::start()
+bool OperatorServer::start()
 {
     return !front_ || static_cast<bool>(front_->start());
 }
 
-void MetricsServer::handleRequest(const HttpIo::ServerRequest &request)
+void OperatorServer::handleRequest(const HttpIo::ServerRequest &request)
 {
+    if (request.path == "/status") {
+        front_->answer(request.id, {200, status_(), {}});
+        return;
+    }
     if (request.path != "/metrics") {
         front_->answer(request.id, {404, {}, {}});
         return;
--- a/src/app/laburnumnode/metricsserver.h
+++ b/src/app/laburnumnode/operatorserver.h
@@ -8,16 +8,21 @@
 
 #include <functional>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace LaburnumFlow::Node {
 
-/// Serves the metrics of the process under /metrics.
-class MetricsServer
+/// Serves the metrics of the process under /metrics, and what it is doing under /status.
+class OperatorServer
 {
 public:
-    /// refresh: sets the gauges before each answer.
-    MetricsServer(EventLoop::Loop &loop, const std::optional<Base::Endpoint> &listen, Metrics::ProcessMetrics &metrics, std::function<void()> refresh);
+    /// refresh: sets the gauges before each answer. status: a JSON text.
+    OperatorServer(EventLoop::Loop &loop,
+                   const std::optional<Base::Endpoint> &listen,
+                   Metrics::ProcessMetrics &metrics,
+                   std::function<void()> refresh,
+                   std::function<std::string()> status);
 
     /// Whether the address could be bound, or there is none.
     bool start();
@@ -27,6 +32,7 @@
 
     Metrics::ProcessMetrics &metrics_;
     std::function<void()> refresh_;
+    std::function<std::string()> status_;
     std::optional<HttpIo::HttpFront> front_;
 };
 
--- a/tests/auto/node/site.cpp
+++ b/tests/auto/node/site.cpp
@@ -131,6 +131,11 @@
     return call("GET", entries_.at(static_cast<std::size_t>(index)).metrics, "/metrics").body;
 }
 
+nlohmann::json Site::entryStatus(int index) const
+{
+    return call("GET", entries_.at(static_cast<std::size_t>(index)).metrics, "/status").json();
+}
+
 std::string Site::agentMetrics() const
 {
     return call("GET", agentMetrics_, "/metrics").body;
--- a/tests/auto/node/site.h
+++ b/tests/auto/node/site.h
@@ -39,6 +39,7 @@
     SystemTest::HttpResult submit(int index, const std::string &id, int tasks, int workMs, bool bestEffort, long timeoutMs = 60'000) const;
     std::string stateOf(int index, const std::string &id) const;
     std::string entryMetrics(int index) const;
+    nlohmann::json entryStatus(int index) const;
     std::string agentMetrics() const;
 
     PlatformSite::PlatformStandIn platform;
--- a/tests/auto/node/tst_processes.cpp
+++ b/tests/auto/node/tst_processes.cpp
@@ -167,6 +167,9 @@
         CPPUNIT_ASSERT(sampleOf(entry, "laburnumflow_committed_entries_total") >= 4);
         CPPUNIT_ASSERT(sampleOf(entry, "laburnumflow_owner_epoch") >= 1);
         CPPUNIT_ASSERT_EQUAL(1.0, sampleOf(entry, "laburnumflow_linked_agents"));
+        const nlohmann::json jobs = site.entryStatus(0).value("jobs", nlohmann::json::object());
+        CPPUNIT_ASSERT_EQUAL(std::string("worker-1"), jobs.at("workers").at(0).value("worker", std::string()));
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), jobs.at("queues").at(0).value("queue", std::string()));
         CPPUNIT_ASSERT_EQUAL(1.0, sampleOf(entry, "laburnumflow_rules_version"));
         CPPUNIT_ASSERT_EQUAL(1.0, sampleOf(entry, "laburnumflow_decisions_total", "event=\"job.accepted\""));
         const std::string agent = site.agentMetrics();
