--- a/tests/auto/jobs/tst_load.cpp
+++ b/tests/auto/jobs/tst_load.cpp
@@ -19,6 +19,26 @@
     return submission;
 }
 
+/// Jobs like the given one, with the ids from first to last; the calls have the ids of their jobs.
+void submitMany(OwnerHarness &owner, JobId first, JobId last, SubmitCall like)
+{
+    for (JobId job = first; job <= last; ++job) {
+        like.job = job;
+        owner.submit(job, like);
+    }
+}
+
+/// Whether no call up to the last one has been answered.
+bool noneAnswered(const OwnerHarness &owner, CallId last)
+{
+    for (CallId call = 1; call <= last; ++call) {
+        if (owner.answerTo(call)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 } // namespace
 
 class TestLoad : public CppUnit::TestFixture
@@ -258,9 +278,7 @@
         OwnerHarness owner({"agent-1"});
         owner.join("agent-1", 1000);
         constexpr JobId jobs = 12;
-        for (JobId job = 1; job <= jobs; ++job) {
-            owner.submit(job, bestEffort(job, 1, 100));
-        }
+        submitMany(owner, 1, jobs, bestEffort(1, 1, 100));
         owner.feed(CallArrived{100, CancelCall{jobs}});
         owner.feed(CallArrived{101, QueryCall{2}});
         owner.passWithReports(100ms);
@@ -303,15 +321,11 @@
         OwnerHarness owner({"agent-1"});
         owner.join("agent-1", 1000);
         constexpr JobId jobs = 60;
-        for (JobId job = 1; job <= jobs; ++job) {
-            SubmitCall call = bestEffort(job, 1, 100);
-            call.mayHaveRun = true;
-            owner.submit(job, call);
-        }
+        SubmitCall call = bestEffort(1, 1, 100);
+        call.mayHaveRun = true;
+        submitMany(owner, 1, jobs, call);
         owner.passWithReports(1s);
-        for (JobId job = 1; job <= jobs; ++job) {
-            CPPUNIT_ASSERT(!owner.answerTo(job));
-        }
+        CPPUNIT_ASSERT(noneAnswered(owner, jobs));
     }
 
     /// Pattern: jobs of a lost owner, some of whose tasks have ended, come again and find more work than the worker can do.
@@ -328,9 +342,7 @@
         }
         owner.join("agent-1", 1000, {}, std::move(ends));
         owner.passWithReports(1s);
-        for (JobId job = 1; job <= jobs; ++job) {
-            CPPUNIT_ASSERT(!owner.answerTo(job));
-        }
+        CPPUNIT_ASSERT(noneAnswered(owner, jobs));
     }
 
     /// Pattern: all machines have lost power, and callers send again what they got no answer for. Guards against a refusal of
@@ -340,17 +352,11 @@
         OwnerHarness owner({"agent-1"}, 2);
         owner.join("agent-1", 1000);
         constexpr JobId jobs = 60;
-        for (JobId job = 1; job <= jobs; ++job) {
-            owner.submit(job, bestEffort(job, 1, 100));
-        }
+        submitMany(owner, 1, jobs, bestEffort(1, 1, 100));
         owner.passWithReports(1s);
-        for (JobId job = 1; job <= jobs; ++job) {
-            CPPUNIT_ASSERT(!owner.answerTo(job));
-        }
+        CPPUNIT_ASSERT(noneAnswered(owner, jobs));
         owner.passWithReports(usualPatience + resendPause);
-        for (JobId job = jobs + 1; job <= 2 * jobs; ++job) {
-            owner.submit(job, bestEffort(job, 1, 100));
-        }
+        submitMany(owner, jobs + 1, 2 * jobs, bestEffort(1, 1, 100));
         owner.passWithReports(1s);
         CPPUNIT_ASSERT(owner.answerTo(2 * jobs).has_value());
         CPPUNIT_ASSERT(owner.answerTo(2 * jobs)->kind == CallAnswer::Kind::Overloaded);
@@ -365,15 +371,11 @@
         constexpr std::uint32_t patienceMs = 6000;
         owner.passWithReports(std::chrono::milliseconds(patienceMs));
         constexpr JobId jobs = 60;
-        for (JobId job = 1; job <= jobs; ++job) {
-            SubmitCall call = bestEffort(job, 1, 100);
-            call.patienceMs = patienceMs;
-            owner.submit(job, call);
-        }
+        SubmitCall call = bestEffort(1, 1, 100);
+        call.patienceMs = patienceMs;
+        submitMany(owner, 1, jobs, call);
         owner.passWithReports(1s);
-        for (JobId job = 1; job <= jobs; ++job) {
-            CPPUNIT_ASSERT(!owner.answerTo(job));
-        }
+        CPPUNIT_ASSERT(noneAnswered(owner, jobs));
     }
 
     /// Pattern: the same under one owner, which had answered. Guards against a refusal of a job whose answer was lost.
--- a/tests/auto/jobs/tst_repetition.cpp
+++ b/tests/auto/jobs/tst_repetition.cpp
@@ -19,6 +19,13 @@
     return call;
 }
 
+/// The number of starts once the time has passed.
+std::size_t startsAfter(OwnerHarness &owner, Base::Duration time)
+{
+    owner.passWithReports(time);
+    return owner.allStarts();
+}
+
 } // namespace
 
 class TestRepetition : public CppUnit::TestFixture
@@ -45,12 +52,9 @@
         owner.submit(1, repeated(7, 2, beginMs + 500, 1000));
         owner.commit();
         CPPUNIT_ASSERT(owner.answerTo(1).has_value());
-        owner.passWithReports(450ms);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
-        owner.passWithReports(100ms);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
-        owner.passWithReports(1s);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.allStarts());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsAfter(owner, 450ms));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsAfter(owner, 100ms));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), startsAfter(owner, 1s));
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), owner.startsAt("agent-1").at(1).task.occurrence);
     }
 
@@ -71,8 +75,7 @@
         owner.join("agent-1");
         owner.submit(1, repeated(7, 3, beginMs, 100));
         owner.commit();
-        owner.passWithReports(300ms);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(3), owner.allStarts());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), startsAfter(owner, 300ms));
     }
 
     /// Guards against a step that starts because the step before it is done in another occurrence.
@@ -85,8 +88,7 @@
         call.spec.steps.back().after = {0};
         owner.submit(1, call);
         owner.commit();
-        owner.passWithReports(50ms);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.allStarts());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), startsAfter(owner, 50ms));
         owner.end("agent-1", owner.startsAt("agent-1").at(1), EndKind::Done);
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), owner.allStarts());
         const TaskRef third = owner.startsAt("agent-1").at(2).task;
@@ -120,8 +122,7 @@
         owner.commit();
         owner.feed(CallArrived{2, CancelCall{7}});
         owner.settle();
-        owner.passWithReports(2s);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsAfter(owner, 2s));
         CPPUNIT_ASSERT(owner.state.finished.at(7) == JobState::Cancelled);
     }
 
@@ -144,10 +145,8 @@
         const SubmitCall call = repeated(7, 3, beginMs - 1000, 1100);
         OwnerHarness owner({"agent-1"}, 2, {{7, call.rules, call.spec, {1}, {0}, {}}});
         owner.join("agent-1");
-        owner.passWithReports(50ms);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
-        owner.passWithReports(100ms);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsAfter(owner, 50ms));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsAfter(owner, 100ms));
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), owner.startsAt("agent-1").at(0).task.occurrence);
     }
 
@@ -157,10 +156,8 @@
         const SubmitCall call = repeated(7, 2, beginMs + 1000, 2000);
         OwnerHarness owner({"agent-1"}, 2, {{7, call.rules, call.spec, {}, {}, {}}});
         owner.join("agent-1", 8000, {}, {{1, {{7, 0, 0}, 1}, EndKind::Done, 100}});
-        owner.passWithReports(1500ms);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.allStarts());
-        owner.passWithReports(1600ms);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsAfter(owner, 1500ms));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsAfter(owner, 1600ms));
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), owner.startsAt("agent-1").at(0).task.occurrence);
     }
 
--- a/tests/standins/backendserver/main.cpp
+++ b/tests/standins/backendserver/main.cpp
@@ -1,6 +1,8 @@
 #include "httpfront.h"
 #include "tasktable.h"
 
+#include "standins/signalwaiter.h"
+
 #include <popt.h>
 
 #include <csignal>
@@ -92,12 +94,7 @@
     if (!parse(argc, argv, arguments)) {
         return EXIT_FAILURE;
     }
-    // Blocked before any thread starts, so that all threads inherit it and sigwait() gets the signals.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const StandIns::SignalWaiter signals;
     std::signal(SIGPIPE, SIG_IGN);
 
     TaskTable table(arguments.table);
@@ -107,8 +104,7 @@
         return EXIT_FAILURE;
     }
     std::cout << "port=" << front.port() << std::endl;
-    int received = 0;
-    sigwait(&signals, &received);
+    signals.wait();
     front.drain();
     return EXIT_SUCCESS;
 }
--- a/tests/standins/platformsite/main.cpp
+++ b/tests/standins/platformsite/main.cpp
@@ -8,11 +8,10 @@
 
 #include "auto/freeport.h"
 #include "auto/system/httpcall.h"
+#include "standins/signalwaiter.h"
 
 #include <nlohmann/json.hpp>
 
-#include <csignal>
-#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <map>
@@ -71,13 +70,7 @@
     if (!arguments) {
         return 2;
     }
-    // Blocked before any thread starts, so that sigtimedwait receives them.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-
+    const StandIns::SignalWaiter signals;
     PlatformStandIn platform;
     platform.put("op/config", rules);
     std::vector<Worker> workers;
@@ -93,8 +86,7 @@
     }
     std::cout << std::endl;
 
-    const timespec interval{0, heartbeatIntervalNs};
-    while (sigtimedwait(&signals, nullptr, &interval) < 0) {
+    while (!signals.waitFor(heartbeatIntervalNs)) {
         announceAll(workers);
     }
     if (!arguments->record.empty()) {
--- a/tests/standins/platformstore/main.cpp
+++ b/tests/standins/platformstore/main.cpp
@@ -2,9 +2,10 @@
 
 #include "storeserver.h"
 
+#include "standins/signalwaiter.h"
+
 #include <popt.h>
 
-#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <limits>
@@ -24,20 +25,13 @@
         return 2;
     }
 
-    // Blocked before any thread starts, so that sigwait receives them.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-
+    const StandIns::SignalWaiter signals;
     const StoreServer server(static_cast<std::uint16_t>(port));
     if (server.port() == 0) {
         std::cerr << "platformstore: cannot listen on port " << port << '\n';
         return EXIT_FAILURE;
     }
     std::cout << "port=" << server.port() << std::endl;
-    int received = 0;
-    sigwait(&signals, &received);
+    signals.wait();
     return EXIT_SUCCESS;
 }
