Let the owner dial agents that restart while the store is away

Cause: an agent finds the entries in the store.

Ruled out: entries that keep their presence elsewhere, or settings that list them, as both go out of date with the first replaced VM.

Before: TestRecovery::restartedAgentIsFoundWithoutTheStore waits 50 s for a job and fails. Agents listen for links, tell the entries where, and the owner dials one that has not come back 0.5 s after its link closed, each 0.3 s for 10 s.

--- a/src/app/laburnumnode/agentprocess.cpp
+++ b/src/app/laburnumnode/agentprocess.cpp
@@ -76,6 +76,7 @@
     void readEntries();
     void connectTo(const std::vector<Base::Endpoint> &entries);
     void dial(const Base::Endpoint &endpoint);
+    void adoptLink(Net::LinkId link, const Base::Endpoint &entry);
     void replaceSilentLink();
     void finishWhenIdle();
 
@@ -112,7 +113,7 @@
 
 bool AgentProcess::listen()
 {
-    return static_cast<bool>(registration_.start());
+    return registration_.start() && (settings_.peers.port == 0 || links_.listen(settings_.peers));
 }
 
 void AgentProcess::begin()
@@ -312,17 +313,37 @@
     EntryLink &entry = entries_[link];
     entry.connected = true;
     entry.heardAt = loop_.now();
-    links_.send(link, Jobs::encodeMessage(Jobs::AgentHello{settings_.name}));
+    links_.send(link, Jobs::encodeMessage(Jobs::AgentHello{settings_.name, settings_.peers}));
 }
 
-void AgentProcess::linkAccepted(Net::LinkId link)
+void AgentProcess::linkAccepted(Net::LinkId /*link*/) { }
+
+/// Uses a link that an entry has dialed, unless there is one already.
+void AgentProcess::adoptLink(Net::LinkId link, const Base::Endpoint &entry)
 {
-    links_.close(link);
+    const auto own = std::find_if(entries_.begin(), entries_.end(), [&entry](const auto &known) { return known.second.endpoint == entry; });
+    if (own != entries_.end() && (own->second.connected || stopping_)) {
+        links_.close(link);
+        return;
+    }
+    if (own != entries_.end()) {
+        links_.close(own->first);
+        entries_.erase(own);
+    }
+    if (std::find(known_.begin(), known_.end(), entry) == known_.end()) {
+        known_.push_back(entry);
+    }
+    entries_[link] = EntryLink{entry, false, {}};
+    linkConnected(link);
 }
 
 void AgentProcess::linkFrame(Net::LinkId link, std::span<const std::uint8_t> frame)
 {
     auto message = Jobs::decodeMessage(frame);
+    if (const auto *hello = message ? std::get_if<Jobs::EntryHello>(&*message) : nullptr) {
+        adoptLink(link, hello->peers);
+        return;
+    }
     auto *orders = message ? std::get_if<Jobs::OwnerOrders>(&*message) : nullptr;
     if (orders == nullptr) {
         return;
--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -169,6 +169,23 @@
     decide(decision.event, decision.fields);
 }
 
+void EntryProcess::dialAgent(const std::string &name, Base::MonoTime until)
+{
+    const auto endpoint = agentEndpoints_.find(name);
+    if (!owner_ || stopping_ || agentLinks_.contains(name) || endpoint == agentEndpoints_.end()) {
+        return;
+    }
+    if (loop_.now() > until) {
+        agentEndpoints_.erase(endpoint);
+        return;
+    }
+    const bool dialing = std::any_of(dialedAgents_.begin(), dialedAgents_.end(), [&name](const auto &dialed) { return dialed.second == name; });
+    if (!dialing) {
+        dialedAgents_[links_.dial(endpoint->second)] = name;
+    }
+    loop_.callAfter(agentDialInterval, [this, name, until] { dialAgent(name, until); });
+}
+
 void EntryProcess::passToOwner(Waiting waiting, Jobs::Call call)
 {
     if (!owner_) {
@@ -209,11 +226,16 @@
 
 void EntryProcess::linkConnected(Net::LinkId link)
 {
+    const Jobs::EntryHello hello{settings_.name, settings_.peers};
+    if (dialedAgents_.erase(link) > 0) {
+        links_.send(link, Jobs::encodeMessage(hello));
+        return;
+    }
     const auto found = peerNames_.find(link);
     if (found == peerNames_.end()) {
         return;
     }
-    links_.send(link, Jobs::encodeMessage(Jobs::EntryHello{settings_.name}));
+    links_.send(link, Jobs::encodeMessage(hello));
     feedOwnership(EntryNode::PeerLinked{found->second});
     updateRoute();
 }
@@ -241,8 +263,10 @@
         if (agentLinks_[name] == link) {
             agentLinks_.erase(name);
             feedOwner(Jobs::AgentUnlinked{name});
+            loop_.callAfter(agentDialAfter, [this, name, until = loop_.now() + agentDialLimit] { dialAgent(name, until); });
         }
     }
+    dialedAgents_.erase(link);
     entryNames_.erase(link);
     const auto peer = peerNames_.find(link);
     if (peer == peerNames_.end()) {
@@ -263,6 +287,9 @@
         links_.close(former->second);
         feedOwner(Jobs::AgentUnlinked{hello.name});
     }
+    if (hello.peers.port != 0) {
+        agentEndpoints_[hello.name] = hello.peers;
+    }
     agentLinks_[hello.name] = link;
     agentNames_[link] = hello.name;
     feedOwner(Jobs::AgentLinked{hello.name});
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -115,6 +115,8 @@
     void carryOut(Jobs::AskAdvice &ask);
     void carryOut(Jobs::StepDown &stepDown);
     void carryOut(Jobs::Decision &decision);
+    /// An agent that restarts while the store is away can't learn of the entries by itself.
+    void dialAgent(const std::string &name, Base::MonoTime until);
     void passToOwner(Waiting waiting, Jobs::Call call);
     void stepDown(const std::string &reason);
 
@@ -159,6 +161,8 @@
     std::map<Net::LinkId, std::string> peerNames_;
     std::map<std::string, Net::LinkId> agentLinks_;
     std::map<Net::LinkId, std::string> agentNames_;
+    std::map<std::string, Base::Endpoint> agentEndpoints_; ///< of agents that were linked and take links
+    std::map<Net::LinkId, std::string> dialedAgents_; ///< links that are not connected yet
     std::map<Net::LinkId, std::string> entryNames_; ///< of links that other entries dialed
     std::vector<Base::Endpoint> entries_;
 
--- a/src/app/laburnumnode/nodeconstants.h
+++ b/src/app/laburnumnode/nodeconstants.h
@@ -27,6 +27,9 @@
 constexpr Base::Duration drainCheck = 100ms;
 constexpr Base::Duration entriesReadInterval = 120ms; ///< by an agent without an owner
 constexpr Base::Duration entryDialRetry = 200ms;
+constexpr Base::Duration agentDialAfter = 500ms; ///< the owner dials an agent that has not come back by then; one that still runs dials sooner
+constexpr Base::Duration agentDialInterval = 300ms;
+constexpr Base::Duration agentDialLimit = 10s; ///< an agent that stays away for longer has to find the entries in the store
 constexpr Base::Duration entrySilentLimit = 1200ms; ///< an agent replaces the link to an owner that is silent for longer
 
 } // namespace LaburnumFlow::Node
--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -38,14 +38,15 @@
     }
 };
 
-/// The first message on a link from an agent.
+/// The first message of an agent on a link.
 struct AgentHello {
     std::string name;
+    Base::Endpoint peers = {}; ///< where it takes links of entries; port 0: nowhere
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(name);
+        archive(name, peers);
     }
 };
 
@@ -188,14 +189,15 @@
     }
 };
 
-/// The first message on a link from an entry.
+/// The first message on a link that an entry has dialed.
 struct EntryHello {
     std::string name;
+    Base::Endpoint peers = {}; ///< where it takes links
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(name);
+        archive(name, peers);
     }
 };
 
--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -88,6 +88,7 @@
             requireEndpoint(reader, "peers", EndpointUse::Reaching, settings.peers);
             settings.role = readEntry(reader);
         } else {
+            readEndpoint(reader, "peers", EndpointUse::Listening, settings.peers);
             settings.role = readAgent(reader);
         }
         reader.finish();
--- a/tests/auto/node/site.cpp
+++ b/tests/auto/node/site.cpp
@@ -60,6 +60,7 @@
     }
     agentAddress_ = freeEndpoint();
     agentMetrics_ = freeEndpoint();
+    agentPeers_ = freeEndpoint();
     startAgent();
 }
 
@@ -81,14 +82,20 @@
 
 void Site::startAgent()
 {
-    agent
-        = launch("agent", "role: agent\nname: agent\nregistration: " + agentAddress_ + "\nworker: " + worker.endpoint() + "\nmetrics: " + agentMetrics_ + "\n");
+    agent = launch("agent",
+                   "role: agent\nname: agent\nregistration: " + agentAddress_ + "\nworker: " + worker.endpoint() + "\nmetrics: " + agentMetrics_
+                       + "\npeers: " + agentPeers_ + "\n");
 }
 
 void Site::awaitReady(int index)
 {
     CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return call("GET", entries_.at(static_cast<std::size_t>(index)).ready, "/ready").status == 200; }));
-    CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return call("PUT", agentAddress_, worker.heartbeatPath(), worker.heartbeat()).status == 200; }));
+    CPPUNIT_ASSERT(waitFor(generousSeconds, [this] { return announceWorker(); }));
+}
+
+bool Site::announceWorker()
+{
+    return call("PUT", agentAddress_, worker.heartbeatPath(), worker.heartbeat()).status == 200;
 }
 
 std::optional<int> Site::owner() const
--- a/tests/auto/node/site.h
+++ b/tests/auto/node/site.h
@@ -31,6 +31,9 @@
     /// Waits until the entry is ready and the worker is known.
     void awaitReady(int index);
 
+    /// Lets the worker announce itself to its agent once. Returns whether the agent took it.
+    bool announceWorker();
+
     /// The index of the entry that owns the jobs by its own metrics; nothing if there is none.
     std::optional<int> owner() const;
     int awaitOwner() const;
@@ -60,6 +63,7 @@
     std::string folder_;
     std::vector<Entry> entries_;
     std::string agentAddress_;
+    std::string agentPeers_;
     std::string agentMetrics_;
 };
 
--- a/tests/auto/node/tst_recovery.cpp
+++ b/tests/auto/node/tst_recovery.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(secondLossDuringTakeover);
     CPPUNIT_TEST(ownerLostWhileStoreIsDown);
     CPPUNIT_TEST(lostAnswersOfTheStore);
+    CPPUNIT_TEST(restartedAgentIsFoundWithoutTheStore);
     CPPUNIT_TEST(restartedWorkerRunsItsTasksAgain);
     CPPUNIT_TEST_SUITE_END();
 
@@ -116,6 +117,22 @@
         CPPUNIT_ASSERT_EQUAL(2 * accepted.size(), site.worker.runs().size());
     }
 
+    /// Guards against a worker that is left idle, as its agent restarted while the store was away and knows of no entry.
+    void restartedAgentIsFoundWithoutTheStore()
+    {
+        Site site(2);
+        site.awaitReady(0);
+        const int owner = site.awaitOwner();
+        CPPUNIT_ASSERT_EQUAL(std::string("completed"), site.submit(owner, job1, 1, 20, true).json().value("State", std::string()));
+        site.platform.turnsAway = true;
+        site.agent->kill();
+        site.startAgent();
+        const auto announced = [&site] { return site.announceWorker(); };
+        CPPUNIT_ASSERT(waitFor(generousSeconds, announced));
+        CPPUNIT_ASSERT_EQUAL(std::string("completed"), site.submit(owner, job2, 2, 20, true).json().value("State", std::string()));
+        site.platform.turnsAway = false;
+    }
+
     /// Guards against tasks that are waited for in vain on a worker that has begun anew.
     void restartedWorkerRunsItsTasksAgain()
     {
