Give no task to an agent that a commit on its way drops

The recorder counted an agent as recorded until a commit without it was confirmed. An agent that came back while such a commit was on its way, for seconds in an outage, got tasks; if the commit was then carried out and the owner lost, the next owner did not wait for the agent and started its tasks again.

Before: TestRecorder::leavingAgentsAreNotRecorded and refusedCommitTakesNewAgents fail. After: an agent counts as recorded only if the confirmed commit and the one in progress both name it, and a commit that the store has refused for certain takes the present agents before it is sent again. One whose outcome is unknown is repeated unchanged, as before.

--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -148,6 +148,7 @@
     OwnerState &state = context.state;
     if (std::optional<Commit> commit = state.recorder.next(state.now, state.wall)) {
         context.effects.push_back(StartCommit{std::move(*commit)});
+        Internal::noteRecordedAgents(context);
     }
 }
 
@@ -239,6 +240,7 @@
     OwnerEffects effects;
     Context context{state, effects};
     std::visit([&context](const auto &what) { handle(context, what); }, event);
+    startCommit(context);
     Internal::schedule(context);
     sendOrders(context);
     startCommit(context);
--- a/src/libs/jobs/recorder.cpp
+++ b/src/libs/jobs/recorder.cpp
@@ -3,6 +3,7 @@
 #include "jobsconstants.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace LaburnumFlow::Jobs {
@@ -18,7 +19,7 @@
 } // namespace
 
 Recorder::Recorder(OwnerRecord owner, std::int64_t revision)
-    : owner_(std::move(owner)), agents_(owner_.agents), recordedAgents_(owner_.agents), revision_(revision)
+    : owner_(std::move(owner)), agents_(owner_.agents), confirmedAgents_(owner_.agents), recordedAgents_(owner_.agents), revision_(revision)
 {
 }
 
@@ -29,7 +30,7 @@
 
 bool Recorder::agentsDue() const
 {
-    return agents_ != recordedAgents_;
+    return agents_ != confirmedAgents_;
 }
 
 void Recorder::add(Change change)
@@ -48,6 +49,8 @@
         }
         fillCommit(wall);
         firstSentAt_ = now;
+    } else if (!mayBeRecorded_) {
+        putAgents();
     }
     sent_ = true;
     notBefore_ = now + commitInterval;
@@ -59,9 +62,10 @@
     Commit commit;
     commit.expectedOwnerRevision = revision_;
     ++owner_.sequence;
-    owner_.agents = agents_;
-    commit.writes.push_back({std::string(ownerKey), encodeRecord(owner_)});
+    commit.writes.push_back({std::string(ownerKey), {}});
     commit_ = std::move(commit);
+    mayBeRecorded_ = false;
+    putAgents();
     removeOldSegments(wall);
 
     for (std::string &key : packs_.takeEmptied(maxKeysRemoved)) {
@@ -84,6 +88,16 @@
     }
 }
 
+/// Writes the present agents into the commit, which no earlier try can have carried out.
+void Recorder::putAgents()
+{
+    owner_.agents = agents_;
+    commit_->writes.front().value = encodeRecord(owner_);
+    // An agent that the commit drops is no longer there once the store carries it out, whenever that is.
+    recordedAgents_.clear();
+    std::set_intersection(confirmedAgents_.begin(), confirmedAgents_.end(), agents_.begin(), agents_.end(), std::back_inserter(recordedAgents_));
+}
+
 void Recorder::apply(const PutJob &put, Base::WallTime wall)
 {
     pack_.records.push_back(put.record);
@@ -135,6 +149,7 @@
     if (conflict != nullptr && (!conflict->current || conflict->current->epoch != owner_.epoch || conflict->current->sequence != owner_.sequence)) {
         return Verdict::Deposed;
     }
+    mayBeRecorded_ |= std::holds_alternative<CommitUnknown>(result);
     if (done == nullptr && conflict == nullptr) {
         backoff_ = backoff_ == Base::Duration::zero() ? Base::Duration(commitRetryFirst) : std::min<Base::Duration>(backoff_ * 2, commitRetryLast);
         notBefore_ = now + backoff_;
@@ -143,6 +158,7 @@
     // A conflict with this commit's own record means that an earlier try was carried out.
     revision_ = done != nullptr ? done->revision : conflict->revision;
     backoff_ = Base::Duration::zero();
+    confirmedAgents_ = owner_.agents;
     recordedAgents_ = owner_.agents;
     commit_.reset();
     recorded_ = std::exchange(inFlight_, {});
--- a/src/libs/jobs/recorder.h
+++ b/src/libs/jobs/recorder.h
@@ -93,7 +93,7 @@
     /// The agents that the next commits record.
     void setAgents(std::vector<std::string> agents);
 
-    /// The agents that the store is known to hold.
+    /// The agents that the store holds for certain, also after the commit in progress.
     const std::vector<std::string> &recordedAgents() const
     {
         return recordedAgents_;
@@ -144,6 +144,7 @@
     };
 
     void fillCommit(Base::WallTime wall);
+    void putAgents();
     void apply(const PutJob &put, Base::WallTime wall);
     void apply(const FinishJob &finish, Base::WallTime wall);
     void writePack(Base::WallTime wall);
@@ -154,6 +155,7 @@
 
     OwnerRecord owner_;
     std::vector<std::string> agents_;
+    std::vector<std::string> confirmedAgents_; ///< that the last recorded commit holds
     std::vector<std::string> recordedAgents_;
     std::int64_t revision_ = 0;
     std::deque<Change> queued_;
@@ -161,6 +163,7 @@
     std::vector<Change> recorded_;
     std::optional<Commit> commit_; ///< in progress
     bool sent_ = false; ///< commit_ awaits its outcome
+    bool mayBeRecorded_ = false; ///< the outcome of an earlier try of commit_ is unknown
     Base::MonoTime firstSentAt_{};
     Base::MonoTime notBefore_{};
     Base::Duration backoff_{};
--- a/tests/auto/jobs/tst_recorder.cpp
+++ b/tests/auto/jobs/tst_recorder.cpp
@@ -45,6 +45,8 @@
     CPPUNIT_TEST(namesJobsUnderOldKeys);
     CPPUNIT_TEST(staysWithinTheStoresLimit);
     CPPUNIT_TEST(recordsAgents);
+    CPPUNIT_TEST(leavingAgentsAreNotRecorded);
+    CPPUNIT_TEST(refusedCommitTakesNewAgents);
     CPPUNIT_TEST(removesOldSegments);
     CPPUNIT_TEST_SUITE_END();
 
@@ -210,6 +212,46 @@
         CPPUNIT_ASSERT(!recorder.next(2s, wall).has_value());
     }
 
+    /// Guards against tasks on an agent that comes back while a commit without it is on its way: the next owner would not wait
+    /// for the agent, and start them again.
+    void leavingAgentsAreNotRecorded()
+    {
+        Recorder recorder(OwnerRecord{3, 0, "entry", 1, {"agent-1", "agent-2"}}, firstRevision);
+        recorder.setAgents({"agent-1"});
+        CPPUNIT_ASSERT(recorder.next(1s, wall).has_value());
+        CPPUNIT_ASSERT(recorder.recordedAgents() == std::vector<std::string>{"agent-1"});
+        recorder.setAgents({"agent-1", "agent-2"});
+        recorder.finish(CommitUnknown{}, 2s);
+        CPPUNIT_ASSERT(recorder.next(3s, wall).has_value());
+        CPPUNIT_ASSERT(recorder.recordedAgents() == std::vector<std::string>{"agent-1"});
+        recorder.finish(Committed{8}, 4s);
+        CPPUNIT_ASSERT(recorder.recordedAgents() == std::vector<std::string>{"agent-1"});
+        CPPUNIT_ASSERT(recorder.next(5s, wall).has_value());
+        recorder.finish(Committed{9}, 6s);
+        CPPUNIT_ASSERT((recorder.recordedAgents() == std::vector<std::string>{"agent-1", "agent-2"}));
+    }
+
+    /// Guards against an agent that gets no work for as long as the store turns the owner away, as it left for a moment.
+    void refusedCommitTakesNewAgents()
+    {
+        Recorder recorder(OwnerRecord{3, 0, "entry", 1, {"agent-1", "agent-2"}}, firstRevision);
+        recorder.add(put(1));
+        recorder.setAgents({"agent-1"});
+        const auto first = recorder.next(1s, wall);
+        recorder.finish(CommitRefused{}, 2s);
+        recorder.setAgents({"agent-1", "agent-2"});
+        const auto second = recorder.next(3s, wall);
+        CPPUNIT_ASSERT(second.has_value());
+        CPPUNIT_ASSERT((decodeOwnerRecord(second->writes.at(0).value)->agents == std::vector<std::string>{"agent-1", "agent-2"}));
+        CPPUNIT_ASSERT(second->writes.at(1).value == first->writes.at(1).value);
+        CPPUNIT_ASSERT((recorder.recordedAgents() == std::vector<std::string>{"agent-1", "agent-2"}));
+        recorder.finish(CommitUnknown{}, 4s);
+        recorder.setAgents({"agent-1"});
+        recorder.finish(CommitRefused{}, 5s);
+        const auto third = recorder.next(6s, wall);
+        CPPUNIT_ASSERT(third->writes.at(0).value == second->writes.at(0).value);
+    }
+
     /// Guards against removing the records of accepted jobs because the first job of their commit had ended in it, as when
     /// it is cancelled while it waits to be stored.
     void keyStaysIfItIsUsedAgain()
