Take an answer of the advice service for the worker that was asked about

A worker that was replaced while the call was open inherited the answer. A ticket was then refused and dropped, but a "no" kept the new worker out for the job's life. TestAdvice::answersAreForTheWorkerAskedAbout fails without this.

--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -169,10 +169,11 @@
     decide(decision.event, decision.fields);
 }
 
+/// Every entry goes on for a while, as it may come to own the jobs; then the agent is forgotten.
 void EntryProcess::dialAgent(const std::string &name, Base::MonoTime until)
 {
     const auto endpoint = agentEndpoints_.find(name);
-    if (!owner_ || stopping_ || agentLinks_.contains(name) || endpoint == agentEndpoints_.end()) {
+    if (agentLinks_.contains(name) || endpoint == agentEndpoints_.end()) {
         return;
     }
     if (loop_.now() > until) {
@@ -180,7 +181,7 @@
         return;
     }
     const bool dialing = std::any_of(dialedAgents_.begin(), dialedAgents_.end(), [&name](const auto &dialed) { return dialed.second == name; });
-    if (!dialing) {
+    if (owner_ && !stopping_ && !dialing) {
         dialedAgents_[links_.dial(endpoint->second)] = name;
     }
     loop_.callAfter(agentDialInterval, [this, name, until] { dialAgent(name, until); });
--- a/src/libs/jobs/owneradvice.cpp
+++ b/src/libs/jobs/owneradvice.cpp
@@ -27,14 +27,19 @@
     state.adviceNotBefore = state.now + state.advicePause;
 }
 
-void ask(Context &context, const Job &job, StepIndex step, std::vector<AgentIndex> agents)
+void ask(Context &context, const Job &job, StepIndex step, const std::vector<AgentIndex> &agents)
 {
     OwnerState &state = context.state;
     AskAdvice call{++state.adviceCalls, firstTaskOf(job, step), {}, {}};
-    std::transform(agents.begin(), agents.end(), std::back_inserter(call.workers), [&state](AgentIndex index) { return state.agents[index].worker->id; });
+    OpenAdvice open{call.number, {job.id, step}, {}, state.now};
+    for (const AgentIndex index : agents) {
+        const WorkerInfo &worker = *state.agents[index].worker;
+        call.workers.push_back(worker.id);
+        open.workers.push_back({index, worker.bornMs, worker.id});
+    }
     const AdviceRules &rules = *job.rules.advice;
     call.timeout = std::chrono::milliseconds(rules.decideMs) + agents.size() * std::chrono::milliseconds(rules.eachMs) + adviceSlack;
-    state.openAdvice = OpenAdvice{call.number, {job.id, step}, std::move(agents), state.now};
+    state.openAdvice = std::move(open);
     decide(context, "advice.asked", {{"id", idText(job.id)}, {"step", std::to_string(call.step.step)}, {"workers", std::to_string(call.workers.size())}});
     context.effects.push_back(std::move(call));
 }
@@ -59,7 +64,7 @@
         std::vector<AgentIndex> agents = workersToAsk(state, *job, step);
         agents.resize(std::min<std::size_t>(agents.size(), std::min(readyTasksOf(*job, step) + adviceSpare, adviceWorkersMost)));
         if (!agents.empty()) {
-            ask(context, *job, step, std::move(agents));
+            ask(context, *job, step, agents);
             return;
         }
     }
@@ -86,13 +91,9 @@
     }
     // The service may have decided right after it was asked.
     const Base::MonoTime until = open.askedAt + std::chrono::milliseconds(given.validMs.value_or(job->rules.advice->validMs));
-    for (const AgentIndex index : open.agents) {
-        const auto &worker = state.agents[index].worker;
-        if (!worker) {
-            continue;
-        }
-        const auto found = std::find_if(given.tickets.begin(), given.tickets.end(), [&worker](const auto &ticket) { return ticket.first == worker->id; });
-        state.advice[open.step][index] = {worker->bornMs, found == given.tickets.end() ? std::string() : found->second, until};
+    for (const OpenAdvice::Named &named : open.workers) {
+        const auto found = std::find_if(given.tickets.begin(), given.tickets.end(), [&named](const auto &ticket) { return ticket.first == named.worker; });
+        state.advice[open.step][named.agent] = {named.workerBornMs, found == given.tickets.end() ? std::string() : found->second, until};
     }
 }
 
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -134,9 +134,15 @@
 
 /// A call to the advice service that has not been answered.
 struct OpenAdvice {
+    struct Named {
+        AgentIndex agent = noAgent;
+        std::int64_t workerBornMs = 0;
+        std::string worker; ///< its id
+    };
+
     std::uint64_t number = 0;
     AdvisedStep step;
-    std::vector<AgentIndex> agents; ///< whose workers the call names
+    std::vector<Named> workers; ///< in the call
     Base::MonoTime askedAt{};
 };
 
--- a/tests/auto/jobs/tst_advice.cpp
+++ b/tests/auto/jobs/tst_advice.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(asksAgainWhenTicketsEnd);
     CPPUNIT_TEST(refusedTicketsAreDropped);
     CPPUNIT_TEST(newWorkersAreAskedAbout);
+    CPPUNIT_TEST(answersAreForTheWorkerAskedAbout);
     CPPUNIT_TEST(waitsAfterFailedCalls);
     CPPUNIT_TEST(forgetsWithTheJob);
     CPPUNIT_TEST_SUITE_END();
@@ -195,6 +196,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.allStarts());
     }
 
+    /// Guards against a "no" for a former worker that keeps the next one at its address out for good.
+    void answersAreForTheWorkerAskedAbout()
+    {
+        AdvisedOwner owner(1);
+        owner.accept(7, 1);
+        AgentReport report = owner.report("agent-1");
+        report.full = true;
+        report.worker = owner.state.agents[0].worker;
+        ++report.worker->bornMs;
+        owner.feed(AgentReported{"agent-1", report});
+        owner.advise({});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.asked.size());
+    }
+
     /// Guards against calls without pause to a service that is full or down, and against one that is never called again.
     void waitsAfterFailedCalls()
     {
