--- a/src/app/laburnumnode/nodeprocess.h
+++ b/src/app/laburnumnode/nodeprocess.h
@@ -32,7 +32,7 @@
     using LogFields = std::vector<std::pair<std::string, std::string>>;
 
     NodeProcess(Settings::NodeSettings settings, std::string settingsFile);
-    ~NodeProcess() = default;
+    ~NodeProcess() override = default;
 
     /// Opens the process's own interfaces. Returns whether all could be bound.
     virtual bool listen() = 0;
