Fence an owner that may have been replaced without knowing

Cause: a new owner took all former runs as ended 3.2 s after its claim. The 3.2 s hold only from the last token that the former owner echoes, and nothing ended its authority: turned away by the store, it did not see its successor, a restarted entry that in turn did not see it and so never dialed it. The other entries knew both and dropped the former owner's heartbeats without a word. It renewed leases and started best-effort tasks for 4 s after the claim.

Change: an entry replies to each heartbeat of an owner with the highest epoch that it knows, so the former owner learns of its successor from any entry. An owner sends orders only for 0.8 s after its latest proof that it has not been replaced: the store held its claim (own read or commit, or the read of an entry that replies), or most entries know no newer owner, which keeps best-effort service while the store is away for all. Ages count from the start of a call or the sending of a heartbeat, so a suspended process resumes without authority. A new owner waits 0.8 s longer for agents that do not report.

waitsNoLongerThanTheLeases is replaced by waitsForTheFormerOwnersAuthorityAndTheLeases: its bound was the fault. The new one allows no start before the longer bound and demands it after it.

--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -41,6 +41,11 @@
     stepDown("epoch " + std::to_string(lost.epoch));
 }
 
+void EntryProcess::carryOut(EntryNode::AuthorityRenewed &renewed)
+{
+    feedOwner(Jobs::AuthorityRenewed{renewed.until});
+}
+
 void EntryProcess::carryOut(EntryNode::DialPeer &dial)
 {
     const Net::LinkId link = links_.dial(dial.endpoint);
@@ -68,6 +73,15 @@
     }
 }
 
+void EntryProcess::carryOut(EntryNode::SendHeartbeatReply &reply)
+{
+    // The heartbeat arrived on the peer's newest link.
+    const auto link = std::find_if(entryNames_.rbegin(), entryNames_.rend(), [&reply](const auto &entry) { return entry.second == reply.name; });
+    if (link != entryNames_.rend()) {
+        links_.send(link->first, Jobs::encodeMessage(reply.reply));
+    }
+}
+
 void EntryProcess::carryOut(EntryNode::EntryEndpointsChanged &changed)
 {
     entries_ = changed.entries;
@@ -147,13 +161,14 @@
 {
     const std::uint64_t epoch = owner_->epoch;
     metrics_.countCommittedEntries(commit.commit.writes.size() + commit.commit.deletes.size());
-    callStore("commit", Platform::commitRequest(storeAddress_, commit.commit), std::nullopt, [this, epoch](const HttpIo::ClientResponse &response) {
+    const Base::MonoTime sentAt = Base::monoNow();
+    callStore("commit", Platform::commitRequest(storeAddress_, commit.commit), std::nullopt, [this, epoch, sentAt](const HttpIo::ClientResponse &response) {
         if (!owner_ || owner_->epoch != epoch) {
             return;
         }
         const bool committed = response.outcome == HttpIo::ClientResponse::Outcome::Answered && response.status < 400;
         if (committed) {
-            feedOwnership(EntryNode::OwnerStoreResponded{});
+            feedOwnership(EntryNode::OwnerCommitted{sentAt});
         }
         feedOwner(Jobs::CommitEnded{Platform::commitResult(response)});
     });
@@ -318,6 +333,14 @@
     }
 }
 
+void EntryProcess::handle(Net::LinkId link, Jobs::EntryBeatReply &reply)
+{
+    const auto peer = peerNames_.find(link);
+    if (peer != peerNames_.end()) {
+        feedOwnership(EntryNode::PeerHeartbeatReply{peer->second, reply});
+    }
+}
+
 void EntryProcess::handle(Net::LinkId link, Jobs::RelayedCall &call)
 {
     const RelayingEntry relaying{link, call.number};
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -73,6 +73,7 @@
     void handle(Net::LinkId link, Jobs::AgentReport &report);
     void handle(Net::LinkId link, Jobs::EntryHello &hello);
     void handle(Net::LinkId link, Jobs::EntryBeat &heartbeat);
+    void handle(Net::LinkId link, Jobs::EntryBeatReply &reply);
     void handle(Net::LinkId link, Jobs::RelayedCall &call);
     void handle(Net::LinkId link, Jobs::RelayedAnswer &answer);
     void handle(Net::LinkId link, Jobs::OwnerOrders &orders);
@@ -99,9 +100,11 @@
     void carryOut(EntryNode::LoadJobs &load);
     void carryOut(EntryNode::BeginOwning &begin);
     void carryOut(EntryNode::OwnershipLost &lost);
+    void carryOut(EntryNode::AuthorityRenewed &renewed);
     void carryOut(EntryNode::DialPeer &dial);
     void carryOut(EntryNode::DisconnectPeer &disconnect);
     void carryOut(EntryNode::SendHeartbeat &heartbeat);
+    void carryOut(EntryNode::SendHeartbeatReply &reply);
     void carryOut(EntryNode::EntryEndpointsChanged &changed);
     void carryOut(EntryNode::OwnerChanged &changed);
     void carryOut(EntryNode::OwnershipDecision &decision);
--- /dev/null
+++ b/src/libs/entrynode/authority.cpp
@@ -0,0 +1,163 @@
+#include "ownershipsteps.h"
+
+#include "entrynodeconstants.h"
+
+#include "jobs/jobsconstants.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace LaburnumFlow::EntryNode::Internal {
+
+namespace {
+
+using Mode = OwnershipState::Mode;
+
+bool isOwnClaimHeld(const OwnershipState &state)
+{
+    return state.mode == Mode::Owning || state.mode == Mode::Loading;
+}
+
+/// Returns whether the peer may be up and so could support or replace the owner.
+bool mayBeUp(const Peer &peer)
+{
+    return (peer.present || peer.linked) && !peer.refusesConnections;
+}
+
+/// Returns until when most entries, this one included, have confirmed this entry as the owner.
+Base::MonoTime majorityConfirmedUntil(const OwnershipState &state)
+{
+    std::vector<Base::MonoTime> confirmations;
+    for (const auto &[name, peer] : state.peers) {
+        if (mayBeUp(peer)) {
+            confirmations.push_back(peer.confirmedOwnerAt);
+        }
+    }
+    const std::size_t required = (confirmations.size() + 1) / 2;
+    if (required == 0) {
+        return Base::MonoTime::max();
+    }
+    std::sort(confirmations.begin(), confirmations.end(), std::greater<>());
+    return confirmations[required - 1] + Jobs::ownerAuthorityTimeout;
+}
+
+/// Returns whether the owner in this process must learn of the new end of its authority. Small extensions are left out, as each
+/// confirmation by a peer would cause one.
+bool isReportDue(const OwnershipState &state, Base::MonoTime until)
+{
+    const bool ended = state.now >= state.authorityUntil;
+    return until < state.authorityUntil || until - state.authorityUntil >= minAuthorityExtension || (ended && until > state.now);
+}
+
+std::string formatAge(Base::Duration age)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+}
+
+void logAuthority(Context &context, bool granted)
+{
+    const OwnershipState &state = context.state;
+    const auto linked = std::count_if(state.peers.begin(), state.peers.end(), [](const auto &peer) { return peer.second.linked; });
+    logDecision(context,
+                granted ? "owner.authorized" : "owner.unauthorized",
+                {{"epoch", std::to_string(state.claim.epoch)},
+                 {"confirmed_ms", formatAge(state.now - state.claimConfirmedAt)},
+                 {"entries", std::to_string(state.peers.size())},
+                 {"linked", std::to_string(linked)}});
+}
+
+Jobs::EntryBeatReply makeReply(const OwnershipState &state, std::int64_t token)
+{
+    Jobs::EntryBeatReply reply;
+    reply.token = token;
+    reply.ownerEpoch = state.highestEpoch;
+    if (isOwnClaimHeld(state)) {
+        reply.ownerPeers = state.self.peers;
+        return reply;
+    }
+    if (!state.owner || state.owner->epoch != state.highestEpoch) {
+        return reply;
+    }
+    reply.ownerPeers = peerEndpoint(state, state.owner->owner);
+    if (state.ownerReadAt) {
+        reply.readAgeMs = static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(state.now - *state.ownerReadAt).count());
+    }
+    return reply;
+}
+
+} // namespace
+
+Base::Endpoint peerEndpoint(const OwnershipState &state, const std::string &name)
+{
+    const auto found = state.peers.find(name);
+    return found == state.peers.end() ? Base::Endpoint{} : found->second.record.peers;
+}
+
+void recordEpoch(OwnershipState &state, std::uint64_t epoch)
+{
+    state.highestEpoch = std::max(state.highestEpoch, epoch);
+}
+
+void confirmClaim(OwnershipState &state, Base::MonoTime at)
+{
+    state.claimConfirmedAt = std::max(state.claimConfirmedAt, at);
+}
+
+void endOwnership(Context &context, std::uint64_t epoch, Base::Endpoint successor)
+{
+    recordEpoch(context.state, epoch);
+    context.effects.push_back(OwnershipLost{epoch, std::move(successor)});
+}
+
+void replyToHeartbeat(Context &context, const PeerHeartbeat &event)
+{
+    const OwnershipState &state = context.state;
+    // A claim in progress may already have replaced the sender.
+    const bool claiming = state.mode == Mode::Claiming || state.mode == Mode::Confirming;
+    const bool replaced = isOwnClaimHeld(state) && state.claim.epoch < state.highestEpoch;
+    if (claiming || replaced) {
+        return;
+    }
+    context.effects.push_back(SendHeartbeatReply{event.name, makeReply(state, event.heartbeat.token)});
+}
+
+void handlePeer(Context &context, const PeerHeartbeatReply &event)
+{
+    OwnershipState &state = context.state;
+    if (!isOwnClaimHeld(state)) {
+        return;
+    }
+    if (event.reply.ownerEpoch > state.claim.epoch) {
+        endOwnership(context, event.reply.ownerEpoch, event.reply.ownerPeers);
+        return;
+    }
+    if (event.reply.ownerEpoch < state.claim.epoch) {
+        return;
+    }
+    const Base::MonoTime sentAt = std::chrono::milliseconds(event.reply.token);
+    Peer &peer = state.peers[event.name];
+    peer.confirmedOwnerAt = std::max(peer.confirmedOwnerAt, sentAt);
+    if (event.reply.readAgeMs) {
+        confirmClaim(state, sentAt - std::chrono::milliseconds(*event.reply.readAgeMs));
+    }
+}
+
+void updateAuthority(Context &context)
+{
+    OwnershipState &state = context.state;
+    if (state.mode != Mode::Owning) {
+        return;
+    }
+    const Base::MonoTime until = std::max<Base::MonoTime>(state.claimConfirmedAt + Jobs::ownerAuthorityTimeout, majorityConfirmedUntil(state));
+    if (isReportDue(state, until)) {
+        state.authorityUntil = until;
+        context.effects.push_back(AuthorityRenewed{until});
+    }
+    const bool granted = state.now < state.authorityUntil;
+    if (granted != state.authorityGranted) {
+        state.authorityGranted = granted;
+        logAuthority(context, granted);
+    }
+}
+
+} // namespace LaburnumFlow::EntryNode::Internal
--- a/src/libs/entrynode/claims.cpp
+++ b/src/libs/entrynode/claims.cpp
@@ -97,10 +97,12 @@
     return "unknown";
 }
 
-void beginLoading(Context &context, std::int64_t revision)
+void beginLoading(Context &context, std::int64_t revision, Base::MonoTime claimHeldAt)
 {
     context.state.mode = Mode::Loading;
     context.state.ownerRevision = revision;
+    recordEpoch(context.state, context.state.claim.epoch);
+    confirmClaim(context.state, claimHeldAt);
     context.effects.push_back(LoadJobs{});
 }
 
@@ -128,6 +130,7 @@
         state.claim.agents = state.owner->agents;
     }
     state.claimableSince.reset();
+    state.claimedAt = state.now;
     state.mode = Mode::Claiming;
     logDecision(context, "owner.claim", {{"epoch", std::to_string(state.claim.epoch)}, {"reason", reason}, {"former", state.owner ? state.owner->owner : ""}});
     context.effects.push_back(Claim{state.ownerRevision, state.claim});
@@ -143,7 +146,7 @@
     switch (event.outcome) {
     case ClaimEnded::Outcome::Won:
         recordStoreResponse(state);
-        beginLoading(context, event.revision);
+        beginLoading(context, event.revision, state.claimedAt);
         return;
     case ClaimEnded::Outcome::Unknown:
         state.mode = Mode::Confirming;
@@ -162,7 +165,7 @@
     const bool won = state.owner && isSelf(state, *state.owner) && state.owner->epoch == state.claim.epoch;
     state.mode = Mode::Following;
     if (won) {
-        beginLoading(context, state.ownerRevision);
+        beginLoading(context, state.ownerRevision, state.readStartedAt);
     }
 }
 
@@ -186,6 +189,8 @@
         state.ownerCutOffSince = {};
     }
     state.owner = content.owner;
+    state.ownerReadAt = state.readStartedAt;
+    recordEpoch(state, content.owner ? content.owner->epoch : 0);
     state.ownerRevision = content.ownerRevision;
     if (!sameOwner) {
         context.effects.push_back(OwnerChanged{content.owner ? content.owner->owner : std::string()});
--- a/src/libs/entrynode/entrynodeconstants.h
+++ b/src/libs/entrynode/entrynodeconstants.h
@@ -11,6 +11,7 @@
 constexpr Base::Duration clusterReadInterval = 250ms; ///< interval between reads of the owner record and the entry records
 constexpr Base::Duration presenceRenewalInterval = 300ms; ///< interval between renewals of the presence lease, whose shortest TTL is 1 s
 constexpr Base::Duration heartbeatInterval = 200ms; ///< interval between heartbeats of the owner to the other entries
+constexpr Base::Duration minAuthorityExtension = 50ms; ///< shorter extensions of the owner's authority aren't reported to the owner
 constexpr Base::Duration ownerSilenceTimeout = 700ms; ///< an owner without a presence key that is silent for longer is replaced
 
 /// An owner with a presence key that is silent for longer is replaced by an entry that is linked to at least half of the others.
--- a/src/libs/entrynode/ownership.cpp
+++ b/src/libs/entrynode/ownership.cpp
@@ -51,11 +51,27 @@
     Internal::handlePeer(context, event);
 }
 
+void handle(Context &context, const PeerHeartbeatReply &event)
+{
+    Internal::handlePeer(context, event);
+}
+
 void handle(Context &context, const TimePassed &event)
 {
     context.state.now = event.now;
 }
 
+/// Compares this entry's claim with the owner record that has been read.
+void checkClaim(Context &context, const std::optional<Jobs::OwnerRecord> &owner)
+{
+    OwnershipState &state = context.state;
+    if (owner && owner->epoch > state.claim.epoch) {
+        Internal::endOwnership(context, owner->epoch, Internal::peerEndpoint(state, owner->owner));
+    } else if (owner && owner->epoch == state.claim.epoch && owner->owner == state.self.name) {
+        Internal::confirmClaim(state, state.readStartedAt);
+    }
+}
+
 void handle(Context &context, const ClusterRead &event)
 {
     OwnershipState &state = context.state;
@@ -76,9 +92,8 @@
         Internal::resolveUnknownClaim(context);
     }
     state.ownerRecordCurrent = true;
-    const bool isOwner = state.mode == Mode::Owning || state.mode == Mode::Loading;
-    if (isOwner && event.content->owner && event.content->owner->epoch > state.claim.epoch) {
-        context.effects.push_back(OwnershipLost{event.content->owner->epoch});
+    if (state.mode == Mode::Owning || state.mode == Mode::Loading) {
+        checkClaim(context, event.content->owner);
     }
 }
 
@@ -95,6 +110,8 @@
     state.mode = Mode::Owning;
     state.heartbeatNotBefore = state.now;
     state.owner = state.claim;
+    state.authorityUntil = {};
+    state.authorityGranted = true;
     context.effects.push_back(BeginOwning{state.claim, state.ownerRevision});
     context.effects.push_back(OwnerChanged{state.self.name});
 }
@@ -106,9 +123,10 @@
     Internal::resumeFollowing(context);
 }
 
-void handle(Context &context, const OwnerStoreResponded & /*event*/)
+void handle(Context &context, const OwnerCommitted &event)
 {
     Internal::recordStoreResponse(context.state);
+    Internal::confirmClaim(context.state, event.sentAt);
 }
 
 void handle(Context &context, const StopRequested & /*event*/)
@@ -123,6 +141,7 @@
         return;
     }
     state.readInProgress = true;
+    state.readStartedAt = state.now;
     context.effects.push_back(ReadCluster{});
 }
 
@@ -165,6 +184,7 @@
     Internal::dialPeers(context);
     Internal::sendHeartbeats(context);
     readCluster(context);
+    Internal::updateAuthority(context);
     return effects;
 }
 
@@ -179,6 +199,9 @@
     }
     if (state.mode == Mode::Owning) {
         due.consider(state.heartbeatNotBefore);
+        if (state.authorityGranted && state.authorityUntil != Base::MonoTime::max()) {
+            due.consider(state.authorityUntil);
+        }
     }
     if (state.claimableSince && state.now < *state.claimableSince + largerEntryGracePeriod) {
         due.consider(*state.claimableSince + largerEntryGracePeriod);
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -21,7 +21,9 @@
     bool linked = false;
     bool dialing = false;
     bool present = false; ///< the last read found its presence key
+    bool refusesConnections = false; ///< its address has refused the latest connection: no process listens there
     Base::MonoTime dialNotBefore{};
+    Base::MonoTime confirmedOwnerAt{}; ///< when this entry sent the latest heartbeat to which the peer replied that it knows no newer owner
 };
 
 struct OwnershipState {
@@ -41,6 +43,8 @@
     bool stopping = false; ///< the process was told to stop and makes no more claims
     std::optional<Jobs::OwnerRecord> owner; ///< owner record as last read or learned from a heartbeat; no value if the key doesn't exist
     std::int64_t ownerRevision = 0;
+    std::optional<Base::MonoTime> ownerReadAt; ///< start of the read from which owner is; no value if it is from a heartbeat
+    std::uint64_t highestEpoch = 0; ///< highest epoch of an owner that this entry has learned of
     bool ownerRecordCurrent = false; ///< owner and ownerRevision are from the store and a claim may be based on them
     Base::MonoTime ownerSilentSince{}; ///< last heartbeat of the owner, or when this entry began to wait for one
     bool ownerRefusesConnections = false; ///< the owner's address has refused a connection since its last heartbeat
@@ -49,6 +53,10 @@
     Base::MonoTime storeReachableSince{}; ///< since when the store has responded without longer gaps
     std::optional<Base::MonoTime> claimableSince; ///< since when there has been a reason to replace the owner
     Jobs::OwnerRecord claim; ///< record of the latest claim
+    Base::MonoTime claimedAt{}; ///< when the latest claim was sent
+    Base::MonoTime claimConfirmedAt{}; ///< latest time at which the store is known to have held the claim
+    Base::MonoTime authorityUntil{}; ///< end of this entry's authority as the owner unless it is confirmed again
+    bool authorityGranted = false; ///< as last logged
     std::map<std::string, Peer> peers; ///< the other entries, by name
 
     std::int64_t lease = 0; ///< id of the presence key's lease; 0 if there is none
@@ -56,6 +64,7 @@
     bool presenceCallInProgress = false;
     Base::MonoTime presenceNotBefore{};
     bool readInProgress = false;
+    Base::MonoTime readStartedAt{}; ///< start of the latest read
     Base::MonoTime readNotBefore{};
     Base::MonoTime heartbeatNotBefore{};
 };
@@ -131,12 +140,19 @@
     Jobs::EntryBeat heartbeat;
 };
 
+/// The reply of another entry to a heartbeat of this one.
+struct PeerHeartbeatReply {
+    std::string name;
+    Jobs::EntryBeatReply reply;
+};
+
 /// The owner in this process has stepped down.
 struct SteppedDown {
 };
 
-/// The store has responded to a commit of the owner in this process.
-struct OwnerStoreResponded {
+/// The store has executed a commit of the owner in this process.
+struct OwnerCommitted {
+    Base::MonoTime sentAt{}; ///< when the commit was sent
 };
 
 struct StopRequested {
@@ -152,8 +168,9 @@
                                     PeerLinked,
                                     PeerUnlinked,
                                     PeerHeartbeat,
+                                    PeerHeartbeatReply,
                                     SteppedDown,
-                                    OwnerStoreResponded,
+                                    OwnerCommitted,
                                     StopRequested>;
 
 // Effects.
@@ -192,6 +209,12 @@
 /// Another entry has claimed the jobs. The owner in this process must step down, which is reported back with SteppedDown.
 struct OwnershipLost {
     std::uint64_t epoch = 0;
+    Base::Endpoint successor = {}; ///< address of the new owner for links; port 0 if it isn't known
+};
+
+/// The owner in this process may send orders until the given time.
+struct AuthorityRenewed {
+    Base::MonoTime until{};
 };
 
 struct DialPeer {
@@ -208,6 +231,12 @@
     Jobs::EntryBeat heartbeat;
 };
 
+/// Sends the reply on the link on which the peer's heartbeat has arrived.
+struct SendHeartbeatReply {
+    std::string name;
+    Jobs::EntryBeatReply reply;
+};
+
 /// The set of entry endpoints, including this entry's own, has changed.
 struct EntryEndpointsChanged {
     std::vector<Base::Endpoint> entries;
@@ -231,9 +260,11 @@
                                      LoadJobs,
                                      BeginOwning,
                                      OwnershipLost,
+                                     AuthorityRenewed,
                                      DialPeer,
                                      DisconnectPeer,
                                      SendHeartbeat,
+                                     SendHeartbeatReply,
                                      EntryEndpointsChanged,
                                      OwnerChanged,
                                      OwnershipDecision>;
--- a/src/libs/entrynode/ownershipsteps.h
+++ b/src/libs/entrynode/ownershipsteps.h
@@ -48,7 +48,30 @@
 void handlePeer(Context &context, const PeerLinked &event);
 void handlePeer(Context &context, const PeerUnlinked &event);
 void handlePeer(Context &context, const PeerHeartbeat &event);
+void handlePeer(Context &context, const PeerHeartbeatReply &event);
 void dialPeers(Context &context);
 void sendHeartbeats(Context &context);
 
+/// Returns the peer's address for links; port 0 if the peer isn't known.
+Base::Endpoint peerEndpoint(const OwnershipState &state, const std::string &name);
+
+// The authority of the owner. An owner that has been replaced may not learn of it: it is cut off from the store and from its successor.
+// It therefore sends orders only while it has recent proof that it has not been replaced: the store held its claim, as this entry or another
+// one has read, or, while the store can't be reached, most entries know no newer owner.
+
+/// Records an epoch that an owner has or had.
+void recordEpoch(OwnershipState &state, std::uint64_t epoch);
+
+/// Records that the store held this entry's claim at the given time.
+void confirmClaim(OwnershipState &state, Base::MonoTime at);
+
+/// Ends the ownership of this entry, as another entry owns the jobs under the higher epoch. The successor's port is 0 if it isn't known.
+void endOwnership(Context &context, std::uint64_t epoch, Base::Endpoint successor);
+
+/// Confirms the owner that has sent the heartbeat, or names its successor.
+void replyToHeartbeat(Context &context, const PeerHeartbeat &event);
+
+/// Computes until when this entry may send orders as the owner, and reports a change.
+void updateAuthority(Context &context);
+
 } // namespace LaburnumFlow::EntryNode::Internal
--- a/src/libs/entrynode/peers.cpp
+++ b/src/libs/entrynode/peers.cpp
@@ -27,10 +27,12 @@
     OwnershipState &state = context.state;
     state.readNotBefore = state.now;
     if (state.mode == Mode::Owning || state.mode == Mode::Loading) {
-        context.effects.push_back(OwnershipLost{event.heartbeat.ownerEpoch});
+        endOwnership(context, event.heartbeat.ownerEpoch, peerEndpoint(state, event.name));
         return;
     }
+    recordEpoch(state, event.heartbeat.ownerEpoch);
     state.owner = Jobs::OwnerRecord{event.heartbeat.ownerEpoch, 0, event.name, 0, {}};
+    state.ownerReadAt.reset();
     state.ownerSilentSince = state.now;
     state.ownerRefusesConnections = false;
     state.ownerCutOffSince = {};
@@ -39,6 +41,24 @@
     context.effects.push_back(OwnerChanged{event.name});
 }
 
+/// Records the heartbeat of the owner, which may be new.
+void followSender(Context &context, const PeerHeartbeat &event)
+{
+    OwnershipState &state = context.state;
+    const bool fromOwner = state.owner && state.owner->owner == event.name;
+    if (!fromOwner || state.owner->epoch != event.heartbeat.ownerEpoch) {
+        adoptOwnerFromHeartbeat(context, event);
+        return;
+    }
+    state.ownerSilentSince = state.now;
+    state.ownerRefusesConnections = false;
+    if (event.heartbeat.storeReachable) {
+        state.ownerCutOffSince = {};
+    } else if (state.ownerCutOffSince == Base::MonoTime{}) {
+        state.ownerCutOffSince = state.now;
+    }
+}
+
 } // namespace
 
 void updatePeers(Context &context, const std::vector<Jobs::EntryRecord> &entries)
@@ -58,6 +78,7 @@
             peer.linked = false;
             peer.dialing = false;
         }
+        peer.refusesConnections = peer.refusesConnections && peer.record == record;
         peer.record = record;
         peer.present = true;
     }
@@ -73,6 +94,7 @@
     Peer &peer = context.state.peers[event.name];
     peer.linked = true;
     peer.dialing = false;
+    peer.refusesConnections = false;
     context.state.heartbeatNotBefore = context.state.now;
 }
 
@@ -80,6 +102,7 @@
 {
     Peer &peer = context.state.peers[event.name];
     peer.dialing = false;
+    peer.refusesConnections = event.refused;
     // The first dial after a lost link isn't delayed, as it tells whether the process still exists.
     const bool wasLinked = std::exchange(peer.linked, false);
     peer.dialNotBefore = wasLinked && !event.refused ? context.state.now : context.state.now + dialRetryDelay;
@@ -94,21 +117,13 @@
         state.readNotBefore = state.now;
         return;
     }
-    const bool fromOwner = state.owner && state.owner->owner == event.name;
-    if (event.heartbeat.ownerEpoch == 0 || (state.owner && event.heartbeat.ownerEpoch < state.owner->epoch)) {
-        return;
-    }
-    if (!fromOwner || state.owner->epoch != event.heartbeat.ownerEpoch) {
-        adoptOwnerFromHeartbeat(context, event);
+    if (event.heartbeat.ownerEpoch == 0) {
         return;
     }
-    state.ownerSilentSince = state.now;
-    state.ownerRefusesConnections = false;
-    if (event.heartbeat.storeReachable) {
-        state.ownerCutOffSince = {};
-    } else if (state.ownerCutOffSince == Base::MonoTime{}) {
-        state.ownerCutOffSince = state.now;
+    if (event.heartbeat.ownerEpoch >= state.highestEpoch) {
+        followSender(context, event);
     }
+    replyToHeartbeat(context, event);
 }
 
 void dialPeers(Context &context)
@@ -130,7 +145,8 @@
         return;
     }
     state.heartbeatNotBefore = state.now + heartbeatInterval;
-    const Jobs::EntryBeat heartbeat{state.claim.epoch, storeReachable(state), false};
+    const std::int64_t token = std::chrono::floor<std::chrono::milliseconds>(state.now).count();
+    const Jobs::EntryBeat heartbeat{state.claim.epoch, storeReachable(state), false, token};
     for (const auto &[name, peer] : state.peers) {
         if (peer.linked) {
             context.effects.push_back(SendHeartbeat{name, heartbeat});
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -20,6 +20,13 @@
 /// Time without a newer token after which none of the runs that an agent's worker had can still be running.
 constexpr Base::Duration runExpiryTimeout = maxTokenAgeForRenewal + std::chrono::duration_cast<Base::Duration>(workerLease * clockDriftFactor) + leaseSlack;
 
+/// An owner without newer proof that it has not been replaced sends no orders.
+constexpr Base::Duration ownerAuthorityTimeout = 800ms;
+
+/// Time after a takeover from which no run of a former owner can still be running on an agent that has not reported. The former owner may
+/// not know of the takeover and renew leases until its authority ends.
+constexpr Base::Duration formerRunExpiryTimeout = ownerAuthorityTimeout + runExpiryTimeout;
+
 constexpr Base::Duration orphanGracePeriod = 2500ms; ///< Runs of best-effort jobs that are not submitted again within this time of a takeover are stopped.
 
 // The caller of a best-effort job that gets no answer within its timeout submits the job again after a delay.
--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -207,11 +207,26 @@
     std::uint64_t ownerEpoch = 0; ///< Epoch under which the sender owns the jobs; 0 if it doesn't own them.
     bool storeReachable = false; ///< The store has answered the sender recently.
     bool steppedDown = false; ///< The sender has just stopped owning the jobs.
+    std::int64_t token = 0; ///< Steady clock of the sender at sending, in milliseconds; returned in the reply.
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(ownerEpoch, storeReachable, steppedDown);
+        archive(ownerEpoch, storeReachable, steppedDown, token);
+    }
+};
+
+/// The reply to an owner's heartbeat. It confirms the owner, or names the one that has replaced it.
+struct EntryBeatReply {
+    std::int64_t token = 0; ///< From the heartbeat.
+    std::uint64_t ownerEpoch = 0; ///< Highest epoch of an owner that the sender knows.
+    std::optional<std::uint32_t> readAgeMs; ///< Time since the start of the sender's last read of the owner record that showed this epoch, if there was one.
+    Base::Endpoint ownerPeers = {}; ///< Address of the owner of this epoch; port 0 if the sender doesn't know it.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(token, ownerEpoch, readAgeMs, ownerPeers);
     }
 };
 
@@ -314,7 +329,7 @@
     }
 };
 
-using LinkMessage = std::variant<AgentHello, AgentReport, OwnerOrders, EntryHello, EntryBeat, RelayedCall, RelayedAnswer>;
+using LinkMessage = std::variant<AgentHello, AgentReport, OwnerOrders, EntryHello, EntryBeat, RelayedCall, RelayedAnswer, EntryBeatReply>;
 
 std::vector<std::uint8_t> encodeMessage(const LinkMessage &message);
 
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -109,6 +109,14 @@
     Internal::handleAdvice(context, event);
 }
 
+void handle(Context &context, const AuthorityRenewed &event)
+{
+    OwnerState &state = context.state;
+    const bool regained = !Internal::hasAuthority(state) && state.now < event.until;
+    state.authorityUntil = event.until;
+    state.schedulingDue |= regained;
+}
+
 void handle(Context &context, const EntriesChanged &event)
 {
     context.state.entries = event.entries;
@@ -128,6 +136,9 @@
 
 void sendOrders(Context &context)
 {
+    if (!Internal::hasAuthority(context.state)) {
+        return;
+    }
     for (Agent &agent : context.state.agents) {
         if (!ordersDue(agent, context.state.now)) {
             continue;
@@ -204,6 +215,11 @@
 
 namespace Internal {
 
+bool hasAuthority(const OwnerState &state)
+{
+    return state.now < state.authorityUntil;
+}
+
 void logDecision(Context &context, std::string event, std::vector<std::pair<std::string, std::string>> fields)
 {
     context.effects.push_back(Decision{std::move(event), std::move(fields)});
@@ -229,7 +245,7 @@
         }
     }
     restoreJobs(state, std::move(stored.packs));
-    state.formerRunsResolvedBy = now + runExpiryTimeout;
+    state.formerRunsResolvedBy = now + formerRunExpiryTimeout;
     state.orphansUntil = now + orphanGracePeriod;
     state.tookOverAt = now;
     return state;
@@ -273,8 +289,9 @@
     if (!state.expiring.empty()) {
         due.consider(state.expiring.begin()->first);
     }
+    const bool sendsOrders = Internal::hasAuthority(state);
     for (const Agent &agent : state.agents) {
-        if (agent.linked) {
+        if (agent.linked && sendsOrders) {
             due.consider(agent.ordersAt + ordersKeepAliveInterval);
         }
         if (!agent.linked && agent.recorded && agent.runs.empty()) {
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -238,6 +238,9 @@
         return;
     }
     state.rescheduleAt.reset();
+    if (!hasAuthority(state)) {
+        return;
+    }
     Round round{context, largestFreeMilli(state), {}};
     std::size_t skipped = 0;
     auto next = state.ready.begin();
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -182,6 +182,7 @@
     Base::MonoTime agentsListedAt{};
     std::size_t tasksInDoubt = 0;
     Base::MonoTime formerRunsResolvedBy{}; ///< From then on no unreported run of a former owner can still be running.
+    Base::MonoTime authorityUntil = Base::MonoTime::max(); ///< No orders are sent from then on, as another entry may own the jobs.
     KindSpeeds kindSpeeds;
     std::unordered_map<std::string, QueueRules> rules; ///< By queue.
     std::uint64_t rulesVersion = 0;
@@ -231,6 +232,11 @@
     std::vector<QueueRules> queues;
 };
 
+/// The owner may send orders until the given time.
+struct AuthorityRenewed {
+    Base::MonoTime until{};
+};
+
 struct EntriesChanged {
     std::vector<Base::Endpoint> entries;
 };
@@ -243,7 +249,8 @@
     std::optional<std::uint32_t> validMs; ///< Validity of the tickets; if not set, that of the queue's rules.
 };
 
-using OwnerEvent = std::variant<TimePassed, CallArrived, AgentLinked, AgentUnlinked, AgentReported, CommitEnded, RulesChanged, EntriesChanged, AdviceGiven>;
+using OwnerEvent = std::
+    variant<TimePassed, CallArrived, AgentLinked, AgentUnlinked, AgentReported, CommitEnded, RulesChanged, AuthorityRenewed, EntriesChanged, AdviceGiven>;
 
 // Effects.
 
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -18,6 +18,9 @@
 
 void logDecision(Context &context, std::string event, std::vector<std::pair<std::string, std::string>> fields);
 
+/// Returns whether this owner may send orders. Without authority another entry may own the jobs.
+bool hasAuthority(const OwnerState &state);
+
 // Jobs.
 JobRecord makeJobRecord(const Job &job);
 Job *findJob(OwnerState &state, JobId id);
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -30,7 +30,8 @@
 {
     CPPUNIT_TEST_SUITE(TestTakeover);
     CPPUNIT_TEST(waitsForTheAgentsOfTheFormerOwner);
-    CPPUNIT_TEST(waitsNoLongerThanTheLeases);
+    CPPUNIT_TEST(waitsForTheFormerOwnersAuthorityAndTheLeases);
+    CPPUNIT_TEST(ownerWithoutAuthoritySendsNoOrders);
     CPPUNIT_TEST(adoptsWhatRuns);
     CPPUNIT_TEST(runNumbersIncreaseAcrossOwners);
     CPPUNIT_TEST(recordedAgentsWorkAtOnce);
@@ -56,12 +57,13 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
     }
 
-    /// Guards against jobs that wait for ever for an agent which does not come back.
-    void waitsNoLongerThanTheLeases()
+    /// Guards against jobs that wait for ever for an agent which does not come back, and against a second run of a task on an agent whose
+    /// leases the former owner renews until its authority ends.
+    void waitsForTheFormerOwnersAuthorityAndTheLeases()
     {
         OwnerHarness owner({"agent-1", "agent-2"}, 2, {jobRecord(7, 1)});
         owner.join("agent-1");
-        for (Base::Duration waited{}; waited < runExpiryTimeout; waited += 300ms) {
+        for (Base::Duration waited{}; waited < ownerAuthorityTimeout + runExpiryTimeout; waited += 300ms) {
             CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
             owner.feed(AgentReported{"agent-1", owner.report("agent-1")});
             owner.advanceTime(300ms);
@@ -70,6 +72,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
     }
 
+    /// Guards against a replaced owner that starts tasks, or renews leases by echoing tokens, after its successor has taken their ends for
+    /// granted.
+    void ownerWithoutAuthoritySendsNoOrders()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.feed(AuthorityRenewed{owner.state.now + 500ms});
+        owner.submit(1, bestEffort(7, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+        owner.advanceTime(600ms);
+        const std::uint64_t ordersBefore = owner.state.agents[0].ordersSent;
+        owner.submit(2, bestEffort(8, 1));
+        owner.advanceTimeWithReports(2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+        CPPUNIT_ASSERT_EQUAL(ordersBefore, owner.state.agents[0].ordersSent);
+        owner.feed(AuthorityRenewed{owner.state.now + 500ms});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.orderedStartCount());
+    }
+
     /// Guards against stopping or repeating runs because their owner changed.
     void adoptsWhatRuns()
     {
