Let agents find the successor of an owner that the store does not confirm

Cause: agents link to the entries that their owner names and read the store only while they have no owner. An owner that the store turns away does not know of entries that have started since, so its agents know the successor neither from it nor from the store.

Change: orders say whether the store has recently held the owner's claim. If it has not, the agent reads the entries from the store every 0.5 s and links to new ones. An owner that learns of its successor sends the successor's address to its agents before it steps down, as they would otherwise wait 1.2 s for its silence.

--- a/src/app/laburnumnode/agentprocess.cpp
+++ b/src/app/laburnumnode/agentprocess.cpp
@@ -74,6 +74,8 @@
     void callWorker(std::string_view name, HttpIo::ClientRequest request, Base::Duration timeout, Read read);
 
     void handleRequest(const HttpIo::ServerRequest &request);
+    bool mayOwnerBeReplaced() const;
+    bool isEntriesReadDue() const;
     void readEntries();
     void connectTo(const std::vector<Base::Endpoint> &entries);
     void dial(const Base::Endpoint &endpoint);
@@ -92,6 +94,7 @@
     std::vector<Base::Endpoint> knownEntries_; ///< entries to which links are maintained
     DueTimer timer_;
     bool entriesReadInProgress_ = false;
+    Base::MonoTime entriesReadAt_{}; ///< start of the latest read
 };
 
 AgentProcess::AgentProcess(const Settings::NodeSettings &settings, std::string settingsFile)
@@ -256,17 +259,30 @@
     registration_.answer(request.id, {200, "{}", {}});
 }
 
-/// Reads the entry records from the store at intervals while there is no owner. Stale reads are cheap and sufficient for that.
+bool AgentProcess::mayOwnerBeReplaced() const
+{
+    return state_.ownerEntry.empty() || !state_.ownerConfirmedByStore;
+}
+
+bool AgentProcess::isEntriesReadDue() const
+{
+    const Base::Duration interval = state_.ownerEntry.empty() ? entriesReadInterval : unconfirmedOwnerReadInterval;
+    return mayOwnerBeReplaced() && !entriesReadInProgress_ && loop_.now() - entriesReadAt_ >= interval;
+}
+
+/// Reads the entry records from the store at intervals while there is no owner, or one that may have a successor. Stale reads are cheap and
+/// sufficient for that.
 void AgentProcess::readEntries()
 {
     if (stopping_) {
         return;
     }
     loop_.callAfter(entriesReadInterval, [this] { readEntries(); });
-    if (!state_.ownerEntry.empty() || entriesReadInProgress_) {
+    if (!isEntriesReadDue()) {
         return;
     }
     entriesReadInProgress_ = true;
+    entriesReadAt_ = loop_.now();
     HttpIo::ClientRequest request = Platform::rangeRequest(storeAddress_, Jobs::clusterPrefix, {}, true);
     request.timeout = maxStoreTimeout;
     const Base::MonoTime startedAt = Base::monoNow();
@@ -274,10 +290,13 @@
         metrics_.observeCall("read-cluster", callOutcome(response), Base::monoNow() - startedAt);
         entriesReadInProgress_ = false;
         const auto page = Platform::parsePageResponse(response);
-        if (!page || !state_.ownerEntry.empty()) {
+        if (!page || !mayOwnerBeReplaced()) {
             return;
         }
         std::vector<Base::Endpoint> entries;
+        if (!state_.ownerEntry.empty()) {
+            entries = knownEntries_;
+        }
         const EntryNode::ClusterRead cluster = Platform::clusterFromItems(page->items);
         for (const Jobs::EntryRecord &record : cluster.content->entries) {
             entries.push_back(record.peers);
--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -38,12 +38,13 @@
 
 void EntryProcess::carryOut(EntryNode::OwnershipLost &lost)
 {
+    sendSuccessorToAgents(lost.successor);
     stepDown("epoch " + std::to_string(lost.epoch));
 }
 
 void EntryProcess::carryOut(EntryNode::AuthorityRenewed &renewed)
 {
-    feedOwner(Jobs::AuthorityRenewed{renewed.until});
+    feedOwner(Jobs::AuthorityRenewed{renewed.until, renewed.confirmedByStore});
 }
 
 void EntryProcess::carryOut(EntryNode::DialPeer &dial)
@@ -217,6 +218,21 @@
     feedOwner(Jobs::CallArrived{id, std::move(call)});
 }
 
+void EntryProcess::sendSuccessorToAgents(const Base::Endpoint &successor)
+{
+    if (!owner_ || successor.port == 0) {
+        return;
+    }
+    Jobs::OwnerOrders orders;
+    orders.epoch = owner_->epoch;
+    orders.entries = entries_;
+    orders.entries.push_back(successor);
+    const std::vector<std::uint8_t> frame = Jobs::encodeMessage(std::move(orders));
+    for (const auto &[name, link] : agentLinks_) {
+        links_.send(link, frame);
+    }
+}
+
 void EntryProcess::stepDown(const std::string &reason)
 {
     if (!owner_ && ownership_.mode != EntryNode::OwnershipState::Mode::Loading) {
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -122,6 +122,8 @@
     /// Dials an agent at intervals until the given time, as an agent that restarts during a store outage can't find the entries by itself.
     void dialAgent(const std::string &name, Base::MonoTime until);
     void forwardToOwner(Waiting waiting, Jobs::Call call);
+    /// Lets the agents of this owner link to its successor, which may be unknown to them. The successor's port is 0 if it isn't known.
+    void sendSuccessorToAgents(const Base::Endpoint &successor);
     void stepDown(const std::string &reason);
 
     // Rules and the store.
--- a/src/app/laburnumnode/nodeconstants.h
+++ b/src/app/laburnumnode/nodeconstants.h
@@ -26,6 +26,7 @@
 constexpr Base::Duration drainReserve = 400ms; ///< time for forwarding a call to the owner and its answer
 constexpr Base::Duration drainCheckInterval = 100ms;
 constexpr Base::Duration entriesReadInterval = 120ms; ///< interval between reads of the entry records by an agent without an owner
+constexpr Base::Duration unconfirmedOwnerReadInterval = 500ms; ///< the same for an agent whose owner the store doesn't confirm
 constexpr Base::Duration entryDialRetryDelay = 200ms;
 
 /// Delay before the owner dials an agent whose link has closed. An agent that is still running dials sooner itself.
--- a/src/libs/entrynode/authority.cpp
+++ b/src/libs/entrynode/authority.cpp
@@ -148,10 +148,13 @@
     if (state.mode != Mode::Owning) {
         return;
     }
-    const Base::MonoTime until = std::max<Base::MonoTime>(state.claimConfirmedAt + Jobs::ownerAuthorityTimeout, majorityConfirmedUntil(state));
-    if (isReportDue(state, until)) {
+    const Base::MonoTime storeConfirmedUntil = state.claimConfirmedAt + Jobs::ownerAuthorityTimeout;
+    const Base::MonoTime until = std::max(storeConfirmedUntil, majorityConfirmedUntil(state));
+    const bool confirmedByStore = state.now < storeConfirmedUntil;
+    if (confirmedByStore != state.claimConfirmedByStore || isReportDue(state, until)) {
+        state.claimConfirmedByStore = confirmedByStore;
         state.authorityUntil = until;
-        context.effects.push_back(AuthorityRenewed{until});
+        context.effects.push_back(AuthorityRenewed{until, confirmedByStore});
     }
     const bool granted = state.now < state.authorityUntil;
     if (granted != state.authorityGranted) {
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -56,6 +56,7 @@
     Base::MonoTime claimedAt{}; ///< when the latest claim was sent
     Base::MonoTime claimConfirmedAt{}; ///< latest time at which the store is known to have held the claim
     Base::MonoTime authorityUntil{}; ///< end of this entry's authority as the owner unless it is confirmed again
+    bool claimConfirmedByStore = true; ///< as last reported to the owner
     bool authorityGranted = false; ///< as last logged
     std::map<std::string, Peer> peers; ///< the other entries, by name
 
@@ -215,6 +216,7 @@
 /// The owner in this process may send orders until the given time.
 struct AuthorityRenewed {
     Base::MonoTime until{};
+    bool confirmedByStore = true; ///< the store has recently held the claim; otherwise only other entries confirm the owner
 };
 
 struct DialPeer {
--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -182,11 +182,12 @@
     std::uint64_t endsRecorded = 0; ///< All ends up to this number are recorded, so the worker may drop them.
     std::vector<Base::Endpoint> entries; ///< All entries; empty if unchanged.
     std::vector<RunRequirements> runRequirements;
+    bool confirmedByStore = true; ///< The store has recently held this owner's claim. Otherwise it may have a successor that it doesn't know.
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(epoch, number, echo, workerStartTimeMs, starts, stops, endsRecorded, entries, runRequirements);
+        archive(epoch, number, echo, workerStartTimeMs, starts, stops, endsRecorded, entries, runRequirements, confirmedByStore);
     }
 };
 
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -114,6 +114,7 @@
     OwnerState &state = context.state;
     const bool regained = !Internal::hasAuthority(state) && state.now < event.until;
     state.authorityUntil = event.until;
+    state.confirmedByStore = event.confirmedByStore;
     state.schedulingDue |= regained;
 }
 
@@ -149,6 +150,7 @@
         orders.echo = agent.token;
         orders.workerStartTimeMs = agent.worker ? agent.worker->startTimeMs : 0;
         orders.endsRecorded = agent.endsRecorded;
+        orders.confirmedByStore = context.state.confirmedByStore;
         agent.ordersAt = context.state.now;
         context.effects.push_back(SendOrders{agent.name, std::move(orders)});
     }
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -183,6 +183,7 @@
     std::size_t tasksInDoubt = 0;
     Base::MonoTime formerRunsResolvedBy{}; ///< From then on no unreported run of a former owner can still be running.
     Base::MonoTime authorityUntil = Base::MonoTime::max(); ///< No orders are sent from then on, as another entry may own the jobs.
+    bool confirmedByStore = true; ///< As in AuthorityRenewed.
     KindSpeeds kindSpeeds;
     std::unordered_map<std::string, QueueRules> rules; ///< By queue.
     std::uint64_t rulesVersion = 0;
@@ -235,6 +236,7 @@
 /// The owner may send orders until the given time.
 struct AuthorityRenewed {
     Base::MonoTime until{};
+    bool confirmedByStore = true; ///< The store has recently held the owner's claim; otherwise only other entries confirm the owner.
 };
 
 struct EntriesChanged {
--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -182,6 +182,7 @@
         followOwner(context, event);
     }
     state.ordersSeen = event.orders.number;
+    state.ownerConfirmedByStore = event.orders.confirmedByStore;
     state.echo = std::max(state.echo, event.orders.echo);
     if (!event.orders.entries.empty()) {
         context.effects.push_back(UpdateEntries{event.orders.entries});
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -76,6 +76,7 @@
     // The owner.
     std::uint64_t epoch = 0;
     std::string ownerEntry; ///< link name of the entry that owns the jobs; empty if there is none
+    bool ownerConfirmedByStore = true; ///< otherwise the owner may have a successor that it doesn't know
     std::uint64_t ordersSeen = 0; ///< number of the latest orders of the owner
     std::int64_t echo = 0; ///< most recent token of this process that the owner has echoed, in milliseconds of the steady clock
     bool fullReportDue = false;
--- a/tests/auto/entrynode/tst_authority.cpp
+++ b/tests/auto/entrynode/tst_authority.cpp
@@ -76,6 +76,13 @@
     }
 };
 
+Jobs::EntryBeatReply lastReply(const EntryHarness &entry)
+{
+    const auto replies = entry.effects<SendHeartbeatReply>();
+    CPPUNIT_ASSERT(!replies.empty());
+    return replies.back().reply;
+}
+
 } // namespace
 
 /// Tests that an owner which may have been replaced without knowing it sends no orders.
@@ -98,6 +105,7 @@
     CPPUNIT_TEST(followerConfirmsItsOwner);
     CPPUNIT_TEST(claimingEntryConfirmsNobody);
     CPPUNIT_TEST(formerOwnerDoesNotFollowAnOlderOne);
+    CPPUNIT_TEST(agentsLearnThatTheStoreDoesNotConfirm);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -237,10 +245,9 @@
         successor.peers = {"10.0.0.3", 7000};
         entry.read(makeOwner("entry-3", 4), 11, {makeEntry("entry-1"), successor});
         entry.feed(PeerHeartbeat{"entry-2", {3, false, false, 77}});
-        const auto replies = entry.effects<SendHeartbeatReply>();
-        CPPUNIT_ASSERT_EQUAL(std::string("entry-2"), replies.back().name);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), replies.back().reply.ownerEpoch);
-        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.3"), replies.back().reply.ownerPeers.address);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), lastReply(entry).ownerEpoch);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.3"), lastReply(entry).ownerPeers.address);
+        CPPUNIT_ASSERT_EQUAL(std::string("entry-2"), entry.effects<SendHeartbeatReply>().back().name);
         CPPUNIT_ASSERT_EQUAL(std::string("entry-3"), entry.state.owner->owner);
     }
 
@@ -251,13 +258,13 @@
         entry.followPeer();
         entry.advance(100ms);
         entry.feed(PeerHeartbeat{"entry-2", {3, true, false, 77}});
-        const Jobs::EntryBeatReply reply = entry.effects<SendHeartbeatReply>().back().reply;
+        const Jobs::EntryBeatReply reply = lastReply(entry);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(77), reply.token);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), reply.ownerEpoch);
         CPPUNIT_ASSERT(reply.readAgeMs.value() >= 100);
         EntryHarness other;
         other.feed(PeerHeartbeat{"entry-2", {3, true, false, 78}});
-        CPPUNIT_ASSERT(!other.effects<SendHeartbeatReply>().back().reply.readAgeMs.has_value());
+        CPPUNIT_ASSERT(!lastReply(other).readAgeMs.has_value());
     }
 
     /// Guards against an entry that confirms the owner while its own claim may already have replaced it.
@@ -272,7 +279,7 @@
         CPPUNIT_ASSERT_EQUAL(before, entry.effects<SendHeartbeatReply>().size());
         entry.feed(ClaimEnded{ClaimEnded::Outcome::Won, 12});
         entry.heartbeat();
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), entry.effects<SendHeartbeatReply>().back().reply.ownerEpoch);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), lastReply(entry).ownerEpoch);
     }
 
     /// Guards against an entry that has just stepped down and follows, and so confirms, an owner that it had replaced itself.
@@ -287,7 +294,19 @@
         entry.feed(SteppedDown{});
         entry.heartbeat();
         CPPUNIT_ASSERT(!entry.state.owner);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), entry.effects<SendHeartbeatReply>().back().reply.ownerEpoch);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), lastReply(entry).ownerEpoch);
+    }
+
+    /// Guards against agents that know only an owner cut off from the store, and so never find its successor.
+    void agentsLearnThatTheStoreDoesNotConfirm()
+    {
+        OwnerEntry owner(2);
+        CPPUNIT_ASSERT(owner.effects<AuthorityRenewed>().back().confirmedByStore);
+        owner.passWithoutStore(2s, 2);
+        CPPUNIT_ASSERT(owner.hasAuthority());
+        CPPUNIT_ASSERT(!owner.effects<AuthorityRenewed>().back().confirmedByStore);
+        owner.readOwnClaim();
+        CPPUNIT_ASSERT(owner.effects<AuthorityRenewed>().back().confirmedByStore);
     }
 };
 
