Ignore the lists of an overtaken hold call

Found by reading after the report of tasks that ran twice; no caller is known to have met it.

Cause: two hold calls can be in progress at once, after a change of owner and after a cancelled start. If the older answer arrives last, its list adds a run again whose end is already recorded. The worker never lists that end again, so the run occupies the worker and its task for ever, and a new owner would adopt it. An old answer of a restarted worker even replaced the new incarnation.

Change: an answer is ignored if a newer one is known or its call was sent before the worker's restart became known; after a restart a new call is sent at once. The newer list holds all ends that were not acknowledged, so nothing is lost.

Evidence: overtakenListAddsNoEndedRun and overtakenListOfFormerIncarnationIsIgnored failed before the change.

--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -281,6 +281,11 @@
         state.runsListed = state.runsListed || (event.refused && !state.worker);
         return;
     }
+    // The lists of such an answer may name runs that have ended since, and their ends aren't listed again.
+    if (event.number < state.oldestValidHold) {
+        return;
+    }
+    state.oldestValidHold = event.number;
     clearSilence(state);
     if (state.worker && event.workerStartTimeMs != 0 && state.worker->startTimeMs != event.workerStartTimeMs) {
         resetWorker(context);
@@ -335,6 +340,10 @@
     for (const RunRef &run : inDoubt) {
         context.effects.push_back(CallStop{run, state.epoch, callTimeout(state)});
     }
+    // A hold call in progress may be answered by the former incarnation.
+    state.oldestValidHold = state.lastHoldNumber + 1;
+    state.holdInProgress = false;
+    state.holdNotBefore = state.now;
     state.silentSince.reset();
     state.ends.clear();
     state.endsRecorded = 0;
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -59,6 +59,7 @@
     bool holdInProgress = false;
     Base::MonoTime holdNotBefore{};
     std::uint64_t lastHoldNumber = 0; ///< number of the latest hold call; tells which lists are newer than a stop or an epoch
+    std::uint64_t oldestValidHold = 0; ///< answers to earlier hold calls are ignored: a newer answer or a newer incarnation is known
     std::uint64_t lastHoldBeforeEpoch = 0; ///< hold calls up to this number carried a lower fence
     std::unordered_map<Jobs::RunRef, std::uint64_t, Jobs::RunRefHash> startCancelledAtHold; ///< number of the latest hold call when the stop was answered
     std::map<Jobs::RunRef, Base::MonoTime> stopRetries; ///< when to resend stop calls that got no response
--- a/tests/auto/taskagent/agentharness.h
+++ b/tests/auto/taskagent/agentharness.h
@@ -56,12 +56,17 @@
 
     /// Answers the latest hold call.
     void answerHold(std::vector<ListedRun> running = {}, std::vector<Jobs::RunEnd> ends = {}, std::int64_t startTimeMs = firstStartTimeMs)
+    {
+        answerHoldNumber(holds.back().number, std::move(running), std::move(ends), startTimeMs);
+    }
+
+    void answerHoldNumber(std::uint64_t number, std::vector<ListedRun> running, std::vector<Jobs::RunEnd> ends, std::int64_t startTimeMs = firstStartTimeMs)
     {
         HoldAnswered answer;
         answer.answered = true;
         answer.workerStartTimeMs = startTimeMs;
         answer.workerClock = std::chrono::duration_cast<std::chrono::milliseconds>(now_) + 5000ms;
-        answer.number = holds.back().number;
+        answer.number = number;
         answer.running = std::move(running);
         answer.ends = std::move(ends);
         feed(answer);
--- a/tests/auto/taskagent/tst_agent.cpp
+++ b/tests/auto/taskagent/tst_agent.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(ignoresLowerEpoch);
     CPPUNIT_TEST(readsListsUnderTheNewFence);
     CPPUNIT_TEST(listUnderFormerFenceDoesNotCount);
+    CPPUNIT_TEST(overtakenListAddsNoEndedRun);
+    CPPUNIT_TEST(overtakenListOfFormerIncarnationIsIgnored);
     CPPUNIT_TEST(fullReportNamesStartsInProgress);
     CPPUNIT_TEST(unansweredStartIsCancelled);
     CPPUNIT_TEST(cancelledStartThatRanIsReportedAsEnded);
@@ -114,6 +116,43 @@
             agent.reports.begin() + static_cast<std::ptrdiff_t>(before), agent.reports.end(), [](const auto &report) { return report.report.full; }));
     }
 
+    /// Guards against a run that occupies the worker for ever, and a task that never ends: an answer that a newer one has overtaken lists the
+    /// run as active after its end was recorded.
+    void overtakenListAddsNoEndedRun()
+    {
+        AgentHarness agent;
+        agent.begin(1);
+        agent.orders(1, {startOf(runOf(7))});
+        agent.answerStart(runOf(7));
+        const std::uint64_t overtaken = agent.holds.back().number;
+        // A change of owner starts a new hold call while the former one is in progress.
+        agent.orders(2, {}, {}, "2");
+        agent.answerHold({}, {{1, runOf(7), Jobs::RunOutcome::Done, 10}});
+        Jobs::OwnerOrders recorded;
+        recorded.epoch = 2;
+        recorded.echo = std::chrono::duration_cast<std::chrono::milliseconds>(agent.now()).count();
+        recorded.workerStartTimeMs = firstStartTimeMs;
+        recorded.endsRecorded = 1;
+        agent.feed(OrdersArrived{"2", recorded});
+        agent.answerHoldNumber(overtaken, {{runOf(7), 40}}, {});
+        CPPUNIT_ASSERT(agent.state.runs.empty());
+    }
+
+    /// Guards against a restarted worker that is taken for its former incarnation because an old answer arrives late.
+    void overtakenListOfFormerIncarnationIsIgnored()
+    {
+        AgentHarness agent;
+        agent.begin(1);
+        agent.orders(1, {startOf(runOf(7))});
+        agent.answerStart(runOf(7));
+        const std::uint64_t overtaken = agent.holds.back().number;
+        agent.orders(2, {}, {}, "2");
+        agent.heartbeat(1, firstStartTimeMs + 5000);
+        agent.answerHoldNumber(overtaken, {{runOf(7), 40}}, {});
+        CPPUNIT_ASSERT_EQUAL(firstStartTimeMs + 5000, agent.state.worker->startTimeMs);
+        CPPUNIT_ASSERT(agent.state.runs.empty());
+    }
+
     /// Guards against a new owner that starts a task a second time because its start call is still in progress.
     void fullReportNamesStartsInProgress()
     {
