Accept the first heartbeat of a worker that was away

Callers got less service than the workers could give: a worker that was down for over 6 s, or had left, got no tasks after its return until it had sent more heartbeats than its former incarnation. Found by a test of another fault.

Cause: the number of the latest heartbeat outlived the incarnation that sent it, except for a restart noticed while the worker counted as present.

Change: the number is kept together with the incarnation, and only heartbeats of the same incarnation are compared with it.

Evidence: returningWorkerIsKnownAtItsFirstHeartbeat failed before the change; lateHeartbeatDoesNotBringAWorkerBack guards what the comparison is for.

--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -78,7 +78,8 @@
         return;
     }
     const bool restarted = state.worker && event.worker.startTimeMs != state.worker->startTimeMs;
-    if (!restarted && event.sequence <= state.heartbeatSequence && state.heartbeatSequence != 0) {
+    const bool sameIncarnation = event.worker.startTimeMs == state.heartbeatStartTimeMs;
+    if (sameIncarnation && event.sequence <= state.heartbeatSequence && state.heartbeatSequence != 0) {
         return;
     }
     if (restarted) {
@@ -87,6 +88,7 @@
     const bool changed = !state.worker || *state.worker != event.worker;
     state.runsListed = state.runsListed && state.worker.has_value();
     state.worker = event.worker;
+    state.heartbeatStartTimeMs = event.worker.startTimeMs;
     state.heartbeatSequence = event.sequence;
     state.workerHeardAt = state.now;
     if (changed) {
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -349,7 +349,6 @@
     state.endsRecorded = 0;
     state.endsAckedToWorker = 0;
     state.clockOffset.reset();
-    state.heartbeatSequence = 0;
     state.runsListed = false;
     state.leaseEndsAt = {};
     state.fullReportDue = true;
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -47,7 +47,8 @@
 
     // The worker.
     std::optional<Jobs::WorkerInfo> worker;
-    std::uint64_t heartbeatSequence = 0; ///< number of the latest heartbeat of this incarnation
+    std::int64_t heartbeatStartTimeMs = 0; ///< incarnation of the worker that sent the latest heartbeat
+    std::uint64_t heartbeatSequence = 0; ///< number of the latest heartbeat of that incarnation
     Base::MonoTime workerHeardAt{};
     std::optional<Base::MonoTime> silentSince; ///< start of the first of the hold calls that have failed in a row
     bool silenceReported = false;
--- a/tests/auto/taskagent/tst_agent.cpp
+++ b/tests/auto/taskagent/tst_agent.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(runsOfFormerIncarnationKeepTheirLease);
     CPPUNIT_TEST(slowWorkerGetsLongerTimeouts);
     CPPUNIT_TEST(restartedWorkerRunsNothing);
+    CPPUNIT_TEST(returningWorkerIsKnownAtItsFirstHeartbeat);
+    CPPUNIT_TEST(lateHeartbeatDoesNotBringAWorkerBack);
     CPPUNIT_TEST(ignoresLateHeartbeatOfFormerIncarnation);
     CPPUNIT_TEST(acknowledgesOnlyRecordedEnds);
     CPPUNIT_TEST(repeatsAcknowledgementAfterLostHold);
@@ -299,6 +301,30 @@
         CPPUNIT_ASSERT_EQUAL(firstStartTimeMs + 5000, agent.lastFull().worker->startTimeMs);
     }
 
+    /// Guards against a worker that gets no tasks after it was away for long, until it has sent more heartbeats than its former incarnation.
+    void returningWorkerIsKnownAtItsFirstHeartbeat()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.heartbeat(40);
+        agent.advance(workerSilenceTimeout + 10ms);
+        CPPUNIT_ASSERT(!agent.state.worker);
+        agent.heartbeat(1, firstStartTimeMs + 8000);
+        agent.answerHold({}, {}, firstStartTimeMs + 8000);
+        CPPUNIT_ASSERT_EQUAL(std::string("service"), agent.lastFull().worker->service);
+    }
+
+    /// Guards against a worker that has left and is taken for present because one of its heartbeats arrives late.
+    void lateHeartbeatDoesNotBringAWorkerBack()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.heartbeat(40);
+        agent.feed(WorkerLeft{"worker-1"});
+        agent.heartbeat(39);
+        CPPUNIT_ASSERT(!agent.state.worker);
+    }
+
     /// Guards against a delayed heartbeat that replaces the worker's current incarnation by a former one.
     void ignoresLateHeartbeatOfFormerIncarnation()
     {
