Cancel late starts again at a restarted worker

Callers could see two runs of a task at once.

Cause: a start call without a response is cancelled by a stop call, and its task starts elsewhere. A worker process that crashes and returns under its id knows neither the stop nor the fence, and its clock starts anew, so it executes the first call if that arrives late. Only starts in doubt at the moment of the restart were stopped again, and they counted as ended before a stop had reached the new incarnation.

Change: the agent remembers starts without a response for 15 s, as calls may be executed 12 s late, and cancels them again at each new incarnation of its worker. Until the stop is answered and a list lacks the run, the run counts as possible. The owner learns of a restart from a full report only. run.barring names the incarnation.

Evidence: lateStartIsCancelledAtARestartedWorker, startInProgressAtARestartIsCancelledBeforeItCountsAsEnded and lateStartIsCancelledAtAWorkerThatReturns failed before the change.

--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -30,6 +30,7 @@
 {
     AgentState &state = context.state;
     Internal::logDecision(context, "worker.gone", {{"worker", state.worker ? state.worker->id : ""}, {"reason", reason}});
+    Internal::recordUnansweredStarts(state);
     Internal::reportRunsLapsed(context, reason);
     state.worker.reset();
     state.ends.clear();
@@ -82,10 +83,11 @@
     if (sameIncarnation && event.sequence <= state.heartbeatSequence && state.heartbeatSequence != 0) {
         return;
     }
+    const bool isNew = !state.worker;
     if (restarted) {
         Internal::resetWorker(context);
     }
-    const bool changed = !state.worker || *state.worker != event.worker;
+    const bool changed = isNew || *state.worker != event.worker;
     state.runsListed = state.runsListed && state.worker.has_value();
     state.worker = event.worker;
     state.heartbeatStartTimeMs = event.worker.startTimeMs;
@@ -96,8 +98,14 @@
             context,
             "worker.heard",
             {{"worker", event.worker.id}, {"born", std::to_string(event.worker.startTimeMs)}, {"draining", event.worker.draining ? "1" : "0"}});
-        state.nextReport.worker = reportedWorker(state);
-        state.nextReportDue = true;
+        // The owner learns of a restart from the full report, which names the starts that the new incarnation may execute late.
+        if (!restarted) {
+            state.nextReport.worker = reportedWorker(state);
+            state.nextReportDue = true;
+        }
+    }
+    if (isNew || restarted) {
+        Internal::cancelUnansweredStarts(context);
     }
 }
 
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -25,10 +25,20 @@
 void cancelStart(Context &context, const RunRef &run, LocalRun &local)
 {
     local.phase = LocalRun::Phase::CancellingStart;
-    logDecision(context, "run.barring", {{"run", Jobs::formatRun(run)}});
+    const std::int64_t startTimeMs = context.state.worker ? context.state.worker->startTimeMs : 0;
+    logDecision(context, "run.barring", {{"run", Jobs::formatRun(run)}, {"born", std::to_string(startTimeMs)}});
     stopRun(context, run);
 }
 
+void recordUnansweredStart(AgentState &state, const RunRef &run, const LocalRun &local)
+{
+    const Base::MonoTime until = local.calledAt + lateExecutionTimeout;
+    std::erase_if(state.unansweredStarts, [&state](const auto &start) { return start.second <= state.now; });
+    if (local.calledAt != Base::MonoTime{} && until > state.now) {
+        state.unansweredStarts.insert_or_assign(run, until);
+    }
+}
+
 void updateProgress(AgentState &state, const ListedRun &listed, LocalRun &local)
 {
     if (!listed.checkpoint.empty() && listed.checkpoint != local.checkpoint) {
@@ -238,6 +248,7 @@
         reportRefusal(state, event.run, event.outcome == StartAnswered::Outcome::NotSent ? RunRefusal::Reason::NoAnswer : event.reason);
         return;
     case StartAnswered::Outcome::NoAnswer:
+        recordUnansweredStart(state, event.run, local);
         cancelStart(context, event.run, local);
         return;
     }
@@ -295,6 +306,7 @@
         state.worker = Jobs::WorkerInfo{};
         state.worker->startTimeMs = event.workerStartTimeMs;
         state.fullReportDue = true;
+        cancelUnansweredStarts(context);
     }
     updateClockOffset(state, event.workerClock);
     for (const ListedRun &run : event.running) {
@@ -326,20 +338,38 @@
     state.stopRetries.clear();
 }
 
-void resetWorker(Context &context)
+void recordUnansweredStarts(AgentState &state)
 {
-    AgentState &state = context.state;
-    // A start call without a response may still reach the new incarnation, whose clock and run list start anew.
-    std::vector<RunRef> inDoubt;
     for (const auto &[run, local] : state.runs) {
         if (local.phase != LocalRun::Phase::Running) {
-            inDoubt.push_back(run);
+            recordUnansweredStart(state, run, local);
         }
     }
-    reportRunsLapsed(context, "worker-restarted");
-    for (const RunRef &run : inDoubt) {
-        context.effects.push_back(CallStop{run, state.epoch, callTimeout(state)});
+}
+
+void cancelUnansweredStarts(Context &context)
+{
+    AgentState &state = context.state;
+    std::erase_if(state.unansweredStarts, [&state](const auto &start) { return start.second <= state.now; });
+    for (const auto &[run, until] : state.unansweredStarts) {
+        const auto [found, added] = state.runs.try_emplace(run);
+        if (!added) {
+            continue;
+        }
+        cancelStart(context, run, found->second);
+        // Until then the new incarnation may execute the start, and its run ends with its lease.
+        state.leaseEndsAt = std::max(state.leaseEndsAt, until);
     }
+}
+
+void resetWorker(Context &context)
+{
+    AgentState &state = context.state;
+    // A start call without a response may still reach the new incarnation, whose clock and run list start anew.
+    recordUnansweredStarts(state);
+    std::erase_if(state.runs, [&state](const auto &run) { return state.unansweredStarts.contains(run.first); });
+    reportRunsLapsed(context, "worker-restarted");
+    state.leaseEndsAt = {};
     // A hold call in progress may be answered by the former incarnation.
     state.oldestValidHold = state.lastHoldNumber + 1;
     state.holdInProgress = false;
@@ -350,7 +380,6 @@
     state.endsAckedToWorker = 0;
     state.clockOffset.reset();
     state.runsListed = false;
-    state.leaseEndsAt = {};
     state.fullReportDue = true;
 }
 
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -63,6 +63,7 @@
     std::uint64_t oldestValidHold = 0; ///< answers to earlier hold calls are ignored: a newer answer or a newer incarnation is known
     std::uint64_t lastHoldBeforeEpoch = 0; ///< hold calls up to this number carried a lower fence
     std::unordered_map<Jobs::RunRef, std::uint64_t, Jobs::RunRefHash> startCancelledAtHold; ///< number of the latest hold call when the stop was answered
+    std::map<Jobs::RunRef, Base::MonoTime> unansweredStarts; ///< start calls without a response, and until when the worker may execute them
     std::map<Jobs::RunRef, Base::MonoTime> stopRetries; ///< when to resend stop calls that got no response
 
     // Background runs are slowed down while runs with a latency target on the same worker miss it.
--- a/src/libs/taskagent/agentsteps.h
+++ b/src/libs/taskagent/agentsteps.h
@@ -53,7 +53,13 @@
 /// Reports all runs as lapsed, as the worker has none of them any more.
 void reportRunsLapsed(Context &context, const std::string &reason);
 
-/// Drops all state of the worker's previous incarnation.
+/// Drops all state of the worker's previous incarnation. Starts that the new one may execute late must then be cancelled.
 void resetWorker(Context &context);
 
+/// Sends stop calls for all starts that the worker's new incarnation may execute late.
+void cancelUnansweredStarts(Context &context);
+
+/// Records the runs whose start calls have no response yet.
+void recordUnansweredStarts(AgentState &state);
+
 } // namespace LaburnumFlow::TaskAgent::Internal
--- a/src/libs/taskagent/taskagentconstants.h
+++ b/src/libs/taskagent/taskagentconstants.h
@@ -18,6 +18,7 @@
 /// A worker that is silent for longer is reported and gets no new runs. Long enough that a single lost hold call doesn't count as silence.
 constexpr Base::Duration silenceReportTimeout = 150ms;
 constexpr Base::Duration renewalStopTimeout = 250ms; ///< the lease of a worker that is silent for longer is no longer renewed, so that its runs end soon
+constexpr Base::Duration lateExecutionTimeout = 15s; ///< a call without a response may be executed up to 12 s after it was sent; the rest is slack
 constexpr Base::Duration stopRetryDelay = 20ms;
 constexpr Base::Duration holdRetryDelay = 15ms; ///< delay after a failed hold call
 constexpr Base::Duration holdRetryDelayWithoutWorker = 300ms;
--- a/tests/auto/jobs/tst_owner.cpp
+++ b/tests/auto/jobs/tst_owner.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(forgetsAgentsThatLeft);
     CPPUNIT_TEST(silentAgentsTasksRestartAfterTheirLease);
     CPPUNIT_TEST(startInFlightIsNotRepeated);
+    CPPUNIT_TEST(startInDoubtAtARestartOfItsWorkerIsNotRepeated);
     CPPUNIT_TEST(lostStartIsOrderedAgain);
     CPPUNIT_TEST(lostStopIsOrderedAgain);
     CPPUNIT_TEST(endsOfTerminatedWorkerCount);
@@ -328,6 +329,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStarts("agent-2").size());
     }
 
+    /// Guards against a second run of a task elsewhere while the restarted worker may still execute the first start call late.
+    void startInDoubtAtARestartOfItsWorkerIsNotRepeated()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, bestEffort(7, 1));
+        const RunRef run = owner.orderedStarts("agent-1").at(0);
+        owner.join("agent-2");
+        owner.commitAll();
+        AgentReport restarted = owner.report("agent-1");
+        restarted.full = true;
+        restarted.worker = owner.state.agents[0].worker;
+        restarted.worker->startTimeMs += 5000;
+        restarted.running = {{run, {1000, 64, 0}}};
+        owner.feed(AgentReported{"agent-1", restarted});
+        owner.feed(AgentReported{"agent-2", owner.report("agent-2")});
+        CPPUNIT_ASSERT(owner.orderedStarts("agent-2").empty());
+        AgentReport refused = owner.report("agent-1");
+        refused.refusals = {{run, RunRefusal::Reason::NoAnswer}};
+        owner.feed(AgentReported{"agent-1", refused});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStarts("agent-2").size());
+    }
+
     /// Guards against starting a task again because a full report, sent before the agent received the start, does not list the
     /// run.
     void startInFlightIsNotRepeated()
--- a/tests/auto/taskagent/tst_agent.cpp
+++ b/tests/auto/taskagent/tst_agent.cpp
@@ -34,6 +34,10 @@
     CPPUNIT_TEST(restartedWorkerRunsNothing);
     CPPUNIT_TEST(returningWorkerIsKnownAtItsFirstHeartbeat);
     CPPUNIT_TEST(lateHeartbeatDoesNotBringAWorkerBack);
+    CPPUNIT_TEST(lateStartIsCancelledAtARestartedWorker);
+    CPPUNIT_TEST(startInProgressAtARestartIsCancelledBeforeItCountsAsEnded);
+    CPPUNIT_TEST(lateStartIsCancelledAtAWorkerThatReturns);
+    CPPUNIT_TEST(answeredAndOldStartsAreNotCancelledAgain);
     CPPUNIT_TEST(ignoresLateHeartbeatOfFormerIncarnation);
     CPPUNIT_TEST(acknowledgesOnlyRecordedEnds);
     CPPUNIT_TEST(repeatsAcknowledgementAfterLostHold);
@@ -287,6 +291,74 @@
         CPPUNIT_ASSERT(agent.starts.back().timeout > 150ms);
     }
 
+    /// Guards against two runs of a task: a start call without a response was cancelled and the task started elsewhere, then the worker
+    /// restarts, forgets the cancellation, and the call reaches it late.
+    void lateStartIsCancelledAtARestartedWorker()
+    {
+        AgentHarness agent;
+        agent.begin();
+        cancelStart(agent, runOf(7));
+        agent.advance(5s);
+        const std::size_t before = agent.stops.size();
+        agent.heartbeat(1, firstStartTimeMs + 5000);
+        CPPUNIT_ASSERT_EQUAL(before + 1, agent.stops.size());
+        CPPUNIT_ASSERT(agent.stops.back().run == runOf(7));
+        agent.feed(StopAnswered{runOf(7), false});
+        agent.advance(stopRetryDelay);
+        CPPUNIT_ASSERT_EQUAL(before + 2, agent.stops.size());
+    }
+
+    /// Guards against a task that starts elsewhere because its worker restarted, while its start call is on its way and no stop has
+    /// reached the new incarnation.
+    void startInProgressAtARestartIsCancelledBeforeItCountsAsEnded()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7)), startOf(runOf(8))});
+        agent.answerStart(runOf(8));
+        const std::size_t before = agent.reports.size();
+        agent.heartbeat(1, firstStartTimeMs + 5000);
+        agent.answerHold({}, {}, firstStartTimeMs + 5000);
+        for (auto report = agent.reports.begin() + static_cast<std::ptrdiff_t>(before); report != agent.reports.end(); ++report) {
+            const auto &ends = report->report.ends;
+            CPPUNIT_ASSERT(std::none_of(ends.begin(), ends.end(), [](const auto &end) { return end.run == runOf(7); }));
+            CPPUNIT_ASSERT(!report->report.worker || report->report.full);
+        }
+        CPPUNIT_ASSERT(agent.reported([](const auto &report) { return report.ends.size() == 1 && report.ends[0].run == runOf(8); }));
+        CPPUNIT_ASSERT(agent.lastFull().running.at(0).run == runOf(7));
+        agent.feed(StopAnswered{runOf(7), true});
+        agent.answerHold({}, {}, firstStartTimeMs + 5000);
+        CPPUNIT_ASSERT(agent.reported([](const auto &report) { return report.refusals.size() == 1 && report.refusals[0].run == runOf(7); }));
+        CPPUNIT_ASSERT(agent.state.runs.empty());
+    }
+
+    /// Guards against the same when the worker's end was known before it returned.
+    void lateStartIsCancelledAtAWorkerThatReturns()
+    {
+        AgentHarness agent;
+        agent.begin();
+        cancelStart(agent, runOf(7));
+        agent.orders(1, {startOf(runOf(8))});
+        agent.feed(WorkerLeft{"worker-1"});
+        const std::size_t before = agent.stops.size();
+        agent.heartbeat(1, firstStartTimeMs + 5000);
+        CPPUNIT_ASSERT_EQUAL(before + 2, agent.stops.size());
+    }
+
+    /// Guards against stop calls for every start of the past at each restart of a worker.
+    void answeredAndOldStartsAreNotCancelledAgain()
+    {
+        AgentHarness agent;
+        agent.begin();
+        cancelStart(agent, runOf(7));
+        agent.advance(lateExecutionTimeout);
+        agent.orders(1, {startOf(runOf(8))});
+        agent.answerStart(runOf(8));
+        const std::size_t before = agent.stops.size();
+        agent.heartbeat(1, firstStartTimeMs + 20'000);
+        CPPUNIT_ASSERT_EQUAL(before, agent.stops.size());
+    }
+
     /// Guards against runs that stay assigned to a worker which has crashed and restarted.
     void restartedWorkerRunsNothing()
     {
@@ -412,6 +484,17 @@
         agent.answerHold();
         CPPUNIT_ASSERT(isIdle(agent.state));
     }
+
+private:
+    /// Lets a start call get no response; the stop call is answered and the next list lacks the run.
+    static void cancelStart(AgentHarness &agent, const RunRef &run)
+    {
+        agent.orders(1, {startOf(run)});
+        agent.feed(StartAnswered{run, firstStartTimeMs, StartAnswered::Outcome::NoAnswer, {}, {}});
+        agent.feed(StopAnswered{run, true});
+        agent.answerHold();
+        CPPUNIT_ASSERT(agent.state.runs.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestTaskAgent);
