Stop runs that an agent does not know before their tasks start elsewhere

Callers could see two runs of a task at once. Confirmed by reading and by tests of the reducers, seen in no play.

Cause: a full report that lacks a run ended it for the owner, which started the task elsewhere. If the agent's process had been killed after it sent the start call, the new process knows nothing of the call, the worker has not listed the run yet, and it executes the call late.

Change: the owner orders the stop of such a run and keeps the task until the agent refuses the run or reports its end. An agent that gets a stop for a run that it doesn't know sends it to the worker and refuses the run only when the stop was answered and a newer list lacks it.

lostStartIsOrderedAgain is replaced by lostStartIsOrderedAgainOnceItIsStopped: the immediate second start was the fault. The new test demands the same second start after the refusal, and none before.

Evidence: unknownRunIsStoppedAtTheWorker and lostStartIsOrderedAgainOnceItIsStopped fail without the change.

--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -54,6 +54,13 @@
     context.state.schedulingDue = true;
 }
 
+/// Orders the stop of a run that the agent has, also if an earlier order may have been lost with its link.
+void stopAgain(Agent &agent, const RunRef &run)
+{
+    agent.runs.at(run).stopping = true;
+    agent.outbox.stops.push_back(run);
+}
+
 /// Handles a run that the agent lists: adopts it, keeps it as an orphan, or orders its stop if it isn't needed.
 void handleListedRun(Context &context, AgentIndex index, const PossibleRun &possible)
 {
@@ -61,9 +68,8 @@
     Agent &agent = state.agents[index];
     const RunRef &run = possible.run;
     if (const auto known = agent.runs.find(run); known != agent.runs.end()) {
-        // An earlier stop order may have been lost with its link.
         if (known->second.stopping) {
-            agent.outbox.stops.push_back(run);
+            stopAgain(agent, run);
         }
         return;
     }
@@ -98,9 +104,10 @@
             missing.push_back(run);
         }
     }
+    // The start call of such a run may have been sent by a former process of the agent and be executed late. The refusal that follows the
+    // stop tells that it never will be.
     for (const RunRef &run : missing) {
-        removeRun(context.state.agents[index], run);
-        handleTaskLost(context, run, index);
+        stopAgain(context.state.agents[index], run);
     }
     for (const PossibleRun &possible : report.running) {
         handleListedRun(context, index, possible);
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -30,6 +30,23 @@
     stopRun(context, run);
 }
 
+bool hasUnrecordedEnd(const AgentState &state, const RunRef &run)
+{
+    return std::any_of(state.ends.begin(), state.ends.end(), [&run](const auto &end) { return end.second.run == run; });
+}
+
+/// Stops a run that this process hasn't started. A former process may have sent a start call that the worker has yet to execute.
+void stopUnknownRun(Context &context, const RunRef &run)
+{
+    AgentState &state = context.state;
+    if (!state.worker || hasUnrecordedEnd(state, run)) {
+        reportRefusal(state, run, RunRefusal::Reason::Stale);
+        return;
+    }
+    recordLeaseRenewal(state);
+    cancelStart(context, run, state.runs[run]);
+}
+
 void recordUnansweredStart(AgentState &state, const RunRef &run, const LocalRun &local)
 {
     const Base::MonoTime until = local.calledAt + lateExecutionTimeout;
@@ -111,7 +128,7 @@
 void dropCancelledStarts(Context &context, const HoldAnswered &event)
 {
     AgentState &state = context.state;
-    std::vector<RunRef> cancelledRuns;
+    std::vector<std::pair<RunRef, RunRefusal::Reason>> cancelledRuns;
     for (const auto &entry : state.runs) {
         const RunRef &run = entry.first;
         const LocalRun &local = entry.second;
@@ -122,13 +139,14 @@
         const auto cancelled = state.startCancelledAtHold.find(run);
         const bool listedAfterCancellation = cancelled != state.startCancelledAtHold.end() && event.number > cancelled->second;
         if (local.phase == LocalRun::Phase::StartCancelled && listedAfterCancellation) {
-            cancelledRuns.push_back(run);
+            const bool calledNow = local.calledAt != Base::MonoTime{};
+            cancelledRuns.emplace_back(run, calledNow ? RunRefusal::Reason::NoAnswer : RunRefusal::Reason::Stale);
         }
     }
-    for (const RunRef &run : cancelledRuns) {
+    for (const auto &[run, reason] : cancelledRuns) {
         state.runs.erase(run);
         state.startCancelledAtHold.erase(run);
-        reportRefusal(state, run, RunRefusal::Reason::NoAnswer);
+        reportRefusal(state, run, reason);
     }
 }
 
@@ -197,7 +215,7 @@
     AgentState &state = context.state;
     const auto found = state.runs.find(run);
     if (found == state.runs.end()) {
-        reportRefusal(state, run, RunRefusal::Reason::Stale);
+        stopUnknownRun(context, run);
         return;
     }
     if (found->second.stopping) {
--- a/tests/auto/jobs/tst_owner.cpp
+++ b/tests/auto/jobs/tst_owner.cpp
@@ -48,7 +48,7 @@
     CPPUNIT_TEST(silentAgentsTasksRestartAfterTheirLease);
     CPPUNIT_TEST(startInFlightIsNotRepeated);
     CPPUNIT_TEST(startInDoubtAtARestartOfItsWorkerIsNotRepeated);
-    CPPUNIT_TEST(lostStartIsOrderedAgain);
+    CPPUNIT_TEST(lostStartIsOrderedAgainOnceItIsStopped);
     CPPUNIT_TEST(lostStopIsOrderedAgain);
     CPPUNIT_TEST(endsOfTerminatedWorkerCount);
     CPPUNIT_TEST(higherEpochEndsTheOwnership);
@@ -366,14 +366,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
     }
 
-    /// Guards against a task that never starts because its start order was lost with the link.
-    void lostStartIsOrderedAgain()
+    /// Guards against a task that never starts because its start order was lost with the link, and against a second run of it: the agent may
+    /// be a new process whose predecessor sent the start call. The task starts again once a stop has made that impossible.
+    void lostStartIsOrderedAgainOnceItIsStopped()
     {
         OwnerHarness owner({"agent-1"});
         owner.join("agent-1");
         owner.submit(1, bestEffort(7, 1));
+        const RunRef run = owner.orderedStarts("agent-1").at(0);
         owner.feed(AgentUnlinked{"agent-1"});
         owner.join("agent-1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+        CPPUNIT_ASSERT(owner.orderedStops("agent-1").at(0) == run);
+        AgentReport refused = owner.report("agent-1");
+        refused.refusals = {{run, RunRefusal::Reason::Stale}};
+        owner.feed(AgentReported{"agent-1", refused});
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.orderedStartCount());
         CPPUNIT_ASSERT(owner.orderedStarts("agent-1").at(1).run > owner.orderedStarts("agent-1").at(0).run);
     }
--- a/tests/auto/taskagent/tst_agent.cpp
+++ b/tests/auto/taskagent/tst_agent.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(startInProgressAtARestartIsCancelledBeforeItCountsAsEnded);
     CPPUNIT_TEST(lateStartIsCancelledAtAWorkerThatReturns);
     CPPUNIT_TEST(answeredAndOldStartsAreNotCancelledAgain);
+    CPPUNIT_TEST(unknownRunIsStoppedAtTheWorker);
     CPPUNIT_TEST(ignoresLateHeartbeatOfFormerIncarnation);
     CPPUNIT_TEST(acknowledgesOnlyRecordedEnds);
     CPPUNIT_TEST(repeatsAcknowledgementAfterLostHold);
@@ -359,6 +360,22 @@
         CPPUNIT_ASSERT_EQUAL(before, agent.stops.size());
     }
 
+    /// Guards against two runs of a task whose start call was sent by a former process of the agent, without a response, and is executed
+    /// late: the new process must stop it at the worker before it reports that the run is not there.
+    void unknownRunIsStoppedAtTheWorker()
+    {
+        AgentHarness agent;
+        agent.begin();
+        const auto refused = [](const Jobs::AgentReport &report) { return !report.refusals.empty(); };
+        agent.orders(1, {}, {runOf(7)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), agent.stops.size());
+        CPPUNIT_ASSERT(!agent.reported(refused));
+        agent.feed(StopAnswered{runOf(7), true});
+        agent.answerHold();
+        CPPUNIT_ASSERT(
+            agent.reported([](const auto &report) { return report.refusals.size() == 1 && report.refusals[0].reason == Jobs::RunRefusal::Reason::Stale; }));
+    }
+
     /// Guards against runs that stay assigned to a worker which has crashed and restarted.
     void restartedWorkerRunsNothing()
     {
