Move the handling of late calls to files of its own

The functions that cancel starts and the tests on restarted workers and late answers move unchanged; the number of tests is the same.

--- /dev/null
+++ b/src/libs/taskagent/agentcancellations.cpp
@@ -0,0 +1,101 @@
+#include "agentsteps.h"
+
+#include "taskagentconstants.h"
+
+#include "jobs/jobtext.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace LaburnumFlow::TaskAgent::Internal {
+
+namespace {
+
+using Jobs::RunRef;
+using Jobs::RunRefusal;
+
+bool hasUnrecordedEnd(const AgentState &state, const RunRef &run)
+{
+    return std::any_of(state.ends.begin(), state.ends.end(), [&run](const auto &end) { return end.second.run == run; });
+}
+
+} // namespace
+
+void cancelStart(Context &context, const RunRef &run, LocalRun &local)
+{
+    local.phase = LocalRun::Phase::CancellingStart;
+    const std::int64_t startTimeMs = context.state.worker ? context.state.worker->startTimeMs : 0;
+    logDecision(context, "run.barring", {{"run", Jobs::formatRun(run)}, {"born", std::to_string(startTimeMs)}});
+    stopRun(context, run);
+}
+
+void stopUnknownRun(Context &context, const RunRef &run)
+{
+    AgentState &state = context.state;
+    if (!state.worker || hasUnrecordedEnd(state, run)) {
+        reportRefusal(state, run, RunRefusal::Reason::Stale);
+        return;
+    }
+    recordLeaseRenewal(state);
+    cancelStart(context, run, state.runs[run]);
+}
+
+void recordUnansweredStart(AgentState &state, const RunRef &run, const LocalRun &local)
+{
+    const Base::MonoTime until = local.calledAt + lateExecutionTimeout;
+    std::erase_if(state.unansweredStarts, [&state](const auto &start) { return start.second <= state.now; });
+    if (local.calledAt != Base::MonoTime{} && until > state.now) {
+        state.unansweredStarts.insert_or_assign(run, until);
+    }
+}
+
+void recordUnansweredStarts(AgentState &state)
+{
+    for (const auto &[run, local] : state.runs) {
+        if (local.phase != LocalRun::Phase::Running) {
+            recordUnansweredStart(state, run, local);
+        }
+    }
+}
+
+void cancelUnansweredStarts(Context &context)
+{
+    AgentState &state = context.state;
+    std::erase_if(state.unansweredStarts, [&state](const auto &start) { return start.second <= state.now; });
+    for (const auto &[run, until] : state.unansweredStarts) {
+        const auto [found, added] = state.runs.try_emplace(run);
+        if (!added) {
+            continue;
+        }
+        cancelStart(context, run, found->second);
+        // Until then the new incarnation may execute the start, and its run ends with its lease.
+        state.leaseEndsAt = std::max(state.leaseEndsAt, until);
+    }
+}
+
+void dropCancelledStarts(Context &context, const HoldAnswered &event)
+{
+    AgentState &state = context.state;
+    std::vector<std::pair<RunRef, RunRefusal::Reason>> cancelledRuns;
+    for (const auto &entry : state.runs) {
+        const RunRef &run = entry.first;
+        const LocalRun &local = entry.second;
+        const auto isRun = [&run](const ListedRun &listed) { return listed.run == run; };
+        if (std::any_of(event.running.begin(), event.running.end(), isRun)) {
+            continue;
+        }
+        const auto cancelled = state.startCancelledAtHold.find(run);
+        const bool listedAfterCancellation = cancelled != state.startCancelledAtHold.end() && event.number > cancelled->second;
+        if (local.phase == LocalRun::Phase::StartCancelled && listedAfterCancellation) {
+            const bool calledNow = local.calledAt != Base::MonoTime{};
+            cancelledRuns.emplace_back(run, calledNow ? RunRefusal::Reason::NoAnswer : RunRefusal::Reason::Stale);
+        }
+    }
+    for (const auto &[run, reason] : cancelledRuns) {
+        state.runs.erase(run);
+        state.startCancelledAtHold.erase(run);
+        reportRefusal(state, run, reason);
+    }
+}
+
+} // namespace LaburnumFlow::TaskAgent::Internal
--- a/src/libs/taskagent/agentsteps.h
+++ b/src/libs/taskagent/agentsteps.h
@@ -43,6 +43,27 @@
 void handleStopAnswer(Context &context, const StopAnswered &event);
 void handleHoldAnswer(Context &context, const HoldAnswered &event);
 
+// Start calls that the worker may execute late.
+
+/// Makes a start without a response impossible by a stop call. The run counts as possible until the stop is answered and a newer list lacks
+/// it.
+void cancelStart(Context &context, const Jobs::RunRef &run, LocalRun &local);
+
+/// Stops a run that this process hasn't started. A former process may have sent a start call that the worker has yet to execute.
+void stopUnknownRun(Context &context, const Jobs::RunRef &run);
+
+/// Records that the start call of the run has no response.
+void recordUnansweredStart(AgentState &state, const Jobs::RunRef &run, const LocalRun &local);
+
+/// Records all runs whose start calls have no response yet.
+void recordUnansweredStarts(AgentState &state);
+
+/// Cancels all starts that the worker's new incarnation may execute late.
+void cancelUnansweredStarts(Context &context);
+
+/// Drops cancelled starts that a list of the worker lacks which is newer than the cancellation: they never ran.
+void dropCancelledStarts(Context &context, const HoldAnswered &event);
+
 // Pace of background runs.
 
 /// Adapts the pace of background runs to the latencies in the worker's list.
@@ -56,10 +77,4 @@
 /// Drops all state of the worker's previous incarnation. Starts that the new one may execute late must then be cancelled.
 void resetWorker(Context &context);
 
-/// Sends stop calls for all starts that the worker's new incarnation may execute late.
-void cancelUnansweredStarts(Context &context);
-
-/// Records the runs whose start calls have no response yet.
-void recordUnansweredStarts(AgentState &state);
-
 } // namespace LaburnumFlow::TaskAgent::Internal
--- /dev/null
+++ b/tests/auto/taskagent/tst_latecalls.cpp
@@ -0,0 +1,211 @@
+#include "agentharness.h"
+
+#include "taskagent/taskagentconstants.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::TaskAgent;
+using namespace LaburnumFlow::TaskAgent::Testing;
+
+/// Tests what the agent believes of a worker that restarts, answers late or executes calls late.
+class TestLateCalls : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestLateCalls);
+    CPPUNIT_TEST(overtakenListAddsNoEndedRun);
+    CPPUNIT_TEST(overtakenListOfFormerIncarnationIsIgnored);
+    CPPUNIT_TEST(lateStartIsCancelledAtARestartedWorker);
+    CPPUNIT_TEST(startInProgressAtARestartIsCancelledBeforeItCountsAsEnded);
+    CPPUNIT_TEST(lateStartIsCancelledAtAWorkerThatReturns);
+    CPPUNIT_TEST(answeredAndOldStartsAreNotCancelledAgain);
+    CPPUNIT_TEST(unknownRunIsStoppedAtTheWorker);
+    CPPUNIT_TEST(returningWorkerIsKnownAtItsFirstHeartbeat);
+    CPPUNIT_TEST(lateHeartbeatDoesNotBringAWorkerBack);
+    CPPUNIT_TEST(ignoresLateHeartbeatOfFormerIncarnation);
+    CPPUNIT_TEST(restartedWorkerRunsNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a run that occupies the worker for ever, and a task that never ends: an answer that a newer one has overtaken lists the
+    /// run as active after its end was recorded.
+    void overtakenListAddsNoEndedRun()
+    {
+        AgentHarness agent;
+        agent.begin(1);
+        agent.orders(1, {startOf(runOf(7))});
+        agent.answerStart(runOf(7));
+        const std::uint64_t overtaken = agent.holds.back().number;
+        // A change of owner starts a new hold call while the former one is in progress.
+        agent.orders(2, {}, {}, "2");
+        agent.answerHold({}, {{1, runOf(7), Jobs::RunOutcome::Done, 10}});
+        Jobs::OwnerOrders recorded;
+        recorded.epoch = 2;
+        recorded.echo = std::chrono::duration_cast<std::chrono::milliseconds>(agent.now()).count();
+        recorded.workerStartTimeMs = firstStartTimeMs;
+        recorded.endsRecorded = 1;
+        agent.feed(OrdersArrived{"2", recorded});
+        agent.answerHoldNumber(overtaken, {{runOf(7), 40}}, {});
+        CPPUNIT_ASSERT(agent.state.runs.empty());
+    }
+
+    /// Guards against a restarted worker that is taken for its former incarnation because an old answer arrives late.
+    void overtakenListOfFormerIncarnationIsIgnored()
+    {
+        AgentHarness agent;
+        agent.begin(1);
+        agent.orders(1, {startOf(runOf(7))});
+        agent.answerStart(runOf(7));
+        const std::uint64_t overtaken = agent.holds.back().number;
+        agent.orders(2, {}, {}, "2");
+        agent.heartbeat(1, firstStartTimeMs + 5000);
+        agent.answerHoldNumber(overtaken, {{runOf(7), 40}}, {});
+        CPPUNIT_ASSERT_EQUAL(firstStartTimeMs + 5000, agent.state.worker->startTimeMs);
+        CPPUNIT_ASSERT(agent.state.runs.empty());
+    }
+
+    /// Guards against two runs of a task: a start call without a response was cancelled and the task started elsewhere, then the worker
+    /// restarts, forgets the cancellation, and the call reaches it late.
+    void lateStartIsCancelledAtARestartedWorker()
+    {
+        AgentHarness agent;
+        agent.begin();
+        cancelStart(agent, runOf(7));
+        agent.advance(5s);
+        const std::size_t before = agent.stops.size();
+        agent.heartbeat(1, firstStartTimeMs + 5000);
+        CPPUNIT_ASSERT_EQUAL(before + 1, agent.stops.size());
+        CPPUNIT_ASSERT(agent.stops.back().run == runOf(7));
+        agent.feed(StopAnswered{runOf(7), false});
+        agent.advance(stopRetryDelay);
+        CPPUNIT_ASSERT_EQUAL(before + 2, agent.stops.size());
+    }
+
+    /// Guards against a task that starts elsewhere because its worker restarted, while its start call is on its way and no stop has
+    /// reached the new incarnation.
+    void startInProgressAtARestartIsCancelledBeforeItCountsAsEnded()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7)), startOf(runOf(8))});
+        agent.answerStart(runOf(8));
+        const std::size_t before = agent.reports.size();
+        agent.heartbeat(1, firstStartTimeMs + 5000);
+        agent.answerHold({}, {}, firstStartTimeMs + 5000);
+        for (auto report = agent.reports.begin() + static_cast<std::ptrdiff_t>(before); report != agent.reports.end(); ++report) {
+            const auto &ends = report->report.ends;
+            CPPUNIT_ASSERT(std::none_of(ends.begin(), ends.end(), [](const auto &end) { return end.run == runOf(7); }));
+            CPPUNIT_ASSERT(!report->report.worker || report->report.full);
+        }
+        CPPUNIT_ASSERT(agent.reported([](const auto &report) { return report.ends.size() == 1 && report.ends[0].run == runOf(8); }));
+        CPPUNIT_ASSERT(agent.lastFull().running.at(0).run == runOf(7));
+        agent.feed(StopAnswered{runOf(7), true});
+        agent.answerHold({}, {}, firstStartTimeMs + 5000);
+        CPPUNIT_ASSERT(agent.reported([](const auto &report) { return report.refusals.size() == 1 && report.refusals[0].run == runOf(7); }));
+        CPPUNIT_ASSERT(agent.state.runs.empty());
+    }
+
+    /// Guards against the same when the worker's end was known before it returned.
+    void lateStartIsCancelledAtAWorkerThatReturns()
+    {
+        AgentHarness agent;
+        agent.begin();
+        cancelStart(agent, runOf(7));
+        agent.orders(1, {startOf(runOf(8))});
+        agent.feed(WorkerLeft{"worker-1"});
+        const std::size_t before = agent.stops.size();
+        agent.heartbeat(1, firstStartTimeMs + 5000);
+        CPPUNIT_ASSERT_EQUAL(before + 2, agent.stops.size());
+    }
+
+    /// Guards against stop calls for every start of the past at each restart of a worker.
+    void answeredAndOldStartsAreNotCancelledAgain()
+    {
+        AgentHarness agent;
+        agent.begin();
+        cancelStart(agent, runOf(7));
+        agent.advance(lateExecutionTimeout);
+        agent.orders(1, {startOf(runOf(8))});
+        agent.answerStart(runOf(8));
+        const std::size_t before = agent.stops.size();
+        agent.heartbeat(1, firstStartTimeMs + 20'000);
+        CPPUNIT_ASSERT_EQUAL(before, agent.stops.size());
+    }
+
+    /// Guards against two runs of a task whose start call was sent by a former process of the agent, without a response, and is executed
+    /// late: the new process must stop it at the worker before it reports that the run is not there.
+    void unknownRunIsStoppedAtTheWorker()
+    {
+        AgentHarness agent;
+        agent.begin();
+        const auto refused = [](const Jobs::AgentReport &report) { return !report.refusals.empty(); };
+        agent.orders(1, {}, {runOf(7)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), agent.stops.size());
+        CPPUNIT_ASSERT(!agent.reported(refused));
+        agent.feed(StopAnswered{runOf(7), true});
+        agent.answerHold();
+        CPPUNIT_ASSERT(
+            agent.reported([](const auto &report) { return report.refusals.size() == 1 && report.refusals[0].reason == Jobs::RunRefusal::Reason::Stale; }));
+    }
+
+    /// Guards against a worker that gets no tasks after it was away for long, until it has sent more heartbeats than its former incarnation.
+    void returningWorkerIsKnownAtItsFirstHeartbeat()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.heartbeat(40);
+        agent.advance(workerSilenceTimeout + 10ms);
+        CPPUNIT_ASSERT(!agent.state.worker);
+        agent.heartbeat(1, firstStartTimeMs + 8000);
+        agent.answerHold({}, {}, firstStartTimeMs + 8000);
+        CPPUNIT_ASSERT_EQUAL(std::string("service"), agent.lastFull().worker->service);
+    }
+
+    /// Guards against a worker that has left and is taken for present because one of its heartbeats arrives late.
+    void lateHeartbeatDoesNotBringAWorkerBack()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.heartbeat(40);
+        agent.feed(WorkerLeft{"worker-1"});
+        agent.heartbeat(39);
+        CPPUNIT_ASSERT(!agent.state.worker);
+    }
+
+    /// Guards against a delayed heartbeat that replaces the worker's current incarnation by a former one.
+    void ignoresLateHeartbeatOfFormerIncarnation()
+    {
+        AgentHarness agent;
+        agent.heartbeat(1, firstStartTimeMs + 5000);
+        agent.heartbeat(9, firstStartTimeMs);
+        CPPUNIT_ASSERT_EQUAL(firstStartTimeMs + 5000, agent.state.worker->startTimeMs);
+    }
+
+    /// Guards against runs that stay assigned to a worker which has crashed and restarted.
+    void restartedWorkerRunsNothing()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        agent.answerStart(runOf(7));
+        agent.heartbeat(1, firstStartTimeMs + 5000);
+        CPPUNIT_ASSERT(agent.state.runs.empty());
+        agent.answerHold({}, {}, firstStartTimeMs + 5000);
+        CPPUNIT_ASSERT(agent.lastFull().running.empty());
+        CPPUNIT_ASSERT_EQUAL(firstStartTimeMs + 5000, agent.lastFull().worker->startTimeMs);
+    }
+
+private:
+    /// Lets a start call get no response; the stop call is answered and the next list lacks the run.
+    static void cancelStart(AgentHarness &agent, const RunRef &run)
+    {
+        agent.orders(1, {startOf(run)});
+        agent.feed(StartAnswered{run, firstStartTimeMs, StartAnswered::Outcome::NoAnswer, {}, {}});
+        agent.feed(StopAnswered{run, true});
+        agent.answerHold();
+        CPPUNIT_ASSERT(agent.state.runs.empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestLateCalls);
