Count only entries that can know of a successor for an owner's authority

Found by the review of the fence; no caller is known to have met it.

Cause: a restarted entry that had read nothing yet adopted an owner from its heartbeat and confirmed it, although its former process may have known a newer one. An entry that had refused a connection once counted as dead while the next dial got no answer, although a new process may have started and claimed.

Change: an entry confirms an owner only after its first successful read of the cluster; it still names a successor at once. An owner that steps down tells its agents that the store does not confirm it, so that they go on looking for its successor.

--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -227,6 +227,7 @@
     orders.epoch = owner_->epoch;
     orders.entries = entries_;
     orders.entries.push_back(successor);
+    orders.confirmedByStore = false;
     const std::vector<std::uint8_t> frame = Jobs::encodeMessage(std::move(orders));
     for (const auto &[name, link] : agentLinks_) {
         links_.send(link, frame);
--- a/src/libs/entrynode/authority.cpp
+++ b/src/libs/entrynode/authority.cpp
@@ -18,10 +18,12 @@
     return state.mode == Mode::Owning || state.mode == Mode::Loading;
 }
 
-/// Returns whether the peer may be up and so could support or replace the owner.
-bool mayBeUp(const Peer &peer)
+/// Returns whether the peer may be up and so could confirm or replace the owner. A refusal counts for a short time only, as a new process may
+/// have started since.
+bool mayBeUp(const OwnershipState &state, const Peer &peer)
 {
-    return (peer.present || peer.linked) && !peer.refusesConnections;
+    const bool down = peer.refusedAt && state.now - *peer.refusedAt < Jobs::ownerAuthorityTimeout;
+    return (peer.present || peer.linked) && !down;
 }
 
 /// Returns until when most entries, this one included, have confirmed this entry as the owner.
@@ -29,7 +31,7 @@
 {
     std::vector<Base::MonoTime> confirmations;
     for (const auto &[name, peer] : state.peers) {
-        if (mayBeUp(peer)) {
+        if (mayBeUp(state, peer)) {
             confirmations.push_back(peer.confirmedOwnerAt);
         }
     }
@@ -115,7 +117,9 @@
     // A claim in progress may already have replaced the sender.
     const bool claiming = state.mode == Mode::Claiming || state.mode == Mode::Confirming;
     const bool replaced = isOwnClaimHeld(state) && state.claim.epoch < state.highestEpoch;
-    if (claiming || replaced) {
+    // Before its first read an entry doesn't know of an owner that its former process may have known.
+    const bool knowsNoOther = !state.clusterRead && state.highestEpoch == event.heartbeat.ownerEpoch;
+    if (claiming || replaced || knowsNoOther) {
         return;
     }
     context.effects.push_back(SendHeartbeatReply{event.name, makeReply(state, event.heartbeat.token)});
--- a/src/libs/entrynode/ownership.cpp
+++ b/src/libs/entrynode/ownership.cpp
@@ -80,6 +80,7 @@
     if (!event.content) {
         return;
     }
+    state.clusterRead = true;
     Internal::recordStoreResponse(state);
     Internal::checkPresence(context, event.content->entries);
     Internal::updatePeers(context, event.content->entries);
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -21,7 +21,7 @@
     bool linked = false;
     bool dialing = false;
     bool present = false; ///< the last read found its presence key
-    bool refusesConnections = false; ///< its address has refused the latest connection: no process listens there
+    std::optional<Base::MonoTime> refusedAt; ///< when its address last refused a connection, as no process listened there; no value since it was linked
     Base::MonoTime dialNotBefore{};
     Base::MonoTime confirmedOwnerAt{}; ///< when this entry sent the latest heartbeat to which the peer replied that it knows no newer owner
 };
@@ -64,6 +64,7 @@
     bool presenceWritten = false;
     bool presenceCallInProgress = false;
     Base::MonoTime presenceNotBefore{};
+    bool clusterRead = false; ///< a read of the cluster has succeeded
     bool readInProgress = false;
     Base::MonoTime readStartedAt{}; ///< start of the latest read
     Base::MonoTime readNotBefore{};
--- a/src/libs/entrynode/peers.cpp
+++ b/src/libs/entrynode/peers.cpp
@@ -78,7 +78,9 @@
             peer.linked = false;
             peer.dialing = false;
         }
-        peer.refusesConnections = peer.refusesConnections && peer.record == record;
+        if (peer.record != record) {
+            peer.refusedAt.reset();
+        }
         peer.record = record;
         peer.present = true;
     }
@@ -94,7 +96,7 @@
     Peer &peer = context.state.peers[event.name];
     peer.linked = true;
     peer.dialing = false;
-    peer.refusesConnections = false;
+    peer.refusedAt.reset();
     context.state.heartbeatNotBefore = context.state.now;
 }
 
@@ -102,7 +104,9 @@
 {
     Peer &peer = context.state.peers[event.name];
     peer.dialing = false;
-    peer.refusesConnections = event.refused;
+    if (event.refused) {
+        peer.refusedAt = context.state.now;
+    }
     // The first dial after a lost link isn't delayed, as it tells whether the process still exists.
     const bool wasLinked = std::exchange(peer.linked, false);
     peer.dialNotBefore = wasLinked && !event.refused ? context.state.now : context.state.now + dialRetryDelay;
