Order the worker's lists by its clock, and lapse each run at its own time

Cause: a hold call that waits for an end is executed after one that was sent later, so the number of a call does not order the lists, and a run whose end was recorded could still be added again for ever.

Change: an answer with an earlier time of the worker's clock than the newest one is ignored. The time until which a start may be executed late is kept with its run.

Evidence: listMadeEarlierAddsNoEndedRun and runsOfASilentWorkerLapseDespiteACancelledStart fail with the change taken out.

--- a/src/libs/taskagent/agentcancellations.cpp
+++ b/src/libs/taskagent/agentcancellations.cpp
@@ -67,9 +67,8 @@
         if (!added) {
             continue;
         }
+        found->second.possibleUntil = until;
         cancelStart(context, run, found->second);
-        // Until then the new incarnation may execute the start, and its run ends with its lease.
-        state.leaseEndsAt = std::max(state.leaseEndsAt, until);
     }
 }
 
--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -47,7 +47,7 @@
     AgentState &state = context.state;
     state.now = event.now;
     if (!state.runs.empty() && state.now > state.leaseEndsAt) {
-        Internal::reportRunsLapsed(context, "lease-ended");
+        Internal::lapseRuns(context, "lease-ended");
     }
     std::vector<Jobs::RunRef> due;
     for (const auto &[run, at] : state.stopRetries) {
@@ -333,8 +333,8 @@
 std::optional<Base::MonoTime> nextDue(const AgentState &state)
 {
     Base::Earliest due;
-    if (!state.runs.empty()) {
-        due.consider(state.leaseEndsAt + Base::Duration(1));
+    for (const auto &[run, local] : state.runs) {
+        due.consider(std::max(state.leaseEndsAt, local.possibleUntil) + Base::Duration(1));
     }
     for (const auto &[run, at] : state.stopRetries) {
         due.consider(at);
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -90,6 +90,15 @@
     }
 }
 
+/// Returns whether a newer list is known. An older one may name runs that have ended since, and their ends aren't listed again. A call that
+/// waits for an end is executed later than one that is sent after it, so the worker's clock counts too.
+bool isOutdated(const AgentState &state, const HoldAnswered &event)
+{
+    const bool sameIncarnation = state.worker && state.worker->startTimeMs == event.workerStartTimeMs;
+    const bool listedEarlier = sameIncarnation && event.workerClock && state.newestListClock && *event.workerClock < *state.newestListClock;
+    return listedEarlier || event.number < state.oldestValidHold;
+}
+
 } // namespace
 
 std::optional<std::chrono::milliseconds> renewableUntil(const AgentState &state)
@@ -250,11 +259,11 @@
         state.runsListed = state.runsListed || (event.refused && !state.worker);
         return;
     }
-    // The lists of such an answer may name runs that have ended since, and their ends aren't listed again.
-    if (event.number < state.oldestValidHold) {
+    if (isOutdated(state, event)) {
         return;
     }
     state.oldestValidHold = event.number;
+    state.newestListClock = event.workerClock;
     clearSilence(state);
     if (state.worker && event.workerStartTimeMs != 0 && state.worker->startTimeMs != event.workerStartTimeMs) {
         resetWorker(context);
@@ -285,15 +294,30 @@
 void reportRunsLapsed(Context &context, const std::string &reason)
 {
     AgentState &state = context.state;
-    if (!state.runs.empty()) {
-        logDecision(context, "worker.runs-lost", {{"reason", reason}, {"runs", std::to_string(state.runs.size())}});
+    for (auto &[run, local] : state.runs) {
+        local.possibleUntil = {};
     }
+    lapseRuns(context, reason);
+}
+
+void lapseRuns(Context &context, const std::string &reason)
+{
+    AgentState &state = context.state;
+    std::vector<RunRef> lapsed;
     for (const auto &[run, local] : state.runs) {
-        reportEnd(state, {0, run, Jobs::RunOutcome::Lapsed, runTimeMs(local, state.now), local.checkpoint});
+        if (local.possibleUntil <= state.now) {
+            lapsed.push_back(run);
+            reportEnd(state, {0, run, Jobs::RunOutcome::Lapsed, runTimeMs(local, state.now), local.checkpoint});
+        }
+    }
+    if (!lapsed.empty()) {
+        logDecision(context, "worker.runs-lost", {{"reason", reason}, {"runs", std::to_string(lapsed.size())}});
+    }
+    for (const RunRef &run : lapsed) {
+        state.runs.erase(run);
+        state.startCancelledAtHold.erase(run);
+        state.stopRetries.erase(run);
     }
-    state.runs.clear();
-    state.startCancelledAtHold.clear();
-    state.stopRetries.clear();
 }
 
 void resetWorker(Context &context)
@@ -306,6 +330,7 @@
     state.leaseEndsAt = {};
     // A hold call in progress may be answered by the former incarnation.
     state.oldestValidHold = state.lastHoldNumber + 1;
+    state.newestListClock.reset();
     state.holdInProgress = false;
     state.holdNotBefore = state.now;
     state.silentSince.reset();
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -32,6 +32,7 @@
     Jobs::Resources need; ///< reserved resources; 0 if not known
     std::uint32_t latencyTargetMs = 0; ///< target of the tail latency; 0 if there is none or it isn't known
     bool stopping = false; ///< a stop call is in progress or was answered
+    Base::MonoTime possibleUntil{}; ///< the worker may execute the start call late until then, whatever its lease
     Base::MonoTime calledAt{};
     Base::MonoTime startedAt{};
     int progressPercent = -1; ///< share of the work that is done; -1 if not known
@@ -60,6 +61,7 @@
     bool holdInProgress = false;
     Base::MonoTime holdNotBefore{};
     std::uint64_t lastHoldNumber = 0; ///< number of the latest hold call; tells which lists are newer than a stop or an epoch
+    std::optional<std::chrono::milliseconds> newestListClock; ///< worker's clock in the newest answer to a hold call of this incarnation
     std::uint64_t oldestValidHold = 0; ///< answers to earlier hold calls are ignored: a newer answer or a newer incarnation is known
     std::uint64_t lastHoldBeforeEpoch = 0; ///< hold calls up to this number carried a lower fence
     std::unordered_map<Jobs::RunRef, std::uint64_t, Jobs::RunRefHash> startCancelledAtHold; ///< number of the latest hold call when the stop was answered
--- a/src/libs/taskagent/agentsteps.h
+++ b/src/libs/taskagent/agentsteps.h
@@ -74,6 +74,9 @@
 /// Reports all runs as lapsed, as the worker has none of them any more.
 void reportRunsLapsed(Context &context, const std::string &reason);
 
+/// Reports the runs as lapsed that have ended with the worker's lease. Starts that the worker may still execute late are kept.
+void lapseRuns(Context &context, const std::string &reason);
+
 /// Drops all state of the worker's previous incarnation. Starts that the new one may execute late must then be cancelled.
 void resetWorker(Context &context);
 
--- a/tests/auto/taskagent/tst_latecalls.cpp
+++ b/tests/auto/taskagent/tst_latecalls.cpp
@@ -16,7 +16,9 @@
     CPPUNIT_TEST_SUITE(TestLateCalls);
     CPPUNIT_TEST(overtakenListAddsNoEndedRun);
     CPPUNIT_TEST(overtakenListOfFormerIncarnationIsIgnored);
+    CPPUNIT_TEST(listMadeEarlierAddsNoEndedRun);
     CPPUNIT_TEST(lateStartIsCancelledAtARestartedWorker);
+    CPPUNIT_TEST(runsOfASilentWorkerLapseDespiteACancelledStart);
     CPPUNIT_TEST(startInProgressAtARestartIsCancelledBeforeItCountsAsEnded);
     CPPUNIT_TEST(lateStartIsCancelledAtAWorkerThatReturns);
     CPPUNIT_TEST(answeredAndOldStartsAreNotCancelledAgain);
@@ -50,6 +52,28 @@
         CPPUNIT_ASSERT(agent.state.runs.empty());
     }
 
+    /// Guards against the same when the newer answer belongs to the call that was sent first: it waited at the worker for the end.
+    void listMadeEarlierAddsNoEndedRun()
+    {
+        AgentHarness agent;
+        agent.begin(1);
+        agent.orders(1, {startOf(runOf(7))});
+        agent.answerStart(runOf(7));
+        const std::uint64_t waiting = agent.holds.back().number;
+        agent.orders(2, {}, {}, "2");
+        const std::uint64_t second = agent.holds.back().number;
+        CPPUNIT_ASSERT(second > waiting);
+        agent.answerHoldNumber(waiting, {}, {{1, runOf(7), Jobs::RunOutcome::Done, 10}});
+        HoldAnswered earlier;
+        earlier.answered = true;
+        earlier.workerStartTimeMs = firstStartTimeMs;
+        earlier.workerClock = *agent.state.newestListClock - 1ms;
+        earlier.number = second;
+        earlier.running = {{runOf(7), 40}};
+        agent.feed(earlier);
+        CPPUNIT_ASSERT(agent.state.runs.empty());
+    }
+
     /// Guards against a restarted worker that is taken for its former incarnation because an old answer arrives late.
     void overtakenListOfFormerIncarnationIsIgnored()
     {
@@ -82,6 +106,26 @@
         CPPUNIT_ASSERT_EQUAL(before + 2, agent.stops.size());
     }
 
+    /// Guards against tasks of a silent worker that wait for seconds because a start is cancelled there that may be executed late.
+    void runsOfASilentWorkerLapseDespiteACancelledStart()
+    {
+        AgentHarness agent;
+        agent.begin();
+        cancelStart(agent, runOf(7));
+        const std::int64_t restartedAt = firstStartTimeMs + 5000;
+        agent.heartbeat(1, restartedAt);
+        agent.answerHold({{runOf(8), 5}}, {}, restartedAt);
+        agent.advance(2500ms);
+        const auto lapsed = [](const RunRef &run) {
+            return [run](const Jobs::AgentReport &report) {
+                return std::any_of(report.ends.begin(), report.ends.end(), [&](const auto &end) { return end.run == run; });
+            };
+        };
+        CPPUNIT_ASSERT(agent.reported(lapsed(runOf(8))));
+        CPPUNIT_ASSERT(!agent.reported(lapsed(runOf(7))));
+        CPPUNIT_ASSERT(nextDue(agent.state).value() > agent.now());
+    }
+
     /// Guards against a task that starts elsewhere because its worker restarted, while its start call is on its way and no stop has
     /// reached the new incarnation.
     void startInProgressAtARestartIsCancelledBeforeItCountsAsEnded()
