Test an owner that can't see its successor with real processes

Callers could see two runs of a task at once, which bills them twice: a replaced owner without the store went on renewing leases, while its successor took its runs as ended and started their tasks again.

The test kills the second entry until the owner no longer lists it, then lets the store reject the calls of the owner alone. The owner starts a best-effort job; the second entry starts again, takes over as the owner is absent, and gets the same job together with the agent of a second worker. There must be one run in all, and both calls must be answered with completed.

Stand-ins: each entry has an address of the store of its own, which can reject the entry's calls while the store serves all others. A second agent with a worker can be started. Existing tests are unchanged.

--- a/tests/auto/node/site.cpp
+++ b/tests/auto/node/site.cpp
@@ -3,6 +3,8 @@
 #include "../freeport.h"
 #include "../system/waiting.h"
 
+#include "jobs/records.h"
+
 #include <cppunit/TestAssert.h>
 
 #include <cstdlib>
@@ -33,6 +35,11 @@
     return localEndpoint(LaburnumFlow::Testing::freePort());
 }
 
+std::string entryName(int index)
+{
+    return "entry-" + std::to_string(index);
+}
+
 } // namespace
 
 double metricSum(const std::string &metrics, const std::string &name, const std::string &label)
@@ -55,18 +62,18 @@
     folder_ = folder;
     platform.put("op/config", rules);
     for (int i = 0; i < entries; ++i) {
-        entries_.push_back({freeEndpoint(), freeEndpoint(), freeEndpoint(), freeEndpoint(), {}});
+        entries_.push_back({freeEndpoint(), freeEndpoint(), freeEndpoint(), freeEndpoint(), std::make_unique<PlatformSite::StoreAddress>(platform), {}});
         startEntry(i);
     }
-    agentAddress_ = freeEndpoint();
-    agentMetrics_ = freeEndpoint();
-    agentPeers_ = freeEndpoint();
+    agentAddresses_ = {freeEndpoint(), freeEndpoint(), freeEndpoint()};
+    secondAgentAddresses_ = {freeEndpoint(), freeEndpoint(), freeEndpoint()};
     startAgent();
 }
 
 Site::~Site()
 {
     agent.reset();
+    secondAgent.reset();
     entries_.clear();
     std::filesystem::remove_all(folder_);
 }
@@ -74,17 +81,23 @@
 void Site::startEntry(int index)
 {
     Entry &entry = entries_.at(static_cast<std::size_t>(index));
-    const std::string name = "entry-" + std::to_string(index);
+    const std::string name = entryName(index);
     entry.process = startProcess(name,
                                  "role: entry\nname: " + name + "\ncallers: " + entry.callers + "\nready: " + entry.ready + "\npeers: " + entry.peers
-                                     + "\nmetrics: " + entry.metrics + "\n");
+                                     + "\nmetrics: " + entry.metrics + "\n",
+                                 entry.store->endpoint());
 }
 
 void Site::startAgent()
 {
-    agent = startProcess("agent",
-                         "role: agent\nname: agent\nregistration: " + agentAddress_ + "\nworker: " + worker.endpoint() + "\nmetrics: " + agentMetrics_
-                             + "\npeers: " + agentPeers_ + "\n");
+    agent = startAgentProcess("agent", agentAddresses_, worker.endpoint());
+}
+
+void Site::startSecondAgent()
+{
+    secondAgent = startAgentProcess("agent-2", secondAgentAddresses_, secondWorker.endpoint());
+    const std::string &registration = secondAgentAddresses_.registration;
+    CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return call("PUT", registration, secondWorker.heartbeatPath(), secondWorker.heartbeat()).status == 200; }));
 }
 
 void Site::waitUntilReady(int index)
@@ -95,7 +108,25 @@
 
 bool Site::sendWorkerHeartbeat()
 {
-    return call("PUT", agentAddress_, worker.heartbeatPath(), worker.heartbeat()).status == 200;
+    return call("PUT", agentAddresses_.registration, worker.heartbeatPath(), worker.heartbeat()).status == 200;
+}
+
+void Site::turnAway(int index, bool away)
+{
+    entries_.at(static_cast<std::size_t>(index)).store->turnsAway = away;
+}
+
+bool Site::listsEntry(int index) const
+{
+    return call("GET", platform.endpoint(), "/kv-key?Key=" + LaburnumFlow::Jobs::entryKey(entryName(index))).status != 404;
+}
+
+std::vector<PlatformSite::WorkerStandIn::Run> Site::allRuns()
+{
+    std::vector<PlatformSite::WorkerStandIn::Run> runs = worker.runs();
+    const std::vector<PlatformSite::WorkerStandIn::Run> others = secondWorker.runs();
+    runs.insert(runs.end(), others.begin(), others.end());
+    return runs;
 }
 
 std::optional<int> Site::ownerIndex() const
@@ -145,13 +176,21 @@
 
 std::string Site::agentMetrics() const
 {
-    return call("GET", agentMetrics_, "/metrics").body;
+    return call("GET", agentAddresses_.metrics, "/metrics").body;
+}
+
+std::unique_ptr<ChildProcess> Site::startAgentProcess(const std::string &name, const Agent &addresses, const std::string &workerEndpoint) const
+{
+    return startProcess(name,
+                        "role: agent\nname: " + name + "\nregistration: " + addresses.registration + "\nworker: " + workerEndpoint
+                            + "\nmetrics: " + addresses.metrics + "\npeers: " + addresses.peers + "\n",
+                        platform.endpoint());
 }
 
-std::unique_ptr<ChildProcess> Site::startProcess(const std::string &name, const std::string &settings) const
+std::unique_ptr<ChildProcess> Site::startProcess(const std::string &name, const std::string &settings, const std::string &store) const
 {
     const std::string file = folder_ + "/" + name + ".yaml";
-    std::ofstream(file) << settings << "store: {address: '" << platform.endpoint() << "'}\n";
+    std::ofstream(file) << settings << "store: {address: '" << store << "'}\n";
     return std::make_unique<ChildProcess>("laburnumnode", std::vector<std::string>{"--config", file}, folder_ + "/" + name + ".log");
 }
 
--- a/tests/auto/node/site.h
+++ b/tests/auto/node/site.h
@@ -16,7 +16,8 @@
 /// Returns the sum of all samples of the metric whose line contains label. metrics is in the text format of Prometheus.
 double metricSum(const std::string &metrics, const std::string &name, const std::string &label = {});
 
-/// Runs entries and an agent as real processes, with stand-ins for the platform's store and a worker.
+/// Runs entries and an agent as real processes, with stand-ins for the platform's store and a worker. A second agent with a worker of its own
+/// can be added.
 class Site
 {
 public:
@@ -28,6 +29,8 @@
 
     void startEntry(int index);
     void startAgent();
+    /// Starts the second agent and waits until it has accepted a heartbeat of its worker.
+    void startSecondAgent();
 
     /// Waits until the entry reports that it is ready and the agent has accepted a heartbeat of the worker.
     void waitUntilReady(int index);
@@ -35,6 +38,13 @@
     /// Sends one heartbeat of the worker to its agent. Returns whether the agent accepted it.
     bool sendWorkerHeartbeat();
 
+    /// Sets whether the store rejects all calls of this entry, while it serves the other processes.
+    void turnAway(int index, bool away);
+    /// Returns whether the store lists the entry.
+    bool listsEntry(int index) const;
+    /// Returns the runs of both workers.
+    std::vector<PlatformSite::WorkerStandIn::Run> allRuns();
+
     /// Returns the index of the entry whose own metrics say that it owns the jobs; std::nullopt if there is none.
     std::optional<int> ownerIndex() const;
     /// Waits until an entry owns the jobs and returns its index.
@@ -51,26 +61,36 @@
 
     PlatformSite::PlatformStandIn platform;
     PlatformSite::WorkerStandIn worker;
+    PlatformSite::WorkerStandIn secondWorker{{.id = "worker-2", .rack = "r2"}};
     std::unique_ptr<SystemTest::ChildProcess> agent;
+    std::unique_ptr<SystemTest::ChildProcess> secondAgent;
 
 private:
-    /// The addresses of an entry, each "ADDRESS:PORT", and its process.
+    /// The addresses of an entry, each "ADDRESS:PORT", its access to the store and its process.
     struct Entry {
         std::string callers;
         std::string ready;
         std::string peers;
         std::string metrics;
+        std::unique_ptr<PlatformSite::StoreAddress> store;
         std::unique_ptr<SystemTest::ChildProcess> process;
     };
 
+    /// The addresses of an agent, each "ADDRESS:PORT".
+    struct Agent {
+        std::string registration;
+        std::string metrics;
+        std::string peers;
+    };
+
+    std::unique_ptr<SystemTest::ChildProcess> startAgentProcess(const std::string &name, const Agent &addresses, const std::string &workerEndpoint) const;
     /// Starts laburnumnode with a settings file of its own.
-    std::unique_ptr<SystemTest::ChildProcess> startProcess(const std::string &name, const std::string &settings) const;
+    std::unique_ptr<SystemTest::ChildProcess> startProcess(const std::string &name, const std::string &settings, const std::string &store) const;
 
     std::string folder_;
     std::vector<Entry> entries_;
-    std::string agentAddress_;
-    std::string agentPeers_;
-    std::string agentMetrics_;
+    Agent agentAddresses_;
+    Agent secondAgentAddresses_;
 };
 
 } // namespace NodeTest
--- a/tests/auto/node/tst_recovery.cpp
+++ b/tests/auto/node/tst_recovery.cpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <future>
 #include <set>
 #include <string>
 #include <thread>
@@ -13,6 +14,7 @@
 using namespace NodeTest;
 using namespace std::chrono_literals;
 using SystemTest::generousSeconds;
+using SystemTest::HttpResult;
 using SystemTest::waitFor;
 
 namespace {
@@ -25,6 +27,32 @@
     return waitFor(generousSeconds, [&] { return site.jobState(entry, job) == "completed"; });
 }
 
+std::size_t countKnownEntries(const Site &site, int entry)
+{
+    return site.entryStatus(entry).at("entries").size();
+}
+
+/// Kills the entry, lets the store reject all calls of the owner and waits until neither can learn of the other.
+void hideFromEachOther(Site &site, int owner, int other)
+{
+    CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return countKnownEntries(site, owner) == 1; }));
+    site.entry(other).kill();
+    CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return countKnownEntries(site, owner) == 0; }));
+    site.turnAway(owner, true);
+    CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return !site.listsEntry(owner); }));
+}
+
+/// Submits a best-effort job of one task as a caller does that submits it again at once when the entry has no owner to forward it to.
+HttpResult submitUntilTaken(const Site &site, int entry, const std::string &job, int workMs)
+{
+    HttpResult result;
+    CPPUNIT_ASSERT(waitFor(generousSeconds, [&] {
+        result = site.submit(entry, job, 1, workMs, true);
+        return result.status == 200;
+    }));
+    return result;
+}
+
 } // namespace
 
 /// Tests recovery from failures, alone and combined, with real processes.
@@ -32,6 +60,7 @@
 {
     CPPUNIT_TEST_SUITE(TestRecovery);
     CPPUNIT_TEST(frozenOwnerIsReplaced);
+    CPPUNIT_TEST(ownerThatCannotSeeItsSuccessorRunsNothingTwice);
     CPPUNIT_TEST(secondLossDuringTakeover);
     CPPUNIT_TEST(ownerLostWhileStoreIsDown);
     CPPUNIT_TEST(lostAnswersOfTheStore);
@@ -60,6 +89,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(6), site.worker.runs().size());
     }
 
+    /// Guards against a replaced owner that goes on renewing leases while its successor takes its runs as ended and starts their tasks again.
+    void ownerThatCannotSeeItsSuccessorRunsNothingTwice()
+    {
+        constexpr int workMs = 9'000; // longer than a new owner waits for the runs of a former one
+        Site site(2);
+        site.waitUntilReady(0);
+        site.waitUntilReady(1);
+        const int former = site.waitForOwner();
+        const int successor = 1 - former;
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return metricSum(site.agentMetrics(), "laburnumflow_linked_entries") == 2; }));
+        hideFromEachOther(site, former, successor);
+        auto firstAnswer = std::async(std::launch::async, [&] { return site.submit(former, job1, 1, workMs, true); });
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.worker.runs().size() == 1; }));
+        site.startEntry(successor);
+        auto secondAnswer = std::async(std::launch::async, [&] { return submitUntilTaken(site, successor, job1, workMs); });
+        site.startSecondAgent();
+        CPPUNIT_ASSERT_EQUAL(std::string("completed"), secondAnswer.get().json().value("State", std::string()));
+        site.turnAway(former, false);
+        CPPUNIT_ASSERT_EQUAL(std::string("completed"), firstAnswer.get().json().value("State", std::string()));
+        CPPUNIT_ASSERT_MESSAGE("two runs of a task at once", !PlatformSite::overlap(site.allRuns()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), site.allRuns().size());
+    }
+
     /// Guards against an accepted job that is lost, or has two concurrent runs of a task, when all processes are killed again
     /// during the takeover that follows a first kill.
     void secondLossDuringTakeover()
--- a/tests/standins/platformsite/platformstandin.cpp
+++ b/tests/standins/platformsite/platformstandin.cpp
@@ -182,4 +182,11 @@
     revision_ += removed > 0 ? 1 : 0;
 }
 
+StoreAddress::StoreAddress(PlatformStandIn &store)
+    : server_([this, &store](const StandInRequest &request) {
+        return turnsAway ? StandInReply{503, {}} : store.answer(request);
+    })
+{
+}
+
 } // namespace PlatformSite
--- a/tests/standins/platformsite/platformstandin.h
+++ b/tests/standins/platformsite/platformstandin.h
@@ -24,6 +24,9 @@
         return server_.endpoint();
     }
 
+    /// Carries out a call of the platform's store.
+    StandInReply answer(const StandInRequest &request);
+
     /// Writes a key as the operator does. POST /control with {"turnsAway":true,"losesEach":3} sets the faults below.
     void put(const std::string &key, const std::string &value);
 
@@ -48,7 +51,6 @@
         Clock::time_point end;
     };
 
-    StandInReply answer(const StandInRequest &request);
     StandInReply control(const std::string &body);
     StandInReply item(const std::string &key) const;
     StandInReply range(const std::string &prefix, const std::string &after) const;
@@ -69,4 +71,23 @@
     StandInServer server_;
 };
 
+/// A further address of the store, which can reject the calls of those that use it while the store serves all others.
+class StoreAddress
+{
+public:
+    /// The store must outlive its address.
+    explicit StoreAddress(PlatformStandIn &store);
+
+    std::string endpoint() const
+    {
+        return server_.endpoint();
+    }
+
+    /// While set, each call to this address is answered 503 without effect.
+    std::atomic<bool> turnsAway = false;
+
+private:
+    StandInServer server_;
+};
+
 } // namespace PlatformSite
