--- a/tests/auto/platform/tst_oddentries.cpp
+++ b/tests/auto/platform/tst_oddentries.cpp
@@ -1,4 +1,6 @@
+#include "platform/heartbeats.h"
 #include "platform/jsonfields.h"
+#include "platform/workerdialect.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -25,6 +27,22 @@
     return text + "]}";
 }
 
+TaskAgent::HoldAnswered lists(const std::string &running, const std::string &ended)
+{
+    const std::string body = R"({"ClockMs":5,"born":9,"Running":[)" + running + R"(],"Ended":[)" + ended + "]}";
+    return holdAnswer({}, {HttpIo::ClientResponse::Outcome::Answered, 200, body});
+}
+
+std::string runningRow(const std::string &run, const std::string &percent)
+{
+    return R"(["00000a21d94b36f8.0.0.1",)" + run + R"(,"",)" + percent + "]";
+}
+
+std::string endRow(const std::string &number, const std::string &run)
+{
+    return "[" + number + R"(,"00000a21d94b36f8.0.0.2",)" + run + R"(,"done",""])";
+}
+
 } // namespace
 
 /// Inputs of other writers whose fields are out of the range that any worker, caller or store uses.
@@ -34,6 +52,9 @@
     CPPUNIT_TEST(nestingIsLimited);
     CPPUNIT_TEST(numberOfValuesIsLimited);
     CPPUNIT_TEST(bracketsInTextAreNoNesting);
+    CPPUNIT_TEST(runNumbersOutOfRange);
+    CPPUNIT_TEST(endNumbersOutOfRange);
+    CPPUNIT_TEST(percentagesOutOfRange);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -58,6 +79,38 @@
         const std::string brackets = R"({"a":"\\\")" + std::string(maxParsedValues + 1, '[') + std::string(maxParsedValues + 1, ',') + R"("})";
         CPPUNIT_ASSERT(parseObject(brackets).has_value());
     }
+
+    /// Guards against a run number of more than 32 bits that is taken for another run of the task.
+    void runNumbersOutOfRange()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(4'294'967'295), lists(runningRow("4294967295", "1"), "").running.at(0).run.run);
+        for (const std::string run : {"0", "4294967296", "4294967298", "18446744073709551615", "1.5", "-1"}) {
+            const auto answer = lists(runningRow(run, "1"), endRow("1", run));
+            CPPUNIT_ASSERT_MESSAGE(run, answer.answered && answer.running.empty() && answer.ends.empty());
+        }
+    }
+
+    /// Guards against an end whose number no worker reaches and that makes all later ends look recorded.
+    void endNumbersOutOfRange()
+    {
+        for (const std::string number : {"0", "18446744073709551615", "9223372036854775808", "1e300", "-1"}) {
+            const auto answer = lists("", endRow(number, "1") + "," + endRow("58", "1"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(number, std::size_t(1), answer.ends.size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(number, std::uint64_t(58), answer.ends[0].number);
+        }
+    }
+
+    /// Guards against a percentage that an int can't hold; the run itself is listed.
+    void percentagesOutOfRange()
+    {
+        CPPUNIT_ASSERT_EQUAL(100, lists(runningRow("1", "100"), "").running.at(0).percent);
+        for (const std::string percent : {"101", "4294967297", "1e300"}) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(percent, 100, lists(runningRow("1", percent), "").running.at(0).percent);
+        }
+        for (const std::string percent : {"-5", "-4294967200", "-1e300", "\"x\""}) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(percent, -1, lists(runningRow("1", percent), "").running.at(0).percent);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestOddEntries);
