Keep the ends of a list that has one odd end number

Callers see: finished tasks are never reported as ended after a worker has listed one row with the number 0 or a number far above the others.

Cause: the agent took all ends before the first row of a list as recorded, and the number 0 underflowed.

Change: the smallest number of the list counts, and 0 never does.

Evidence: taskagent.agent oddEndNumberHidesNoOtherEnd failed before the change.

--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -113,6 +113,17 @@
     reportEnd(state, end);
 }
 
+/// Adopts as recorded all ends before the first listed one, since the worker lists all ends that weren't acknowledged to it. The smallest number is used
+/// rather than the number of the first row, so that a row with a number out of order doesn't make the other ends look recorded. Numbers begin at 1.
+void adoptRecordedEnds(AgentState &state, const std::vector<Jobs::RunEnd> &ends)
+{
+    const auto hasLowerNumber = [](const Jobs::RunEnd &left, const Jobs::RunEnd &right) { return left.number < right.number; };
+    const auto first = std::min_element(ends.begin(), ends.end(), hasLowerNumber);
+    if (first != ends.end() && first->number > 0) {
+        state.endsRecorded = std::max(state.endsRecorded, first->number - 1);
+    }
+}
+
 void recordSilence(AgentState &state, const HoldAnswered &event)
 {
     if (!state.silentSince) {
@@ -330,10 +341,7 @@
     for (const ListedRun &run : event.running) {
         updateListedRun(state, run);
     }
-    if (!event.ends.empty()) {
-        // The worker lists all ends that weren't acknowledged to it, in the order of their numbers.
-        state.endsRecorded = std::max(state.endsRecorded, event.ends.front().number - 1);
-    }
+    adoptRecordedEnds(state, event.ends);
     for (const Jobs::RunEnd &end : event.ends) {
         recordEnd(state, end);
     }
--- a/tests/auto/taskagent/tst_agent.cpp
+++ b/tests/auto/taskagent/tst_agent.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(acknowledgesOnlyRecordedEnds);
     CPPUNIT_TEST(repeatsAcknowledgementAfterLostHold);
     CPPUNIT_TEST(numbersOfEndsMayBeginAnywhere);
+    CPPUNIT_TEST(oddEndNumberHidesNoOtherEnd);
     CPPUNIT_TEST(startsNothingOnDrainingWorker);
     CPPUNIT_TEST(stoppingAgentLetsRunsEnd);
     CPPUNIT_TEST_SUITE_END();
@@ -470,6 +471,22 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(57), agent.lastFull().endsAcknowledged);
     }
 
+    /// Guards against ends that are ignored because one row of the list has a number that is zero or far above the others.
+    void oddEndNumberHidesNoOtherEnd()
+    {
+        for (const std::uint64_t odd : {std::uint64_t(0), std::uint64_t(1'000'000), UINT64_MAX}) {
+            AgentHarness agent;
+            agent.begin();
+            agent.orders(1, {startOf(runOf(7))});
+            agent.answerStart(runOf(7));
+            agent.answerHold({}, {{odd, runOf(9), Jobs::RunOutcome::Done, 0}, {1, runOf(7), Jobs::RunOutcome::Done, 0}});
+            const auto isReported = [](const auto &report) {
+                return std::any_of(report.ends.begin(), report.ends.end(), [](const Jobs::RunEnd &end) { return end.number == 1 && end.run == runOf(7); });
+            };
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(odd), agent.reported(isReported));
+        }
+    }
+
     /// Guards against new runs on a worker that has announced its shutdown.
     void startsNothingOnDrainingWorker()
     {
