Hear a worker again after a heartbeat with an odd number

Callers see: a worker without runs counts as silent and is no longer used, although it goes on sending heartbeats. Draining is not noticed either.

Cause: the agent ignored all heartbeats whose number was not above the highest one of the incarnation. One heartbeat of another writer with a very high number made it ignore all heartbeats of the worker.

Change: only a heartbeat whose number is less than 10,000 below the latest is late. One that is lower by more shows that the latest was not the worker's.

Evidence: taskagent.agent oddSequenceHidesNoLaterHeartbeat failed before the change. oddStartTimeHidesTheWorkerOnlyUntilItsNextList passed before: the next list of runs already corrects an odd start time.

--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -72,6 +72,15 @@
     state.nextReportDue = true;
 }
 
+/// Returns whether a newer heartbeat of the same incarnation was handled. If the number of that one is higher by far, it was from another writer.
+bool isLate(const AgentState &state, const WorkerHeartbeat &event)
+{
+    if (event.worker.startTimeMs != state.heartbeatStartTimeMs || state.heartbeatSequence == 0) {
+        return false;
+    }
+    return event.sequence <= state.heartbeatSequence && state.heartbeatSequence - event.sequence < maxHeartbeatsLate;
+}
+
 void handle(Context &context, const WorkerHeartbeat &event)
 {
     AgentState &state = context.state;
@@ -79,8 +88,7 @@
         return;
     }
     const bool restarted = state.worker && event.worker.startTimeMs != state.worker->startTimeMs;
-    const bool sameIncarnation = event.worker.startTimeMs == state.heartbeatStartTimeMs;
-    if (sameIncarnation && event.sequence <= state.heartbeatSequence && state.heartbeatSequence != 0) {
+    if (isLate(state, event)) {
         return;
     }
     const bool isNew = !state.worker;
--- a/src/libs/taskagent/taskagentconstants.h
+++ b/src/libs/taskagent/taskagentconstants.h
@@ -3,6 +3,7 @@
 #include "base/types.h"
 
 #include <chrono>
+#include <cstdint>
 
 namespace LaburnumFlow::TaskAgent {
 
@@ -33,6 +34,9 @@
 constexpr int paceRaiseStepPercent = 10; ///< percentage points
 constexpr int minPacePercent = 10; ///< background runs that would get less are paused, as their work isn't worth the disturbance
 constexpr Base::Duration reportKeepAliveInterval = 350ms; ///< the owner is sent a report with a new token at least this often
+
+/// A heartbeat is late if its number is lower than the latest one by less than this. Heartbeats are delayed by at most minutes, which are fewer of them.
+constexpr std::uint64_t maxHeartbeatsLate = 10'000;
 constexpr Base::Duration workerSilenceTimeout = 6s; ///< a worker that neither answers nor sends heartbeats for longer counts as terminated
 
 } // namespace LaburnumFlow::TaskAgent
--- a/tests/auto/taskagent/tst_agent.cpp
+++ b/tests/auto/taskagent/tst_agent.cpp
@@ -44,6 +44,8 @@
     CPPUNIT_TEST(repeatsAcknowledgementAfterLostHold);
     CPPUNIT_TEST(numbersOfEndsMayBeginAnywhere);
     CPPUNIT_TEST(oddEndNumberHidesNoOtherEnd);
+    CPPUNIT_TEST(oddSequenceHidesNoLaterHeartbeat);
+    CPPUNIT_TEST(oddStartTimeHidesTheWorkerOnlyUntilItsNextList);
     CPPUNIT_TEST(startsNothingOnDrainingWorker);
     CPPUNIT_TEST(stoppingAgentLetsRunsEnd);
     CPPUNIT_TEST_SUITE_END();
@@ -487,6 +489,29 @@
         }
     }
 
+    /// Guards against a worker that is no longer heard because another writer sent a heartbeat with a number far above its own.
+    void oddSequenceHidesNoLaterHeartbeat()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.heartbeat(40);
+        agent.heartbeat(static_cast<std::uint64_t>(INT64_MAX));
+        agent.heartbeat(41, firstStartTimeMs, true);
+        CPPUNIT_ASSERT(agent.state.worker->draining);
+    }
+
+    /// Guards against a worker that is no longer heard because another writer sent a heartbeat with a later start time.
+    void oddStartTimeHidesTheWorkerOnlyUntilItsNextList()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.heartbeat(1, INT64_MAX);
+        agent.answerHold();
+        agent.heartbeat(2, firstStartTimeMs, true);
+        CPPUNIT_ASSERT_EQUAL(firstStartTimeMs, agent.state.worker->startTimeMs);
+        CPPUNIT_ASSERT(agent.state.worker->draining);
+    }
+
     /// Guards against new runs on a worker that has announced its shutdown.
     void startsNothingOnDrainingWorker()
     {
