--- a/tests/auto/platform/tst_oddentries.cpp
+++ b/tests/auto/platform/tst_oddentries.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(runNumbersOutOfRange);
     CPPUNIT_TEST(endNumbersOutOfRange);
     CPPUNIT_TEST(percentagesOutOfRange);
+    CPPUNIT_TEST(idsThatAreNoNames);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,6 +112,17 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(percent, -1, lists(runningRow("1", percent), "").running.at(0).percent);
         }
     }
+
+    /// Guards against an id that adds a header to the calls which name it, or that fills the log.
+    void idsThatAreNoNames()
+    {
+        const std::string prefix = "/instances/";
+        const std::string longest(maxWorkerIdBytes, 'x');
+        CPPUNIT_ASSERT(workerIdFromPath(prefix + longest) == longest);
+        for (const std::string &id : {longest + "x", std::string("i-1\r\nHost: a"), std::string("i 1"), std::string("i-1\0", 4), std::string("i-\xc3\xa4")}) {
+            CPPUNIT_ASSERT_MESSAGE(id, !workerIdFromPath(prefix + id).has_value());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestOddEntries);
