--- a/tests/auto/platform/tst_oddentries.cpp
+++ b/tests/auto/platform/tst_oddentries.cpp
@@ -27,6 +27,11 @@
     return text + "]}";
 }
 
+std::string heartbeat(const std::string &born)
+{
+    return R"({"Service":"s","State":"ready","Capacity":{"Cpu":16000,"MemMb":32768},"Seq":4,"born":)" + born + "}";
+}
+
 TaskAgent::HoldAnswered lists(const std::string &running, const std::string &ended)
 {
     const std::string body = R"({"ClockMs":5,"born":9,"Running":[)" + running + R"(],"Ended":[)" + ended + "]}";
@@ -55,6 +60,7 @@
     CPPUNIT_TEST(runNumbersOutOfRange);
     CPPUNIT_TEST(endNumbersOutOfRange);
     CPPUNIT_TEST(percentagesOutOfRange);
+    CPPUNIT_TEST(startTimesOutOfRange);
     CPPUNIT_TEST(idsThatAreNoNames);
     CPPUNIT_TEST_SUITE_END();
 
@@ -113,6 +119,15 @@
         }
     }
 
+    /// Guards against a heartbeat with a malformed start time that is taken for the first incarnation of a worker.
+    void startTimesOutOfRange()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1'700'000'000'000), parseHeartbeat("i-1", heartbeat("1700000000000"))->worker.startTimeMs);
+        for (const std::string born : {"-1", "1.5", "\"1700000000000\"", "null", "[]", "9223372036854775807", "18446744073709551615", "1e300"}) {
+            CPPUNIT_ASSERT_MESSAGE(born, !parseHeartbeat("i-1", heartbeat(born)).has_value());
+        }
+    }
+
     /// Guards against an id that adds a header to the calls which name it, or that fills the log.
     void idsThatAreNoNames()
     {
