Claim above the highest known epoch after an unreadable owner record

Callers see: no task starts after the record of the owner was overwritten with bytes that can't be read.

Cause: a claim without a readable record began again at epoch 1, which is below the fence that workers have seen, so they refuse its calls.

Change: a claim has an epoch above that of the record and above every epoch that the entry has learned of. An entry that has learned of none still begins at 1.

Evidence: entrynode.ownership unreadableOwnerRecordLowersNoEpoch failed before the change.

--- a/src/libs/entrynode/claims.cpp
+++ b/src/libs/entrynode/claims.cpp
@@ -125,7 +125,9 @@
     if (silent && state.now - state.ownerSilentSince < ownerSilenceTimeout + stagger) {
         return;
     }
-    state.claim = {state.owner ? state.owner->epoch + 1 : 1, 0, state.self.name, state.self.incarnation, {}};
+    // A record of the owner that can't be read names no epoch, but workers refuse calls with an epoch below the former one.
+    const std::uint64_t formerEpoch = std::max(state.owner ? state.owner->epoch : 0, state.highestEpoch);
+    state.claim = {formerEpoch + 1, 0, state.self.name, state.self.incarnation, {}};
     if (state.owner) {
         state.claim.agents = state.owner->agents;
     }
--- a/tests/auto/entrynode/tst_ownership.cpp
+++ b/tests/auto/entrynode/tst_ownership.cpp
@@ -14,6 +14,7 @@
 {
     CPPUNIT_TEST_SUITE(TestOwnership);
     CPPUNIT_TEST(claimsWhatNobodyOwns);
+    CPPUNIT_TEST(unreadableOwnerRecordLowersNoEpoch);
     CPPUNIT_TEST(lostClaimIsNotRepeatedBeforeARead);
     CPPUNIT_TEST(unknownClaimIsReadBack);
     CPPUNIT_TEST(replacesAbsentOwner);
@@ -51,6 +52,18 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(5), entry.effects<BeginOwning>()[0].revision);
     }
 
+    /// Guards against an owner whose epoch is below the fence of the workers because the record of the former owner can't be read.
+    void unreadableOwnerRecordLowersNoEpoch()
+    {
+        EntryHarness entry;
+        entry.followPeer();
+        entry.read(std::nullopt, 11, {makeEntry("entry-1")});
+        entry.advance(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.effects<Claim>().size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), entry.effects<Claim>()[0].record.epoch);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(11), entry.effects<Claim>()[0].expectedRevision);
+    }
+
     /// Guards against repeating a lost claim with an outdated revision over and over.
     void lostClaimIsNotRepeatedBeforeARead()
     {
