--- a/tests/auto/platform/tst_oddentries.cpp
+++ b/tests/auto/platform/tst_oddentries.cpp
@@ -1,5 +1,6 @@
 #include "platform/heartbeats.h"
 #include "platform/jsonfields.h"
+#include "platform/rulesdocument.h"
 #include "platform/workerdialect.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -62,6 +63,7 @@
     CPPUNIT_TEST(percentagesOutOfRange);
     CPPUNIT_TEST(startTimesOutOfRange);
     CPPUNIT_TEST(idsThatAreNoNames);
+    CPPUNIT_TEST(stretchOutOfRange);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -138,6 +140,19 @@
             CPPUNIT_ASSERT_MESSAGE(id, !workerIdFromPath(prefix + id).has_value());
         }
     }
+
+    /// Guards against a factor that makes the target time of a job too large for an integer.
+    void stretchOutOfRange()
+    {
+        const auto stretchOf = [](const std::string &stretch) {
+            const auto document = parseRules(R"({"Version":1,"Routes":[{"Name":"r","Host":"h","Prefix":"/p/","Service":"s","Stretch":)" + stretch + "}]}");
+            return document->routes.at(0).rules.stretch;
+        };
+        CPPUNIT_ASSERT_EQUAL(1.6, stretchOf("1.6"));
+        for (const std::string stretch : {"1e300", "-1e300", "-1", "1000.5"}) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(stretch, 1.0, stretchOf(stretch));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestOddEntries);
