--- a/tests/auto/platform/tst_oddentries.cpp
+++ b/tests/auto/platform/tst_oddentries.cpp
@@ -1,3 +1,4 @@
+#include "platform/callerdialect.h"
 #include "platform/heartbeats.h"
 #include "platform/jsonfields.h"
 #include "platform/rulesdocument.h"
@@ -64,6 +65,7 @@
     CPPUNIT_TEST(startTimesOutOfRange);
     CPPUNIT_TEST(idsThatAreNoNames);
     CPPUNIT_TEST(stretchOutOfRange);
+    CPPUNIT_TEST(bestEffortThatIsNoBoolean);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -153,6 +155,18 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(stretch, 1.0, stretchOf(stretch));
         }
     }
+
+    /// Guards against a malformed flag that reads as false, so that the caller gets its response before the job has ended.
+    void bestEffortThatIsNoBoolean()
+    {
+        const auto rules = parseRules(R"({"Version":1,"Routes":[{"Name":"r","Host":"h","Prefix":"/p/","Service":"s"}]})");
+        for (const std::string flag : {"1", "\"true\"", "null", "[]"}) {
+            const std::string body = R"({"Steps":[{"Count":1}],"BestEffort":)" + flag + "}";
+            const Decoded decoded = decodeCall({1, "POST", "/p/5c0e7a21d94b36f8", "h", body, {}}, &*rules);
+            const auto *response = std::get_if<HttpIo::ServerResponse>(&decoded);
+            CPPUNIT_ASSERT_MESSAGE(flag, response != nullptr && response->status == 400);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestOddEntries);
