Check across changes of the owner that no task has two runs at once

The model drives the reducers of 3 to 5 entries, their owners and 3 agents around one store, without sockets, in seeded schedules: the store turns away one entry at a time, links are cut, entries stand still or are killed and start again. At every start on a worker it checks that no worker runs the same task. One open shape is left out; the comment at refuseByStore says which and why.

An entry that starts, or runs again after it stood still, answers the heartbeat of a replaced owner before it has read the owner record. The owner regains its authority from that and starts tasks that its successor starts too.

--- /dev/null
+++ b/tests/auto/entrynode/ownerchangefaults.cpp
@@ -0,0 +1,288 @@
+#include "ownerchangemodel.h"
+
+#include "jobs/jobtext.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace LaburnumFlow::EntryNode::Testing {
+
+namespace {
+
+constexpr std::size_t maxCallers = 12;
+
+Jobs::SubmitCall makeCall(Jobs::JobId job, std::uint32_t tasks)
+{
+    Jobs::SubmitCall call;
+    call.job = job;
+    call.rules = {"queue", "service", 0, 3, 1.6, 5000};
+    call.bestEffort = true;
+    call.spec.payload = "payload";
+    call.spec.steps.push_back({tasks, {1000, 64, 0}, 1000, {}, {}, {}, 0});
+    return call;
+}
+
+} // namespace
+
+void OwnerChangeModel::feedAgent(NodeIndex index, const TaskAgent::AgentEvent &event)
+{
+    TaskAgent::AgentState &state = agentAt(index).state;
+    for (const TaskAgent::AgentEffect &effect : TaskAgent::reduce(state, TaskAgent::TimePassed{now_})) {
+        carryOut(index, effect);
+    }
+    for (const TaskAgent::AgentEffect &effect : TaskAgent::reduce(state, event)) {
+        carryOut(index, effect);
+    }
+}
+
+void OwnerChangeModel::carryOut(NodeIndex index, const TaskAgent::AgentEffect &effect)
+{
+    if (const auto *start = std::get_if<TaskAgent::CallStart>(&effect)) {
+        post(randomTime(1ms, 6ms), [this, index, call = *start] { executeStart(index, call); });
+    } else if (const auto *stop = std::get_if<TaskAgent::CallStop>(&effect)) {
+        post(randomTime(1ms, 6ms), [this, index, call = *stop] {
+            agentAt(index).worker.expire(now_);
+            agentAt(index).worker.stop(call);
+            post(randomTime(1ms, 6ms), [this, index, call] { feedAgent(index, TaskAgent::StopAnswered{call.run, true}); });
+        });
+    } else if (const auto *holdCall = std::get_if<TaskAgent::CallHold>(&effect)) {
+        post(randomTime(1ms, 6ms), [this, index, call = *holdCall] {
+            agentAt(index).worker.expire(now_);
+            agentAt(index).worker.beginHold(call, now_);
+            post(call.wait, [this, index, call] {
+                agentAt(index).worker.expire(now_);
+                post(randomTime(1ms, 6ms), [this, index, answer = agentAt(index).worker.hold(call, now_)] { feedAgent(index, answer); });
+            });
+        });
+    } else if (const auto *update = std::get_if<TaskAgent::UpdateEntries>(&effect)) {
+        agentAt(index).knownEntries = update->entries;
+    } else if (const auto *report = std::get_if<TaskAgent::SendReport>(&effect)) {
+        const LinkId id = std::strtoull(report->entry.c_str(), nullptr, 10);
+        const NodeIndex entry = links_.at(id).acceptor;
+        send(id, entry, [this, entry, id, index, what = report->report] {
+            const auto link = entries_[entry].agentLinks.find(index);
+            if (link != entries_[entry].agentLinks.end() && link->second == id) {
+                feedOwner(entry, Jobs::AgentReported{agentAt(index).name, what});
+            }
+        });
+    }
+}
+
+void OwnerChangeModel::executeStart(NodeIndex index, const TaskAgent::CallStart &call)
+{
+    for (Agent &agent : agents_) {
+        agent.worker.expire(now_);
+    }
+    ModelWorker &worker = agentAt(index).worker;
+    TaskAgent::StartAnswered answer{call.run, workerStartTimeMs, TaskAgent::StartAnswered::Outcome::Refused, Jobs::RunRefusal::Reason::Stale, {}};
+    if (worker.accepts(call, now_)) {
+        checkSingleRun(index, call.run);
+        worker.start(call, now_, randomTime(100ms, 2500ms));
+        note(agentAt(index).name + " starts " + Jobs::formatRun(call.run));
+        ++starts_;
+        answer.outcome = TaskAgent::StartAnswered::Outcome::Started;
+        answer.workerClock = ModelWorker::clock(now_);
+    }
+    post(randomTime(1ms, 6ms), [this, index, answer] { feedAgent(index, answer); });
+}
+
+void OwnerChangeModel::checkSingleRun(NodeIndex index, const Jobs::RunRef &run)
+{
+    for (const Agent &agent : agents_) {
+        if (!agent.worker.runsTask(run.task)) {
+            continue;
+        }
+        const std::string text = agentAt(index).name + " starts " + Jobs::formatRun(run) + ", which " + agent.name + " is running";
+        violations_ += std::to_string(now_.count() / 1000) + " " + text + "\n";
+        note(text);
+    }
+}
+
+void OwnerChangeModel::sendWorkerHeartbeat(NodeIndex index)
+{
+    TaskAgent::WorkerHeartbeat heartbeat;
+    heartbeat.worker = {"worker-" + agentAt(index).name, workerStartTimeMs, "service", "domain", "a", "rack", {}, {8000, 65'536, 0}, false};
+    heartbeat.sequence = ++agentAt(index).heartbeats;
+    feedAgent(index, heartbeat);
+    post(500ms, [this, index] { sendWorkerHeartbeat(index); });
+}
+
+void OwnerChangeModel::updateCallers()
+{
+    if (now_ >= nextJobAt_) {
+        nextJobAt_ = now_ + randomTime(50ms, 250ms);
+        if (callers_.size() < maxCallers) {
+            callers_[++lastJob_] = {static_cast<std::uint32_t>(1 + randomIndex(4)), 0, 0, now_, false};
+        }
+    }
+    for (auto &[job, caller] : callers_) {
+        const Entry &entry = entries_[caller.entry];
+        if (caller.epoch != 0 && (!entry.up || !entry.owner || entry.owner->epoch != caller.epoch)) {
+            caller.epoch = 0;
+            // An entry forwards its own callers' jobs at once; other callers submit again later.
+            caller.submitAt = now_ + (chance(0.5) ? Base::Duration(1300ms) : Base::Duration(100ms));
+        }
+        if (caller.epoch == 0 && now_ >= caller.submitAt) {
+            submit(job, caller);
+        }
+    }
+}
+
+void OwnerChangeModel::submit(Jobs::JobId job, Caller &caller)
+{
+    std::vector<NodeIndex> owners;
+    for (NodeIndex index = 0; index < entries_.size(); ++index) {
+        if (entries_[index].up && entries_[index].owner) {
+            owners.push_back(index);
+        }
+    }
+    if (owners.empty()) {
+        return;
+    }
+    caller.entry = owners[randomIndex(owners.size())];
+    caller.epoch = entries_[caller.entry].owner->epoch;
+    Jobs::SubmitCall call = makeCall(job, caller.tasks);
+    call.mayHaveRun = std::exchange(caller.submittedBefore, true);
+    postToEntry(randomTime(1ms, 8ms), caller.entry, [this, index = caller.entry, job, call] { feedOwner(index, Jobs::CallArrived{job, call}); });
+}
+
+/// Faults hit the owner more often than others, as only those change the owner.
+OwnerChangeModel::NodeIndex OwnerChangeModel::likelyOwner()
+{
+    for (NodeIndex index = 0; index < entries_.size(); ++index) {
+        if (entries_[index].owner && chance(0.6)) {
+            return index;
+        }
+    }
+    return randomIndex(entries_.size());
+}
+
+void OwnerChangeModel::beginFault()
+{
+    nextFaultAt_ = now_ + randomTime(100ms, 1500ms);
+    const NodeIndex index = likelyOwner();
+    switch (randomIndex(7)) {
+    case 0:
+        refuseByStore(index, randomTime(300ms, 6s));
+        return;
+    case 1:
+        entries_[index].standsStillUntil = now_ + randomTime(100ms, 3s);
+        note(entries_[index].record.name + " stands still");
+        return;
+    case 2:
+        kill(index, randomTime(100ms, 3s));
+        return;
+    case 3:
+        cutAgents(index);
+        return;
+    case 4:
+    case 5:
+        supersede(index);
+        return;
+    default:
+        isolateEntry(index, randomTime(200ms, 4s));
+        return;
+    }
+}
+
+/// One known shape is left out: an entry that owns the jobs, most entries and the agents on one side, all without the store, and the store
+/// with a successor on the other side, with no link between the sides for longer than the leases. Most entries then confirm an owner that
+/// has been replaced, and its agents keep their runs. So the store turns away one entry at a time, and a cut separates only a minority.
+void OwnerChangeModel::refuseByStore(NodeIndex index, Base::Duration time)
+{
+    const bool other = std::any_of(entries_.begin(), entries_.end(), [this](const Entry &entry) { return now_ < entry.refusedByStoreUntil; });
+    if (other) {
+        return;
+    }
+    entries_[index].refusedByStoreUntil = now_ + time;
+    note("the store turns away " + entries_[index].record.name);
+}
+
+void OwnerChangeModel::kill(NodeIndex index, Base::Duration downTime)
+{
+    Entry &entry = entries_[index];
+    if (!entry.up) {
+        return;
+    }
+    note(entry.record.name + " is killed");
+    entry.up = false;
+    entry.owner.reset();
+    const Base::MonoTime refusedUntil = entry.refusedByStoreUntil;
+    for (const auto &[id, link] : links_) {
+        if (link.dialer == index || link.acceptor == index) {
+            breakLink(id, 1ms, 5ms);
+        }
+    }
+    post(downTime, [this, index, refusedUntil] {
+        startEntry(index);
+        entries_[index].refusedByStoreUntil = refusedUntil;
+        note(entries_[index].record.name + " starts again");
+    });
+}
+
+/// Lets another entry take over from the given one, which the store turns away, while most agents stay with the former owner. Entries that
+/// are linked to it are down or stand still; they have the store and answer when they run again.
+void OwnerChangeModel::supersede(NodeIndex index)
+{
+    if (now_ < isolationUntil_ || !entries_[index].up) {
+        return;
+    }
+    const NodeIndex successor = (index + 1 + randomIndex(entries_.size() - 1)) % entries_.size();
+    const Base::Duration refused = randomTime(4500ms, 6s);
+    const Base::Duration time = refused + randomTime(500ms, 2s);
+    refuseByStore(index, refused);
+    const bool ownerAlone = witnesses_ == Witnesses::LinkedToSuccessor;
+    isolateEntry(ownerAlone ? index : successor, time);
+    for (NodeIndex agent = firstAgent; agent < firstAgent + agents_.size(); ++agent) {
+        const bool stays = chance(0.6);
+        for (NodeIndex other = 0; stays && other < entries_.size(); ++other) {
+            if (other == successor || (ownerAlone && other != index)) {
+                cut(other, agent, time);
+            }
+        }
+    }
+    for (NodeIndex other = 0; !ownerAlone && other < entries_.size(); ++other) {
+        if (other != index && other != successor) {
+            suspendWitness(other, randomTime(4s, 6s));
+        }
+    }
+    nextFaultAt_ = now_ + time;
+}
+
+void OwnerChangeModel::suspendWitness(NodeIndex index, Base::Duration time)
+{
+    if (witnesses_ == Witnesses::Killed) {
+        kill(index, time);
+        return;
+    }
+    entries_[index].standsStillUntil = now_ + time;
+    note(entries_[index].record.name + " stands still");
+}
+
+void OwnerChangeModel::cutAgents(NodeIndex index)
+{
+    const Base::Duration time = randomTime(200ms, 4s);
+    for (NodeIndex agent = firstAgent; agent < firstAgent + agents_.size(); ++agent) {
+        if (chance(0.6)) {
+            cut(index, agent, time);
+            note(entries_[index].record.name + " is cut off from " + agentAt(agent).name);
+        }
+    }
+}
+
+void OwnerChangeModel::isolateEntry(NodeIndex index, Base::Duration time)
+{
+    if (now_ < isolationUntil_) {
+        return;
+    }
+    isolationUntil_ = now_ + time;
+    for (NodeIndex other = 0; other < entries_.size(); ++other) {
+        if (other != index) {
+            cut(index, other, time);
+        }
+    }
+    note(entries_[index].record.name + " is cut off from the other entries");
+}
+
+} // namespace LaburnumFlow::EntryNode::Testing
--- /dev/null
+++ b/tests/auto/entrynode/ownerchangemodel.h
@@ -0,0 +1,191 @@
+#pragma once
+
+#include "entrynode/ownership.h"
+#include "ownerchangeworker.h"
+
+#include "jobs/owner.h"
+#include "taskagent/agentreducer.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+/// Drives the reducers of entries and agents around a store in a seeded schedule of faults, without sockets.
+namespace LaburnumFlow::EntryNode::Testing {
+
+/// What happens to the other entries when one takes over from an owner that the store turns away.
+enum class Witnesses {
+    LinkedToSuccessor, ///< The former owner is alone. Otherwise the successor is, and the others are linked to the former owner.
+    Killed,
+    StandStill,
+};
+
+class OwnerChangeModel
+{
+public:
+    OwnerChangeModel(std::uint64_t seed, Witnesses witnesses);
+
+    void run(Base::Duration time);
+
+    /// Returns the starts of tasks that were already running, one line each; empty if there were none.
+    const std::string &violations() const
+    {
+        return violations_;
+    }
+
+    const std::string &log() const
+    {
+        return log_;
+    }
+
+    std::size_t starts() const
+    {
+        return starts_;
+    }
+
+    std::size_t takeovers() const
+    {
+        return takeovers_;
+    }
+
+private:
+    using Action = std::function<void()>;
+
+    /// Entries have the indices from 0, agents those from firstAgent.
+    using NodeIndex = std::size_t;
+    using LinkId = std::uint64_t;
+    static constexpr NodeIndex firstAgent = 100;
+
+    struct Entry {
+        Jobs::EntryRecord record;
+        bool up = true;
+        Base::MonoTime standsStillUntil{};
+        Base::MonoTime refusedByStoreUntil{};
+        OwnershipState ownership;
+        std::optional<Jobs::OwnerState> owner;
+        std::vector<Base::Endpoint> endpoints;
+        std::map<std::string, LinkId> peerLinks; ///< Dialed by this entry.
+        std::map<std::string, LinkId> entryLinks; ///< On which the latest heartbeat of a peer has arrived.
+        std::map<NodeIndex, LinkId> agentLinks;
+    };
+
+    struct Agent {
+        std::string name;
+        TaskAgent::AgentState state;
+        ModelWorker worker;
+        std::uint64_t heartbeats = 0;
+        std::vector<Base::Endpoint> knownEntries; ///< The only ones that the agent dials.
+        Base::MonoTime entriesReadAt{};
+        std::map<NodeIndex, LinkId> entryLinks;
+    };
+
+    struct Link {
+        NodeIndex dialer = 0;
+        NodeIndex acceptor = 0;
+        bool broken = false; ///< Messages are lost; the ends learn of it later.
+        std::map<NodeIndex, Base::MonoTime> arrival; ///< Of the last message to each end, as messages don't overtake each other.
+    };
+
+    struct Store {
+        std::optional<Jobs::OwnerRecord> owner;
+        std::int64_t revision = 0;
+        std::int64_t lastLease = 0;
+        std::map<std::int64_t, Base::MonoTime> leases; ///< By id, with the end.
+        std::map<std::string, std::pair<std::int64_t, Jobs::EntryRecord>> presence; ///< With the lease.
+    };
+
+    struct Caller {
+        std::uint32_t tasks = 1;
+        NodeIndex entry = 0;
+        std::uint64_t epoch = 0; ///< Of the owner that has the job; 0 if none does.
+        Base::MonoTime submitAt{};
+        bool submittedBefore = false;
+    };
+
+    // Time and chance.
+    Base::Duration randomTime(Base::Duration from, Base::Duration to);
+    std::size_t randomIndex(std::size_t count);
+    bool chance(double share);
+    void post(Base::Duration delay, Action action);
+    void postToEntry(Base::Duration delay, NodeIndex index, Action action);
+    void deliverToEntry(NodeIndex index, std::uint64_t incarnation, const Action &action);
+    void note(const std::string &text);
+    void runTimers();
+
+    // Entries.
+    void startEntry(NodeIndex index);
+    void feedOwnership(NodeIndex index, const OwnershipEvent &event);
+    void feedOwner(NodeIndex index, const Jobs::OwnerEvent &event);
+    void stepDown(NodeIndex index, const std::string &reason);
+    void carryOut(NodeIndex index, const OwnershipEffect &effect);
+    void carryOut(NodeIndex index, Jobs::OwnerEffect &effect);
+    void beginOwning(NodeIndex index, const BeginOwning &begin);
+    NodeIndex entryIndex(const std::string &name) const;
+
+    // Store.
+    void callStore(NodeIndex index, const OwnershipEvent &refused, const std::function<OwnershipEvent()> &execute);
+    void commit(NodeIndex index, const Jobs::Commit &commit);
+    ClusterRead::Content readCluster();
+    bool isLeaseValid(std::int64_t lease) const;
+
+    // Links.
+    LinkId addLink(NodeIndex dialer, NodeIndex acceptor);
+    void send(LinkId link, NodeIndex receiver, Action action);
+    void postTo(Base::Duration delay, NodeIndex node, Action action);
+    void breakLink(LinkId id, Base::Duration noticeFrom, Base::Duration noticeTo);
+    void noticeEnd(NodeIndex node, LinkId id);
+    void cut(NodeIndex one, NodeIndex other, Base::Duration time);
+    bool isCut(NodeIndex one, NodeIndex other) const;
+    void dialPeer(NodeIndex index, const std::string &name);
+    void readEntries(NodeIndex agent);
+    void dialEntries(NodeIndex agent);
+    void acceptAgent(NodeIndex entry, NodeIndex agent, LinkId link);
+
+    // Agents.
+    Agent &agentAt(NodeIndex index)
+    {
+        return agents_[index - firstAgent];
+    }
+    void feedAgent(NodeIndex index, const TaskAgent::AgentEvent &event);
+    void carryOut(NodeIndex index, const TaskAgent::AgentEffect &effect);
+    void executeStart(NodeIndex index, const TaskAgent::CallStart &call);
+    void sendWorkerHeartbeat(NodeIndex index);
+    void checkSingleRun(NodeIndex index, const Jobs::RunRef &run);
+
+    // Callers and faults.
+    void updateCallers();
+    void submit(Jobs::JobId job, Caller &caller);
+    void beginFault();
+    void refuseByStore(NodeIndex index, Base::Duration time);
+    void kill(NodeIndex index, Base::Duration downTime);
+    void supersede(NodeIndex index);
+    void suspendWitness(NodeIndex index, Base::Duration time);
+    void cutAgents(NodeIndex index);
+    void isolateEntry(NodeIndex index, Base::Duration time);
+    NodeIndex likelyOwner();
+
+    std::mt19937_64 random_;
+    Witnesses witnesses_;
+    Base::MonoTime now_{100s};
+    std::multimap<Base::MonoTime, Action> events_;
+    std::vector<Entry> entries_;
+    std::vector<Agent> agents_;
+    Store store_;
+    std::map<LinkId, Link> links_;
+    LinkId lastLink_ = 0;
+    std::map<std::pair<NodeIndex, NodeIndex>, Base::MonoTime> cutUntil_;
+    Base::MonoTime isolationUntil_{};
+    std::map<Jobs::JobId, Caller> callers_;
+    Jobs::JobId lastJob_ = 0;
+    Base::MonoTime nextJobAt_{};
+    Base::MonoTime nextFaultAt_{};
+    std::size_t starts_ = 0;
+    std::size_t takeovers_ = 0;
+    std::string violations_;
+    std::string log_;
+};
+
+} // namespace LaburnumFlow::EntryNode::Testing
