Let only entries with current knowledge confirm an owner

Cause: an entry that had just started, or had stood still, replied to the heartbeat of a replaced owner before it had read the owner record again. The owner, which had lost its authority, regained it and started tasks that its successor started too.

Change: an entry confirms an owner only while its last read of the cluster began recently, and an owner counts a majority only while its own did. The time counts from the start of a read that has ended, so an answer that waited during a standstill does not count. Failed reads count longer, as a store that does not answer must not end the service.

--- a/src/libs/entrynode/authority.cpp
+++ b/src/libs/entrynode/authority.cpp
@@ -26,8 +26,18 @@
     return (peer.present || peer.linked) && !down;
 }
 
-/// Returns until when most entries, this one included, have confirmed this entry as the owner.
-Base::MonoTime majorityConfirmedUntil(const OwnershipState &state)
+/// Returns until when this entry would know of another owner that it can know of, as a read of the cluster has ended recently. An entry that
+/// has just started or stood still would not.
+Base::MonoTime knowledgeCurrentUntil(const OwnershipState &state)
+{
+    if (!state.clusterRead) {
+        return {};
+    }
+    return state.lastReadStartedAt + (state.lastReadSucceeded ? maxReadAgeForConfirmation : maxFailedReadAgeForConfirmation);
+}
+
+/// Returns until when most other entries have confirmed this entry as the owner.
+Base::MonoTime othersConfirmedUntil(const OwnershipState &state)
 {
     std::vector<Base::MonoTime> confirmations;
     for (const auto &[name, peer] : state.peers) {
@@ -51,6 +61,12 @@
     return until < state.authorityUntil || until - state.authorityUntil >= minAuthorityExtension || (ended && until > state.now);
 }
 
+/// Returns until when most entries, this one included, know no newer owner.
+Base::MonoTime majorityConfirmedUntil(const OwnershipState &state)
+{
+    return std::min(othersConfirmedUntil(state), knowledgeCurrentUntil(state));
+}
+
 std::string formatAge(Base::Duration age)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
@@ -117,9 +133,8 @@
     // A claim in progress may already have replaced the sender.
     const bool claiming = state.mode == Mode::Claiming || state.mode == Mode::Confirming;
     const bool replaced = isOwnClaimHeld(state) && state.claim.epoch < state.highestEpoch;
-    // Before its first read an entry doesn't know of an owner that its former process may have known.
-    const bool knowsNoOther = !state.clusterRead && state.highestEpoch == event.heartbeat.ownerEpoch;
-    if (claiming || replaced || knowsNoOther) {
+    const bool confirms = event.heartbeat.ownerEpoch >= state.highestEpoch;
+    if (claiming || replaced || (confirms && state.now >= knowledgeCurrentUntil(state))) {
         return;
     }
     context.effects.push_back(SendHeartbeatReply{event.name, makeReply(state, event.heartbeat.token)});
--- a/src/libs/entrynode/entrynodeconstants.h
+++ b/src/libs/entrynode/entrynodeconstants.h
@@ -11,6 +11,11 @@
 constexpr Base::Duration clusterReadInterval = 250ms; ///< interval between reads of the owner record and the entry records
 constexpr Base::Duration presenceRenewalInterval = 300ms; ///< interval between renewals of the presence lease, whose shortest TTL is 1 s
 constexpr Base::Duration heartbeatInterval = 200ms; ///< interval between heartbeats of the owner to the other entries
+/// An entry confirms the owner only for this long after the start of its last read. The second value holds if the read failed: calls to a store
+/// that doesn't answer take up to 1 s, so that two of them and the interval between them must fit.
+constexpr Base::Duration maxReadAgeForConfirmation = 700ms;
+constexpr Base::Duration maxFailedReadAgeForConfirmation = 2500ms;
+
 constexpr Base::Duration minAuthorityExtension = 50ms; ///< shorter extensions of the owner's authority aren't reported to the owner
 constexpr Base::Duration ownerSilenceTimeout = 700ms; ///< an owner without a presence key that is silent for longer is replaced
 
--- a/src/libs/entrynode/ownership.cpp
+++ b/src/libs/entrynode/ownership.cpp
@@ -76,6 +76,8 @@
 {
     OwnershipState &state = context.state;
     state.readInProgress = false;
+    state.lastReadStartedAt = state.readStartedAt;
+    state.lastReadSucceeded = event.content.has_value();
     state.readNotBefore = state.now + clusterReadInterval;
     if (!event.content) {
         return;
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -65,6 +65,8 @@
     bool presenceCallInProgress = false;
     Base::MonoTime presenceNotBefore{};
     bool clusterRead = false; ///< a read of the cluster has succeeded
+    bool lastReadSucceeded = false; ///< of the latest read that has ended
+    Base::MonoTime lastReadStartedAt{}; ///< of the latest read that has ended
     bool readInProgress = false;
     Base::MonoTime readStartedAt{}; ///< start of the latest read
     Base::MonoTime readNotBefore{};
--- a/tests/auto/entrynode/tst_authority.cpp
+++ b/tests/auto/entrynode/tst_authority.cpp
@@ -105,6 +105,7 @@
     CPPUNIT_TEST(everyEntryNamesTheSuccessor);
     CPPUNIT_TEST(followerConfirmsItsOwner);
     CPPUNIT_TEST(entryThatHasReadNothingConfirmsNobody);
+    CPPUNIT_TEST(entryThatStoodStillConfirmsNobody);
     CPPUNIT_TEST(claimingEntryConfirmsNobody);
     CPPUNIT_TEST(formerOwnerDoesNotFollowAnOlderOne);
     CPPUNIT_TEST(agentsLearnThatTheStoreDoesNotConfirm);
@@ -295,6 +296,25 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(81), lastReply(entry).token);
     }
 
+    /// Guards against an entry that stood still while the owner was replaced, and confirms the former owner before it reads the store again.
+    void entryThatStoodStillConfirmsNobody()
+    {
+        EntryHarness entry;
+        entry.followPeer();
+        entry.advance(clusterReadInterval);
+        entry.advance(4s);
+        const std::size_t before = entry.effects<SendHeartbeatReply>().size();
+        entry.heartbeat();
+        // The answer to a read that began before the standstill.
+        entry.read(makeOwner("entry-2", 3), 10, {makeEntry("entry-2")});
+        entry.heartbeat();
+        CPPUNIT_ASSERT_EQUAL(before, entry.effects<SendHeartbeatReply>().size());
+        entry.advance(clusterReadInterval);
+        entry.read(makeOwner("entry-2", 3), 10, {makeEntry("entry-2")});
+        entry.heartbeat();
+        CPPUNIT_ASSERT_EQUAL(before + 1, entry.effects<SendHeartbeatReply>().size());
+    }
+
     /// Guards against an entry that confirms the owner while its own claim may already have replaced it.
     void claimingEntryConfirmsNobody()
     {
