--- a/tests/auto/entrynode/ownerchangemodel.cpp
+++ b/tests/auto/entrynode/ownerchangemodel.cpp
@@ -264,7 +264,10 @@
     } else if (const auto *decision = std::get_if<OwnershipDecision>(&effect)) {
         std::string text = name + " " + decision->event;
         for (const auto &[key, value] : decision->fields) {
-            text += " " + key + "=" + value;
+            text += ' ';
+            text += key;
+            text += '=';
+            text += value;
         }
         note(text);
     }
@@ -279,7 +282,8 @@
         const auto found
             = std::find_if(entry.agentLinks.begin(), entry.agentLinks.end(), [&](const auto &link) { return agentAt(link.first).name == orders->agent; });
         if (found != entry.agentLinks.end()) {
-            const auto [agent, link] = *found;
+            const auto agent = found->first;
+            const auto link = found->second;
             send(link, agent, [this, agent, link, what = std::move(orders->orders)] {
                 feedAgent(agent, TaskAgent::OrdersArrived{std::to_string(link), what});
             });
--- a/tests/auto/entrynode/ownerchangemodel.h
+++ b/tests/auto/entrynode/ownerchangemodel.h
@@ -133,7 +133,7 @@
 
     // Links.
     LinkId addLink(NodeIndex dialer, NodeIndex acceptor);
-    void send(LinkId link, NodeIndex receiver, Action action);
+    void send(LinkId id, NodeIndex receiver, Action action);
     void postTo(Base::Duration delay, NodeIndex node, Action action);
     void breakLink(LinkId id, Base::Duration noticeFrom, Base::Duration noticeTo);
     void noticeEnd(NodeIndex node, LinkId id);
