Wait for the end of a stopped orphan before its task starts again

Callers could see a task of a best-effort job run twice at a time after a change of the owner: the new owner stopped the former owner's runs of jobs that had not been submitted again within 2.5 s, and forgot them with the order. A caller that submitted its job then, while the stop was on its way or had been lost, got new runs at once. The same for a run that an agent reported after these 2.5 s.

Class of fault: an ordered stop is taken for the end of the run. The orphans now stay known until their runs have ended; a job that is submitted meanwhile adopts them and its tasks start after that.

--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -26,7 +26,7 @@
     Internal::expireAgents(context);
     Internal::answerHeldQueries(context);
     Internal::expireJobs(context);
-    Internal::expireOrphans(context);
+    Internal::stopOrphans(context);
     Internal::recordAgents(context);
     Internal::resolveTasksInDoubt(context);
     Internal::beginDueOccurrences(context);
@@ -282,7 +282,7 @@
     if (state.tasksInDoubt > 0) {
         due.consider(state.formerRunsResolvedBy);
     }
-    if (!state.orphans.empty()) {
+    if (!state.orphans.empty() && state.now < state.orphansUntil) {
         due.consider(state.orphansUntil);
     }
     if (!state.heldQueries.empty()) {
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -75,8 +75,9 @@
     }
     addRun(agent, run, possible.need, 0, state.now);
     Job *job = findJob(state, run.task.job);
-    if (job == nullptr && state.now < state.orphansUntil && !state.finished.contains(run.task.job)) {
+    if (job == nullptr && !state.finished.contains(run.task.job)) {
         state.orphans[run.task.job].push_back({index, run});
+        stopOrphans(context);
         return;
     }
     if (job == nullptr || !ensureOccurrenceBegun(context, *job, run.task)) {
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -161,7 +161,7 @@
     std::set<std::pair<Base::MonoTime, JobId>> recentUntil; ///< When entries of recentBestEffort are removed.
     std::set<std::pair<Base::MonoTime, JobId>> expiring; ///< Best-effort jobs by expiresAt.
     std::unordered_map<JobId, std::vector<Orphan>> orphans; ///< By job.
-    Base::MonoTime orphansUntil{}; ///< Remaining orphans are stopped then.
+    Base::MonoTime orphansUntil{}; ///< Orphans are stopped from then on.
     Base::MonoTime tookOverAt{};
     std::set<QueuePlace> ready; ///< Jobs with ready tasks.
     std::set<std::pair<Base::MonoTime, JobId>> timelinessChanges; ///< Ready jobs by timelinessChangesAt.
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -129,8 +129,9 @@
 /// Adopts the orphans of the job.
 void adoptOrphans(Context &context, Job &job);
 
-/// Stops the orphans whose jobs have not been submitted again in time.
-void expireOrphans(Context &context);
+/// Stops the orphans whose jobs have not been submitted again in time. They stay orphans until they have ended, as a job that is submitted
+/// meanwhile must wait for that.
+void stopOrphans(Context &context);
 
 /// Unblocks the tasks in doubt once none of the former owners' unreported runs can be running any more.
 void resolveTasksInDoubt(Context &context);
--- a/src/libs/jobs/ownertakeover.cpp
+++ b/src/libs/jobs/ownertakeover.cpp
@@ -76,20 +76,20 @@
     }
 }
 
-void expireOrphans(Context &context)
+void stopOrphans(Context &context)
 {
     OwnerState &state = context.state;
     if (state.orphans.empty() || state.now < state.orphansUntil) {
         return;
     }
-    for (const auto &[id, orphans] : state.orphans) {
+    const auto hasEnded = [&state](const Orphan &orphan) { return !state.agents[orphan.agent].runs.contains(orphan.run); };
+    for (auto &[id, orphans] : state.orphans) {
+        std::erase_if(orphans, hasEnded);
         for (const Orphan &orphan : orphans) {
-            if (state.agents[orphan.agent].runs.contains(orphan.run)) {
-                orderStop(state.agents[orphan.agent], orphan.run);
-            }
+            orderStop(state.agents[orphan.agent], orphan.run);
         }
     }
-    state.orphans.clear();
+    std::erase_if(state.orphans, [](const auto &entry) { return entry.second.empty(); });
 }
 
 void resolveTasksInDoubt(Context &context)
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -39,6 +39,8 @@
     CPPUNIT_TEST(doneEndOfTheFormerOwnerCounts);
     CPPUNIT_TEST(adoptsRunsOfBestEffortJobs);
     CPPUNIT_TEST(stopsOrphanedRuns);
+    CPPUNIT_TEST(orphanThatIsBeingStoppedIsNotRepeated);
+    CPPUNIT_TEST(orphanOfALateAgentIsNotRepeated);
     CPPUNIT_TEST(finishedJobsStayKnown);
     CPPUNIT_TEST(laterStepsStayBlocked);
     CPPUNIT_TEST(latestRecordCounts);
@@ -164,6 +166,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStops("agent-1").size());
     }
 
+    /// Guards against a task that starts for a job submitted again while the stop of its former run is on its way.
+    void orphanThatIsBeingStoppedIsNotRepeated()
+    {
+        OwnerHarness owner({"agent-1"}, 2);
+        owner.join("agent-1", 8000, {possibleRun(7, 0, 1)});
+        owner.advanceTime(orphanGracePeriod + 10ms);
+        checkStartsOnceStopped(owner);
+    }
+
+    /// Guards against the same with a run that an agent reports only after the time for submissions.
+    void orphanOfALateAgentIsNotRepeated()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"}, 2);
+        owner.join("agent-2");
+        owner.advanceTime(orphanGracePeriod + 10ms);
+        owner.join("agent-1", 8000, {possibleRun(7, 0, 1)});
+        checkStartsOnceStopped(owner);
+    }
+
     /// Guards against a finished job that is unknown to the next owner and runs again when it is resubmitted.
     void finishedJobsStayKnown()
     {
@@ -232,6 +253,18 @@
     }
 
 private:
+    /// Submits the job of a run that is being stopped on agent-1.
+    static void checkStartsOnceStopped(OwnerHarness &owner)
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStops("agent-1").size());
+        owner.submit(1, bestEffort(7, 1));
+        owner.advanceTimeWithReports(200ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
+        owner.confirmStops();
+        owner.advanceTimeWithReports(200ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+    }
+
     /// A former owner left runs on three agents. Their reports and the submissions of the jobs reach the new owner in random
     /// order.
     static void runSchedule(unsigned seed)
