Let the model of owner changes cut most entries off with the former owner

The model left out the shape in which the owner, most entries and some agents are on one side without the store, and the store and a successor on the other, as it was known to fail. Now it plays it, also with an owner that had lost all other entries before, and with partitions that last for longer than any wait. Callers time out after 1.5 s and submit the job again 1.3 s later, to any entry.

--- a/tests/auto/entrynode/ownerchangefaults.cpp
+++ b/tests/auto/entrynode/ownerchangefaults.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t maxCallers = 12;
+constexpr Base::Duration callerTimeout = 1500ms;
+constexpr Base::Duration resubmitDelay = 1300ms;
 
 Jobs::SubmitCall makeCall(Jobs::JobId job, std::uint32_t tasks)
 {
@@ -113,7 +115,7 @@
     if (now_ >= nextJobAt_) {
         nextJobAt_ = now_ + randomTime(50ms, 250ms);
         if (callers_.size() < maxCallers) {
-            callers_[++lastJob_] = {static_cast<std::uint32_t>(1 + randomIndex(4)), 0, 0, now_, false};
+            callers_[++lastJob_] = {static_cast<std::uint32_t>(1 + randomIndex(4)), 0, 0, now_, {}, false};
         }
     }
     for (auto &[job, caller] : callers_) {
@@ -123,12 +125,26 @@
             // An entry forwards its own callers' jobs at once; other callers submit again later.
             caller.submitAt = now_ + (chance(0.5) ? Base::Duration(1300ms) : Base::Duration(100ms));
         }
+        if (hasTimedOut(caller)) {
+            caller.epoch = 0;
+            caller.submitAt = now_ + resubmitDelay;
+        }
         if (caller.epoch == 0 && now_ >= caller.submitAt) {
             submit(job, caller);
         }
     }
 }
 
+bool OwnerChangeModel::callersTimeOut() const
+{
+    return witnesses_ == Witnesses::WithFormerOwner || witnesses_ == Witnesses::Absent;
+}
+
+bool OwnerChangeModel::hasTimedOut(const Caller &caller) const
+{
+    return callersTimeOut() && caller.epoch != 0 && now_ - caller.submittedAt >= callerTimeout;
+}
+
 void OwnerChangeModel::submit(Jobs::JobId job, Caller &caller)
 {
     std::vector<NodeIndex> owners;
@@ -142,8 +158,14 @@
     }
     caller.entry = owners[randomIndex(owners.size())];
     caller.epoch = entries_[caller.entry].owner->epoch;
+    caller.submittedAt = now_;
     Jobs::SubmitCall call = makeCall(job, caller.tasks);
     call.mayHaveRun = std::exchange(caller.submittedBefore, true);
+    if (callersTimeOut()) {
+        call.callerTimeoutMs = static_cast<std::uint32_t>(callerTimeout / 1ms);
+        // Only an entry that has forwarded the call to a lost owner knows that the job may have run.
+        call.mayHaveRun = false;
+    }
     postToEntry(randomTime(1ms, 8ms), caller.entry, [this, index = caller.entry, job, call] { feedOwner(index, Jobs::CallArrived{job, call}); });
 }
 
@@ -178,7 +200,7 @@
         return;
     case 4:
     case 5:
-        supersede(index);
+        beginPartitionFault(index);
         return;
     default:
         isolateEntry(index, randomTime(200ms, 4s));
@@ -186,9 +208,24 @@
     }
 }
 
-/// One known shape is left out: an entry that owns the jobs, most entries and the agents on one side, all without the store, and the store
-/// with a successor on the other side, with no link between the sides for longer than the leases. Most entries then confirm an owner that
-/// has been replaced, and its agents keep their runs. So the store turns away one entry at a time, and a cut separates only a minority.
+void OwnerChangeModel::beginPartitionFault(NodeIndex index)
+{
+    switch (witnesses_) {
+    case Witnesses::WithFormerOwner:
+        separate(index);
+        return;
+    case Witnesses::Absent:
+        isolateLastEntry(index);
+        return;
+    case Witnesses::LinkedToSuccessor:
+    case Witnesses::Killed:
+    case Witnesses::StandStill:
+        supersede(index);
+        return;
+    }
+}
+
+/// The store turns away one entry at a time, except in a partition.
 void OwnerChangeModel::refuseByStore(NodeIndex index, Base::Duration time)
 {
     const bool other = std::any_of(entries_.begin(), entries_.end(), [this](const Entry &entry) { return now_ < entry.refusedByStoreUntil; });
@@ -250,6 +287,68 @@
     nextFaultAt_ = now_ + time;
 }
 
+/// Cuts the given entries and about half of the agents off from the store, the other entries and the other agents.
+void OwnerChangeModel::partition(const std::vector<NodeIndex> &side, Base::Duration time)
+{
+    const auto isOnSide = [&side](NodeIndex node) { return std::find(side.begin(), side.end(), node) != side.end(); };
+    for (const NodeIndex index : side) {
+        entries_[index].refusedByStoreUntil = now_ + time;
+        note(entries_[index].record.name + " is cut off from the store");
+    }
+    for (NodeIndex index = 0; index < entries_.size(); ++index) {
+        for (const NodeIndex member : side) {
+            if (!isOnSide(index)) {
+                cut(member, index, time);
+            }
+        }
+    }
+    for (NodeIndex agent = firstAgent; agent < firstAgent + agents_.size(); ++agent) {
+        const bool withSide = chance(0.5);
+        if (withSide) {
+            agentAt(agent).cutFromStoreUntil = now_ + time;
+            note(agentAt(agent).name + " is cut off from the store");
+        }
+        for (NodeIndex index = 0; index < entries_.size(); ++index) {
+            if (isOnSide(index) != withSide) {
+                cut(index, agent, time);
+            }
+        }
+    }
+    isolationUntil_ = now_ + time;
+    nextFaultAt_ = now_ + time + randomTime(500ms, 2s);
+}
+
+/// Separates most entries, the given one among them, from the store and the others.
+void OwnerChangeModel::separate(NodeIndex index)
+{
+    if (now_ < isolationUntil_ || !entries_[index].up) {
+        return;
+    }
+    std::vector<NodeIndex> side;
+    for (std::size_t offset = 0; offset < entries_.size() / 2 + 1; ++offset) {
+        side.push_back((index + offset) % entries_.size());
+    }
+    partition(side, randomTime(partitionTime_.shortest, partitionTime_.longest));
+}
+
+/// Separates the given entry from the store and the others after the others have been down for so long that their presence has lapsed.
+void OwnerChangeModel::isolateLastEntry(NodeIndex index)
+{
+    if (now_ < isolationUntil_ || !entries_[index].up) {
+        return;
+    }
+    constexpr Base::Duration lapse = 2s;
+    for (NodeIndex other = 0; other < entries_.size(); ++other) {
+        if (other != index) {
+            kill(other, lapse + randomTime(100ms, 1s));
+        }
+    }
+    const Base::Duration time = randomTime(partitionTime_.shortest, partitionTime_.longest);
+    isolationUntil_ = now_ + lapse;
+    nextFaultAt_ = now_ + lapse + time;
+    post(lapse, [this, index, time] { partition({index}, time); });
+}
+
 void OwnerChangeModel::suspendWitness(NodeIndex index, Base::Duration time)
 {
     if (witnesses_ == Witnesses::Killed) {
--- a/tests/auto/entrynode/ownerchangelinks.cpp
+++ b/tests/auto/entrynode/ownerchangelinks.cpp
@@ -197,7 +197,7 @@
     Agent &reader = agentAt(agent);
     const Base::Duration interval = reader.state.ownerEntry.empty() ? 120ms : 500ms;
     const bool due = reader.state.ownerEntry.empty() || !reader.state.ownerConfirmedByStore;
-    if (!due || now_ - reader.entriesReadAt < interval) {
+    if (!due || now_ < reader.cutFromStoreUntil || now_ - reader.entriesReadAt < interval) {
         return;
     }
     reader.entriesReadAt = now_;
--- a/tests/auto/entrynode/ownerchangemodel.cpp
+++ b/tests/auto/entrynode/ownerchangemodel.cpp
@@ -17,7 +17,8 @@
 
 } // namespace
 
-OwnerChangeModel::OwnerChangeModel(std::uint64_t seed, Witnesses witnesses) : random_(seed), witnesses_(witnesses)
+OwnerChangeModel::OwnerChangeModel(std::uint64_t seed, Witnesses witnesses, PartitionTime partitionTime)
+    : random_(seed), witnesses_(witnesses), partitionTime_(partitionTime)
 {
     entries_.resize(3 + randomIndex(3));
     for (NodeIndex index = 0; index < entries_.size(); ++index) {
--- a/tests/auto/entrynode/ownerchangemodel.h
+++ b/tests/auto/entrynode/ownerchangemodel.h
@@ -21,12 +21,21 @@
     LinkedToSuccessor, ///< The former owner is alone. Otherwise the successor is, and the others are linked to the former owner.
     Killed,
     StandStill,
+    WithFormerOwner, ///< Most entries are cut off from the store and the successor together with the former owner and some agents.
+    Absent, ///< They were down when the former owner last reached the store, so that it knows no other entry.
+};
+
+/// How long the former owner is cut off from its successor.
+struct PartitionTime {
+    Base::Duration shortest = 4500ms;
+    Base::Duration longest = 8s;
 };
 
 class OwnerChangeModel
 {
 public:
-    OwnerChangeModel(std::uint64_t seed, Witnesses witnesses);
+    /// The partition time holds for Witnesses::WithFormerOwner and Witnesses::Absent.
+    OwnerChangeModel(std::uint64_t seed, Witnesses witnesses, PartitionTime partitionTime = {});
 
     void run(Base::Duration time);
 
@@ -79,6 +88,7 @@
         std::uint64_t heartbeats = 0;
         std::vector<Base::Endpoint> knownEntries; ///< The only ones that the agent dials.
         Base::MonoTime entriesReadAt{};
+        Base::MonoTime cutFromStoreUntil{};
         std::map<NodeIndex, LinkId> entryLinks;
     };
 
@@ -102,6 +112,7 @@
         NodeIndex entry = 0;
         std::uint64_t epoch = 0; ///< Of the owner that has the job; 0 if none does.
         Base::MonoTime submitAt{};
+        Base::MonoTime submittedAt{};
         bool submittedBefore = false;
     };
 
@@ -158,17 +169,24 @@
     // Callers and faults.
     void updateCallers();
     void submit(Jobs::JobId job, Caller &caller);
+    bool callersTimeOut() const;
+    bool hasTimedOut(const Caller &caller) const;
     void beginFault();
     void refuseByStore(NodeIndex index, Base::Duration time);
     void kill(NodeIndex index, Base::Duration downTime);
     void supersede(NodeIndex index);
     void suspendWitness(NodeIndex index, Base::Duration time);
+    void separate(NodeIndex index);
+    void isolateLastEntry(NodeIndex index);
+    void partition(const std::vector<NodeIndex> &side, Base::Duration time);
+    void beginPartitionFault(NodeIndex index);
     void cutAgents(NodeIndex index);
     void isolateEntry(NodeIndex index, Base::Duration time);
     NodeIndex likelyOwner();
 
     std::mt19937_64 random_;
     Witnesses witnesses_;
+    PartitionTime partitionTime_;
     Base::MonoTime now_{100s};
     std::multimap<Base::MonoTime, Action> events_;
     std::vector<Entry> entries_;
--- a/tests/auto/entrynode/tst_ownerchange.cpp
+++ b/tests/auto/entrynode/tst_ownerchange.cpp
@@ -21,6 +21,9 @@
     CPPUNIT_TEST(runsEachTaskOnceAtATime);
     CPPUNIT_TEST(runsEachTaskOnceWhenEntriesStart);
     CPPUNIT_TEST(runsEachTaskOnceWhenEntriesStoodStill);
+    CPPUNIT_TEST(runsEachTaskOnceWhenMostEntriesLoseTheStore);
+    CPPUNIT_TEST(runsEachTaskOnceWhenTheLastEntryLosesTheStore);
+    CPPUNIT_TEST(runsEachTaskOnceInALongPartition);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a task that a former and a new owner run at the same time, in any order of faults of entries, links and the store.
@@ -41,14 +44,32 @@
         checkSeeds(Witnesses::StandStill);
     }
 
+    // Guards against an owner that most entries go on confirming while they, it and some agents are cut off from the store and a successor.
+    void runsEachTaskOnceWhenMostEntriesLoseTheStore()
+    {
+        checkSeeds(Witnesses::WithFormerOwner);
+    }
+
+    // Guards against an owner that knows no other entry, and so confirms itself, while one that starts later replaces it unseen.
+    void runsEachTaskOnceWhenTheLastEntryLosesTheStore()
+    {
+        checkSeeds(Witnesses::Absent);
+    }
+
+    // Guards against a successor that takes former runs as ended after a time in which the former owner is still confirmed.
+    void runsEachTaskOnceInALongPartition()
+    {
+        checkSeeds(Witnesses::WithFormerOwner, {20s, 25s}, 40s);
+    }
+
     /// Also fails if too few owners change or tasks start to tell.
-    static void checkSeeds(Witnesses witnesses)
+    static void checkSeeds(Witnesses witnesses, PartitionTime partitionTime = {}, Base::Duration time = 15s)
     {
         std::size_t takeovers = 0;
         std::size_t starts = 0;
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-            OwnerChangeModel model(seed, witnesses);
-            model.run(15s);
+            OwnerChangeModel model(seed, witnesses, partitionTime);
+            model.run(time);
             const bool single = model.violations().empty();
             CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + "\n" + model.violations() + (single ? "" : "log:\n" + model.log()), single);
             takeovers += model.takeovers();
