Fence former owners by the entries on record that may confirm them

Callers could see a task run twice at a time when the owner, most entries and some agents were cut off from the store while a successor had it: most entries went on confirming the replaced owner without end, and the successor took its runs as ended 4.0 s after the claim. The same with an owner that knew no other entry, which confirmed itself.

Cause: the authority without the store rested on the entries that the owner happens to know, and its successor neither knew nor asked them; its wait was a timeout taken for a fence. Now a record in the store names the entries. A claim replaces it together with the owner record. The owner needs most of the entries on record, and of those of a change that is being written. The successor dials all that the record names, and counts those that reply under the new epoch against those that don't; the 4.0 s run from when the former owner can't find a majority. If that doesn't happen it goes on 12 s after the claim, as most entries may be down for good.

Vacating the ownership writes the owner record only, with the commit request.

--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -47,6 +47,11 @@
     feedOwner(Jobs::AuthorityRenewed{renewed.until, renewed.confirmedByStore});
 }
 
+void EntryProcess::carryOut(EntryNode::FormerOwnersFenced & /*fenced*/)
+{
+    feedOwner(Jobs::FormerOwnersFenced{});
+}
+
 void EntryProcess::carryOut(EntryNode::DialPeer &dial)
 {
     const Net::LinkId link = links_.dial(dial.endpoint);
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -239,13 +239,15 @@
         return;
     }
     const Jobs::OwnerRecord &record = owner_->recorder.owner();
-    const EntryNode::Claim vacate{owner_->recorder.revision(), {record.epoch, record.sequence + 1, {}, 0, record.agents}};
-    callStore("vacate", Platform::claimRequest(storeAddress_, vacate), std::nullopt, [this, epoch = record.epoch](const HttpIo::ClientResponse & /*response*/) {
-        stepDown("stopping");
-        for (const auto &[name, link] : peerLinks_) {
-            links_.send(link, Jobs::encodeMessage(Jobs::EntryBeat{epoch, true, true}));
-        }
-    });
+    const Jobs::OwnerRecord vacant{record.epoch, record.sequence + 1, {}, 0, record.agents};
+    const Jobs::Commit vacate{owner_->recorder.revision(), {{std::string(Jobs::ownerKey), Jobs::encodeRecord(vacant)}}, {}};
+    callStore(
+        "vacate", Platform::commitRequest(storeAddress_, vacate), std::nullopt, [this, epoch = record.epoch](const HttpIo::ClientResponse & /*response*/) {
+            stepDown("stopping");
+            for (const auto &[name, link] : peerLinks_) {
+                links_.send(link, Jobs::encodeMessage(Jobs::EntryBeat{epoch, true, true}));
+            }
+        });
 }
 
 void EntryProcess::finishWhenIdle()
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -97,10 +97,12 @@
     void carryOut(EntryNode::RenewLease &renew);
     void carryOut(EntryNode::WritePresence &write);
     void carryOut(EntryNode::Claim &claim);
+    void carryOut(EntryNode::WriteConfirmers &write);
     void carryOut(EntryNode::LoadJobs &load);
     void carryOut(EntryNode::BeginOwning &begin);
     void carryOut(EntryNode::OwnershipLost &lost);
     void carryOut(EntryNode::AuthorityRenewed &renewed);
+    void carryOut(EntryNode::FormerOwnersFenced &fenced);
     void carryOut(EntryNode::DialPeer &dial);
     void carryOut(EntryNode::DisconnectPeer &disconnect);
     void carryOut(EntryNode::SendHeartbeat &heartbeat);
--- a/src/app/laburnumnode/entrystore.cpp
+++ b/src/app/laburnumnode/entrystore.cpp
@@ -90,6 +90,13 @@
     });
 }
 
+void EntryProcess::carryOut(EntryNode::WriteConfirmers &write)
+{
+    callStore("write-confirmers", Platform::confirmersRequest(storeAddress_, write), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+        feedOwnership(Platform::confirmersResult(response));
+    });
+}
+
 void EntryProcess::carryOut(EntryNode::LoadJobs & /*load*/)
 {
     loadedJobs_ = {};
--- a/src/libs/entrynode/authority.cpp
+++ b/src/libs/entrynode/authority.cpp
@@ -5,7 +5,7 @@
 #include "jobs/jobsconstants.h"
 
 #include <algorithm>
-#include <functional>
+#include <utility>
 
 namespace LaburnumFlow::EntryNode::Internal {
 
@@ -18,12 +18,10 @@
     return state.mode == Mode::Owning || state.mode == Mode::Loading;
 }
 
-/// Returns whether the peer may be up and so could confirm or replace the owner. A refusal counts for a short time only, as a new process may
-/// have started since.
+/// Returns whether the peer may be up and so could confirm or replace the owner.
 bool mayBeUp(const OwnershipState &state, const Peer &peer)
 {
-    const bool down = peer.refusedAt && state.now - *peer.refusedAt < Jobs::ownerAuthorityTimeout;
-    return (peer.present || peer.linked) && !down;
+    return (peer.present || peer.linked) && !isDown(state, peer);
 }
 
 /// Returns until when this entry would know of another owner that it can know of, as a read of the cluster has ended recently. An entry that
@@ -45,12 +43,7 @@
             confirmations.push_back(peer.confirmedOwnerAt);
         }
     }
-    const std::size_t required = (confirmations.size() + 1) / 2;
-    if (required == 0) {
-        return Base::MonoTime::max();
-    }
-    std::sort(confirmations.begin(), confirmations.end(), std::greater<>());
-    return confirmations[required - 1] + Jobs::ownerAuthorityTimeout;
+    return confirmedUntil(std::move(confirmations));
 }
 
 /// Returns whether the owner in this process must learn of the new end of its authority. Small extensions are left out, as each
@@ -64,7 +57,7 @@
 /// Returns until when most entries, this one included, know no newer owner.
 Base::MonoTime majorityConfirmedUntil(const OwnershipState &state)
 {
-    return std::min(othersConfirmedUntil(state), knowledgeCurrentUntil(state));
+    return std::min({othersConfirmedUntil(state), confirmersConfirmedUntil(state), knowledgeCurrentUntil(state)});
 }
 
 std::string formatAge(Base::Duration age)
@@ -153,6 +146,7 @@
     if (event.reply.ownerEpoch < state.claim.epoch) {
         return;
     }
+    state.confirmers.acknowledged.insert(event.name);
     const Base::MonoTime sentAt = std::chrono::milliseconds(event.reply.token);
     Peer &peer = state.peers[event.name];
     peer.confirmedOwnerAt = std::max(peer.confirmedOwnerAt, sentAt);
--- a/src/libs/entrynode/claims.cpp
+++ b/src/libs/entrynode/claims.cpp
@@ -101,6 +101,8 @@
 {
     context.state.mode = Mode::Loading;
     context.state.ownerRevision = revision;
+    // The claim has written both records under one revision.
+    adoptConfirmers(context.state, context.state.confirmers.claimed, revision);
     recordEpoch(context.state, context.state.claim.epoch);
     confirmClaim(context.state, claimHeldAt);
     context.effects.push_back(LoadJobs{});
@@ -135,7 +137,8 @@
     state.claimedAt = state.now;
     state.mode = Mode::Claiming;
     logDecision(context, "owner.claim", {{"epoch", std::to_string(state.claim.epoch)}, {"reason", reason}, {"former", state.owner ? state.owner->owner : ""}});
-    context.effects.push_back(Claim{state.ownerRevision, state.claim});
+    state.confirmers.claimed = claimedConfirmers(state);
+    context.effects.push_back(Claim{state.ownerRevision, state.claim, {state.confirmers.lastReadRevision, state.confirmers.claimed}});
 }
 
 void handleClaimEnded(Context &context, const ClaimEnded &event)
--- a/src/libs/entrynode/ownership.cpp
+++ b/src/libs/entrynode/ownership.cpp
@@ -36,6 +36,11 @@
     Internal::handleClaimEnded(context, event);
 }
 
+void handle(Context &context, const ConfirmersWritten &event)
+{
+    Internal::handleConfirmersWritten(context, event);
+}
+
 void handle(Context &context, const PeerLinked &event)
 {
     Internal::handlePeer(context, event);
@@ -86,6 +91,7 @@
     Internal::recordStoreResponse(state);
     Internal::checkPresence(context, event.content->entries);
     Internal::updatePeers(context, event.content->entries);
+    Internal::readConfirmers(state, *event.content);
     // While claiming or owning, the outcomes of this entry's own writes tell who owns the jobs.
     const bool confirming = state.mode == Mode::Confirming;
     if (state.mode == Mode::Following || confirming) {
@@ -187,6 +193,7 @@
     Internal::dialPeers(context);
     Internal::sendHeartbeats(context);
     readCluster(context);
+    Internal::updateConfirmers(context);
     Internal::updateAuthority(context);
     return effects;
 }
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,6 +27,21 @@
     Base::MonoTime confirmedOwnerAt{}; ///< when this entry sent the latest heartbeat to which the peer replied that it knows no newer owner
 };
 
+/// The entries that may confirm the owner in this process, and those that may still confirm former owners.
+struct ConfirmerState {
+    std::optional<Jobs::ConfirmerRecord> lastRead; ///< as last read from the store while another entry owned the jobs
+    std::int64_t lastReadRevision = 0;
+    Jobs::ConfirmerRecord claimed; ///< record of the latest claim
+    Jobs::ConfirmerRecord recorded; ///< held by the store
+    std::int64_t recordedRevision = 0;
+    std::optional<Jobs::ConfirmerRecord> pending; ///< a write may have stored it or may still do so
+    bool writeInProgress = false;
+    Base::MonoTime writeNotBefore{};
+    std::vector<Jobs::ConfirmerSet> former; ///< of former owners, as of the claim
+    std::set<std::string> acknowledged; ///< entries that know of the latest claim
+    bool formerFenced = false; ///< no former owner can be confirmed any more
+};
+
 struct OwnershipState {
     Jobs::EntryRecord self;
     Base::Duration presenceTtl{}; ///< TTL of the presence key's lease
@@ -58,6 +74,7 @@
     Base::MonoTime authorityUntil{}; ///< end of this entry's authority as the owner unless it is confirmed again
     bool claimConfirmedByStore = true; ///< as last reported to the owner
     bool authorityGranted = false; ///< as last logged
+    ConfirmerState confirmers;
     std::map<std::string, Peer> peers; ///< the other entries, by name
 
     std::int64_t lease = 0; ///< id of the presence key's lease; 0 if there is none
@@ -85,6 +102,8 @@
         std::optional<Jobs::OwnerRecord> owner;
         std::int64_t ownerRevision = 0;
         std::vector<Jobs::EntryRecord> entries;
+        std::optional<Jobs::ConfirmerRecord> confirmers = {};
+        std::int64_t confirmersRevision = 0;
     };
 
     std::optional<Content> content; ///< no value if the read failed
@@ -126,6 +145,17 @@
     std::int64_t revision = 0;
 };
 
+struct ConfirmersWritten {
+    enum class Outcome : std::uint8_t {
+        Written,
+        Refused, ///< the store changed nothing
+        Unknown, ///< the write may have been executed, or the record has another revision
+    };
+
+    Outcome outcome = Outcome::Unknown;
+    std::int64_t revision = 0;
+};
+
 struct JobsLoaded {
     bool complete = false;
 };
@@ -168,6 +198,7 @@
                                     LeaseRenewed,
                                     PresenceWritten,
                                     ClaimEnded,
+                                    ConfirmersWritten,
                                     JobsLoaded,
                                     PeerLinked,
                                     PeerUnlinked,
@@ -195,10 +226,17 @@
     Jobs::EntryRecord record;
 };
 
-/// Replaces the owner record by compare-and-swap.
-struct Claim {
+/// Replaces the confirmer record by compare-and-swap.
+struct WriteConfirmers {
     std::int64_t expectedRevision = 0; ///< revision that the record must still have; 0 if there must be none
+    Jobs::ConfirmerRecord record;
+};
+
+/// Replaces the owner record and the confirmer record by compare-and-swap, both or neither.
+struct Claim {
+    std::int64_t expectedRevision = 0; ///< revision that the owner record must still have; 0 if there must be none
     Jobs::OwnerRecord record;
+    WriteConfirmers confirmers;
 };
 
 struct LoadJobs {
@@ -222,6 +260,10 @@
     bool confirmedByStore = true; ///< the store has recently held the claim; otherwise only other entries confirm the owner
 };
 
+/// Most entries can't confirm a former owner any more, so its authority ends within Jobs::ownerAuthorityTimeout.
+struct FormerOwnersFenced {
+};
+
 struct DialPeer {
     std::string name;
     Base::Endpoint endpoint;
@@ -261,11 +303,13 @@
                                      GrantLease,
                                      RenewLease,
                                      WritePresence,
+                                     WriteConfirmers,
                                      Claim,
                                      LoadJobs,
                                      BeginOwning,
                                      OwnershipLost,
                                      AuthorityRenewed,
+                                     FormerOwnersFenced,
                                      DialPeer,
                                      DisconnectPeer,
                                      SendHeartbeat,
--- a/src/libs/entrynode/ownershipsteps.h
+++ b/src/libs/entrynode/ownershipsteps.h
@@ -2,6 +2,7 @@
 
 #include "ownership.h"
 
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,6 +33,33 @@
 /// Takes over the owner record from the store.
 void updateOwner(Context &context, const ClusterRead::Content &content);
 
+// The entries that may confirm an owner. An owner that the store doesn't confirm needs the confirmation of most entries that its confirmer
+// record names. Its successor reads the record with the claim, and waits until as many of them as are left know of the claim.
+
+/// Returns the confirmer record that goes with the claim in the state.
+Jobs::ConfirmerRecord claimedConfirmers(const OwnershipState &state);
+
+/// Takes over the confirmer record of the claim that has been won.
+void adoptConfirmers(OwnershipState &state, Jobs::ConfirmerRecord record, std::int64_t revision);
+
+void readConfirmers(OwnershipState &state, const ClusterRead::Content &content);
+void handleConfirmersWritten(Context &context, const ConfirmersWritten &event);
+
+/// Returns until when most of the entries that the confirmer record names have confirmed this entry as the owner.
+Base::MonoTime confirmersConfirmedUntil(const OwnershipState &state);
+
+/// Returns until when the given confirmations, one of each other entry, are those of most entries.
+Base::MonoTime confirmedUntil(std::vector<Base::MonoTime> confirmations);
+
+/// Returns whether the peer's address has refused a connection so recently that no new process can have confirmed the owner since.
+bool isDown(const OwnershipState &state, const Peer &peer);
+
+/// Returns whether this owner waits for the entry to learn of its claim.
+bool isAwaitedConfirmer(const OwnershipState &state, const std::string &name);
+
+/// Checks whether former owners can still be confirmed, and keeps the confirmer record up to date.
+void updateConfirmers(Context &context);
+
 // The presence key and its lease.
 void handleLease(Context &context, const LeaseGranted &event);
 void handleLease(Context &context, const LeaseRenewed &event);
--- a/src/libs/entrynode/peers.cpp
+++ b/src/libs/entrynode/peers.cpp
@@ -84,7 +84,10 @@
         peer.record = record;
         peer.present = true;
     }
-    std::erase_if(state.peers, [](const auto &entry) { return !entry.second.present && !entry.second.linked && !entry.second.dialing; });
+    std::erase_if(state.peers, [&state](const auto &entry) {
+        const auto &[name, peer] = entry;
+        return !peer.present && !peer.linked && !peer.dialing && !isAwaitedConfirmer(state, name);
+    });
     const std::vector<Base::Endpoint> after = entryEndpoints(state);
     if (before != after) {
         context.effects.push_back(EntryEndpointsChanged{after});
@@ -134,7 +137,8 @@
 {
     OwnershipState &state = context.state;
     for (auto &[name, peer] : state.peers) {
-        if (peer.linked || peer.dialing || !peer.present || state.now < peer.dialNotBefore) {
+        const bool wanted = peer.present || isAwaitedConfirmer(state, name);
+        if (peer.linked || peer.dialing || !wanted || state.now < peer.dialNotBefore) {
             continue;
         }
         peer.dialing = true;
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -23,10 +23,14 @@
 /// An owner without newer proof that it has not been replaced sends no orders.
 constexpr Base::Duration ownerAuthorityTimeout = 800ms;
 
-/// Time after a takeover from which no run of a former owner can still be running on an agent that has not reported. The former owner may
-/// not know of the takeover and renew leases until its authority ends.
+/// Time after which no run of a former owner can still be running on an agent that has not reported, counted from when most entries can't
+/// confirm the former owner any more. It may not know of the takeover and renew leases until its authority ends.
 constexpr Base::Duration formerRunExpiryTimeout = ownerAuthorityTimeout + runExpiryTimeout;
 
+/// The same, counted from the takeover, if the entries that may confirm the former owner don't respond. They are down for good or in a
+/// partition that lasts; tasks must not wait for them for ever.
+constexpr Base::Duration unfencedRunExpiryTimeout = 12s;
+
 constexpr Base::Duration orphanGracePeriod = 2500ms; ///< Runs of best-effort jobs that are not submitted again within this time of a takeover are stopped.
 
 // The caller of a best-effort job that gets no answer within its timeout submits the job again after a delay.
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -118,6 +118,12 @@
     state.schedulingDue |= regained;
 }
 
+void handle(Context &context, const FormerOwnersFenced & /*event*/)
+{
+    OwnerState &state = context.state;
+    state.formerRunsResolvedBy = std::min(state.formerRunsResolvedBy, state.now + formerRunExpiryTimeout);
+}
+
 void handle(Context &context, const EntriesChanged &event)
 {
     context.state.entries = event.entries;
@@ -247,7 +253,7 @@
         }
     }
     restoreJobs(state, std::move(stored.packs));
-    state.formerRunsResolvedBy = now + formerRunExpiryTimeout;
+    state.formerRunsResolvedBy = now + unfencedRunExpiryTimeout;
     state.orphansUntil = now + orphanGracePeriod;
     state.tookOverAt = now;
     return state;
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -239,6 +239,10 @@
     bool confirmedByStore = true; ///< The store has recently held the owner's claim; otherwise only other entries confirm the owner.
 };
 
+/// Most entries can't confirm a former owner any more, so its authority ends within ownerAuthorityTimeout.
+struct FormerOwnersFenced {
+};
+
 struct EntriesChanged {
     std::vector<Base::Endpoint> entries;
 };
@@ -251,8 +255,17 @@
     std::optional<std::uint32_t> validMs; ///< Validity of the tickets; if not set, that of the queue's rules.
 };
 
-using OwnerEvent = std::
-    variant<TimePassed, CallArrived, AgentLinked, AgentUnlinked, AgentReported, CommitEnded, RulesChanged, AuthorityRenewed, EntriesChanged, AdviceGiven>;
+using OwnerEvent = std::variant<TimePassed,
+                                CallArrived,
+                                AgentLinked,
+                                AgentUnlinked,
+                                AgentReported,
+                                CommitEnded,
+                                RulesChanged,
+                                AuthorityRenewed,
+                                FormerOwnersFenced,
+                                EntriesChanged,
+                                AdviceGiven>;
 
 // Effects.
 
--- a/src/libs/jobs/records.cpp
+++ b/src/libs/jobs/records.cpp
@@ -52,6 +52,11 @@
     return encodeText(record);
 }
 
+std::string encodeRecord(const ConfirmerRecord &record)
+{
+    return encodeText(record);
+}
+
 std::string encodeRecord(const JobRecord &record)
 {
     return encodeText(record);
@@ -77,6 +82,11 @@
     return decodeText<OwnerRecord>(bytes);
 }
 
+std::optional<ConfirmerRecord> decodeConfirmerRecord(std::string_view bytes)
+{
+    return decodeText<ConfirmerRecord>(bytes);
+}
+
 std::optional<JobRecord> decodeJobRecord(std::string_view bytes)
 {
     return decodeText<JobRecord>(bytes);
--- a/src/libs/jobs/records.h
+++ b/src/libs/jobs/records.h
@@ -28,6 +28,38 @@
     }
 };
 
+/// An entry that may confirm an owner which the store doesn't confirm.
+struct Confirmer {
+    std::string name;
+    Base::Endpoint peers; ///< Address to which entries connect.
+
+    bool operator==(const Confirmer &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(name, peers);
+    }
+};
+
+using ConfirmerSet = std::vector<Confirmer>;
+
+/// Names the entries of which most must confirm the owner while the store doesn't. A claim replaces it together with the owner record. The
+/// successor waits until too few of them are left to confirm the former owner.
+struct ConfirmerRecord {
+    std::uint64_t epoch = 0; ///< Of the owner.
+    ConfirmerSet confirmers; ///< Sorted by name; the owner is one of them. Empty if not known.
+    std::vector<ConfirmerSet> former; ///< Of former owners that may still be confirmed.
+
+    bool operator==(const ConfirmerRecord &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(epoch, confirmers, former);
+    }
+};
+
 /// A job that isn't final.
 struct JobRecord {
     JobId id = 0;
@@ -95,8 +127,9 @@
     }
 };
 
-constexpr std::string_view clusterPrefix = "lf/cluster/"; ///< Covers the owner record and all entry records.
+constexpr std::string_view clusterPrefix = "lf/cluster/"; ///< Covers the owner record, the confirmer record and all entry records.
 constexpr std::string_view ownerKey = "lf/cluster/owner";
+constexpr std::string_view confirmersKey = "lf/cluster/confirmers";
 constexpr std::string_view entryPrefix = "lf/cluster/entry/";
 constexpr std::string_view jobPrefix = "lf/job/";
 constexpr std::string_view finishedPrefix = "lf/finished/";
@@ -106,6 +139,7 @@
 std::string entryKey(std::string_view name);
 
 std::string encodeRecord(const OwnerRecord &record);
+std::string encodeRecord(const ConfirmerRecord &record);
 std::string encodeRecord(const JobRecord &record);
 std::string encodeRecord(const JobPack &record);
 std::string encodeRecord(const FinishedSegment &record);
@@ -113,6 +147,7 @@
 
 /// Each of these returns nothing if the bytes aren't a valid record of the type.
 std::optional<OwnerRecord> decodeOwnerRecord(std::string_view bytes);
+std::optional<ConfirmerRecord> decodeConfirmerRecord(std::string_view bytes);
 std::optional<JobRecord> decodeJobRecord(std::string_view bytes);
 std::optional<JobPack> decodeJobPack(std::string_view bytes);
 std::optional<FinishedSegment> decodeFinishedSegment(std::string_view bytes);
--- a/tests/auto/entrynode/ownerchangefaults.cpp
+++ b/tests/auto/entrynode/ownerchangefaults.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t maxCallers = 12;
 constexpr Base::Duration callerTimeout = 1500ms;
 constexpr Base::Duration resubmitDelay = 1300ms;
+constexpr Base::Duration forwardDelay = 100ms;
 
 Jobs::SubmitCall makeCall(Jobs::JobId job, std::uint32_t tasks)
 {
@@ -115,7 +116,7 @@
     if (now_ >= nextJobAt_) {
         nextJobAt_ = now_ + randomTime(50ms, 250ms);
         if (callers_.size() < maxCallers) {
-            callers_[++lastJob_] = {static_cast<std::uint32_t>(1 + randomIndex(4)), 0, 0, now_, {}, false};
+            callers_[++lastJob_] = {static_cast<std::uint32_t>(1 + randomIndex(4)), 0, 0, now_, {}, false, false};
         }
     }
     for (auto &[job, caller] : callers_) {
@@ -123,10 +124,12 @@
         if (caller.epoch != 0 && (!entry.up || !entry.owner || entry.owner->epoch != caller.epoch)) {
             caller.epoch = 0;
             // An entry forwards its own callers' jobs at once; other callers submit again later.
-            caller.submitAt = now_ + (chance(0.5) ? Base::Duration(1300ms) : Base::Duration(100ms));
+            caller.forwarded = !chance(0.5);
+            caller.submitAt = now_ + (caller.forwarded ? forwardDelay : resubmitDelay);
         }
         if (hasTimedOut(caller)) {
             caller.epoch = 0;
+            caller.forwarded = false;
             caller.submitAt = now_ + resubmitDelay;
         }
         if (caller.epoch == 0 && now_ >= caller.submitAt) {
@@ -164,7 +167,7 @@
     if (callersTimeOut()) {
         call.callerTimeoutMs = static_cast<std::uint32_t>(callerTimeout / 1ms);
         // Only an entry that has forwarded the call to a lost owner knows that the job may have run.
-        call.mayHaveRun = false;
+        call.mayHaveRun = caller.forwarded;
     }
     postToEntry(randomTime(1ms, 8ms), caller.entry, [this, index = caller.entry, job, call] { feedOwner(index, Jobs::CallArrived{job, call}); });
 }
--- a/tests/auto/entrynode/ownerchangelinks.cpp
+++ b/tests/auto/entrynode/ownerchangelinks.cpp
@@ -27,7 +27,7 @@
 ClusterRead::Content OwnerChangeModel::readCluster()
 {
     std::erase_if(store_.presence, [this](const auto &entry) { return !isLeaseValid(entry.second.first); });
-    ClusterRead::Content content{store_.owner, store_.revision, {}};
+    ClusterRead::Content content{store_.owner, store_.ownerRevision, {}, store_.confirmers, store_.confirmersRevision};
     for (const auto &[name, presence] : store_.presence) {
         content.entries.push_back(presence.second);
     }
@@ -50,10 +50,37 @@
             postToEntry(storeTimeout, index, [this, index] { feedOwnership(index, ClaimEnded{ClaimEnded::Outcome::Unknown, 0}); });
             return;
         }
+        if (std::holds_alternative<ConfirmersWritten>(result) && chance(lostResponseShare)) {
+            postToEntry(storeTimeout, index, [this, index] { feedOwnership(index, ConfirmersWritten{}); });
+            return;
+        }
         postToEntry(randomTime(1ms, 6ms), index, [this, index, result] { feedOwnership(index, result); });
     });
 }
 
+ClaimEnded OwnerChangeModel::executeClaim(const Claim &claim)
+{
+    if (claim.expectedRevision != store_.ownerRevision || claim.confirmers.expectedRevision != store_.confirmersRevision) {
+        return {ClaimEnded::Outcome::Lost, 0};
+    }
+    ++store_.lastRevision;
+    store_.owner = claim.record;
+    store_.ownerRevision = store_.lastRevision;
+    store_.confirmers = claim.confirmers.record;
+    store_.confirmersRevision = store_.lastRevision;
+    return {ClaimEnded::Outcome::Won, store_.lastRevision};
+}
+
+ConfirmersWritten OwnerChangeModel::executeWrite(const WriteConfirmers &write)
+{
+    if (write.expectedRevision != store_.confirmersRevision) {
+        return {ConfirmersWritten::Outcome::Unknown, 0};
+    }
+    store_.confirmers = write.record;
+    store_.confirmersRevision = ++store_.lastRevision;
+    return {ConfirmersWritten::Outcome::Written, store_.confirmersRevision};
+}
+
 void OwnerChangeModel::commit(NodeIndex index, const Jobs::Commit &commit)
 {
     const Base::MonoTime sentAt = now_;
@@ -74,10 +101,11 @@
         return;
     }
     post(randomTime(1ms, 6ms), [this, index, incarnation, commit, answer] {
-        Jobs::CommitResult result = Jobs::CommitConflict{store_.owner, store_.revision};
-        if (commit.expectedOwnerRevision == store_.revision) {
+        Jobs::CommitResult result = Jobs::CommitConflict{store_.owner, store_.ownerRevision};
+        if (commit.expectedOwnerRevision == store_.ownerRevision) {
             store_.owner = Jobs::decodeOwnerRecord(commit.writes.front().value);
-            result = Jobs::Committed{++store_.revision};
+            store_.ownerRevision = ++store_.lastRevision;
+            result = Jobs::Committed{store_.ownerRevision};
         }
         if (!entries_[index].up || entries_[index].record.incarnation != incarnation) {
             return;
--- a/tests/auto/entrynode/ownerchangemodel.cpp
+++ b/tests/auto/entrynode/ownerchangemodel.cpp
@@ -228,13 +228,11 @@
             return PresenceWritten{PresenceWritten::Outcome::Written};
         });
     } else if (const auto *claim = std::get_if<Claim>(&effect)) {
-        callStore(index, ClaimEnded{ClaimEnded::Outcome::Refused, 0}, [this, claim = *claim] {
-            if (claim.expectedRevision != store_.revision) {
-                return ClaimEnded{ClaimEnded::Outcome::Lost, 0};
-            }
-            store_.owner = claim.record;
-            return ClaimEnded{ClaimEnded::Outcome::Won, ++store_.revision};
-        });
+        callStore(index, ClaimEnded{ClaimEnded::Outcome::Refused, 0}, [this, claim = *claim] { return executeClaim(claim); });
+    } else if (const auto *confirmers = std::get_if<WriteConfirmers>(&effect)) {
+        callStore(index, ConfirmersWritten{ConfirmersWritten::Outcome::Refused, 0}, [this, write = *confirmers] { return executeWrite(write); });
+    } else if (std::holds_alternative<FormerOwnersFenced>(effect)) {
+        feedOwner(index, Jobs::FormerOwnersFenced{});
     } else if (std::holds_alternative<LoadJobs>(effect)) {
         callStore(index, JobsLoaded{false}, [] { return JobsLoaded{true}; });
     } else if (const auto *begin = std::get_if<BeginOwning>(&effect)) {
--- a/tests/auto/entrynode/ownerchangemodel.h
+++ b/tests/auto/entrynode/ownerchangemodel.h
@@ -100,8 +100,11 @@
     };
 
     struct Store {
+        std::int64_t lastRevision = 0;
         std::optional<Jobs::OwnerRecord> owner;
-        std::int64_t revision = 0;
+        std::int64_t ownerRevision = 0;
+        std::optional<Jobs::ConfirmerRecord> confirmers;
+        std::int64_t confirmersRevision = 0;
         std::int64_t lastLease = 0;
         std::map<std::int64_t, Base::MonoTime> leases; ///< By id, with the end.
         std::map<std::string, std::pair<std::int64_t, Jobs::EntryRecord>> presence; ///< With the lease.
@@ -114,6 +117,7 @@
         Base::MonoTime submitAt{};
         Base::MonoTime submittedAt{};
         bool submittedBefore = false;
+        bool forwarded = false; ///< By the entry that had it from the caller, after the loss of an owner.
     };
 
     // Time and chance.
@@ -139,6 +143,8 @@
     // Store.
     void callStore(NodeIndex index, const OwnershipEvent &refused, const std::function<OwnershipEvent()> &execute);
     void commit(NodeIndex index, const Jobs::Commit &commit);
+    ClaimEnded executeClaim(const Claim &claim);
+    ConfirmersWritten executeWrite(const WriteConfirmers &write);
     ClusterRead::Content readCluster();
     bool isLeaseValid(std::int64_t lease) const;
 
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST_SUITE(TestTakeover);
     CPPUNIT_TEST(waitsForTheAgentsOfTheFormerOwner);
     CPPUNIT_TEST(waitsForTheFormerOwnersAuthorityAndTheLeases);
+    CPPUNIT_TEST(waitsLongerForAFormerOwnerThatMayBeConfirmed);
+    CPPUNIT_TEST(waitsForTheLeasesOnceFormerOwnersAreFenced);
     CPPUNIT_TEST(ownerWithoutAuthoritySendsNoOrders);
     CPPUNIT_TEST(adoptsWhatRuns);
     CPPUNIT_TEST(runNumbersIncreaseAcrossOwners);
@@ -64,14 +66,27 @@
     void waitsForTheFormerOwnersAuthorityAndTheLeases()
     {
         OwnerHarness owner({"agent-1", "agent-2"}, 2, {jobRecord(7, 1)});
+        owner.feed(FormerOwnersFenced{});
         owner.join("agent-1");
-        for (Base::Duration waited{}; waited < ownerAuthorityTimeout + runExpiryTimeout; waited += 300ms) {
-            CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
-            owner.feed(AgentReported{"agent-1", owner.report("agent-1")});
-            owner.advanceTime(300ms);
-        }
-        owner.feed(AgentReported{"agent-1", owner.report("agent-1")});
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+        checkStartsAfter(owner, ownerAuthorityTimeout + runExpiryTimeout);
+    }
+
+    /// Guards against a second run of a task on an agent whose former owner most entries go on confirming in a partition.
+    void waitsLongerForAFormerOwnerThatMayBeConfirmed()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"}, 2, {jobRecord(7, 1)});
+        owner.join("agent-1");
+        checkStartsAfter(owner, unfencedRunExpiryTimeout);
+    }
+
+    /// Guards against a wait that begins before most entries have learned of the successor.
+    void waitsForTheLeasesOnceFormerOwnersAreFenced()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"}, 2, {jobRecord(7, 1)});
+        owner.join("agent-1");
+        owner.advanceTimeWithReports(3s);
+        owner.feed(FormerOwnersFenced{});
+        checkStartsAfter(owner, ownerAuthorityTimeout + runExpiryTimeout);
     }
 
     /// Guards against a replaced owner that starts tasks, or renews leases by echoing tokens, after its successor has taken their ends for
@@ -253,6 +268,18 @@
     }
 
 private:
+    /// Checks that the only task starts on agent-1 once the time has passed, and not 300 ms earlier.
+    static void checkStartsAfter(OwnerHarness &owner, Base::Duration time)
+    {
+        for (Base::Duration waited{}; waited < time; waited += 300ms) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
+            owner.feed(AgentReported{"agent-1", owner.report("agent-1")});
+            owner.advanceTime(300ms);
+        }
+        owner.feed(AgentReported{"agent-1", owner.report("agent-1")});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+    }
+
     /// Submits the job of a run that is being stopped on agent-1.
     static void checkStartsOnceStopped(OwnerHarness &owner)
     {
--- a/tests/auto/platform/tst_dialects.cpp
+++ b/tests/auto/platform/tst_dialects.cpp
@@ -66,6 +66,8 @@
     CPPUNIT_TEST(heartbeats);
     CPPUNIT_TEST(commitOutcomes);
     CPPUNIT_TEST(clusterItems);
+    CPPUNIT_TEST(claimReplacesBothRecords);
+    CPPUNIT_TEST(confirmersOutcomes);
     CPPUNIT_TEST(recordsOfOtherTypes);
     CPPUNIT_TEST(arbitraryBytes);
     CPPUNIT_TEST_SUITE_END();
@@ -374,6 +376,33 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(6), cluster.content->ownerRevision);
     }
 
+    /// Guards against a claim that replaces the owner record without the record of the entries that may confirm it, or the reverse.
+    void claimReplacesBothRecords()
+    {
+        const EntryNode::Claim claim{7, {5, 0, "entry-1", 3, {}}, {6, {5, {{"entry-1", {"10.0.0.1", 7000}}}, {}}}};
+        const auto body = nlohmann::json::parse(claimRequest("10.0.0.9:80", claim).body);
+        CPPUNIT_ASSERT_EQUAL(std::string(R"([{"Key":"lf/cluster/owner","Revision":7},{"Key":"lf/cluster/confirmers","Revision":6}])"), body["Expect"].dump());
+        std::vector<StoreItem> items;
+        for (const auto &row : body["Writes"]) {
+            items.push_back({row["Key"], Store::decodeBase64(row["Value"].get<std::string>()).value(), 8});
+        }
+        const auto cluster = clusterFromItems(items);
+        CPPUNIT_ASSERT(cluster.content->owner == claim.record);
+        CPPUNIT_ASSERT(cluster.content->confirmers == claim.confirmers.record);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(8), cluster.content->confirmersRevision);
+    }
+
+    /// Guards against a write of the confirmer record that is given up although it may be executed late, or repeated after it was executed.
+    void confirmersOutcomes()
+    {
+        using WriteOutcome = EntryNode::ConfirmersWritten::Outcome;
+        CPPUNIT_ASSERT(confirmersResult(answer(200, R"({"Revision":12})")).outcome == WriteOutcome::Written);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(12), confirmersResult(answer(200, R"({"Revision":12})")).revision);
+        CPPUNIT_ASSERT(confirmersResult(answer(503, "")).outcome == WriteOutcome::Refused);
+        CPPUNIT_ASSERT(confirmersResult(answer(412, R"({"items":[]})")).outcome == WriteOutcome::Unknown);
+        CPPUNIT_ASSERT(confirmersResult({Outcome::Unknown, 0, ""}).outcome == WriteOutcome::Unknown);
+    }
+
     /// Guards against a well-formed record that is decoded as another type. A length field read from the wrong place can demand more memory than there is.
     void recordsOfOtherTypes()
     {
