Wait again for agents whose former owner has gone on in a partition

Callers could see a task run twice at a time at the end of a partition that lasted for longer than the successor's wait: the former owner's side forwarded its jobs to the successor, which had stopped waiting for the agents there and started the tasks at once.

The owner now remembers the agents that had not reported when it went on without the former owners being fenced.

--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -121,6 +121,8 @@
 void handle(Context &context, const FormerOwnersFenced & /*event*/)
 {
     OwnerState &state = context.state;
+    state.formerOwnersFenced = true;
+    Internal::awaitGivenUpAgents(context);
     state.formerRunsResolvedBy = std::min(state.formerRunsResolvedBy, state.now + formerRunExpiryTimeout);
 }
 
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -196,6 +196,7 @@
         state.schedulingDue = true;
         reconcile(context, index, report);
         state.agentsChanged |= state.awaitedAgents.erase(name) > 0;
+        state.givenUpAgents.erase(name);
     }
     handleAcknowledgedEnds(state.agents[index], report.endsAcknowledged);
     for (const RunEnd &end : report.ends) {
--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -137,6 +137,9 @@
         return;
     }
     job.waitingForAcceptance.push_back(id);
+    if (call.bestEffort && call.mayHaveRun) {
+        awaitGivenUpAgents(context);
+    }
     if (call.bestEffort) {
         beginBestEffortJob(context, std::move(job), call);
         return;
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -178,6 +178,8 @@
     std::vector<Agent> agents;
     std::unordered_map<std::string, AgentIndex> agentByName;
     std::set<std::string> awaitedAgents; ///< Agents without a full report yet that may run tasks of a former owner.
+    bool formerOwnersFenced = false; ///< As in FormerOwnersFenced.
+    std::set<std::string> givenUpAgents; ///< Agents that had not reported when the wait for them ended, with former owners not fenced.
     bool agentsChanged = true; ///< Set if the list of agents to record may have changed since agentsListedAt.
     Base::MonoTime agentsListedAt{};
     std::size_t tasksInDoubt = 0;
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -129,6 +129,10 @@
 /// Adopts the orphans of the job.
 void adoptOrphans(Context &context, Job &job);
 
+/// Waits again for the agents whose reports the owner has stopped waiting for while former owners were not fenced. One of those turns out to
+/// have gone on, so its runs may still be running.
+void awaitGivenUpAgents(Context &context);
+
 /// Stops the orphans whose jobs have not been submitted again in time. They stay orphans until they have ended, as a job that is submitted
 /// meanwhile must wait for that.
 void stopOrphans(Context &context);
--- a/src/libs/jobs/ownertakeover.cpp
+++ b/src/libs/jobs/ownertakeover.cpp
@@ -92,11 +92,27 @@
     std::erase_if(state.orphans, [](const auto &entry) { return entry.second.empty(); });
 }
 
+void awaitGivenUpAgents(Context &context)
+{
+    OwnerState &state = context.state;
+    if (state.givenUpAgents.empty()) {
+        return;
+    }
+    logDecision(context, "owner.uncertain", {{"agents", std::to_string(state.givenUpAgents.size())}});
+    state.awaitedAgents.merge(std::exchange(state.givenUpAgents, {}));
+    state.agentsChanged = true;
+    state.formerOwnersFenced = true;
+    state.formerRunsResolvedBy = state.now + formerRunExpiryTimeout;
+}
+
 void resolveTasksInDoubt(Context &context)
 {
     OwnerState &state = context.state;
     if (formerRunsResolved(state) && !state.awaitedAgents.empty()) {
         logDecision(context, "owner.unreported", {{"agents", std::to_string(state.awaitedAgents.size())}});
+        if (!state.formerOwnersFenced) {
+            state.givenUpAgents = state.awaitedAgents;
+        }
         state.awaitedAgents.clear();
         state.agentsChanged = true;
     }
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(waitsForTheFormerOwnersAuthorityAndTheLeases);
     CPPUNIT_TEST(waitsLongerForAFormerOwnerThatMayBeConfirmed);
     CPPUNIT_TEST(waitsForTheLeasesOnceFormerOwnersAreFenced);
+    CPPUNIT_TEST(callOfAFormerOwnerWaitsForItsAgents);
+    CPPUNIT_TEST(lateFencingWaitsForTheAgentsAgain);
     CPPUNIT_TEST(ownerWithoutAuthoritySendsNoOrders);
     CPPUNIT_TEST(adoptsWhatRuns);
     CPPUNIT_TEST(runNumbersIncreaseAcrossOwners);
@@ -89,6 +91,36 @@
         checkStartsAfter(owner, ownerAuthorityTimeout + runExpiryTimeout);
     }
 
+    /// Guards against a task that starts again while it runs on an agent that the owner has stopped waiting for, after a long partition in
+    /// which the former owner has gone on.
+    void callOfAFormerOwnerWaitsForItsAgents()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"}, 2);
+        owner.join("agent-1");
+        owner.advanceTimeWithReports(unfencedRunExpiryTimeout + 100ms);
+        SubmitCall call = bestEffort(7, 1);
+        call.mayHaveRun = true;
+        owner.submit(1, call);
+        owner.advanceTimeWithReports(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
+        owner.join("agent-2", 8000, {possibleRun(7, 0, 1)});
+        owner.advanceTimeWithReports(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
+        owner.reportEnd("agent-2", {{7, 0, 0}, 1}, RunOutcome::Done);
+        CPPUNIT_ASSERT(owner.answerTo(1).has_value());
+    }
+
+    /// Guards against the same when the entries of the former owner's side are heard again before its callers' jobs arrive.
+    void lateFencingWaitsForTheAgentsAgain()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"}, 2);
+        owner.join("agent-1");
+        owner.advanceTimeWithReports(unfencedRunExpiryTimeout + 100ms);
+        owner.feed(FormerOwnersFenced{});
+        owner.submit(1, bestEffort(7, 1));
+        checkStartsAfter(owner, ownerAuthorityTimeout + runExpiryTimeout);
+    }
+
     /// Guards against a replaced owner that starts tasks, or renews leases by echoing tokens, after its successor has taken their ends for
     /// granted.
     void ownerWithoutAuthoritySendsNoOrders()
