Hand former owners that may go on to the next owner too

Callers could see a task run twice at a time when the owner changed again during a long partition: the owner between had dropped the former owner's confirmers and unreported agents from the records once its wait was over, and the next owner waited for nobody.

They now stay in the records until the former owner is fenced, for 10 min at most, so that agents which are gone for good don't delay later takeovers for ever.

jobs.takeover: agentsOfAnUnfencedOwnerAreHandedOn is new and failed before; entrynode.confirmers: recordDropsFencedOwners holds the other record.

--- a/src/libs/entrynode/confirmers.cpp
+++ b/src/libs/entrynode/confirmers.cpp
@@ -106,7 +106,7 @@
     }
     if (!confirmers.pending) {
         Jobs::ConfirmerRecord record{state.claim.epoch, presentConfirmers(state), {}};
-        if (awaitsConfirmers(state)) {
+        if (!confirmers.formerFenced && state.now - state.claimedAt < Jobs::formerOwnerRetention) {
             record.former = confirmers.former;
         }
         if (record == confirmers.recorded) {
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -31,6 +31,10 @@
 /// partition that lasts; tasks must not wait for them for ever.
 constexpr Base::Duration unfencedRunExpiryTimeout = 12s;
 
+/// How long an owner names former owners that may still be confirmed, and agents that have not reported, to its successors. Partitions of
+/// regions last for minutes.
+constexpr Base::Duration formerOwnerRetention = 10min;
+
 constexpr Base::Duration orphanGracePeriod = 2500ms; ///< Runs of best-effort jobs that are not submitted again within this time of a takeover are stopped.
 
 // The caller of a best-effort job that gets no answer within its timeout submits the job again after a delay.
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -196,7 +196,7 @@
         state.schedulingDue = true;
         reconcile(context, index, report);
         state.agentsChanged |= state.awaitedAgents.erase(name) > 0;
-        state.givenUpAgents.erase(name);
+        state.agentsChanged |= state.givenUpAgents.erase(name) > 0;
     }
     handleAcknowledgedEnds(state.agents[index], report.endsAcknowledged);
     for (const RunEnd &end : report.ends) {
@@ -246,6 +246,7 @@
     state.agentsChanged = false;
     state.agentsListedAt = state.now;
     std::vector<std::string> names(state.awaitedAgents.begin(), state.awaitedAgents.end());
+    names.insert(names.end(), state.givenUpAgents.begin(), state.givenUpAgents.end());
     for (const Agent &agent : state.agents) {
         // A later owner waits for a report of each recorded agent, so an agent that has left without runs is dropped soon.
         if (agent.linked || !agent.runs.empty() || state.now - agent.unlinkedAt < unlinkedAgentRetention) {
--- a/src/libs/jobs/ownertakeover.cpp
+++ b/src/libs/jobs/ownertakeover.cpp
@@ -116,6 +116,10 @@
         state.awaitedAgents.clear();
         state.agentsChanged = true;
     }
+    if (!state.givenUpAgents.empty() && state.now >= state.tookOverAt + formerOwnerRetention) {
+        state.givenUpAgents.clear();
+        state.agentsChanged = true;
+    }
     if (state.tasksInDoubt == 0 || !formerRunsResolved(state)) {
         return;
     }
--- a/tests/auto/entrynode/tst_confirmers.cpp
+++ b/tests/auto/entrynode/tst_confirmers.cpp
@@ -261,6 +261,9 @@
         SuccessorEntry unfenced(makeConfirmers(formerEpoch, {"entry-1", "entry-2", "entry-4"}));
         unfenced.advance(Jobs::unfencedRunExpiryTimeout);
         unfenced.readCluster(makeOwner("entry-1", formerEpoch + 1), claimRevision, unfenced.claimedRecord(), claimRevision);
+        CPPUNIT_ASSERT(unfenced.effects<WriteConfirmers>().empty());
+        unfenced.advance(Jobs::formerOwnerRetention);
+        unfenced.readCluster(makeOwner("entry-1", formerEpoch + 1), claimRevision, unfenced.claimedRecord(), claimRevision);
         CPPUNIT_ASSERT(unfenced.effects<WriteConfirmers>().back().record.former.empty());
     }
 
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(waitsForTheLeasesOnceFormerOwnersAreFenced);
     CPPUNIT_TEST(callOfAFormerOwnerWaitsForItsAgents);
     CPPUNIT_TEST(lateFencingWaitsForTheAgentsAgain);
+    CPPUNIT_TEST(agentsOfAnUnfencedOwnerAreHandedOn);
     CPPUNIT_TEST(ownerWithoutAuthoritySendsNoOrders);
     CPPUNIT_TEST(adoptsWhatRuns);
     CPPUNIT_TEST(runNumbersIncreaseAcrossOwners);
@@ -121,6 +122,21 @@
         checkStartsAfter(owner, ownerAuthorityTimeout + runExpiryTimeout);
     }
 
+    /// Guards against a next owner that doesn't wait for agents whose former owner goes on in a partition, as the owner between them has stopped
+    /// waiting.
+    void agentsOfAnUnfencedOwnerAreHandedOn()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"}, 2);
+        owner.join("agent-1");
+        owner.advanceTimeWithReports(unfencedRunExpiryTimeout + 100ms);
+        owner.join("agent-3");
+        owner.commitAll();
+        CPPUNIT_ASSERT((owner.state.recorder.owner().agents == std::vector<std::string>{"agent-1", "agent-2", "agent-3"}));
+        owner.advanceTime(formerOwnerRetention);
+        owner.commitAll();
+        CPPUNIT_ASSERT((owner.state.recorder.owner().agents == std::vector<std::string>{"agent-1", "agent-3"}));
+    }
+
     /// Guards against a replaced owner that starts tasks, or renews leases by echoing tokens, after its successor has taken their ends for
     /// granted.
     void ownerWithoutAuthoritySendsNoOrders()
