Begin the owner's next read of the cluster without a pause after a slow one

Best-effort service of an owner without other entries stopped for moments while the store answered in 280 ms or more: its proof counts from the start of a read, and the next read began 250 ms after the answer, so that the proof was over 0.8 s old at times. The interval of the owner's reads now counts from the start of the last one, which holds for answers of up to 400 ms. Slower answers still end the authority for moments.

entrynode.authority: slowStoreConfirmsTheOwnerWithoutGaps failed before with 280 ms and passes with 100, 280 and 390 ms.

--- a/src/libs/entrynode/ownership.cpp
+++ b/src/libs/entrynode/ownership.cpp
@@ -83,7 +83,8 @@
     state.readInProgress = false;
     state.lastReadStartedAt = state.readStartedAt;
     state.lastReadSucceeded = event.content.has_value();
-    state.readNotBefore = state.now + clusterReadInterval;
+    // A slow store must not end the owner's authority between two reads.
+    state.readNotBefore = (state.mode == Mode::Owning ? state.readStartedAt : state.now) + clusterReadInterval;
     if (!event.content) {
         return;
     }
--- a/tests/auto/entrynode/tst_authority.cpp
+++ b/tests/auto/entrynode/tst_authority.cpp
@@ -93,6 +93,7 @@
     CPPUNIT_TEST(storeConfirmsTheOwner);
     CPPUNIT_TEST(commitConfirmsTheOwner);
     CPPUNIT_TEST(slowReadConfirmsFromItsStart);
+    CPPUNIT_TEST(slowStoreConfirmsTheOwnerWithoutGaps);
     CPPUNIT_TEST(majorityConfirmsTheOwnerInAnOutage);
     CPPUNIT_TEST(minorityDoesNotConfirmTheOwner);
     CPPUNIT_TEST(deadEntriesDoNotCount);
@@ -155,6 +156,21 @@
         CPPUNIT_ASSERT(!owner.hasAuthority());
     }
 
+    /// Guards against an owner without other entries whose authority comes and goes while the store is slow.
+    void slowStoreConfirmsTheOwnerWithoutGaps()
+    {
+        for (const Base::Duration responseTime : {100ms, 280ms, 390ms}) {
+            OwnerEntry owner(0);
+            for (Base::Duration passed{}; passed < 5s; passed += 10ms) {
+                owner.advance(10ms);
+                if (owner.state.readInProgress && owner.now() - owner.state.readStartedAt >= responseTime) {
+                    owner.read(makeOwner("entry-1", ownEpoch), 5, {makeEntry("entry-1")});
+                }
+                CPPUNIT_ASSERT(owner.hasAuthority());
+            }
+        }
+    }
+
     /// Guards against best-effort jobs that nobody serves while the store is down for all entries.
     void majorityConfirmsTheOwnerInAnOutage()
     {
