Start no more tasks of stored jobs once the store has been away for long

Callers could see a task of a stored job run twice at a time in a partition of more than 12 s: the side without the store went on starting tasks of jobs that the successor had read from the store and started too. An owner that the store has not confirmed for 8 s now starts best-effort jobs only. A successor starts tasks of agents that don't report 12 s after its claim, when the short runs of the former owner have ended. Runs that go on for longer are not covered.

jobs.takeover: storedJobsWaitForTheStore fails without the condition and passes; storedJobsStartInAShortOutage holds the other side.

--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -31,6 +31,10 @@
 /// partition that lasts; tasks must not wait for them for ever.
 constexpr Base::Duration unfencedRunExpiryTimeout = 12s;
 
+/// An owner that the store has not confirmed for longer starts no more tasks of stored jobs. A successor may start them once
+/// unfencedRunExpiryTimeout has passed since its claim, which is later than the last proof.
+constexpr Base::Duration storedWorkTimeout = unfencedRunExpiryTimeout - formerRunExpiryTimeout;
+
 /// How long an owner names former owners that may still be confirmed, and agents that have not reported, to its successors. Partitions of
 /// regions last for minutes.
 constexpr Base::Duration formerOwnerRetention = 10min;
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -114,8 +114,14 @@
     OwnerState &state = context.state;
     const bool regained = !Internal::hasAuthority(state) && state.now < event.until;
     state.authorityUntil = event.until;
+    state.schedulingDue |= regained || (event.confirmedByStore && !state.confirmedByStore);
+    if (event.confirmedByStore) {
+        state.storedWorkUntil = Base::MonoTime::max();
+    } else if (state.confirmedByStore) {
+        // The latest proof was as old as it may be.
+        state.storedWorkUntil = state.now - ownerAuthorityTimeout + storedWorkTimeout;
+    }
     state.confirmedByStore = event.confirmedByStore;
-    state.schedulingDue |= regained;
 }
 
 void handle(Context &context, const FormerOwnersFenced & /*event*/)
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -251,6 +251,9 @@
             break;
         }
         ++next;
+        if (!job.bestEffort && state.now >= state.storedWorkUntil) {
+            continue;
+        }
         if (!placeTasks(round, job)) {
             ++skipped;
         }
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -186,6 +186,7 @@
     Base::MonoTime formerRunsResolvedBy{}; ///< From then on no unreported run of a former owner can still be running.
     Base::MonoTime authorityUntil = Base::MonoTime::max(); ///< No orders are sent from then on, as another entry may own the jobs.
     bool confirmedByStore = true; ///< As in AuthorityRenewed.
+    Base::MonoTime storedWorkUntil = Base::MonoTime::max(); ///< No tasks of stored jobs start from then on.
     KindSpeeds kindSpeeds;
     std::unordered_map<std::string, QueueRules> rules; ///< By queue.
     std::uint64_t rulesVersion = 0;
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -37,6 +37,8 @@
     CPPUNIT_TEST(lateFencingWaitsForTheAgentsAgain);
     CPPUNIT_TEST(agentsOfAnUnfencedOwnerAreHandedOn);
     CPPUNIT_TEST(ownerWithoutAuthoritySendsNoOrders);
+    CPPUNIT_TEST(storedJobsWaitForTheStore);
+    CPPUNIT_TEST(storedJobsStartInAShortOutage);
     CPPUNIT_TEST(adoptsWhatRuns);
     CPPUNIT_TEST(runNumbersIncreaseAcrossOwners);
     CPPUNIT_TEST(recordedAgentsWorkAtOnce);
@@ -156,6 +158,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.orderedStartCount());
     }
 
+    /// Guards against an owner that goes on starting tasks of stored jobs, which a successor reads from the store and starts too once its
+    /// longest wait is over. Best-effort jobs are served in an outage of any length.
+    void storedJobsWaitForTheStore()
+    {
+        OwnerHarness owner({"agent-1"}, 2, {jobRecord(7, 1)});
+        owner.feed(AuthorityRenewed{owner.state.now + 1h, false});
+        owner.advanceTime(storedWorkTimeout);
+        owner.join("agent-1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
+        owner.submit(1, bestEffort(8, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+        owner.feed(AuthorityRenewed{owner.state.now + 1h, true});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.orderedStartCount());
+    }
+
+    /// Guards against stored jobs that stop in a short outage.
+    void storedJobsStartInAShortOutage()
+    {
+        OwnerHarness owner({"agent-1"}, 2, {jobRecord(7, 1)});
+        owner.feed(AuthorityRenewed{owner.state.now + 1h, false});
+        owner.advanceTime(storedWorkTimeout - ownerAuthorityTimeout - 100ms);
+        owner.join("agent-1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+    }
+
     /// Guards against stopping or repeating runs because their owner changed.
     void adoptsWhatRuns()
     {
