--- a/tests/auto/entrynode/entryharness.h
+++ b/tests/auto/entrynode/entryharness.h
@@ -83,6 +83,22 @@
         feed(JobsLoaded{true});
     }
 
+    /// Lets 100 ms pass, after which a read of the cluster that is in progress fails.
+    void passWithoutStore()
+    {
+        advance(100ms);
+        if (state.readInProgress) {
+            feed(ClusterRead{});
+        }
+    }
+
+    /// Returns whether entry-1, which owns the jobs, may send orders now, as it was last told.
+    bool hasAuthority() const
+    {
+        const auto renewals = effects<AuthorityRenewed>();
+        return !renewals.empty() && now() < renewals.back().until;
+    }
+
     Base::MonoTime now() const
     {
         return now_;
--- a/tests/auto/entrynode/tst_authority.cpp
+++ b/tests/auto/entrynode/tst_authority.cpp
@@ -51,10 +51,7 @@
     void passWithoutStore(Base::Duration time, int confirmingPeers)
     {
         for (Base::Duration passed{}; passed < time; passed += 100ms) {
-            advance(100ms);
-            if (state.readInProgress) {
-                feed(ClusterRead{});
-            }
+            EntryHarness::passWithoutStore();
             for (int i = 0; i < confirmingPeers; ++i) {
                 confirm(i);
             }
@@ -67,13 +64,6 @@
         advance(clusterReadInterval);
         read(makeOwner("entry-1", ownEpoch), 5, {makeEntry("entry-1")});
     }
-
-    /// Returns whether the owner in this process may send orders now, as it was last told.
-    bool hasAuthority() const
-    {
-        const auto renewals = effects<AuthorityRenewed>();
-        return !renewals.empty() && now() < renewals.back().until;
-    }
 };
 
 Jobs::EntryBeatReply lastReply(const EntryHarness &entry)
--- a/tests/auto/entrynode/tst_confirmers.cpp
+++ b/tests/auto/entrynode/tst_confirmers.cpp
@@ -95,6 +95,7 @@
     {
         advance(clusterReadInterval);
         std::vector<Jobs::EntryRecord> entries;
+        entries.reserve(names.size());
         for (const std::string &name : names) {
             entries.push_back(makeEntry(name));
         }
@@ -118,18 +119,9 @@
     void passWithoutStore(Base::Duration time)
     {
         for (Base::Duration passed{}; passed < time; passed += 100ms) {
-            advance(100ms);
-            if (state.readInProgress) {
-                feed(ClusterRead{});
-            }
+            EntryHarness::passWithoutStore();
         }
     }
-
-    bool hasAuthority() const
-    {
-        const auto renewals = effects<AuthorityRenewed>();
-        return !renewals.empty() && now() < renewals.back().until;
-    }
 };
 
 } // namespace
