taskagent: a late leave call ends no runs

Cause: a worker's leave call names only its id. One that arrives after a restart under the same id was taken for the end of the new incarnation: its runs were reported as lapsed and their tasks started elsewhere while they ran.

Change: the leave call stops new starts and makes the agent ask the worker at once. Its next heartbeat shows that it stays. The log has worker.leaving for the call, worker.gone for the end.

Two tests that fed a leave call as the proof of the end now add the refused connection, and check that the worker has gone; they demand as much as before.

--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -16,32 +16,16 @@
 
 using Internal::Context;
 
-/// Returns the worker as the owner should see it: a worker whose agent is stopping is draining.
+/// Returns the worker as the owner should see it: a worker that may be leaving, or whose agent is stopping, is draining.
 std::optional<Jobs::WorkerInfo> reportedWorker(const AgentState &state)
 {
     std::optional<Jobs::WorkerInfo> worker = state.worker;
-    if (worker && state.stopping) {
+    if (worker && (state.stopping || state.leaving)) {
         worker->draining = true;
     }
     return worker;
 }
 
-void handleWorkerTerminated(Context &context, const std::string &reason)
-{
-    AgentState &state = context.state;
-    Internal::logDecision(context, "worker.gone", {{"worker", state.worker ? state.worker->id : ""}, {"reason", reason}});
-    Internal::recordUnansweredStarts(state);
-    Internal::reportRunsLapsed(context, reason);
-    state.worker.reset();
-    state.ends.clear();
-    state.endsRecorded = 0;
-    state.endsAckedToWorker = 0;
-    state.clockOffset.reset();
-    state.runsListed = false;
-    state.nextReport.workerTerminated = true;
-    state.nextReportDue = true;
-}
-
 void handle(Context &context, const TimePassed &event)
 {
     AgentState &state = context.state;
@@ -60,7 +44,7 @@
         Internal::stopRun(context, run);
     }
     if (state.worker && state.now - state.workerHeardAt > workerSilenceTimeout) {
-        handleWorkerTerminated(context, "silent");
+        Internal::handleWorkerTerminated(context, "silent");
     }
 }
 
@@ -95,7 +79,8 @@
     if (restarted) {
         Internal::resetWorker(context);
     }
-    const bool changed = isNew || *state.worker != event.worker;
+    const bool changed = isNew || state.leaving || *state.worker != event.worker;
+    state.leaving = false;
     state.runsListed = state.runsListed && state.worker.has_value();
     state.worker = event.worker;
     state.heartbeatStartTimeMs = event.worker.startTimeMs;
@@ -117,11 +102,21 @@
     }
 }
 
+/// Asks the worker whether it is still there, as the call names no incarnation. Its runs end once the worker refuses connections, and otherwise
+/// with the lease or the worker's own list.
 void handle(Context &context, const WorkerLeft &event)
 {
-    if (context.state.worker && context.state.worker->id == event.id) {
-        handleWorkerTerminated(context, "left");
+    AgentState &state = context.state;
+    if (!state.worker || state.worker->id != event.id || state.leaving) {
+        return;
     }
+    Internal::logDecision(context, "worker.leaving", {{"worker", event.id}, {"born", std::to_string(state.worker->startTimeMs)}});
+    state.leaving = true;
+    state.nextReport.worker = reportedWorker(state);
+    state.nextReportDue = true;
+    // A hold call in progress was sent before and may wait for a run to end.
+    state.holdInProgress = false;
+    state.holdNotBefore = state.now;
 }
 
 void handle(Context &context, const EntryUnlinked &event)
@@ -163,7 +158,7 @@
     const bool tokenRecent = state.now - std::chrono::milliseconds(orders.echo) <= Jobs::maxTokenAgeForStart;
     for (const Jobs::StartOrder &start : orders.starts) {
         for (const Jobs::RunRef &run : start.runs) {
-            if (!sameWorker || !tokenRecent || state.worker->draining || state.stopping) {
+            if (!sameWorker || !tokenRecent || state.worker->draining || state.leaving || state.stopping) {
                 Internal::reportRefusal(state, run, sameWorker ? Jobs::RunRefusal::Reason::Stale : Jobs::RunRefusal::Reason::NoWorker);
                 continue;
             }
@@ -233,7 +228,8 @@
     if (state.epoch == 0 || state.holdInProgress) {
         return false;
     }
-    return !state.runsListed || !state.runs.empty() || state.endsAckedToWorker < state.endsRecorded;
+    const bool leaveUncertain = state.leaving && !state.stopping;
+    return !state.runsListed || !state.runs.empty() || state.endsAckedToWorker < state.endsRecorded || leaveUncertain;
 }
 
 void startHold(Context &context)
@@ -251,8 +247,8 @@
     }
     const bool cancellationConfirmed
         = std::any_of(state.runs.begin(), state.runs.end(), [](const auto &run) { return run.second.phase == LocalRun::Phase::StartCancelled; });
-    // Without runs there is no lease to renew. Such a call must not wait, as a renewal may become necessary in the meantime.
-    if (state.runsListed && !cancellationConfirmed && !state.runs.empty()) {
+    // Without runs there is no lease to renew. Such a call must not wait, as a renewal may become necessary in the meantime, unless no run is started.
+    if (state.runsListed && !cancellationConfirmed && (!state.runs.empty() || state.leaving)) {
         hold.wait = holdWait;
     }
     if (hold.until) {
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -266,6 +266,9 @@
         recordSilence(state, event);
         state.holdNotBefore = state.now + (state.worker ? holdRetryDelay : holdRetryDelayWithoutWorker);
         state.endsAckedToWorker = 0;
+        if (event.refused && state.leaving) {
+            handleWorkerTerminated(context, "left");
+        }
         // A worker process that doesn't exist runs nothing.
         state.runsListed = state.runsListed || (event.refused && !state.worker);
         return;
@@ -299,6 +302,23 @@
     state.runsListed = state.runsListed || event.number > state.lastHoldBeforeEpoch;
 }
 
+void handleWorkerTerminated(Context &context, const std::string &reason)
+{
+    AgentState &state = context.state;
+    logDecision(context, "worker.gone", {{"worker", state.worker ? state.worker->id : ""}, {"reason", reason}});
+    recordUnansweredStarts(state);
+    reportRunsLapsed(context, reason);
+    state.worker.reset();
+    state.leaving = false;
+    state.ends.clear();
+    state.endsRecorded = 0;
+    state.endsAckedToWorker = 0;
+    state.clockOffset.reset();
+    state.runsListed = false;
+    state.nextReport.workerTerminated = true;
+    state.nextReportDue = true;
+}
+
 void reportRunsLapsed(Context &context, const std::string &reason)
 {
     AgentState &state = context.state;
@@ -335,6 +355,7 @@
     recordUnansweredStarts(state);
     std::erase_if(state.runs, [&state](const auto &run) { return state.unansweredStarts.contains(run.first); });
     reportRunsLapsed(context, "worker-restarted");
+    state.leaving = false;
     state.leaseEndsAt = {};
     // A hold call in progress may be answered by the former incarnation.
     state.oldestValidHold = state.lastHoldNumber + 1;
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -51,6 +51,7 @@
     std::int64_t heartbeatStartTimeMs = 0; ///< incarnation of the worker that sent the latest heartbeat
     std::uint64_t heartbeatSequence = 0; ///< number of the latest heartbeat of that incarnation
     Base::MonoTime workerHeardAt{};
+    bool leaving = false; ///< a leave call arrived that may be a former incarnation's; the worker's answers and its next heartbeat decide
     std::optional<Base::MonoTime> silentSince; ///< start of the first of the hold calls that have failed in a row
     bool silenceReported = false;
     Base::Duration averageResponseTime{}; ///< from a start call to its response
@@ -102,6 +103,7 @@
     std::uint64_t sequence = 0;
 };
 
+/// A worker has announced its end. The call names no incarnation and may arrive after a restart under the same id.
 struct WorkerLeft {
     std::string id;
 };
--- a/src/libs/taskagent/agentsteps.h
+++ b/src/libs/taskagent/agentsteps.h
@@ -71,6 +71,9 @@
 
 void handlePaceAnswer(Context &context, const PaceAnswered &event);
 
+/// Drops the state of a worker that has ended and reports its runs as lapsed.
+void handleWorkerTerminated(Context &context, const std::string &reason);
+
 /// Reports all runs as lapsed, as the worker has none of them any more.
 void reportRunsLapsed(Context &context, const std::string &reason);
 
--- a/tests/auto/taskagent/agentharness.h
+++ b/tests/auto/taskagent/agentharness.h
@@ -72,6 +72,16 @@
         feed(answer);
     }
 
+    /// Lets the worker's address refuse the latest hold call.
+    void refuseHold()
+    {
+        HoldAnswered refused;
+        refused.refused = true;
+        refused.number = holds.back().number;
+        refused.calledAt = holds.back().calledAt;
+        feed(refused);
+    }
+
     /// Announces the worker and the owner and answers the first hold call.
     void begin(std::uint64_t epoch = 1)
     {
--- a/tests/auto/taskagent/tst_latecalls.cpp
+++ b/tests/auto/taskagent/tst_latecalls.cpp
@@ -27,6 +27,9 @@
     CPPUNIT_TEST(lateHeartbeatDoesNotBringAWorkerBack);
     CPPUNIT_TEST(ignoresLateHeartbeatOfFormerIncarnation);
     CPPUNIT_TEST(restartedWorkerRunsNothing);
+    CPPUNIT_TEST(lateLeaveCallEndsNoRuns);
+    CPPUNIT_TEST(workerThatLeavesGetsNoRuns);
+    CPPUNIT_TEST(workerThatLeavesHasEndedOnceItRefusesConnections);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -158,6 +161,8 @@
         cancelStart(agent, runOf(7));
         agent.orders(1, {startOf(runOf(8))});
         agent.feed(WorkerLeft{"worker-1"});
+        agent.refuseHold();
+        CPPUNIT_ASSERT(!agent.state.worker);
         const std::size_t before = agent.stops.size();
         agent.heartbeat(1, firstStartTimeMs + 5000);
         CPPUNIT_ASSERT_EQUAL(before + 2, agent.stops.size());
@@ -213,6 +218,7 @@
         agent.begin();
         agent.heartbeat(40);
         agent.feed(WorkerLeft{"worker-1"});
+        agent.refuseHold();
         agent.heartbeat(39);
         CPPUNIT_ASSERT(!agent.state.worker);
     }
@@ -240,6 +246,56 @@
         CPPUNIT_ASSERT_EQUAL(firstStartTimeMs + 5000, agent.lastFull().worker->startTimeMs);
     }
 
+    /// Guards against two runs of a task: the leave call of a former incarnation, which names none, arrives after the worker has restarted
+    /// under the same id, and the runs of the new incarnation are taken as ended.
+    void lateLeaveCallEndsNoRuns()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        agent.answerStart(runOf(7));
+        agent.feed(WorkerLeft{"worker-1"});
+        agent.answerHold({{runOf(7), 40}});
+        CPPUNIT_ASSERT(agent.state.runs.contains(runOf(7)));
+        CPPUNIT_ASSERT(!agent.reported([](const auto &report) { return report.workerTerminated || !report.ends.empty(); }));
+        // The next heartbeat shows that the worker stays.
+        agent.heartbeat(2);
+        CPPUNIT_ASSERT(agent.reports.back().report.worker && !agent.reports.back().report.worker->draining);
+        agent.orders(1, {startOf(runOf(8))});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), agent.starts.size());
+    }
+
+    /// Guards against new runs on a worker that is about to end.
+    void workerThatLeavesGetsNoRuns()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.feed(WorkerLeft{"worker-1"});
+        CPPUNIT_ASSERT(agent.reported([](const auto &report) { return report.worker && report.worker->draining; }));
+        agent.orders(1, {startOf(runOf(7))});
+        CPPUNIT_ASSERT(agent.starts.empty());
+    }
+
+    /// Guards against tasks of a worker that has left which wait for the end of its lease. The failure of a call that was
+    /// sent before the leave call says nothing about the time after it.
+    void workerThatLeavesHasEndedOnceItRefusesConnections()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        agent.answerStart(runOf(7));
+        const std::uint64_t earlier = agent.holds.back().number;
+        agent.feed(WorkerLeft{"worker-1"});
+        HoldAnswered refused;
+        refused.refused = true;
+        refused.number = earlier;
+        agent.feed(refused);
+        const auto ended = [](const auto &report) { return report.workerTerminated && report.ends.size() == 1; };
+        CPPUNIT_ASSERT(!agent.reported(ended));
+        agent.refuseHold();
+        CPPUNIT_ASSERT(agent.reported(ended));
+    }
+
 private:
     /// Lets a start call get no response; the stop call is answered and the next list lacks the run.
     static void cancelStart(AgentHarness &agent, const RunRef &run)
