taskagent: a worker that can't be reached in time is not taken for absent

Cause: a hold call that never left this process counted as a refused connection, whatever kept it: a timeout of the connection, or no free connection. For an agent that doesn't know a worker yet, "refused" means that nothing runs. A new process of an agent whose worker was dark so reported an empty list at once, and the tasks started elsewhere while the runs went on under the lease that the former process had renewed.

Change: the client tells a refused connection (ECONNREFUSED) from other calls that were not sent.

The dialect's test demanded that a call which was not sent is a refusal; it now demands that it is none, and that a refused one is.

Result: holdLists and unknownSilentWorkerRunsNothingAfterItsLease failed before the change and pass with it. requestThatNeverLeftIsNotRefused checks a field that is new, so it was not run without it. Tests of taskagent, platform dialects and httpio exchange pass.

--- a/src/libs/httpio/httpclient.cpp
+++ b/src/libs/httpio/httpclient.cpp
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 #include <sys/epoll.h>
 
+#include <cerrno>
 #include <chrono>
 #include <list>
 #include <unordered_map>
@@ -62,6 +63,14 @@
     return sent == 0 ? ClientResponse::Outcome::NotSent : ClientResponse::Outcome::Unknown;
 }
 
+/// Returns whether the peer has refused the connection. Other failures to connect, such as a timeout, don't show that no process listens there.
+bool isRefused(CURL *easy, CURLcode code)
+{
+    long error = 0;
+    curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &error);
+    return code == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
+}
+
 } // namespace
 
 struct HttpClient::Private {
@@ -182,6 +191,7 @@
     calls_.erase(found);
     ClientResponse response;
     response.outcome = outcomeOf(easy, code);
+    response.refused = isRefused(easy, code);
     if (response.outcome == ClientResponse::Outcome::Answered) {
         long status = 0;
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
--- a/src/libs/httpio/httpclient.h
+++ b/src/libs/httpio/httpclient.h
@@ -35,6 +35,7 @@
     Outcome outcome = Outcome::Unknown;
     int status = 0;
     std::string body;
+    bool refused = false; ///< with NotSent: the connection was refused, so no process listens at the address
 };
 
 /// Sends requests over connections that are kept open between them.
--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -316,6 +316,8 @@
 {
     AgentState state;
     state.now = now;
+    // A former process may have renewed the lease a moment ago.
+    Internal::recordLeaseRenewal(state);
     return state;
 }
 
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -269,8 +269,9 @@
         if (event.refused && state.leaving) {
             handleWorkerTerminated(context, "left");
         }
-        // A worker process that doesn't exist runs nothing.
-        state.runsListed = state.runsListed || (event.refused && !state.worker);
+        // A worker process that doesn't exist runs nothing. One that only doesn't answer may run what a former process of the agent has started,
+        // until the lease ends.
+        state.runsListed = state.runsListed || (!state.worker && (event.refused || state.now > state.leaseEndsAt));
         return;
     }
     if (isOutdated(state, event)) {
--- a/tests/auto/httpio/tst_exchange.cpp
+++ b/tests/auto/httpio/tst_exchange.cpp
@@ -6,6 +6,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -16,11 +17,14 @@
 
 namespace {
 
+constexpr std::size_t maxConnections = 4; ///< of the client
+
 /// A server and a client on one loop.
 class Exchange
 {
 public:
-    explicit Exchange(HttpFront::Handler handler) : port(Testing::freePort()), front(loop, {{"127.0.0.1", port}, 1000, 16}, std::move(handler)), client(loop, 4)
+    explicit Exchange(HttpFront::Handler handler)
+        : port(Testing::freePort()), front(loop, {{"127.0.0.1", port}, 1000, 16}, std::move(handler)), client(loop, static_cast<long>(maxConnections))
     {
         CPPUNIT_ASSERT(front.start());
     }
@@ -62,6 +66,7 @@
     CPPUNIT_TEST(answersLater);
     CPPUNIT_TEST(refusesLargeBodies);
     CPPUNIT_TEST(tellsWhatWasNotSent);
+    CPPUNIT_TEST(requestThatNeverLeftIsNotRefused);
     CPPUNIT_TEST(timedOutRequestIsUnknown);
     CPPUNIT_TEST(asksToCloseConnections);
     CPPUNIT_TEST_SUITE_END();
@@ -122,7 +127,22 @@
         Exchange exchange([](const ServerRequest & /*request*/) {});
         ClientRequest request = exchange.request("GET", "/");
         request.url = "http://127.0.0.1:" + std::to_string(Testing::freePort()) + "/";
-        CPPUNIT_ASSERT(exchange.send({request})[0].outcome == Outcome::NotSent);
+        const ClientResponse response = exchange.send({request})[0];
+        CPPUNIT_ASSERT(response.outcome == Outcome::NotSent);
+        CPPUNIT_ASSERT(response.refused);
+    }
+
+    /// Guards against a server that is taken for absent although it only can't be reached in time: here all connections of the client are in use.
+    void requestThatNeverLeftIsNotRefused()
+    {
+        Exchange exchange([](const ServerRequest & /*request*/) {});
+        std::vector<ClientRequest> requests(maxConnections + 1, exchange.request("GET", "/"));
+        for (ClientRequest &request : requests) {
+            request.timeout = 300ms;
+        }
+        const auto responses = exchange.send(requests);
+        CPPUNIT_ASSERT(std::any_of(responses.begin(), responses.end(), [](const auto &response) { return response.outcome == Outcome::NotSent; }));
+        CPPUNIT_ASSERT(std::none_of(responses.begin(), responses.end(), [](const auto &response) { return response.refused; }));
     }
 
     /// Guards against "not carried out" for a request whose answer is lost.
--- a/tests/auto/platform/tst_dialects.cpp
+++ b/tests/auto/platform/tst_dialects.cpp
@@ -274,7 +274,8 @@
         CPPUNIT_ASSERT(lists.ends[0].outcome == Jobs::RunOutcome::Done);
         CPPUNIT_ASSERT(!holdAnswer(call, answer(200, "{}")).answered);
         CPPUNIT_ASSERT(!holdAnswer(call, answer(409, R"({"Running":[],"Ended":[]})")).answered);
-        CPPUNIT_ASSERT(holdAnswer(call, {Outcome::NotSent, 0, ""}).refused);
+        CPPUNIT_ASSERT(!holdAnswer(call, {Outcome::NotSent, 0, ""}).refused);
+        CPPUNIT_ASSERT(holdAnswer(call, {Outcome::NotSent, 0, "", true}).refused);
     }
 
     /// Guards against heartbeats that are accepted without a required field or with an unknown state.
--- a/tests/auto/taskagent/tst_latecalls.cpp
+++ b/tests/auto/taskagent/tst_latecalls.cpp
@@ -1,5 +1,6 @@
 #include "agentharness.h"
 
+#include "jobs/jobsconstants.h"
 #include "taskagent/taskagentconstants.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -30,6 +31,7 @@
     CPPUNIT_TEST(lateLeaveCallEndsNoRuns);
     CPPUNIT_TEST(workerThatLeavesGetsNoRuns);
     CPPUNIT_TEST(workerThatLeavesHasEndedOnceItRefusesConnections);
+    CPPUNIT_TEST(unknownSilentWorkerRunsNothingAfterItsLease);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -296,6 +298,25 @@
         CPPUNIT_ASSERT(agent.reported(ended));
     }
 
+    /// Guards against two runs of a task: a new process of the agent takes a worker that doesn't answer for one that runs nothing, while runs
+    /// go on under the lease that the former process has renewed. After the lease a new owner must not wait for the worker any longer.
+    void unknownSilentWorkerRunsNothingAfterItsLease()
+    {
+        AgentHarness agent;
+        const Base::MonoTime begun = agent.now();
+        agent.orders(1);
+        const auto isFull = [](const auto &report) { return report.full; };
+        while (!agent.reported(isFull) && agent.now() - begun < 5s) {
+            HoldAnswered unanswered;
+            unanswered.number = agent.holds.back().number;
+            agent.feed(unanswered);
+            agent.advance(holdRetryDelayWithoutWorker);
+        }
+        CPPUNIT_ASSERT(agent.reported(isFull));
+        CPPUNIT_ASSERT(agent.now() - begun > Jobs::workerLease);
+        CPPUNIT_ASSERT(agent.now() - begun < 2s);
+    }
+
 private:
     /// Lets a start call get no response; the stop call is answered and the next list lacks the run.
     static void cancelStart(AgentHarness &agent, const RunRef &run)
