taskagent: a restarted worker that falls silent keeps its late starts

Cause: a start call without an answer may be executed up to 12 s late, also by a new incarnation of the worker, whose clock starts anew, so the end of the lease in the call doesn't refuse it. The agent keeps such a start until it is cancelled at the new incarnation, but 6 s of silence ended all runs: the task started elsewhere while the worker might still execute the call.

Change: a worker at which a start may be executed late counts as terminated only once that time has passed, neither by its silence nor by a leave call. Its other runs end with the lease as before. The incarnation that was called needs no such wait: it refuses a start whose lease has ended.

--- a/src/libs/taskagent/agentcancellations.cpp
+++ b/src/libs/taskagent/agentcancellations.cpp
@@ -72,6 +72,17 @@
     }
 }
 
+std::optional<Base::MonoTime> lateStartsPossibleUntil(const AgentState &state)
+{
+    std::optional<Base::MonoTime> latest;
+    for (const auto &[run, local] : state.runs) {
+        if (local.possibleUntil > state.now) {
+            latest = std::max(latest.value_or(local.possibleUntil), local.possibleUntil);
+        }
+    }
+    return latest;
+}
+
 void dropCancelledStarts(Context &context, const HoldAnswered &event)
 {
     AgentState &state = context.state;
--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -43,7 +43,8 @@
         state.stopRetries.erase(run);
         Internal::stopRun(context, run);
     }
-    if (state.worker && state.now - state.workerHeardAt > workerSilenceTimeout) {
+    // A worker that has restarted may do so again and then execute a start call late; its task must not start elsewhere before.
+    if (state.worker && state.now - state.workerHeardAt > workerSilenceTimeout && !Internal::lateStartsPossibleUntil(state)) {
         Internal::handleWorkerTerminated(context, "silent");
     }
 }
@@ -352,7 +353,8 @@
         due.consider(state.holdNotBefore);
     }
     if (state.worker) {
-        due.consider(state.workerHeardAt + workerSilenceTimeout + Base::Duration(1));
+        const Base::MonoTime silentAt = state.workerHeardAt + workerSilenceTimeout + Base::Duration(1);
+        due.consider(std::max(silentAt, Internal::lateStartsPossibleUntil(state).value_or(silentAt)));
     }
     return due.time();
 }
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -266,7 +266,7 @@
         recordSilence(state, event);
         state.holdNotBefore = state.now + (state.worker ? holdRetryDelay : holdRetryDelayWithoutWorker);
         state.endsAckedToWorker = 0;
-        if (event.refused && state.leaving) {
+        if (event.refused && state.leaving && !lateStartsPossibleUntil(state)) {
             handleWorkerTerminated(context, "left");
         }
         // A worker process that doesn't exist runs nothing. One that only doesn't answer may run what a former process of the agent has started,
--- a/src/libs/taskagent/agentsteps.h
+++ b/src/libs/taskagent/agentsteps.h
@@ -61,6 +61,9 @@
 /// Cancels all starts that the worker's new incarnation may execute late.
 void cancelUnansweredStarts(Context &context);
 
+/// Returns the time up to which the worker may execute a start call of a former incarnation late. Returns no value without such a call.
+std::optional<Base::MonoTime> lateStartsPossibleUntil(const AgentState &state);
+
 /// Drops cancelled starts that a list of the worker lacks which is newer than the cancellation: they never ran.
 void dropCancelledStarts(Context &context, const HoldAnswered &event);
 
--- a/src/libs/taskagent/taskagentconstants.h
+++ b/src/libs/taskagent/taskagentconstants.h
@@ -37,6 +37,8 @@
 
 /// A heartbeat is late if its number is lower than the latest one by less than this. Heartbeats are delayed by at most minutes, which are fewer of them.
 constexpr std::uint64_t maxHeartbeatsLate = 10'000;
-constexpr Base::Duration workerSilenceTimeout = 6s; ///< a worker that neither answers nor sends heartbeats for longer counts as terminated
+
+/// A worker that neither answers nor sends heartbeats for longer counts as terminated, unless it has restarted and may execute a start call late.
+constexpr Base::Duration workerSilenceTimeout = 6s;
 
 } // namespace LaburnumFlow::TaskAgent
--- a/tests/auto/taskagent/tst_latecalls.cpp
+++ b/tests/auto/taskagent/tst_latecalls.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(workerThatLeavesGetsNoRuns);
     CPPUNIT_TEST(workerThatLeavesHasEndedOnceItRefusesConnections);
     CPPUNIT_TEST(unknownSilentWorkerRunsNothingAfterItsLease);
+    CPPUNIT_TEST(restartedWorkerThatFallsSilentKeepsALateStart);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -317,6 +318,28 @@
         CPPUNIT_ASSERT(agent.now() - begun < 2s);
     }
 
+    /// Guards against two runs of a task: a restarted worker that may execute a start call late falls silent before the call is cancelled there, and
+    /// the run is reported as lapsed while the worker may still execute it.
+    void restartedWorkerThatFallsSilentKeepsALateStart()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        const Base::MonoTime calledAt = agent.now();
+        agent.feed(StartAnswered{runOf(7), firstStartTimeMs, StartAnswered::Outcome::NoAnswer, {}, {}});
+        agent.heartbeat(1, firstStartTimeMs + 1000);
+        const auto ended = [](const Jobs::AgentReport &report) {
+            return report.workerTerminated || std::any_of(report.ends.begin(), report.ends.end(), [](const auto &end) { return end.run == runOf(7); });
+        };
+        while (!agent.reported(ended) && agent.now() - calledAt < lateExecutionTimeout + workerSilenceTimeout) {
+            agent.advance(std::max<Base::Duration>(nextDue(agent.state).value() - agent.now(), 1ms));
+        }
+        CPPUNIT_ASSERT(agent.reported(ended));
+        CPPUNIT_ASSERT(agent.now() - calledAt >= lateExecutionTimeout);
+        CPPUNIT_ASSERT(agent.now() - calledAt < lateExecutionTimeout + 100ms);
+        CPPUNIT_ASSERT(!agent.state.worker);
+    }
+
 private:
     /// Lets a start call get no response; the stop call is answered and the next list lacks the run.
     static void cancelStart(AgentHarness &agent, const RunRef &run)
