taskagent: an odd end number in a list of its own hides no other end

Cause: the agent took all numbers before the lowest listed end as recorded. A list whose only row has a number far above the worker's own so made all later ends look recorded, and their tasks never ended for the owner.

Change: missing numbers count as recorded only in the first list that the agent reads of an incarnation, as a former process may have acknowledged them, or when two lists in succession lack them: the worker lists an end again until it is acknowledged, and one odd row is not repeated. The agent asks for the second list at once. A gap, as left by a row that can't be read, is skipped as before, one call later.

Not told apart: such a row in the first list of an incarnation, one that is repeated, and one with the name of a run that is active.

--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -230,7 +230,7 @@
         return false;
     }
     const bool leaveUncertain = state.leaving && !state.stopping;
-    return !state.runsListed || !state.runs.empty() || state.endsAckedToWorker < state.endsRecorded || leaveUncertain;
+    return !state.runsListed || !state.runs.empty() || state.endsAckedToWorker < state.endsRecorded || state.endsGapUnconfirmed || leaveUncertain;
 }
 
 void startHold(Context &context)
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -80,13 +80,18 @@
 }
 
 /// Adopts as recorded all ends before the first listed one, since the worker lists all ends that weren't acknowledged to it. The smallest number is used
-/// rather than the number of the first row, so that a row with a number out of order doesn't make the other ends look recorded. Numbers begin at 1.
+/// rather than the number of the first row, so that a row with a number out of order doesn't make the other ends look recorded. Such a row may also be
+/// the only one, so numbers count as missing only in the first list of an incarnation or when two lists in succession lack them. Numbers begin at 1.
 void adoptRecordedEnds(AgentState &state, const std::vector<Jobs::RunEnd> &ends)
 {
     const auto hasLowerNumber = [](const Jobs::RunEnd &left, const Jobs::RunEnd &right) { return left.number < right.number; };
     const auto first = std::min_element(ends.begin(), ends.end(), hasLowerNumber);
-    if (first != ends.end() && first->number > 0) {
-        state.endsRecorded = std::max(state.endsRecorded, first->number - 1);
+    const std::uint64_t number = first != ends.end() ? first->number : 0;
+    const bool confirmed = !state.firstEndListed || *state.firstEndListed == number;
+    state.firstEndListed = number;
+    state.endsGapUnconfirmed = !confirmed && number > state.endsRecorded + 1;
+    if (confirmed && number > 0) {
+        state.endsRecorded = std::max(state.endsRecorded, number - 1);
     }
 }
 
@@ -312,6 +317,8 @@
     state.worker.reset();
     state.leaving = false;
     state.ends.clear();
+    state.firstEndListed.reset();
+    state.endsGapUnconfirmed = false;
     state.endsRecorded = 0;
     state.endsAckedToWorker = 0;
     state.clockOffset.reset();
@@ -365,6 +372,8 @@
     state.holdNotBefore = state.now;
     state.silentSince.reset();
     state.ends.clear();
+    state.firstEndListed.reset();
+    state.endsGapUnconfirmed = false;
     state.endsRecorded = 0;
     state.endsAckedToWorker = 0;
     state.clockOffset.reset();
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -76,6 +76,8 @@
 
     // Ended runs, by the numbers that the worker has given them.
     std::map<std::uint64_t, Jobs::RunEnd> ends; ///< ends that the owner has not recorded yet
+    std::optional<std::uint64_t> firstEndListed; ///< lowest number in the latest list of this incarnation, 0 if it had no ends; no value before
+    bool endsGapUnconfirmed = false; ///< the latest list lacks numbers above endsRecorded, and the list before doesn't show that they are missing
     std::uint64_t endsRecorded = 0; ///< the owner has recorded all ends up to this number
     std::uint64_t endsAckedToWorker = 0; ///< all ends up to this number are acknowledged to the worker
 
--- a/tests/auto/taskagent/tst_agent.cpp
+++ b/tests/auto/taskagent/tst_agent.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(repeatsAcknowledgementAfterLostHold);
     CPPUNIT_TEST(numbersOfEndsMayBeginAnywhere);
     CPPUNIT_TEST(oddEndNumberHidesNoOtherEnd);
+    CPPUNIT_TEST(oddEndNumberInAListOfItsOwnHidesNoOtherEnd);
+    CPPUNIT_TEST(gapInTheNumbersOfEndsIsAcknowledged);
     CPPUNIT_TEST(oddSequenceHidesNoLaterHeartbeat);
     CPPUNIT_TEST(oddStartTimeHidesTheWorkerOnlyUntilItsNextList);
     CPPUNIT_TEST(startsNothingOnDrainingWorker);
@@ -310,6 +312,40 @@
         }
     }
 
+    /// Guards against tasks that never end for the owner because one list has a single row with a number far above the worker's own, which makes
+    /// all later ends look recorded.
+    void oddEndNumberInAListOfItsOwnHidesNoOtherEnd()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        agent.answerStart(runOf(7));
+        agent.answerHold({{runOf(7), 40}}, {{1'000'000, runOf(9), Jobs::RunOutcome::Done, 0}});
+        agent.answerHold({}, {{1, runOf(7), Jobs::RunOutcome::Done, 0}});
+        const auto isReported = [](const auto &report) {
+            return std::any_of(report.ends.begin(), report.ends.end(), [](const Jobs::RunEnd &end) { return end.number == 1 && end.run == runOf(7); });
+        };
+        CPPUNIT_ASSERT(agent.reported(isReported));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), agent.state.endsRecorded);
+    }
+
+    /// Guards against ends that are never acknowledged because numbers before them are missing: no row of the list with such a number could be
+    /// read, or they were acknowledged before the agent was restarted. The worker has no other run, so no other call shows the list again.
+    void gapInTheNumbersOfEndsIsAcknowledged()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        agent.answerStart(runOf(7));
+        agent.answerHold({}, {{58, runOf(7), Jobs::RunOutcome::Done, 0}});
+        if (agent.state.endsRecorded < 57) {
+            CPPUNIT_ASSERT(agent.state.holdInProgress);
+            agent.answerHold({}, {{58, runOf(7), Jobs::RunOutcome::Done, 0}});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(57), agent.state.endsRecorded);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), agent.state.ends.size());
+    }
+
     /// Guards against a worker that is no longer heard because another writer sent a heartbeat with a number far above its own.
     void oddSequenceHidesNoLaterHeartbeat()
     {
