Start no task while an older run of it may still run anywhere

Cause: the owner starts a task when its phase is Ready, and the phase knows only the run that the present job object has ordered or adopted. A best-effort job is forgotten when it was abandoned or has failed and its answer is no longer kept, while a run of it may still be in Agent::runs with a stop that takes long (up to 15 s for a start that may be executed late, against a window of 5 s). If the job was submitted again then, its task started on another worker beside that run, with the same run number. A gang started beside a stopped run of a member that had another run number and so was not adopted.

Change: the owner counts the runs of each task over all agents, where runs are added and removed, and the scheduler passes over a task (or a gang with a member) whose count isn't zero. It holds for every way in which such a run comes about, and costs one hash table entry for each run. An end "done" of the older run counts for the task.

--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -38,12 +38,13 @@
     return isWithin(agent.used + need, agent.worker->capacity);
 }
 
-void addRun(Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders, Base::MonoTime since)
+bool addRun(Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders, Base::MonoTime since)
 {
     if (!agent.runs.emplace(run, ActiveRun{need, orders, false, since}).second) {
-        return;
+        return false;
     }
     agent.used += need;
+    return true;
 }
 
 bool removeRun(Agent &agent, const RunRef &run)
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -65,8 +65,8 @@
 /// Returns whether the worker has the needed resources free.
 bool hasCapacityFor(const Agent &agent, const Resources &need);
 
-/// Adds a run unless it is known. \a orders is the number of the orders with its start, or 0 for a run that the agent listed.
-void addRun(Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders, Base::MonoTime since);
+/// Adds a run unless it is known. \a orders is the number of the orders with its start, or 0 for a run that the agent listed. Returns whether it was added.
+bool addRun(Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders, Base::MonoTime since);
 
 /// Replaces the need of a known run, as a restarted agent may not have reported it.
 void updateNeed(Agent &agent, const RunRef &run, const Resources &need);
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -192,13 +192,19 @@
     }
 };
 
+struct TaskRefHash {
+    std::size_t operator()(const TaskRef &ref) const noexcept
+    {
+        std::uint64_t value = ref.job ^ (static_cast<std::uint64_t>(ref.step) << 48U);
+        value ^= static_cast<std::uint64_t>(ref.index) * 0x9E3779B97F4A7C15ULL;
+        return value ^ (static_cast<std::uint64_t>(ref.occurrence) << 32U);
+    }
+};
+
 struct RunRefHash {
     std::size_t operator()(const RunRef &ref) const noexcept
     {
-        std::uint64_t value = ref.task.job ^ (static_cast<std::uint64_t>(ref.task.step) << 48U);
-        value ^= static_cast<std::uint64_t>(ref.task.index) * 0x9E3779B97F4A7C15ULL;
-        value ^= static_cast<std::uint64_t>(ref.task.occurrence) << 32U;
-        return value ^ (static_cast<std::uint64_t>(ref.run) << 20U);
+        return TaskRefHash()(ref.task) ^ (static_cast<std::uint64_t>(ref.run) << 20U);
     }
 };
 
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -23,7 +23,7 @@
             context, "worker.lost", {{"agent", context.state.agents[index].name}, {"reason", std::string(reason)}, {"runs", std::to_string(lost.size())}});
     }
     for (const RunRef &run : lost) {
-        removeRun(context.state.agents[index], run);
+        removeRunOfTask(context.state, context.state.agents[index], run);
         handleTaskLost(context, run, index);
     }
     context.state.schedulingDue = true;
@@ -73,7 +73,7 @@
         }
         return;
     }
-    addRun(agent, run, possible.need, 0, state.now);
+    addRunOfTask(state, agent, run, possible.need, 0);
     Job *job = findJob(state, run.task.job);
     if (job == nullptr && !state.finished.contains(run.task.job)) {
         state.orphans[run.task.job].push_back({index, run});
@@ -152,6 +152,25 @@
     return state.agents[found->second];
 }
 
+void addRunOfTask(OwnerState &state, Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders)
+{
+    if (addRun(agent, run, need, orders, state.now)) {
+        ++state.runCounts[run.task];
+    }
+}
+
+bool removeRunOfTask(OwnerState &state, Agent &agent, const RunRef &run)
+{
+    if (!removeRun(agent, run)) {
+        return false;
+    }
+    const auto found = state.runCounts.find(run.task);
+    if (--found->second == 0) {
+        state.runCounts.erase(found);
+    }
+    return true;
+}
+
 void sendRunRequirements(Agent &agent, const Job &job, const RunRef &run)
 {
     const StepSpec &step = stepSpec(job, findStepIndex(job, run.task));
--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -236,7 +236,7 @@
     if (!registerEnd(agent, end.number)) {
         return;
     }
-    context.state.schedulingDue |= removeRun(agent, end.run) && !context.state.ready.empty();
+    context.state.schedulingDue |= removeRunOfTask(context.state, agent, end.run) && !context.state.ready.empty();
     const EndAck endAck{agent.name, agent.worker ? agent.worker->startTimeMs : 0, end.number};
     Job *job = findJob(context.state, end.run.task.job);
     const bool open = job != nullptr && !job->finishing && ensureOccurrenceBegun(context, *job, end.run.task);
@@ -284,7 +284,7 @@
 void handleRefusal(Context &context, AgentIndex index, const RunRefusal &refusal)
 {
     Agent &agent = context.state.agents[index];
-    removeRun(agent, refusal.run);
+    context.state.schedulingDue |= removeRunOfTask(context.state, agent, refusal.run) && !context.state.ready.empty();
     logDecision(context, "task.refused", {{"run", formatRun(refusal.run)}, {"agent", agent.name}, {"reason", std::string(toString(refusal.reason))}});
     if (Job *job = findJob(context.state, refusal.run.task.job); job != nullptr && hasTask(*job, refusal.run.task)) {
         Task &task = job->tasks[flatIndex(*job, refusal.run.task)];
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -56,7 +56,7 @@
     task.run = static_cast<std::uint32_t>((state.epoch - 1) * runsPerEpoch) + starts;
     --job.readyTasks;
     const RunRef run{taskRef(job, flat), task.run};
-    addRun(agent, run, stepSpecOfTask(job, flat).need, agent.ordersSent + 1, state.now);
+    addRunOfTask(state, agent, run, stepSpecOfTask(job, flat).need, agent.ordersSent + 1);
     addToOrders(state, index, job, run);
     markStarted(state, job);
     logDecision(
@@ -66,6 +66,12 @@
     round.largestFreeMilli = largestFreeMilli(state);
 }
 
+/// Returns whether a run of the task may still be running, such as one that is being stopped and belongs to an earlier submission of the job.
+bool hasFormerRun(const OwnerState &state, const Job &job, std::uint32_t flat)
+{
+    return state.runCounts.contains(taskRef(job, flat));
+}
+
 /// Returns whether the step has waited for at least \a limit. Otherwise requests another round for that time.
 bool hasWaited(Round &round, const StepProgress &progress, Base::Duration limit)
 {
@@ -100,6 +106,11 @@
     if (job.tasks[first].phase != Task::Phase::Ready) {
         return;
     }
+    for (std::uint32_t flat = first; flat < job.firstTask[step + 1U]; ++flat) {
+        if (hasFormerRun(round.context.state, job, flat)) {
+            return;
+        }
+    }
     std::vector<AgentIndex> agents;
     if (stepSpec(job, step).need.cpuMilli <= round.largestFreeMilli) {
         agents = chooseGangWorkers(round.context.state, job, step, maySplitRacks(round, job, step), round.reservedWorkers);
@@ -186,7 +197,7 @@
     const StepSpec &spec = stepSpec(job, step);
     bool allPlaced = true;
     for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U] && job.readyTasks > 0; ++flat) {
-        if (job.tasks[flat].phase != Task::Phase::Ready || isRestartDelayed(round, job.tasks[flat])) {
+        if (job.tasks[flat].phase != Task::Phase::Ready || isRestartDelayed(round, job.tasks[flat]) || hasFormerRun(round.context.state, job, flat)) {
             continue;
         }
         const AgentIndex index = spec.need.cpuMilli > round.largestFreeMilli ? noAgent : chooseWorker(round.context.state, job, flat, round.reservedWorkers);
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -177,6 +177,7 @@
     std::deque<HeldQuery> heldQueries; ///< Oldest first.
     std::vector<Agent> agents;
     std::unordered_map<std::string, AgentIndex> agentByName;
+    std::unordered_map<TaskRef, std::uint32_t, TaskRefHash> runCounts; ///< Number of runs of each task on all agents; no entry if there is none.
     std::set<std::string> awaitedAgents; ///< Agents without a full report yet that may run tasks of a former owner.
     bool formerOwnersFenced = false; ///< As in FormerOwnersFenced.
     std::set<std::string> givenUpAgents; ///< Agents that had not reported when the wait for them ended, with former owners not fenced.
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -89,6 +89,12 @@
 Agent &findOrAddAgent(OwnerState &state, const std::string &name);
 void handleReport(Context &context, const std::string &name, const AgentReport &report);
 void handleUnlinked(Context &context, const std::string &name);
+
+/// Adds a run to the agent's, and counts it for its task, unless it is known. \a orders is as for addRun().
+void addRunOfTask(OwnerState &state, Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders);
+
+/// Removes a run from the agent's and from the count of its task. Returns whether it was known.
+bool removeRunOfTask(OwnerState &state, Agent &agent, const RunRef &run);
 void orderStop(Agent &agent, const RunRef &run);
 
 /// Sends the requirements of a listed run to its agent if the agent doesn't know them because it has been restarted.
