Acknowledge an end that is listed again only once it is recorded

Cause: the owner acknowledges an end that decides nothing any more at once. An end whose decision isn't recorded yet is such an end when it is listed again, after its agent took the worker for terminated and found it again: the task is Done in memory, or the job is waiting for its final state, and the worker forgets the end while the store may not know it. An owner lost then leaves a successor that starts the task again. The same for a failure, which no owner counts then.

Change: an outdated end "done" or "failed" of a job that the owner knows waits for the job's next record, as one of a gang's member did already.

--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -122,12 +122,12 @@
     }
 }
 
-/// Acknowledges an end that decides nothing any more. One of a gang's member that was done waits for the next record, as the completion of the whole gang may
-/// not be recorded yet.
+/// Acknowledges an end that decides nothing any more. The end of a task's work, or one that counts as an attempt, waits for the next record: it may be an end of
+/// another gang member, or one that is listed again, and what it has decided may not be recorded yet.
 void acknowledgeOutdatedEnd(Context &context, Job *job, AgentIndex agent, const RunEnd &end, const EndAck &endAck)
 {
-    const bool isGangMember = job != nullptr && hasTask(*job, end.run.task) && job->spec.steps[end.run.task.step].gang;
-    if (!isGangMember || end.outcome != RunOutcome::Done || job->bestEffort) {
+    const bool mayHaveDecided = end.outcome == RunOutcome::Done || end.outcome == RunOutcome::Failed;
+    if (job == nullptr || !mayHaveDecided) {
         markEndRecorded(context.state.agents[agent], endAck.number);
         return;
     }
--- a/tests/auto/jobs/tst_repeatedstarts.cpp
+++ b/tests/auto/jobs/tst_repeatedstarts.cpp
@@ -28,6 +28,21 @@
     return {};
 }
 
+std::uint64_t acknowledgedEnds(OwnerHarness &owner)
+{
+    owner.advanceTime(ordersKeepAliveInterval);
+    return owner.endsRecorded["agent-1"];
+}
+
+/// Reports that the worker of agent-1 has terminated, then that it is back and lists all ends that it was not told to forget.
+void listEndsAgain(OwnerHarness &owner, std::vector<RunEnd> ends)
+{
+    AgentReport terminated = owner.report("agent-1");
+    terminated.workerTerminated = true;
+    owner.feed(AgentReported{"agent-1", std::move(terminated)});
+    owner.join("agent-1", 8000, {}, std::move(ends));
+}
+
 } // namespace
 
 /// Each record that keeps a task from a second start.
@@ -39,6 +54,9 @@
     CPPUNIT_TEST(gangWaitsForRunsOfOtherNumbers);
     CPPUNIT_TEST(endOfAFormerRunCounts);
     CPPUNIT_TEST(lostWorkerHoldsNoTaskBack);
+    CPPUNIT_TEST(endsListedAgainWaitForTheRecord);
+    CPPUNIT_TEST(endsListedAgainWaitForTheFinalState);
+    CPPUNIT_TEST(failuresListedAgainWaitForTheRecord);
     CPPUNIT_TEST(cancelledJobIsNotRunAgain);
     CPPUNIT_TEST(jobBeingFinishedIsNotRunAgain);
     CPPUNIT_TEST(finalStateIsKeptForLateSubmissions);
@@ -142,6 +160,52 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStarts(other).size());
     }
 
+    /// Guards against an end that the worker may forget before it is recorded, as it lists the end again; the next owner would repeat the task.
+    void endsListedAgainWaitForTheRecord()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, submission(7, 2));
+        owner.commit();
+        const RunRef run = owner.orderedStarts("agent-1").at(0);
+        owner.reportEnd("agent-1", run, RunOutcome::Done);
+        listEndsAgain(owner, {{1, run, RunOutcome::Done, 100}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), acknowledgedEnds(owner));
+        owner.commitAll();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), acknowledgedEnds(owner));
+    }
+
+    /// Guards against the same while the commit with the job's final state takes long.
+    void endsListedAgainWaitForTheFinalState()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        owner.submit(1, submission(7, 1));
+        owner.commit();
+        const RunRef run = owner.orderedStarts("agent-1").at(0);
+        owner.reportEnd("agent-1", run, RunOutcome::Done);
+        listEndsAgain(owner, {{1, run, RunOutcome::Done, 100}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), acknowledgedEnds(owner));
+        owner.commitAll();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), acknowledgedEnds(owner));
+    }
+
+    /// Guards against a failure that no owner counts, as the worker forgets it before it is recorded.
+    void failuresListedAgainWaitForTheRecord()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.join("agent-1", 1000);
+        owner.submit(1, submission(7, 1));
+        owner.commit();
+        const RunRef run = owner.orderedStarts("agent-1").at(0);
+        owner.join("agent-2", 1000);
+        owner.reportEnd("agent-1", run, RunOutcome::Failed);
+        listEndsAgain(owner, {{1, run, RunOutcome::Failed, 100}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), acknowledgedEnds(owner));
+        owner.commitAll();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), acknowledgedEnds(owner));
+    }
+
     /// Guards against a cancelled job that runs when a late submission of it arrives, also before its final state is stored.
     void cancelledJobIsNotRunAgain()
     {
