Keep final states until no older record of their jobs is in the store

Cause: a pack stays in the store as long as one of its jobs is unfinished, with the records of others that have finished since. Only their final states tell a new owner so. After an outage of the store, or at a takeover after a loss of all machines, both are old: the first commit removes final states, while the pack is rewritten by that commit and removed by the next one at the earliest. If the owner is lost in between, its successor takes the finished jobs of the pack for unfinished and runs them again.

Change: a segment of final states names the first pack that is newer than all records of its jobs, and is removed only once no older pack is left. It may go in the commit that removes the last one.

Result: TestRecorder finalStatesOutliveOlderRecords and finalStatesOfFormerOwnersOutliveTheirRecords failed before (the final states were removed first) and pass.

--- a/src/libs/jobs/jobpacks.cpp
+++ b/src/libs/jobs/jobpacks.cpp
@@ -1,5 +1,6 @@
 #include "jobpacks.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace LaburnumFlow::Jobs {
@@ -56,6 +57,12 @@
     return keys;
 }
 
+bool JobPacks::hasKeyBelow(const std::string &key) const
+{
+    const auto isBelow = [&key](const std::string &other) { return other < key; };
+    return (!packs_.empty() && isBelow(packs_.begin()->first)) || std::any_of(emptyKeys_.begin(), emptyKeys_.end(), isBelow);
+}
+
 std::vector<JobId> JobPacks::jobsWrittenBefore(std::int64_t ms) const
 {
     std::vector<JobId> jobs;
--- a/src/libs/jobs/jobpacks.h
+++ b/src/libs/jobs/jobpacks.h
@@ -33,6 +33,9 @@
     /// might be removed before the key that still holds their records.
     std::vector<JobId> jobsWrittenBefore(std::int64_t ms) const;
 
+    /// Returns whether a key below the given one, which holds older records, is still in the store or is not removed yet.
+    bool hasKeyBelow(const std::string &key) const;
+
 private:
     struct Pack {
         std::int64_t writtenMs = 0;
--- a/src/libs/jobs/recorder.cpp
+++ b/src/libs/jobs/recorder.cpp
@@ -66,11 +66,11 @@
     commit_ = std::move(commit);
     mayBeRecorded_ = false;
     writeAgents();
-    removeOldSegments(wall);
 
     for (std::string &key : packs_.takeEmptyKeys(maxKeyRemovalsPerCommit)) {
         commit_->deletes.push_back(std::move(key));
     }
+    removeOldSegments(wall);
     const std::size_t finishedBefore = segment_.jobs.size();
     std::size_t bytes = 0;
     while (!queued_.empty() && inFlight_.size() < maxChangesPerCommit && bytes < maxCommitBytes) {
@@ -124,7 +124,7 @@
     const std::string key = finishedKey(owner_.epoch, segmentNumber_);
     commit_->writes.push_back({key, encodeRecord(segment_)});
     if (segment_.jobs.size() >= maxFinishedPerSegment) {
-        segments_.push_back({key, segment_.newestMs});
+        segments_.push_back({key, segment_.newestMs, packKey(owner_.epoch, packNumber_)});
         segment_ = {};
         ++segmentNumber_;
     }
@@ -135,8 +135,14 @@
     // With the other entries of a commit, this keeps the transaction within the store's limit of 32 entries.
     constexpr int maxRemoved = 2;
     const std::int64_t oldest = wall.count() - std::chrono::duration_cast<std::chrono::milliseconds>(finalStateRetention).count();
-    for (int i = 0; i < maxRemoved && !segments_.empty() && segments_.front().newestMs < oldest; ++i) {
-        commit_->deletes.push_back(segments_.front().key);
+    for (int i = 0; i < maxRemoved && !segments_.empty(); ++i) {
+        // A later owner takes a job for unfinished if it finds its record but not its final state. The age alone can't tell that the record is gone: after an
+        // outage of the store both are old.
+        const Segment &segment = segments_.front();
+        if (segment.newestMs >= oldest || packs_.hasKeyBelow(segment.packsBelow)) {
+            return;
+        }
+        commit_->deletes.push_back(segment.key);
         segments_.pop_front();
     }
 }
@@ -185,7 +191,7 @@
 
 void Recorder::adoptSegment(std::string key, std::int64_t newestMs)
 {
-    segments_.push_back({std::move(key), newestMs});
+    segments_.push_back({std::move(key), newestMs, packKey(owner_.epoch, 0)});
 }
 
 void Recorder::adoptPack(const std::string &key, const std::vector<JobId> &jobs, std::int64_t writtenMs)
--- a/src/libs/jobs/recorder.h
+++ b/src/libs/jobs/recorder.h
@@ -148,6 +148,7 @@
     struct Segment {
         std::string key;
         std::int64_t newestMs = 0;
+        std::string packsBelow; ///< Packs with lower keys may hold records of the segment's jobs.
     };
 
     void fillCommit(Base::WallTime wall);
--- a/tests/auto/jobs/tst_recorder.cpp
+++ b/tests/auto/jobs/tst_recorder.cpp
@@ -48,6 +48,8 @@
     CPPUNIT_TEST(leavingAgentsAreNotRecorded);
     CPPUNIT_TEST(refusedCommitIsRepeatedWithNewAgents);
     CPPUNIT_TEST(removesOldSegments);
+    CPPUNIT_TEST(finalStatesOutliveOlderRecords);
+    CPPUNIT_TEST(finalStatesOfFormerOwnersOutliveTheirRecords);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -288,6 +290,60 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), later->deletes.size());
         CPPUNIT_ASSERT_EQUAL(std::string("old"), later->deletes[0]);
     }
+
+    /// Guards against a finished job that the next owner takes for unfinished and runs again: after an outage of the store, its final state was old and
+    /// removed before the pack with its record.
+    void finalStatesOutliveOlderRecords()
+    {
+        Recorder recorder = makeRecorder();
+        std::int64_t revision = firstRevision;
+        for (JobId job = 1; job <= maxFinishedPerSegment + 1; ++job) {
+            recorder.add(putJob(job));
+        }
+        commit(recorder, revision, 1s, wall);
+        for (JobId job = 1; job <= maxFinishedPerSegment; ++job) {
+            recorder.add(finishJob(job));
+        }
+        commit(recorder, revision, 2s, wall);
+        recorder.add(putJob(maxFinishedPerSegment + 2));
+        CPPUNIT_ASSERT(commit(recorder, revision, 3s, muchLater).empty());
+        // The unfinished job is recorded under another key, so the pack can be removed.
+        recorder.add(putJob(maxFinishedPerSegment + 1));
+        commit(recorder, revision, 4s, muchLater);
+        recorder.add(putJob(maxFinishedPerSegment + 3));
+        const std::vector<std::string> deletes = commit(recorder, revision, 5s, muchLater);
+        CPPUNIT_ASSERT_EQUAL(packKey(3, 0), deletes.at(0));
+        CPPUNIT_ASSERT_EQUAL(finishedKey(3, 0), deletes.at(1));
+    }
+
+    /// Guards against the same with records and final states of a former owner that are old at the takeover.
+    void finalStatesOfFormerOwnersOutliveTheirRecords()
+    {
+        Recorder recorder = makeRecorder();
+        std::int64_t revision = firstRevision;
+        recorder.adoptPack(packKey(2, 0), {1}, wall.count());
+        recorder.adoptSegment(finishedKey(2, 0), wall.count());
+        recorder.add(putJob(2));
+        CPPUNIT_ASSERT(commit(recorder, revision, 1s, muchLater).empty());
+        recorder.add(putJob(1));
+        commit(recorder, revision, 2s, muchLater);
+        recorder.add(putJob(3));
+        const std::vector<std::string> deletes = commit(recorder, revision, 3s, muchLater);
+        CPPUNIT_ASSERT_EQUAL(packKey(2, 0), deletes.at(0));
+        CPPUNIT_ASSERT_EQUAL(finishedKey(2, 0), deletes.at(1));
+    }
+
+private:
+    static constexpr Base::WallTime muchLater = wall + std::chrono::duration_cast<Base::WallTime>(finalStateRetention) + 1ms;
+
+    /// Lets the next commit succeed. Returns the keys that it removes.
+    static std::vector<std::string> commit(Recorder &recorder, std::int64_t &revision, Base::MonoTime now, Base::WallTime time)
+    {
+        const std::optional<Commit> next = recorder.next(now, time);
+        CPPUNIT_ASSERT(next.has_value());
+        recorder.finish(Committed{++revision}, now);
+        return next->deletes;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestRecorder);
