Wait for a complete list of ends before a missing run counts as never started

Cause: a worker lists 500 ends at a time. After the stop of a start in doubt, the agent took a run that is in neither of the worker's lists as never started, also if the worker had more ends than it lists. A run that was done would have been refused to the owner and its task started again.

Change: the answer to a hold call says whether the list of ends may be incomplete. The agent then decides about no cancelled start and reads the lists again after holdRetryDelay, while the ends before are acknowledged.

Result: TestLateCalls::missingRunMayHaveEndedBeyondATruncatedList failed before (the run was refused) and passes. TestDialects::fullListOfEndsIsTruncated tests the new field, so it could not run before.

--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -294,7 +294,12 @@
     for (const Jobs::RunEnd &end : event.ends) {
         recordEnd(state, end);
     }
-    dropCancelledStarts(context, event);
+    if (event.endsTruncated) {
+        // A run in neither list may have ended. Ends are acknowledged in the meantime, so later lists show the others.
+        state.holdNotBefore = state.now + holdRetryDelay;
+    } else {
+        dropCancelledStarts(context, event);
+    }
     adjustBackgroundPace(context, event);
     state.runsListed = state.runsListed || event.number > state.lastHoldBeforeEpoch;
 }
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -158,6 +158,7 @@
     Base::MonoTime calledAt{}; ///< time from CallHold
     std::vector<ListedRun> running;
     std::vector<Jobs::RunEnd> ends;
+    bool endsTruncated = false; ///< the worker may have more ends, which it lists once these are acknowledged
 };
 
 /// The process was told to stop. It starts no more runs; those on the worker may end.
--- a/tests/auto/platform/tst_dialects.cpp
+++ b/tests/auto/platform/tst_dialects.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(taskNames);
     CPPUNIT_TEST(startOutcomes);
     CPPUNIT_TEST(holdLists);
+    CPPUNIT_TEST(fullListOfEndsIsTruncated);
     CPPUNIT_TEST(heartbeats);
     CPPUNIT_TEST(commitOutcomes);
     CPPUNIT_TEST(clusterItems);
@@ -277,6 +278,19 @@
         CPPUNIT_ASSERT(holdAnswer(call, {Outcome::NotSent, 0, ""}).refused);
     }
 
+    /// Guards against a list with as many ends as a worker lists at a time that is taken for complete.
+    void fullListOfEndsIsTruncated()
+    {
+        constexpr int maxListed = 500;
+        std::string ended;
+        for (int number = 1; number < maxListed; ++number) {
+            ended += '[' + std::to_string(number) + R"(,"00000a21d94b36f8.0.0.2",1,"done",""],)";
+        }
+        const auto lists = [](const std::string &rows) { return holdAnswer({}, answer(200, R"({"ClockMs":5,"born":9,"Running":[],"Ended":[)" + rows + "]}")); };
+        CPPUNIT_ASSERT(!lists(ended.substr(0, ended.size() - 1)).endsTruncated);
+        CPPUNIT_ASSERT(lists(ended + R"([500,"?",1,"done",""])").endsTruncated);
+    }
+
     /// Guards against heartbeats that are accepted without a required field or with an unknown state.
     void heartbeats()
     {
--- a/tests/auto/taskagent/tst_latecalls.cpp
+++ b/tests/auto/taskagent/tst_latecalls.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(lateStartIsCancelledAtAWorkerThatReturns);
     CPPUNIT_TEST(answeredAndOldStartsAreNotCancelledAgain);
     CPPUNIT_TEST(unknownRunIsStoppedAtTheWorker);
+    CPPUNIT_TEST(missingRunMayHaveEndedBeyondATruncatedList);
     CPPUNIT_TEST(returningWorkerIsKnownAtItsFirstHeartbeat);
     CPPUNIT_TEST(lateHeartbeatDoesNotBringAWorkerBack);
     CPPUNIT_TEST(ignoresLateHeartbeatOfFormerIncarnation);
@@ -193,6 +194,30 @@
             agent.reported([](const auto &report) { return report.refusals.size() == 1 && report.refusals[0].reason == Jobs::RunRefusal::Reason::Stale; }));
     }
 
+    /// Guards against a task that starts again although its run was done: the worker has more ends than it lists at a time, so a run in neither of its lists
+    /// counted as never started.
+    void missingRunMayHaveEndedBeyondATruncatedList()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {}, {runOf(7)});
+        agent.feed(StopAnswered{runOf(7), true});
+        HoldAnswered truncated;
+        truncated.answered = true;
+        truncated.workerStartTimeMs = firstStartTimeMs;
+        truncated.number = agent.holds.back().number;
+        truncated.ends = {{1, runOf(8), Jobs::RunOutcome::Done, 10}};
+        truncated.endsTruncated = true;
+        agent.feed(truncated);
+        CPPUNIT_ASSERT(!agent.reported([](const auto &report) { return !report.refusals.empty(); }));
+        const std::size_t holds = agent.holds.size();
+        agent.advance(holdRetryDelay + 1ms);
+        CPPUNIT_ASSERT_EQUAL(holds + 1, agent.holds.size());
+        agent.answerHold({}, {{1, runOf(8), Jobs::RunOutcome::Done, 10}, {2, runOf(7), Jobs::RunOutcome::Done, 10}});
+        CPPUNIT_ASSERT(!agent.reported([](const auto &report) { return !report.refusals.empty(); }));
+        CPPUNIT_ASSERT(agent.reported([](const auto &report) { return report.ends.size() == 1 && report.ends[0].number == 2; }));
+    }
+
     /// Guards against a worker that gets no tasks after it was away for long, until it has sent more heartbeats than its former incarnation.
     void returningWorkerIsKnownAtItsFirstHeartbeat()
     {
