--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -122,12 +122,12 @@
     }
 }
 
-/// Acknowledges an end that decides nothing any more. One of a gang's member that was done waits for the next record, as the completion of the whole gang may
-/// not be recorded yet.
+/// Acknowledges an end that decides nothing any more. The end of a task's work, or one that counts as an attempt, waits for the next record: it may be an end of
+/// another gang member, or one that is listed again, and what it has decided may not be recorded yet.
 void acknowledgeOutdatedEnd(Context &context, Job *job, AgentIndex agent, const RunEnd &end, const EndAck &endAck)
 {
-    const bool isGangMember = job != nullptr && hasTask(*job, end.run.task) && job->spec.steps[end.run.task.step].gang;
-    if (!isGangMember || end.outcome != RunOutcome::Done || job->bestEffort) {
+    const bool mayHaveDecided = end.outcome == RunOutcome::Done || end.outcome == RunOutcome::Failed;
+    if (job == nullptr || !mayHaveDecided) {
         markEndRecorded(context.state.agents[agent], endAck.number);
         return;
     }
@@ -236,7 +236,7 @@
     if (!registerEnd(agent, end.number)) {
         return;
     }
-    context.state.schedulingDue |= removeRun(agent, end.run) && !context.state.ready.empty();
+    context.state.schedulingDue |= removeRunOfTask(context.state, agent, end.run) && !context.state.ready.empty();
     const EndAck endAck{agent.name, agent.worker ? agent.worker->startTimeMs : 0, end.number};
     Job *job = findJob(context.state, end.run.task.job);
     const bool open = job != nullptr && !job->finishing && ensureOccurrenceBegun(context, *job, end.run.task);
@@ -284,7 +284,7 @@
 void handleRefusal(Context &context, AgentIndex index, const RunRefusal &refusal)
 {
     Agent &agent = context.state.agents[index];
-    removeRun(agent, refusal.run);
+    context.state.schedulingDue |= removeRunOfTask(context.state, agent, refusal.run) && !context.state.ready.empty();
     logDecision(context, "task.refused", {{"run", formatRun(refusal.run)}, {"agent", agent.name}, {"reason", std::string(toString(refusal.reason))}});
     if (Job *job = findJob(context.state, refusal.run.task.job); job != nullptr && hasTask(*job, refusal.run.task)) {
         Task &task = job->tasks[flatIndex(*job, refusal.run.task)];
