Count an entry as ended only by a dial that began after the claim was won

A successor leaves entries whose addresses refuse connections out of those that may still confirm a former owner, as a new process reads of the claim first. The refusal was compared with the sending of the claim. The store may execute the claim later, and the refusal of an earlier dial may be noticed later still; a process that started in between has read of the former owner and confirms it, also when it loses the store.

The start of the refused dial is compared with the time at which the entry learned that the store held the claim.

--- a/src/libs/entrynode/claims.cpp
+++ b/src/libs/entrynode/claims.cpp
@@ -101,6 +101,7 @@
 {
     context.state.mode = Mode::Loading;
     context.state.ownerRevision = revision;
+    context.state.claimWonAt = context.state.now;
     // The claim has written both records under one revision.
     adoptConfirmers(context.state, context.state.confirmers.claimed, revision);
     recordEpoch(context.state, context.state.claim.epoch);
--- a/src/libs/entrynode/confirmers.cpp
+++ b/src/libs/entrynode/confirmers.cpp
@@ -49,12 +49,12 @@
     return confirmedUntil(std::move(confirmations));
 }
 
-/// Returns whether the entry can't have confirmed a former owner since the claim: no process listens at its address, and a new one would
-/// read of the claim first.
+/// Returns whether the entry can't confirm a former owner any more: no process listens at its address, and a new one would read of the claim
+/// first. Only a dial that began when the store held the claim tells, as a process that started earlier may have read of the former owner.
 bool hasEndedSinceClaim(const OwnershipState &state, const std::string &name)
 {
     const auto peer = state.peers.find(name);
-    return peer != state.peers.end() && peer->second.refusedAt && *peer->second.refusedAt >= state.claimedAt;
+    return peer != state.peers.end() && peer->second.refusedDialStartedAt && *peer->second.refusedDialStartedAt >= state.claimWonAt;
 }
 
 /// Returns whether the entries of the set that may not know of the claim are too few to confirm a former owner.
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -23,6 +23,8 @@
     bool dialing = false;
     bool present = false; ///< the last read found its presence key
     std::optional<Base::MonoTime> refusedAt; ///< when its address last refused a connection, as no process listened there; no value since it was linked
+    Base::MonoTime dialStartedAt{}; ///< of the latest dial
+    std::optional<Base::MonoTime> refusedDialStartedAt; ///< start of the dial that was refused at refusedAt
     Base::MonoTime dialNotBefore{};
     Base::MonoTime confirmedOwnerAt{}; ///< when this entry sent the latest heartbeat to which the peer replied that it knows no newer owner
 };
@@ -70,6 +72,7 @@
     std::optional<Base::MonoTime> claimableSince; ///< since when there has been a reason to replace the owner
     Jobs::OwnerRecord claim; ///< record of the latest claim
     Base::MonoTime claimedAt{}; ///< when the latest claim was sent
+    Base::MonoTime claimWonAt{}; ///< when this entry learned that the store held the latest claim
     Base::MonoTime claimConfirmedAt{}; ///< latest time at which the store is known to have held the claim
     Base::MonoTime authorityUntil{}; ///< end of this entry's authority as the owner unless it is confirmed again
     bool claimConfirmedByStore = true; ///< as last reported to the owner
--- a/src/libs/entrynode/peers.cpp
+++ b/src/libs/entrynode/peers.cpp
@@ -80,6 +80,7 @@
         }
         if (peer.record != record) {
             peer.refusedAt.reset();
+            peer.refusedDialStartedAt.reset();
         }
         peer.record = record;
         peer.present = true;
@@ -100,6 +101,7 @@
     peer.linked = true;
     peer.dialing = false;
     peer.refusedAt.reset();
+    peer.refusedDialStartedAt.reset();
     context.state.heartbeatNotBefore = context.state.now;
 }
 
@@ -109,6 +111,7 @@
     peer.dialing = false;
     if (event.refused) {
         peer.refusedAt = context.state.now;
+        peer.refusedDialStartedAt = peer.dialStartedAt;
     }
     // The first dial after a lost link isn't delayed, as it tells whether the process still exists.
     const bool wasLinked = std::exchange(peer.linked, false);
@@ -142,6 +145,7 @@
             continue;
         }
         peer.dialing = true;
+        peer.dialStartedAt = state.now;
         context.effects.push_back(DialPeer{name, peer.record.peers});
     }
 }
--- a/tests/auto/entrynode/tst_confirmers.cpp
+++ b/tests/auto/entrynode/tst_confirmers.cpp
@@ -47,10 +47,20 @@
 
     /// Lets entry-1 claim the jobs, as entry-2 is absent and silent.
     void takeOver(std::optional<Jobs::ConfirmerRecord> confirmers)
+    {
+        claim(std::move(confirmers));
+        win();
+    }
+
+    void claim(std::optional<Jobs::ConfirmerRecord> confirmers)
     {
         advance(ownerSilenceTimeout + claimDelayMax + 100ms);
         readCluster(makeOwner("entry-2", formerEpoch), ownerRevision, std::move(confirmers), ownerRevision);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), effects<Claim>().size());
+    }
+
+    void win()
+    {
         feed(ClaimEnded{ClaimEnded::Outcome::Won, claimRevision});
         feed(JobsLoaded{true});
     }
@@ -134,6 +144,8 @@
     CPPUNIT_TEST(halfOfTheConfirmersFence);
     CPPUNIT_TEST(endedConfirmersDoNotCount);
     CPPUNIT_TEST(refusalBeforeTheClaimTellsNothing);
+    CPPUNIT_TEST(refusalBeforeTheClaimIsHeldTellsNothing);
+    CPPUNIT_TEST(refusalOfAnEarlierDialTellsNothing);
     CPPUNIT_TEST(unknownConfirmersAreNotFenced);
     CPPUNIT_TEST(recordOfAnEarlierEpochNamesNoConfirmers);
     CPPUNIT_TEST(firstOwnerWaitsForNobody);
@@ -188,6 +200,34 @@
         CPPUNIT_ASSERT(!entry.fenced());
     }
 
+    /// Guards against an entry that counts as ended because it refused a connection while the claim was on its way to the store. Its new
+    /// process may have read of the former owner.
+    void refusalBeforeTheClaimIsHeldTellsNothing()
+    {
+        SuccessorEntry entry;
+        const Jobs::ConfirmerRecord confirmers = makeConfirmers(formerEpoch, {"entry-1", "entry-2", "entry-3"});
+        entry.readCluster(makeOwner("entry-2", formerEpoch), ownerRevision, confirmers, ownerRevision);
+        entry.claim(confirmers);
+        entry.feed(PeerUnlinked{"entry-3", true});
+        entry.win();
+        CPPUNIT_ASSERT(!entry.fenced());
+    }
+
+    /// Guards against the same with a dial that began before the claim was executed, as its refusal may be noticed late.
+    void refusalOfAnEarlierDialTellsNothing()
+    {
+        SuccessorEntry entry;
+        const Jobs::ConfirmerRecord confirmers = makeConfirmers(formerEpoch, {"entry-1", "entry-2", "entry-3"});
+        entry.readCluster(makeOwner("entry-2", formerEpoch), ownerRevision, confirmers, ownerRevision);
+        CPPUNIT_ASSERT_EQUAL(std::string("entry-3"), entry.effects<DialPeer>().back().name);
+        entry.takeOver(confirmers);
+        entry.feed(PeerUnlinked{"entry-3", true});
+        CPPUNIT_ASSERT(!entry.fenced());
+        entry.advance(dialRetryDelay);
+        entry.feed(PeerUnlinked{"entry-3", true});
+        CPPUNIT_ASSERT(entry.fenced());
+    }
+
     /// Guards against a successor that takes an owner without a readable record for fenced.
     void unknownConfirmersAreNotFenced()
     {
