Take over the confirmers that the store holds after a claim of unknown outcome

Two claims of one entry with unknown outcomes have the same epoch and expect the same revisions, but may name different confirmers. When the store had executed the first one late, the entry took the second one's record for its own, at the stored record's revision, so no later read corrected it. It could then be confirmed by entries that its successor doesn't count.

The record that was read with the own claim is taken over.

--- a/src/libs/entrynode/claims.cpp
+++ b/src/libs/entrynode/claims.cpp
@@ -170,6 +170,11 @@
     OwnershipState &state = context.state;
     const bool won = state.owner && isSelf(state, *state.owner) && state.owner->epoch == state.claim.epoch;
     state.mode = Mode::Following;
+    const std::optional<Jobs::ConfirmerRecord> &stored = state.confirmers.lastRead;
+    if (stored && stored->epoch == state.claim.epoch) {
+        // An earlier claim of the same epoch may have been executed late, with other confirmers.
+        state.confirmers.claimed = *stored;
+    }
     if (won) {
         beginLoading(context, state.ownerRevision, state.readStartedAt);
     }
--- a/tests/auto/entrynode/tst_confirmers.cpp
+++ b/tests/auto/entrynode/tst_confirmers.cpp
@@ -77,6 +77,19 @@
         feed(PeerHeartbeatReply{name, {0, formerEpoch + 1, {}, {}}});
     }
 
+    /// Returns whether the owner has authority 2 s after the store was lost, with no reply of another entry.
+    bool confirmedWithoutStore()
+    {
+        for (int i = 0; i < 20; ++i) {
+            advance(100ms);
+            if (state.readInProgress) {
+                feed(ClusterRead{});
+            }
+        }
+        const auto renewals = effects<AuthorityRenewed>();
+        return !renewals.empty() && now() < renewals.back().until;
+    }
+
     bool fenced() const
     {
         return !effects<FormerOwnersFenced>().empty();
@@ -146,6 +159,7 @@
     CPPUNIT_TEST(refusalBeforeTheClaimTellsNothing);
     CPPUNIT_TEST(refusalBeforeTheClaimIsHeldTellsNothing);
     CPPUNIT_TEST(refusalOfAnEarlierDialTellsNothing);
+    CPPUNIT_TEST(lateClaimLeavesItsOwnConfirmers);
     CPPUNIT_TEST(unknownConfirmersAreNotFenced);
     CPPUNIT_TEST(recordOfAnEarlierEpochNamesNoConfirmers);
     CPPUNIT_TEST(firstOwnerWaitsForNobody);
@@ -228,6 +242,32 @@
         CPPUNIT_ASSERT(entry.fenced());
     }
 
+    /// Guards against an owner that needs other confirmers than those which its successor reads, as the store has executed an earlier one of
+    /// two claims of unknown outcome.
+    void lateClaimLeavesItsOwnConfirmers()
+    {
+        SuccessorEntry entry;
+        const Jobs::ConfirmerRecord former = makeConfirmers(formerEpoch, {"entry-1", "entry-2"});
+        entry.readCluster(makeOwner("entry-2", formerEpoch), ownerRevision, former, ownerRevision);
+        entry.claim(former);
+        const Jobs::ConfirmerRecord first = entry.claimedRecord();
+        entry.feed(ClaimEnded{ClaimEnded::Outcome::Unknown, 0});
+        entry.feed(PeerUnlinked{"entry-3", false});
+        const Jobs::EntryRecord self = makeEntry("entry-1");
+        entry.feed(ClusterRead{ClusterRead::Content{makeOwner("entry-2", formerEpoch), ownerRevision, {self}, former, ownerRevision}});
+        entry.advance(clusterReadInterval);
+        entry.feed(ClusterRead{ClusterRead::Content{makeOwner("entry-2", formerEpoch), ownerRevision, {self}, former, ownerRevision}});
+        const std::vector<Claim> claims = entry.effects<Claim>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), claims.size());
+        CPPUNIT_ASSERT(first != claims.back().confirmers.record);
+        entry.feed(ClaimEnded{ClaimEnded::Outcome::Unknown, 0});
+        entry.feed(ClusterRead{ClusterRead::Content{makeOwner("entry-1", formerEpoch + 1), claimRevision, {self}, first, claimRevision}});
+        entry.feed(JobsLoaded{true});
+        CPPUNIT_ASSERT(entry.state.mode == OwnershipState::Mode::Owning);
+        CPPUNIT_ASSERT(first == entry.state.confirmers.recorded);
+        CPPUNIT_ASSERT(!entry.confirmedWithoutStore());
+    }
+
     /// Guards against a successor that takes an owner without a readable record for fenced.
     void unknownConfirmersAreNotFenced()
     {
