Let refusals extend the authority for 0.8 s from the start of the dial

An owner leaves entries whose addresses refuse connections out of the majority. The refusal's age counted from when it was noticed, and the end of the authority was reckoned from the other confirmations alone: with the only other entry down, the owner was told that it has authority for up to 2.5 s. If it stood still meanwhile, it could go on after the entry had started again, claimed the jobs and waited for 0.8 s.

The age counts from the start of the dial, and a majority without the refusing entries lasts until the oldest refusal is too old.

--- a/src/libs/entrynode/authority.cpp
+++ b/src/libs/entrynode/authority.cpp
@@ -18,12 +18,6 @@
     return state.mode == Mode::Owning || state.mode == Mode::Loading;
 }
 
-/// Returns whether the peer may be up and so could confirm or replace the owner.
-bool mayBeUp(const OwnershipState &state, const Peer &peer)
-{
-    return (peer.present || peer.linked) && !isDown(state, peer);
-}
-
 /// Returns until when this entry would know of another owner that it can know of, as a read of the cluster has ended recently. An entry that
 /// has just started or stood still would not.
 Base::MonoTime knowledgeCurrentUntil(const OwnershipState &state)
@@ -37,13 +31,13 @@
 /// Returns until when most other entries have confirmed this entry as the owner.
 Base::MonoTime othersConfirmedUntil(const OwnershipState &state)
 {
-    std::vector<Base::MonoTime> confirmations;
+    std::vector<Confirmation> confirmations;
     for (const auto &[name, peer] : state.peers) {
-        if (mayBeUp(state, peer)) {
-            confirmations.push_back(peer.confirmedOwnerAt);
+        if (peer.present || peer.linked) {
+            confirmations.push_back(confirmationBy(state, peer));
         }
     }
-    return confirmedUntil(std::move(confirmations));
+    return confirmedUntil(confirmations);
 }
 
 /// Returns whether the owner in this process must learn of the new end of its authority. Small extensions are left out, as each
--- a/src/libs/entrynode/confirmers.cpp
+++ b/src/libs/entrynode/confirmers.cpp
@@ -32,21 +32,27 @@
     return set;
 }
 
+/// Returns until when the confirmations, one of each other entry, are those of most entries.
+Base::MonoTime majorityUntil(std::vector<Base::MonoTime> confirmations)
+{
+    const std::size_t required = (confirmations.size() + 1) / 2;
+    if (required == 0) {
+        return Base::MonoTime::max();
+    }
+    std::sort(confirmations.begin(), confirmations.end(), std::greater<>());
+    return confirmations[required - 1] + Jobs::ownerAuthorityTimeout;
+}
+
 Base::MonoTime setConfirmedUntil(const OwnershipState &state, const Jobs::ConfirmerSet &set)
 {
-    std::vector<Base::MonoTime> confirmations;
+    std::vector<Confirmation> confirmations;
     for (const Jobs::Confirmer &confirmer : set) {
-        if (confirmer.name == state.self.name) {
-            continue;
-        }
-        const auto peer = state.peers.find(confirmer.name);
-        if (peer == state.peers.end()) {
-            confirmations.emplace_back();
-        } else if (!isDown(state, peer->second)) {
-            confirmations.push_back(peer->second.confirmedOwnerAt);
+        if (confirmer.name != state.self.name) {
+            const auto peer = state.peers.find(confirmer.name);
+            confirmations.push_back(peer == state.peers.end() ? Confirmation{} : confirmationBy(state, peer->second));
         }
     }
-    return confirmedUntil(std::move(confirmations));
+    return confirmedUntil(confirmations);
 }
 
 /// Returns whether the entry can't confirm a former owner any more: no process listens at its address, and a new one would read of the claim
@@ -54,7 +60,7 @@
 bool hasEndedSinceClaim(const OwnershipState &state, const std::string &name)
 {
     const auto peer = state.peers.find(name);
-    return peer != state.peers.end() && peer->second.refusedDialStartedAt && *peer->second.refusedDialStartedAt >= state.claimWonAt;
+    return peer != state.peers.end() && peer->second.refusedAt && *peer->second.refusedAt >= state.claimWonAt;
 }
 
 /// Returns whether the entries of the set that may not know of the claim are too few to confirm a former owner.
@@ -125,14 +131,25 @@
     return peer.refusedAt && state.now - *peer.refusedAt < Jobs::ownerAuthorityTimeout;
 }
 
-Base::MonoTime confirmedUntil(std::vector<Base::MonoTime> confirmations)
+Confirmation confirmationBy(const OwnershipState &state, const Peer &peer)
 {
-    const std::size_t required = (confirmations.size() + 1) / 2;
-    if (required == 0) {
-        return Base::MonoTime::max();
+    return {peer.confirmedOwnerAt, isDown(state, peer) ? peer.refusedAt : std::nullopt};
+}
+
+Base::MonoTime confirmedUntil(const std::vector<Confirmation> &confirmations)
+{
+    std::vector<Base::MonoTime> ofAll;
+    std::vector<Base::MonoTime> ofThoseUp;
+    Base::MonoTime refusalsCountUntil = Base::MonoTime::max();
+    for (const Confirmation &confirmation : confirmations) {
+        ofAll.push_back(confirmation.sentAt);
+        if (confirmation.refusedAt) {
+            refusalsCountUntil = std::min(refusalsCountUntil, *confirmation.refusedAt + Jobs::ownerAuthorityTimeout);
+        } else {
+            ofThoseUp.push_back(confirmation.sentAt);
+        }
     }
-    std::sort(confirmations.begin(), confirmations.end(), std::greater<>());
-    return confirmations[required - 1] + Jobs::ownerAuthorityTimeout;
+    return std::max(majorityUntil(std::move(ofAll)), std::min(majorityUntil(std::move(ofThoseUp)), refusalsCountUntil));
 }
 
 Jobs::ConfirmerRecord claimedConfirmers(const OwnershipState &state)
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -22,9 +22,8 @@
     bool linked = false;
     bool dialing = false;
     bool present = false; ///< the last read found its presence key
-    std::optional<Base::MonoTime> refusedAt; ///< when its address last refused a connection, as no process listened there; no value since it was linked
-    Base::MonoTime dialStartedAt{}; ///< of the latest dial
-    std::optional<Base::MonoTime> refusedDialStartedAt; ///< start of the dial that was refused at refusedAt
+    std::optional<Base::MonoTime> refusedAt; ///< start of the latest dial that was refused, as no process listened there; no value since it was linked
+    std::optional<Base::MonoTime> dialStartedAt; ///< of the dial in progress
     Base::MonoTime dialNotBefore{};
     Base::MonoTime confirmedOwnerAt{}; ///< when this entry sent the latest heartbeat to which the peer replied that it knows no newer owner
 };
--- a/src/libs/entrynode/ownershipsteps.h
+++ b/src/libs/entrynode/ownershipsteps.h
@@ -3,6 +3,7 @@
 #include "ownership.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,8 +49,17 @@
 /// Returns until when most of the entries that the confirmer record names have confirmed this entry as the owner.
 Base::MonoTime confirmersConfirmedUntil(const OwnershipState &state);
 
-/// Returns until when the given confirmations, one of each other entry, are those of most entries.
-Base::MonoTime confirmedUntil(std::vector<Base::MonoTime> confirmations);
+/// What an owner knows of another entry that may confirm it.
+struct Confirmation {
+    Base::MonoTime sentAt{}; ///< of the latest heartbeat that the entry has confirmed
+    std::optional<Base::MonoTime> refusedAt; ///< as in Peer, if the entry is down
+};
+
+Confirmation confirmationBy(const OwnershipState &state, const Peer &peer);
+
+/// Returns until when most entries confirm the owner. Those that are down aren't counted until the refusals are too old, as another process
+/// may have started since.
+Base::MonoTime confirmedUntil(const std::vector<Confirmation> &confirmations);
 
 /// Returns whether the peer's address has refused a connection so recently that no new process can have confirmed the owner since.
 bool isDown(const OwnershipState &state, const Peer &peer);
--- a/src/libs/entrynode/peers.cpp
+++ b/src/libs/entrynode/peers.cpp
@@ -77,10 +77,10 @@
             context.effects.push_back(DisconnectPeer{record.name});
             peer.linked = false;
             peer.dialing = false;
+            peer.dialStartedAt.reset();
         }
         if (peer.record != record) {
             peer.refusedAt.reset();
-            peer.refusedDialStartedAt.reset();
         }
         peer.record = record;
         peer.present = true;
@@ -100,8 +100,8 @@
     Peer &peer = context.state.peers[event.name];
     peer.linked = true;
     peer.dialing = false;
+    peer.dialStartedAt.reset();
     peer.refusedAt.reset();
-    peer.refusedDialStartedAt.reset();
     context.state.heartbeatNotBefore = context.state.now;
 }
 
@@ -109,9 +109,9 @@
 {
     Peer &peer = context.state.peers[event.name];
     peer.dialing = false;
+    const Base::MonoTime dialStartedAt = std::exchange(peer.dialStartedAt, std::nullopt).value_or(context.state.now);
     if (event.refused) {
-        peer.refusedAt = context.state.now;
-        peer.refusedDialStartedAt = peer.dialStartedAt;
+        peer.refusedAt = dialStartedAt;
     }
     // The first dial after a lost link isn't delayed, as it tells whether the process still exists.
     const bool wasLinked = std::exchange(peer.linked, false);
--- a/tests/auto/entrynode/tst_authority.cpp
+++ b/tests/auto/entrynode/tst_authority.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST(minorityDoesNotConfirmTheOwner);
     CPPUNIT_TEST(deadEntriesDoNotCount);
     CPPUNIT_TEST(entryThatRefusedOnceMayBeUpAgain);
+    CPPUNIT_TEST(refusalsExtendTheAuthorityForALimitedTime);
     CPPUNIT_TEST(singleEntryServesInAnOutage);
     CPPUNIT_TEST(readOfAnotherEntryConfirmsTheOwner);
     CPPUNIT_TEST(replyToAnOldHeartbeatConfirmsNothing);
@@ -207,6 +208,19 @@
         CPPUNIT_ASSERT(!owner.hasAuthority());
     }
 
+    /// Guards against an owner that stands still after the only other entry has refused a connection, and goes on for longer than its successor
+    /// waits: the entry has started again and claimed the jobs.
+    void refusalsExtendTheAuthorityForALimitedTime()
+    {
+        OwnerEntry owner(1);
+        for (int i = 0; i < 20; ++i) {
+            owner.feed(PeerUnlinked{OwnerEntry::peerName(0), true});
+            owner.passWithoutStore(100ms, 0);
+            CPPUNIT_ASSERT(owner.hasAuthority());
+        }
+        CPPUNIT_ASSERT(owner.effects<AuthorityRenewed>().back().until <= owner.now() + Jobs::ownerAuthorityTimeout);
+    }
+
     /// Guards against a site with one entry that serves no best-effort jobs while the store is down.
     void singleEntryServesInAnOutage()
     {
