Count the outage of stored jobs from the latest proof of the store

An owner that the store does not confirm starts no more tasks of stored jobs 8 s after the latest proof, as a successor may start them 12 s after its claim. The 8 s were counted from when the owner noticed that the proof was too old: one that stood still noticed it late and started tasks beside its successor. They were counted once, so a store that answered each call after 0.8 s or more stopped all stored jobs after 8 s, though each answer was a new proof.

The time of the latest proof comes with each change of the authority.

--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -44,7 +44,7 @@
 
 void EntryProcess::carryOut(EntryNode::AuthorityRenewed &renewed)
 {
-    feedOwner(Jobs::AuthorityRenewed{renewed.until, renewed.confirmedByStore});
+    feedOwner(Jobs::AuthorityRenewed{renewed.until, renewed.confirmedByStore, renewed.storeConfirmedAt});
 }
 
 void EntryProcess::carryOut(EntryNode::FormerOwnersFenced & /*fenced*/)
--- a/src/libs/entrynode/authority.cpp
+++ b/src/libs/entrynode/authority.cpp
@@ -161,7 +161,7 @@
     if (confirmedByStore != state.claimConfirmedByStore || isReportDue(state, until)) {
         state.claimConfirmedByStore = confirmedByStore;
         state.authorityUntil = until;
-        context.effects.push_back(AuthorityRenewed{until, confirmedByStore});
+        context.effects.push_back(AuthorityRenewed{until, confirmedByStore, state.claimConfirmedAt});
     }
     const bool granted = state.now < state.authorityUntil;
     if (granted != state.authorityGranted) {
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -260,6 +260,7 @@
 struct AuthorityRenewed {
     Base::MonoTime until{};
     bool confirmedByStore = true; ///< the store has recently held the claim; otherwise only other entries confirm the owner
+    Base::MonoTime storeConfirmedAt{}; ///< latest time at which the store is known to have held the claim
 };
 
 /// Most entries can't confirm a former owner any more, so its authority ends within Jobs::ownerAuthorityTimeout.
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -114,13 +114,10 @@
     OwnerState &state = context.state;
     const bool regained = !Internal::hasAuthority(state) && state.now < event.until;
     state.authorityUntil = event.until;
-    state.schedulingDue |= regained || (event.confirmedByStore && !state.confirmedByStore);
-    if (event.confirmedByStore) {
-        state.storedWorkUntil = Base::MonoTime::max();
-    } else if (state.confirmedByStore) {
-        // The latest proof was as old as it may be.
-        state.storedWorkUntil = state.now - ownerAuthorityTimeout + storedWorkTimeout;
-    }
+    const Base::MonoTime storedWorkUntil = event.confirmedByStore ? Base::MonoTime::max() : event.storeConfirmedAt + storedWorkTimeout;
+    const bool storedWorkResumes = state.now >= state.storedWorkUntil && state.now < storedWorkUntil;
+    state.storedWorkUntil = storedWorkUntil;
+    state.schedulingDue |= regained || storedWorkResumes;
     state.confirmedByStore = event.confirmedByStore;
 }
 
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -240,6 +240,7 @@
 struct AuthorityRenewed {
     Base::MonoTime until{};
     bool confirmedByStore = true; ///< The store has recently held the owner's claim; otherwise only other entries confirm the owner.
+    Base::MonoTime storeConfirmedAt{}; ///< Latest time at which the store is known to have held the owner's claim.
 };
 
 /// Most entries can't confirm a former owner any more, so its authority ends within ownerAuthorityTimeout.
--- a/tests/auto/entrynode/ownerchangemodel.cpp
+++ b/tests/auto/entrynode/ownerchangemodel.cpp
@@ -240,7 +240,7 @@
     } else if (const auto *lost = std::get_if<OwnershipLost>(&effect)) {
         stepDown(index, "epoch " + std::to_string(lost->epoch));
     } else if (const auto *renewed = std::get_if<AuthorityRenewed>(&effect)) {
-        feedOwner(index, Jobs::AuthorityRenewed{renewed->until, renewed->confirmedByStore});
+        feedOwner(index, Jobs::AuthorityRenewed{renewed->until, renewed->confirmedByStore, renewed->storeConfirmedAt});
     } else if (const auto *dial = std::get_if<DialPeer>(&effect)) {
         dialPeer(index, dial->name);
     } else if (const auto *disconnect = std::get_if<DisconnectPeer>(&effect)) {
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -39,6 +39,8 @@
     CPPUNIT_TEST(ownerWithoutAuthoritySendsNoOrders);
     CPPUNIT_TEST(storedJobsWaitForTheStore);
     CPPUNIT_TEST(storedJobsStartInAShortOutage);
+    CPPUNIT_TEST(outageOfStoredJobsCountsFromTheLastProof);
+    CPPUNIT_TEST(lateProofsKeepStoredJobsStarting);
     CPPUNIT_TEST(adoptsWhatRuns);
     CPPUNIT_TEST(runNumbersIncreaseAcrossOwners);
     CPPUNIT_TEST(recordedAgentsWorkAtOnce);
@@ -163,7 +165,7 @@
     void storedJobsWaitForTheStore()
     {
         OwnerHarness owner({"agent-1"}, 2, {jobRecord(7, 1)});
-        owner.feed(AuthorityRenewed{owner.state.now + 1h, false});
+        owner.feed(AuthorityRenewed{owner.state.now + 1h, false, owner.state.now - ownerAuthorityTimeout});
         owner.advanceTime(storedWorkTimeout);
         owner.join("agent-1");
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
@@ -177,12 +179,37 @@
     void storedJobsStartInAShortOutage()
     {
         OwnerHarness owner({"agent-1"}, 2, {jobRecord(7, 1)});
-        owner.feed(AuthorityRenewed{owner.state.now + 1h, false});
+        owner.feed(AuthorityRenewed{owner.state.now + 1h, false, owner.state.now - ownerAuthorityTimeout});
         owner.advanceTime(storedWorkTimeout - ownerAuthorityTimeout - 100ms);
         owner.join("agent-1");
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
     }
 
+    /// Guards against tasks of stored jobs that an owner which stood still starts after its successor's longest wait is over.
+    void outageOfStoredJobsCountsFromTheLastProof()
+    {
+        OwnerHarness owner({"agent-1"}, 2, {jobRecord(7, 1)});
+        const Base::MonoTime lastProof = owner.state.now;
+        owner.feed(AuthorityRenewed{owner.state.now + ownerAuthorityTimeout, true, lastProof});
+        owner.advanceTime(5s);
+        owner.feed(AuthorityRenewed{owner.state.now + 1h, false, lastProof});
+        owner.advanceTime(lastProof + storedWorkTimeout - owner.state.now);
+        owner.join("agent-1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
+    }
+
+    /// Guards against stored jobs that stop for as long as the store answers each call after a second.
+    void lateProofsKeepStoredJobsStarting()
+    {
+        OwnerHarness owner({"agent-1"}, 2, {jobRecord(7, 1)});
+        for (Base::Duration passed{}; passed < 2 * storedWorkTimeout; passed += 500ms) {
+            owner.feed(AuthorityRenewed{owner.state.now + 1h, false, owner.state.now - 1s});
+            owner.advanceTime(500ms);
+        }
+        owner.join("agent-1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+    }
+
     /// Guards against stopping or repeating runs because their owner changed.
     void adoptsWhatRuns()
     {
