Show by tests where a former owner may still run tasks beside its successor

A fix of each changes what an outage of the store or a partition costs: the service of an owner whose other entries have died, the work of long tasks, and the time that best-effort jobs wait.

--- a/tests/auto/entrynode/tst_confirmers.cpp
+++ b/tests/auto/entrynode/tst_confirmers.cpp
@@ -168,6 +168,7 @@
     CPPUNIT_TEST(recordDropsFencedOwners);
     CPPUNIT_TEST(ownerNeedsTheConfirmersOnRecord);
     CPPUNIT_TEST(ownerAloneOnRecordKeepsItsAuthority);
+    CPPUNIT_TEST(fencedOwnerIsNotConfirmedOnceAnInformedEntryEnds);
     CPPUNIT_TEST(writeOfUnknownOutcomeIsRepeatedUnchanged);
     CPPUNIT_TEST(ownWriteIsRecognized);
     CPPUNIT_TEST_SUITE_END();
@@ -360,6 +361,31 @@
         CPPUNIT_ASSERT(owner.hasAuthority());
     }
 
+    /// Guards against a former owner that regains its authority as an entry that has acknowledged the successor ends and refuses connections.
+    void fencedOwnerIsNotConfirmedOnceAnInformedEntryEnds()
+    {
+        SuccessorEntry successor(makeConfirmers(formerEpoch, {"entry-1", "entry-2", "entry-3", "entry-4"}));
+        successor.acknowledge("entry-3");
+        CPPUNIT_ASSERT(successor.fenced());
+
+        // The former owner, entry-1 here, can't reach the successor, entry-2. The informed entry-3 ends, and entry-4 knows no successor.
+        EntryHarness owner;
+        owner.becomeOwner();
+        owner.advance(clusterReadInterval);
+        owner.read(makeOwner("entry-1", 1), 5, {makeEntry("entry-1"), makeEntry("entry-2"), makeEntry("entry-3"), makeEntry("entry-4")});
+        owner.feed(ConfirmersWritten{ConfirmersWritten::Outcome::Written, 6});
+        owner.feed(PeerLinked{"entry-4"});
+        for (int i = 0; i < 30; ++i) {
+            owner.advance(100ms);
+            if (owner.state.readInProgress) {
+                owner.feed(ClusterRead{});
+            }
+            owner.feed(PeerUnlinked{"entry-3", true});
+            owner.feed(PeerHeartbeatReply{"entry-4", {std::chrono::duration_cast<std::chrono::milliseconds>(owner.now()).count(), 1, {}, {}}});
+        }
+        CPPUNIT_ASSERT(owner.effects<AuthorityRenewed>().back().until <= owner.now());
+    }
+
     /// Guards against two different records that may both be written late.
     void writeOfUnknownOutcomeIsRepeatedUnchanged()
     {
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -41,6 +41,8 @@
     CPPUNIT_TEST(storedJobsStartInAShortOutage);
     CPPUNIT_TEST(outageOfStoredJobsCountsFromTheLastProof);
     CPPUNIT_TEST(lateProofsKeepStoredJobsStarting);
+    CPPUNIT_TEST(storedRunsEndBeforeASuccessorRepeatsThem);
+    CPPUNIT_TEST(everyCallOfAnUnfencedOwnerWaitsForItsAgents);
     CPPUNIT_TEST(adoptsWhatRuns);
     CPPUNIT_TEST(runNumbersIncreaseAcrossOwners);
     CPPUNIT_TEST(recordedAgentsWorkAtOnce);
@@ -210,6 +212,36 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
     }
 
+    /// Guards against a long task of a stored job that its owner keeps running without the store, while a successor that can't reach the agent
+    /// starts it again after its longest wait.
+    void storedRunsEndBeforeASuccessorRepeatsThem()
+    {
+        OwnerHarness owner({"agent-1"}, 2, {jobRecord(7, 1)});
+        owner.join("agent-1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+        owner.feed(AuthorityRenewed{owner.state.now + 1h, false, owner.state.now});
+        owner.advanceTimeWithReports(unfencedRunExpiryTimeout);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStops("agent-1").size());
+    }
+
+    /// Guards against a former owner that counts as fenced since one of its calls has arrived, while it goes on with others.
+    void everyCallOfAnUnfencedOwnerWaitsForItsAgents()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"}, 2);
+        owner.join("agent-1");
+        owner.advanceTimeWithReports(unfencedRunExpiryTimeout + 100ms);
+        SubmitCall call = bestEffort(7, 1);
+        call.mayHaveRun = true;
+        owner.submit(1, call);
+        owner.advanceTimeWithReports(formerRunExpiryTimeout + 1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+        call = bestEffort(8, 1);
+        call.mayHaveRun = true;
+        owner.submit(2, call);
+        owner.advanceTimeWithReports(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+    }
+
     /// Guards against stopping or repeating runs because their owner changed.
     void adoptsWhatRuns()
     {
