--- a/src/libs/entrynode/claims.cpp
+++ b/src/libs/entrynode/claims.cpp
@@ -101,6 +101,7 @@
 {
     context.state.mode = Mode::Loading;
     context.state.ownerRevision = revision;
+    context.state.claimWonAt = context.state.now;
     // The claim has written both records under one revision.
     adoptConfirmers(context.state, context.state.confirmers.claimed, revision);
     recordEpoch(context.state, context.state.claim.epoch);
@@ -169,6 +170,11 @@
     OwnershipState &state = context.state;
     const bool won = state.owner && isSelf(state, *state.owner) && state.owner->epoch == state.claim.epoch;
     state.mode = Mode::Following;
+    const std::optional<Jobs::ConfirmerRecord> &stored = state.confirmers.lastRead;
+    if (stored && stored->epoch == state.claim.epoch) {
+        // An earlier claim of the same epoch may have been executed late, with other confirmers.
+        state.confirmers.claimed = *stored;
+    }
     if (won) {
         beginLoading(context, state.ownerRevision, state.readStartedAt);
     }
--- a/tests/auto/entrynode/tst_confirmers.cpp
+++ b/tests/auto/entrynode/tst_confirmers.cpp
@@ -47,10 +47,20 @@
 
     /// Lets entry-1 claim the jobs, as entry-2 is absent and silent.
     void takeOver(std::optional<Jobs::ConfirmerRecord> confirmers)
+    {
+        claim(std::move(confirmers));
+        win();
+    }
+
+    void claim(std::optional<Jobs::ConfirmerRecord> confirmers)
     {
         advance(ownerSilenceTimeout + claimDelayMax + 100ms);
         readCluster(makeOwner("entry-2", formerEpoch), ownerRevision, std::move(confirmers), ownerRevision);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), effects<Claim>().size());
+    }
+
+    void win()
+    {
         feed(ClaimEnded{ClaimEnded::Outcome::Won, claimRevision});
         feed(JobsLoaded{true});
     }
@@ -67,6 +77,19 @@
         feed(PeerHeartbeatReply{name, {0, formerEpoch + 1, {}, {}}});
     }
 
+    /// Returns whether the owner has authority 2 s after the store was lost, with no reply of another entry.
+    bool confirmedWithoutStore()
+    {
+        for (int i = 0; i < 20; ++i) {
+            advance(100ms);
+            if (state.readInProgress) {
+                feed(ClusterRead{});
+            }
+        }
+        const auto renewals = effects<AuthorityRenewed>();
+        return !renewals.empty() && now() < renewals.back().until;
+    }
+
     bool fenced() const
     {
         return !effects<FormerOwnersFenced>().empty();
@@ -134,6 +157,9 @@
     CPPUNIT_TEST(halfOfTheConfirmersFence);
     CPPUNIT_TEST(endedConfirmersDoNotCount);
     CPPUNIT_TEST(refusalBeforeTheClaimTellsNothing);
+    CPPUNIT_TEST(refusalBeforeTheClaimIsHeldTellsNothing);
+    CPPUNIT_TEST(refusalOfAnEarlierDialTellsNothing);
+    CPPUNIT_TEST(lateClaimLeavesItsOwnConfirmers);
     CPPUNIT_TEST(unknownConfirmersAreNotFenced);
     CPPUNIT_TEST(recordOfAnEarlierEpochNamesNoConfirmers);
     CPPUNIT_TEST(firstOwnerWaitsForNobody);
@@ -142,6 +168,7 @@
     CPPUNIT_TEST(recordDropsFencedOwners);
     CPPUNIT_TEST(ownerNeedsTheConfirmersOnRecord);
     CPPUNIT_TEST(ownerAloneOnRecordKeepsItsAuthority);
+    CPPUNIT_TEST(fencedOwnerIsNotConfirmedOnceAnInformedEntryEnds);
     CPPUNIT_TEST(writeOfUnknownOutcomeIsRepeatedUnchanged);
     CPPUNIT_TEST(ownWriteIsRecognized);
     CPPUNIT_TEST_SUITE_END();
@@ -188,6 +215,60 @@
         CPPUNIT_ASSERT(!entry.fenced());
     }
 
+    /// Guards against an entry that counts as ended because it refused a connection while the claim was on its way to the store. Its new
+    /// process may have read of the former owner.
+    void refusalBeforeTheClaimIsHeldTellsNothing()
+    {
+        SuccessorEntry entry;
+        const Jobs::ConfirmerRecord confirmers = makeConfirmers(formerEpoch, {"entry-1", "entry-2", "entry-3"});
+        entry.readCluster(makeOwner("entry-2", formerEpoch), ownerRevision, confirmers, ownerRevision);
+        entry.claim(confirmers);
+        entry.feed(PeerUnlinked{"entry-3", true});
+        entry.win();
+        CPPUNIT_ASSERT(!entry.fenced());
+    }
+
+    /// Guards against the same with a dial that began before the claim was executed, as its refusal may be noticed late.
+    void refusalOfAnEarlierDialTellsNothing()
+    {
+        SuccessorEntry entry;
+        const Jobs::ConfirmerRecord confirmers = makeConfirmers(formerEpoch, {"entry-1", "entry-2", "entry-3"});
+        entry.readCluster(makeOwner("entry-2", formerEpoch), ownerRevision, confirmers, ownerRevision);
+        CPPUNIT_ASSERT_EQUAL(std::string("entry-3"), entry.effects<DialPeer>().back().name);
+        entry.takeOver(confirmers);
+        entry.feed(PeerUnlinked{"entry-3", true});
+        CPPUNIT_ASSERT(!entry.fenced());
+        entry.advance(dialRetryDelay);
+        entry.feed(PeerUnlinked{"entry-3", true});
+        CPPUNIT_ASSERT(entry.fenced());
+    }
+
+    /// Guards against an owner that needs other confirmers than those which its successor reads, as the store has executed an earlier one of
+    /// two claims of unknown outcome.
+    void lateClaimLeavesItsOwnConfirmers()
+    {
+        SuccessorEntry entry;
+        const Jobs::ConfirmerRecord former = makeConfirmers(formerEpoch, {"entry-1", "entry-2"});
+        entry.readCluster(makeOwner("entry-2", formerEpoch), ownerRevision, former, ownerRevision);
+        entry.claim(former);
+        const Jobs::ConfirmerRecord first = entry.claimedRecord();
+        entry.feed(ClaimEnded{ClaimEnded::Outcome::Unknown, 0});
+        entry.feed(PeerUnlinked{"entry-3", false});
+        const Jobs::EntryRecord self = makeEntry("entry-1");
+        entry.feed(ClusterRead{ClusterRead::Content{makeOwner("entry-2", formerEpoch), ownerRevision, {self}, former, ownerRevision}});
+        entry.advance(clusterReadInterval);
+        entry.feed(ClusterRead{ClusterRead::Content{makeOwner("entry-2", formerEpoch), ownerRevision, {self}, former, ownerRevision}});
+        const std::vector<Claim> claims = entry.effects<Claim>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), claims.size());
+        CPPUNIT_ASSERT(first != claims.back().confirmers.record);
+        entry.feed(ClaimEnded{ClaimEnded::Outcome::Unknown, 0});
+        entry.feed(ClusterRead{ClusterRead::Content{makeOwner("entry-1", formerEpoch + 1), claimRevision, {self}, first, claimRevision}});
+        entry.feed(JobsLoaded{true});
+        CPPUNIT_ASSERT(entry.state.mode == OwnershipState::Mode::Owning);
+        CPPUNIT_ASSERT(first == entry.state.confirmers.recorded);
+        CPPUNIT_ASSERT(!entry.confirmedWithoutStore());
+    }
+
     /// Guards against a successor that takes an owner without a readable record for fenced.
     void unknownConfirmersAreNotFenced()
     {
@@ -280,6 +361,31 @@
         CPPUNIT_ASSERT(owner.hasAuthority());
     }
 
+    /// Guards against a former owner that regains its authority as an entry that has acknowledged the successor ends and refuses connections.
+    void fencedOwnerIsNotConfirmedOnceAnInformedEntryEnds()
+    {
+        SuccessorEntry successor(makeConfirmers(formerEpoch, {"entry-1", "entry-2", "entry-3", "entry-4"}));
+        successor.acknowledge("entry-3");
+        CPPUNIT_ASSERT(successor.fenced());
+
+        // The former owner, entry-1 here, can't reach the successor, entry-2. The informed entry-3 ends, and entry-4 knows no successor.
+        EntryHarness owner;
+        owner.becomeOwner();
+        owner.advance(clusterReadInterval);
+        owner.read(makeOwner("entry-1", 1), 5, {makeEntry("entry-1"), makeEntry("entry-2"), makeEntry("entry-3"), makeEntry("entry-4")});
+        owner.feed(ConfirmersWritten{ConfirmersWritten::Outcome::Written, 6});
+        owner.feed(PeerLinked{"entry-4"});
+        for (int i = 0; i < 30; ++i) {
+            owner.advance(100ms);
+            if (owner.state.readInProgress) {
+                owner.feed(ClusterRead{});
+            }
+            owner.feed(PeerUnlinked{"entry-3", true});
+            owner.feed(PeerHeartbeatReply{"entry-4", {std::chrono::duration_cast<std::chrono::milliseconds>(owner.now()).count(), 1, {}, {}}});
+        }
+        CPPUNIT_ASSERT(owner.effects<AuthorityRenewed>().back().until <= owner.now());
+    }
+
     /// Guards against two different records that may both be written late.
     void writeOfUnknownOutcomeIsRepeatedUnchanged()
     {
