tests: the simulation of owners plays partitions longer than a takeover

Entries, and optionally agents, are parted into two sides for 5 to 20 s; the store is on one side. Links between an entry and an agent were cut for 3 s at most before, less than a takeover takes, and the store was away for all entries or for none, so no former owner went on without the store beside a successor that has it.

--- a/tests/auto/cluster/simulation.cpp
+++ b/tests/auto/cluster/simulation.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-Simulation::Simulation(std::uint64_t seed, std::size_t entries, std::size_t agents) : random_(seed)
+Simulation::Simulation(std::uint64_t seed, std::size_t entries, std::size_t agents, Partitions partitions) : random_(seed), partitions_(partitions)
 {
     for (std::size_t i = 0; i < entries; ++i) {
         seedEndpoints_.push_back({"h", static_cast<std::uint16_t>(nextPort_ + i)});
@@ -89,6 +89,7 @@
     loss_ = 0;
     storeDownUntil_ = 0;
     blockedUntil_.clear();
+    split_.until = 0;
     const Microseconds end = now_ + recoveryTimeout;
     while (violation_.empty() && !allServed()) {
         if (now_ > end) {
@@ -251,7 +252,21 @@
 bool Simulation::isBlocked(Node from, Node to) const
 {
     const auto found = blockedUntil_.find({from, to});
-    return found != blockedUntil_.end() && found->second > now_;
+    const SplitNetwork::Side fromSide = sideOf(from);
+    const SplitNetwork::Side toSide = sideOf(to);
+    const bool split = fromSide != SplitNetwork::Side::Both && toSide != SplitNetwork::Side::Both && fromSide != toSide;
+    return split || (found != blockedUntil_.end() && found->second > now_);
+}
+
+SplitNetwork::Side Simulation::sideOf(Node node) const
+{
+    const auto found = split_.sides.find(node.first ? agents_[node.second].id.name : entries_[node.second].state.self.id.name);
+    return split_.until <= now_ || found == split_.sides.end() ? SplitNetwork::Side::Store : found->second;
+}
+
+bool Simulation::isCutOffFromStore(std::size_t entry) const
+{
+    return sideOf({false, entry}) == SplitNetwork::Side::Other;
 }
 
 Microseconds Simulation::networkDelay()
--- a/tests/auto/cluster/simulation.h
+++ b/tests/auto/cluster/simulation.h
@@ -61,10 +61,29 @@
 Base::Uuid uuidFromSubmissionId(std::uint64_t id);
 std::uint64_t submissionIdFromUuid(const Base::Uuid &uuid);
 
+/// A partition of the network into two sides. The store is on side 0.
+struct SplitNetwork {
+    enum class Side : std::uint8_t {
+        Store,
+        Other,
+        Both, ///< reaches both sides
+    };
+
+    Microseconds until = 0;
+    std::map<std::string, Side> sides; ///< by name of entry or agent; the store's side if it isn't listed
+};
+
+/// Which partitions a simulation plays in addition to short faults of single links.
+enum class Partitions : std::uint8_t {
+    None,
+    Entries, ///< entries on both sides; agents reach both
+    EntriesAndAgents, ///< entries and agents on both sides
+};
+
 class Simulation
 {
 public:
-    Simulation(std::uint64_t seed, std::size_t entries, std::size_t agents);
+    Simulation(std::uint64_t seed, std::size_t entries, std::size_t agents, Partitions partitions = Partitions::None);
 
     /// Runs with faults for faultyPeriod, then without faults until all partitions are served again. It is a violation if that takes longer than
     /// recoveryTimeout.
@@ -113,6 +132,8 @@
     void at(Microseconds delay, std::function<void()> action);
 
     bool isBlocked(Node from, Node to) const;
+    SplitNetwork::Side sideOf(Node node) const;
+    bool isCutOffFromStore(std::size_t entry) const;
     Microseconds networkDelay();
     void sendDatagram(Node from, const Base::Endpoint &to, const Protocol::Datagram &datagram);
     void sendOnLink(Node from, Node to, std::function<void()> action, Microseconds extraDelay = 0);
@@ -139,6 +160,7 @@
     std::size_t addEntry(const std::string &name, std::uint16_t port);
     std::size_t addAgent(const std::string &name, std::uint16_t port);
     void injectFault();
+    void splitNetwork();
     void entryFault();
     void agentFault();
     void confirmDeadEntries();
@@ -151,6 +173,8 @@
     std::uint64_t nextSubmission_ = 1;
     std::uint16_t nextPort_ = 1000;
     Microseconds now_ = 0;
+    Partitions partitions_ = Partitions::None;
+    SplitNetwork split_;
     bool faultsEnabled_ = true;
     double loss_ = 0;
     std::multimap<Microseconds, std::function<void()>> queue_;
--- a/tests/auto/cluster/simulationfaults.cpp
+++ b/tests/auto/cluster/simulationfaults.cpp
@@ -22,10 +22,27 @@
     if (chance(0.01)) {
         loss_ = chance(0.5) ? 0 : 0.3;
     }
+    if (partitions_ != Partitions::None && split_.until <= now_ && chance(0.004)) {
+        splitNetwork();
+    }
     entryFault();
     agentFault();
 }
 
+/// Parts entries, and agents if they are to be parted too, into two sides for longer than a takeover takes.
+void Simulation::splitNetwork()
+{
+    split_.sides.clear();
+    split_.until = now_ + between(5 * second, 20 * second);
+    for (const EntryProcess &entry : entries_) {
+        split_.sides[entry.state.self.id.name] = chance(0.5) ? SplitNetwork::Side::Store : SplitNetwork::Side::Other;
+    }
+    for (const AgentProcess &agent : agents_) {
+        const bool parted = partitions_ == Partitions::EntriesAndAgents && chance(0.7);
+        split_.sides[agent.id.name] = !parted ? SplitNetwork::Side::Both : (chance(0.5) ? SplitNetwork::Side::Store : SplitNetwork::Side::Other);
+    }
+}
+
 void Simulation::entryFault()
 {
     if (!chance(0.008)) {
--- a/tests/auto/cluster/simulationnodes.cpp
+++ b/tests/auto/cluster/simulationnodes.cpp
@@ -29,7 +29,7 @@
 {
     Events::MapRead read;
     read.sentAt = clock(entries_[entry]);
-    const bool down = storeDownUntil_ > now_ || (faultsEnabled_ && chance(0.02));
+    const bool down = storeDownUntil_ > now_ || isCutOffFromStore(entry) || (faultsEnabled_ && chance(0.02));
     at(networkDelay(), [this, entry, down, read]() mutable {
         read.ok = !down;
         read.map = stored_;
@@ -43,7 +43,7 @@
     Events::MapWritten written;
     written.sentAt = clock(entries_[entry]);
     written.map = write.map;
-    const bool down = storeDownUntil_ > now_;
+    const bool down = storeDownUntil_ > now_ || isCutOffFromStore(entry);
     const bool answerLost = faultsEnabled_ && chance(0.25);
     // A write whose response was lost may still take effect after its caller has given up.
     at(answerLost ? between(millisecond, 3 * second) : networkDelay(),
--- a/tests/auto/cluster/tst_schedules.cpp
+++ b/tests/auto/cluster/tst_schedules.cpp
@@ -23,7 +23,7 @@
 constexpr std::uint64_t defaultSeeds = 1500;
 #endif
 
-void runSeeds(std::size_t entries)
+void runSeeds(std::size_t entries, Partitions partitions = Partitions::None)
 {
     const std::uint64_t first = fromEnvironment("LABURNUMFLOW_FIRST_SEED", 1);
     const std::uint64_t seeds = fromEnvironment("LABURNUMFLOW_SEEDS", defaultSeeds);
@@ -31,7 +31,7 @@
     std::size_t takeovers = 0;
     std::size_t handovers = 0;
     for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
-        Simulation simulation(seed, entries, 4);
+        Simulation simulation(seed, entries, 4, partitions);
         simulation.run(40 * second, 60 * second);
         CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::string(), simulation.violation());
         started += simulation.started();
@@ -52,6 +52,10 @@
     CPPUNIT_TEST(twoEntries);
     CPPUNIT_TEST(threeEntries);
     CPPUNIT_TEST(fiveEntries);
+    CPPUNIT_TEST(threeEntriesPartitioned);
+    CPPUNIT_TEST(fiveEntriesPartitioned);
+    CPPUNIT_TEST(threeEntriesAndAgentsPartitioned);
+    CPPUNIT_TEST(fiveEntriesAndAgentsPartitioned);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +73,30 @@
     {
         runSeeds(5);
     }
+
+    /// Guards against a former owner without the store that goes on with the majority of its side beside a successor on the store's side.
+    void threeEntriesPartitioned()
+    {
+        runSeeds(3, Partitions::Entries);
+    }
+
+    /// As above, with sides of several entries.
+    void fiveEntriesPartitioned()
+    {
+        runSeeds(5, Partitions::Entries);
+    }
+
+    /// Guards against a successor that takes the tasks of agents which it can't reach, and which stay with the former owner, for never started.
+    void threeEntriesAndAgentsPartitioned()
+    {
+        runSeeds(3, Partitions::EntriesAndAgents);
+    }
+
+    /// As above, with sides of several entries.
+    void fiveEntriesAndAgentsPartitioned()
+    {
+        runSeeds(5, Partitions::EntriesAndAgents);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestSchedules);
