Don't take what an agent's unknown former process ran for never started

A new owner that has the lists of all agents it knows took older submissions that no list names for never started, if they were younger than its own first 1.5 s as a member. In that time, it was assumed, all agents make themselves known. An agent that is cut off from the new owner for longer can run a task for the former owner and restart; the new owner then first hears of the new process, whose list is empty, and starts the task again.

An agent that is heard of for the first time now counts as a lost ledger, as a restarted one does: after a takeover, submissions from before that are answered as unknown unless an agent reports them. The price is more answers 'unknown' for submissions that are sent again after a takeover within 120 s of the arrival of a new worker; not measured.

TestMembership::agentFirstHeardOfLate failed before.

--- a/src/libs/cluster/agents.cpp
+++ b/src/libs/cluster/agents.cpp
@@ -62,12 +62,18 @@
     }
 }
 
+/// Records that this entry can't ask for all attempts that other entries may have started until now.
+void recordLedgerLoss(ClusterState &state)
+{
+    state.ledgerLostWall = state.wall;
+}
+
 /// Handles the end of the agent's process: its ledger is lost, and its attempts are lost once their leases have expired.
 void retireProcess(ClusterState &state, Step &step, AgentInfo &agent)
 {
     count(step, "agents.restarted");
     log(step, "agent-restarted", {{"agent", agent.id.name}, {"former", std::to_string(agent.id.incarnation)}});
-    state.ledgerLostWall = state.wall;
+    recordLedgerLoss(state);
     resetFenceQuery(state, agent.id.name);
     if (state.takeover) {
         state.takeover->agentsQueried.erase(agent.id.name);
@@ -95,7 +101,10 @@
         return nullptr;
     }
     std::vector<std::uint64_t> former = std::move(agent.formerIncarnations);
-    if (!agent.id.name.empty()) {
+    if (agent.id.name.empty()) {
+        // Another entry may have known a former process of this agent.
+        recordLedgerLoss(state);
+    } else {
         retireProcess(state, step, agent);
         rememberIncarnation(former, agent.id.incarnation, maxFormerIncarnations);
     }
--- a/src/libs/cluster/clusterstate.h
+++ b/src/libs/cluster/clusterstate.h
@@ -130,7 +130,7 @@
     std::map<Base::ProcessId, Acknowledgement> acknowledged; ///< by process of an entry
     std::vector<FormerAgent> formerAgents; ///< replaced processes that aren't fenced yet
     std::optional<Base::WallTime> agentsKnownSince; ///< when all agents know this entry, some heartbeats after a map first listed it
-    Base::WallTime ledgerLostWall{}; ///< when an agent's process was last replaced by a new one, whose ledger starts empty
+    Base::WallTime ledgerLostWall{}; ///< when an agent was last heard of for the first time or its process replaced; a former process had another ledger
 
     std::optional<Takeover> takeover; ///< takeover of the current map; its partitions may be empty
     std::map<std::string, Handover, std::less<>> handovers; ///< unacknowledged handovers by new owner
--- a/tests/auto/cluster/tst_membership.cpp
+++ b/tests/auto/cluster/tst_membership.cpp
@@ -67,6 +67,21 @@
     entry.read(map, 1);
 }
 
+/// Lets the entry take over the partitions of the other members, with an empty answer from each agent that it queries. Returns one that it gained.
+Protocol::Partition takeOver(Entry &entry)
+{
+    Protocol::PartitionMap next = makeMap({a}, entry.state.map->epoch + 1);
+    next.unfenced = {{entry.state.map->epoch, entry.state.map->entries}};
+    entry.clearRecorded();
+    entry.read(next, 2);
+    for (std::size_t queries = entry.all<Events::SendToAgent>().size(); queries > 0; --queries) {
+        entry.feed(Events::AgentReplyReceived{{"a", 1}, Protocol::FenceReply{next.epoch, {}, {}, true}});
+    }
+    entry.advance(4000);
+    CPPUNIT_ASSERT(!entry.all<PartitionsGained>().empty());
+    return entry.all<PartitionsGained>().at(0)->partitions.at(0);
+}
+
 } // namespace
 
 class TestMembership : public CppUnit::TestFixture
@@ -84,6 +99,7 @@
     CPPUNIT_TEST(skippedEpochs);
     CPPUNIT_TEST(takeoverWaits);
     CPPUNIT_TEST(fenceQueries);
+    CPPUNIT_TEST(agentFirstHeardOfLate);
     CPPUNIT_TEST(confirmDead);
     CPPUNIT_TEST(leaving);
     CPPUNIT_TEST(leavingWithoutOthers);
@@ -371,6 +387,18 @@
         }
     }
 
+    /// Guards against a takeover that takes a submission for never started because the new owner never heard of the agent's former process, which ran it.
+    void agentFirstHeardOfLate()
+    {
+        Entry entry = servingEntry({a, b});
+        advanceWithHeartbeats(entry, {b}, 10'000);
+        const Base::WallTime unheard = entry.state.wall;
+        entry.receiveAgentHeartbeat();
+        entry.feed(Events::AgentLinkChanged{{"a", 1}, true});
+        const Protocol::Partition taken = takeOver(entry);
+        CPPUNIT_ASSERT(!isKnownUnstarted(entry.state, taken, unheard));
+    }
+
     /// Guards against a takeover that waits forever for dead members, and against confirming a live member as dead.
     void confirmDead()
     {
