Count a forgotten agent as a lost ledger

An entry forgets an agent that has been silent to it for 120 s. The agent may have run tasks for another entry all the while, for example while two failure domains can't reach each other. A takeover then had the lists of all agents that it knew, so submissions that had run there counted as never started.

Forgetting an agent now counts as losing its ledger. Submissions that such an agent runs for the former owner after that are still not covered (TestMembership does not play it; listed as open).

TestMembership::forgottenAgent failed before and passes now.

--- a/src/libs/cluster/agents.cpp
+++ b/src/libs/cluster/agents.cpp
@@ -177,6 +177,8 @@
         if (!agent.fenced || state.now - agent.tokenReceivedAt <= agentRetention) {
             return false;
         }
+        // Silent to this entry only, it may have gone on running tasks for another one.
+        recordLedgerLoss(state);
         log(step, "agent-forgotten", {{"agent", agent.id.name}});
         step.effects.emplace_back(Events::DisconnectAgent{agent.id.name});
         return true;
--- a/tests/auto/cluster/tst_membership.cpp
+++ b/tests/auto/cluster/tst_membership.cpp
@@ -100,6 +100,7 @@
     CPPUNIT_TEST(takeoverWaits);
     CPPUNIT_TEST(fenceQueries);
     CPPUNIT_TEST(agentFirstHeardOfLate);
+    CPPUNIT_TEST(forgottenAgent);
     CPPUNIT_TEST(confirmDead);
     CPPUNIT_TEST(leaving);
     CPPUNIT_TEST(leavingWithoutOthers);
@@ -399,6 +400,19 @@
         CPPUNIT_ASSERT(!isKnownUnstarted(entry.state, taken, unheard));
     }
 
+    /// Guards against a takeover that takes a submission for never started because its agent was silent for agentRetention, to this entry only.
+    void forgottenAgent()
+    {
+        Entry entry = servingEntry({a, b});
+        entry.receiveAgentHeartbeat();
+        advanceWithHeartbeats(entry, {b}, 119'000);
+        const Base::WallTime unheard = entry.state.wall;
+        advanceWithHeartbeats(entry, {b}, 5'000);
+        CPPUNIT_ASSERT(entry.state.agents.empty());
+        const Protocol::Partition taken = takeOver(entry);
+        CPPUNIT_ASSERT(!isKnownUnstarted(entry.state, taken, unheard));
+    }
+
     /// Guards against a takeover that waits forever for dead members, and against confirming a live member as dead.
     void confirmDead()
     {
