Wait for the lease of a restarted agent's former process before the next attempt

A new owner adopts the attempts that an agent lists during a takeover. If the agent restarts before the takeover ends, the attempts are adopted under its new process, which doesn't know them and reports them as fenced. That was taken for the end of their leases, as the reason is the same as for an agent that was silent until they had ended, and the next attempt started after the retry delay of about 10 ms, while the former process's lease lets the backend server run the first for up to 2 s.

Such an attempt now counts as one whose connection was lost, so the next one starts after leaseDuration and leaseMargin.

TestRelay::waitsForLeaseOfRestartedAgent failed before (a start within the lease) and passes now; the other dispatch tests pass.

--- a/src/libs/dispatch/attempts.cpp
+++ b/src/libs/dispatch/attempts.cpp
@@ -162,9 +162,10 @@
     Task &task = submission.tasks[index];
     const Attempt attempt = task.liveAttempts[position];
     removeLiveAttempt(context.state, submission, index, position);
-    // A restarted agent reports as fenced what its former incarnation may have started.
+    // A restarted agent reports as fenced what its former incarnation may have started, and what may run on until the lease granted by that one ends.
     if (attempt.recovered && update.state == AttemptState::Refused && update.reason == AgentReason::Fenced) {
         update.state = AttemptState::Lost;
+        update.reason = AgentReason::BackendLost;
     }
     if (update.state != AttemptState::Refused) {
         markStarted(submission, task);
--- a/tests/auto/dispatch/tst_relay.cpp
+++ b/tests/auto/dispatch/tst_relay.cpp
@@ -1,5 +1,7 @@
 #include "harness.h"
 
+#include "protocol/protocolconstants.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace LaburnumFlow;
@@ -61,6 +63,7 @@
     CPPUNIT_TEST(defersDuringTakeover);
     CPPUNIT_TEST(continuesRecovered);
     CPPUNIT_TEST(treatsFencedRecoveredAsLost);
+    CPPUNIT_TEST(waitsForLeaseOfRestartedAgent);
     CPPUNIT_TEST(handsLedgerOver);
     CPPUNIT_TEST(losesPartitions);
     CPPUNIT_TEST_SUITE_END();
@@ -238,6 +241,28 @@
         CPPUNIT_ASSERT(harness.failure(request).reason == Reason::AttemptLost && harness.startCount == 0);
     }
 
+    /// Guards against a second run beside the first one of an agent that restarted during a takeover: the lease of its former process still runs.
+    void waitsForLeaseOfRestartedAgent()
+    {
+        Harness harness;
+        prepare(harness, "self");
+        harness.kind("t", "again", true);
+        beginTakeover(harness);
+        const Base::Uuid id = harness.idIn(partition);
+        const Protocol::JobBody body = Harness::body("t", "again", 1, 9000);
+        const Base::AttemptKey key{{id, 0}, 1};
+        Protocol::AttemptRecord record{
+            {key, AttemptState::Running, AgentReason::None, 0, {}}, partition, Protocol::computeBodyDigest(body), "t", "again", true};
+        harness.change(Cluster::AttemptsRecovered{"a", {record}});
+        endTakeover(harness, true);
+        harness.submit(body, id);
+        harness.update("a", key, AttemptState::Refused, AgentReason::Fenced);
+        harness.advance(Protocol::leaseDuration);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, harness.startCount);
+        harness.advance(Protocol::leaseMargin + 100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.startCount);
+    }
+
     /// Guards against a handover after which submissions run again or are unknown.
     void handsLedgerOver()
     {
