Refuse no submission as not run while its partition is being taken over

A job whose deadline is before the expected end of a takeover is refused at once. The refusal said 'not run' if no record of an earlier takeover spoke against it, and a new owner has none while the first takeover goes on. The former owner may have started the job, and may go on starting it until it is fenced. A caller that is told 'not run' hands its work in again under a new id, so it runs twice.

While the takeover goes on, a submission is now never known to be unstarted, so the refusal says 'unknown', except for one that is younger than the start of a process on an embedded store, whose former process has ended.

TestMembership::startsUnknownDuringTakeover failed before and passes now; TestRelay::defersDuringTakeover checks the outcome of the refusal (with the stand-in of the cluster, which says the same).

--- a/src/libs/cluster/ownership.cpp
+++ b/src/libs/cluster/ownership.cpp
@@ -124,6 +124,10 @@
 
 bool isKnownUnstarted(const ClusterState &state, Protocol::Partition partition, Base::WallTime submissionTime)
 {
+    if (state.takeover && state.takeover->partitions.contains(partition)) {
+        // A former owner may start submissions until it is fenced; one on an embedded store ended before this process started.
+        return state.takeover->formerProcessEnded && submissionTime > state.startedWall.value_or(state.wall) + Protocol::maxClockSkew;
+    }
     const auto found = state.lastTakeovers.find(partition);
     if (found == state.lastTakeovers.end() || submissionTime > found->second.at + Protocol::maxClockSkew) {
         return true;
--- a/tests/auto/cluster/tst_membership.cpp
+++ b/tests/auto/cluster/tst_membership.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(fenceQueries);
     CPPUNIT_TEST(agentFirstHeardOfLate);
     CPPUNIT_TEST(forgottenAgent);
+    CPPUNIT_TEST(startsUnknownDuringTakeover);
     CPPUNIT_TEST(confirmDead);
     CPPUNIT_TEST(leaving);
     CPPUNIT_TEST(leavingWithoutOthers);
@@ -413,6 +414,20 @@
         CPPUNIT_ASSERT(!isKnownUnstarted(entry.state, taken, unheard));
     }
 
+    /// Guards against a refusal as not run, while a takeover goes on, of a submission that the former owner has started or may still start.
+    void startsUnknownDuringTakeover()
+    {
+        Entry entry = servingEntry({a, b});
+        Protocol::PartitionMap next = makeMap({a}, 11);
+        next.unfenced = {{10, {a, b}}};
+        entry.read(next, 2);
+        const auto recovering = *entry.state.takeover->partitions.begin();
+        CPPUNIT_ASSERT(!isKnownUnstarted(entry.state, recovering, entry.state.wall - Base::WallTime(1000)));
+        CPPUNIT_ASSERT(!isKnownUnstarted(entry.state, recovering, entry.state.wall + Base::WallTime(1000)));
+        entry.advance(4000);
+        CPPUNIT_ASSERT(isKnownUnstarted(entry.state, recovering, entry.state.wall + Base::WallTime(2001)));
+    }
+
     /// Guards against a takeover that waits forever for dead members, and against confirming a live member as dead.
     void confirmDead()
     {
--- a/tests/auto/dispatch/fakecluster.cpp
+++ b/tests/auto/dispatch/fakecluster.cpp
@@ -29,6 +29,9 @@
 
 bool isKnownUnstarted(const ClusterState &state, Protocol::Partition partition, Base::WallTime submissionTime)
 {
+    if (state.takeover && state.takeover->partitions.contains(partition)) {
+        return false;
+    }
     const auto found = state.lastTakeovers.find(partition);
     return found == state.lastTakeovers.end() || found->second.complete || submissionTime > found->second.at + Protocol::maxClockSkew;
 }
--- a/tests/auto/dispatch/tst_relay.cpp
+++ b/tests/auto/dispatch/tst_relay.cpp
@@ -170,6 +170,8 @@
         receive(harness, makeRelay(harness, 1, harness.idIn(partition)));
         const auto refused = harness.failure(harness.submit(Harness::body("t", "x", 1, 1000), harness.idIn(partition)));
         CPPUNIT_ASSERT(refused.reason == Reason::OwnerRecovering && refused.retryAfterMs > 0);
+        // The former owner may have started it.
+        CPPUNIT_ASSERT(refused.outcome == Outcome::Unknown);
         harness.advance(4s);
         CPPUNIT_ASSERT(harness.startCount == 0 && !harness.answered(deferred));
         endTakeover(harness, true);
