Ask the other entries which agents a former owner may have used

A takeover counted as complete once every agent that the new owner knows had sent its list. An agent that the new owner can't reach, and never could, was not missed. It may run tasks for the former owner, which goes on echoing its token after it has stepped down, so no lease ends them; the new owner started the same submissions again elsewhere.

An acknowledgement of the map (MapAck) now names the agents that its sender knows. The takeover is incomplete, and older submissions that nobody reports are answered as unknown, unless all of these have replied as well. An agent that is known only to a former owner that has died or can't be reached is still not covered.

--- a/src/libs/cluster/cluster.cpp
+++ b/src/libs/cluster/cluster.cpp
@@ -152,6 +152,7 @@
         record.id = ack.from;
         record.peer = ack.peer;
         recordAcknowledgement(state_, record, ack.epoch);
+        recordAgentsOfPeer(state_, ack);
         takeoverTick(state_, step_);
     }
 
--- a/src/libs/cluster/clusterstate.h
+++ b/src/libs/cluster/clusterstate.h
@@ -74,6 +74,7 @@
     std::optional<Base::MonoTime> acknowledgedAt; ///< when the last acknowledgement needed from former members was seen
     std::set<std::string> agentsQueried;
     std::set<std::string> agentsReplied;
+    std::set<std::string> agentsOfPeers; ///< named in acknowledgements; this entry may not know them
     std::map<std::string, std::vector<Protocol::AttemptRecord>, std::less<>> recovered; ///< by agent; reported when the takeover finishes
     bool formerProcessEnded = false; ///< the former owner ran on an embedded store and has ended, so there is no authority to wait for
 };
--- a/src/libs/cluster/mapstore.cpp
+++ b/src/libs/cluster/mapstore.cpp
@@ -7,6 +7,7 @@
 #include "steps.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace LaburnumFlow::Cluster::Internal {
 
@@ -133,7 +134,11 @@
     } else if (announce.map.epoch < state.map->epoch) {
         announceMap(state, step, from.name);
     }
-    step.effects.emplace_back(Events::SendToPeer{from.name, Protocol::MapAck{state.self.id, state.self.peer, state.map->epoch}});
+    Protocol::MapAck ack{state.self.id, state.self.peer, state.map->epoch, {}};
+    for (const auto &[name, agent] : state.agents) {
+        ack.agents.push_back(name);
+    }
+    step.effects.emplace_back(Events::SendToPeer{from.name, std::move(ack)});
 }
 
 void announceMap(const ClusterState &state, Step &step, const std::string &peer)
--- a/src/libs/cluster/takeover.cpp
+++ b/src/libs/cluster/takeover.cpp
@@ -52,7 +52,10 @@
 
 bool allAgentsReplied(const ClusterState &state)
 {
-    return std::all_of(state.agents.begin(), state.agents.end(), [&](const auto &agent) { return state.takeover->agentsReplied.contains(agent.first); });
+    const Takeover &takeover = *state.takeover;
+    const auto replied = [&](const std::string &agent) { return takeover.agentsReplied.contains(agent); };
+    return std::all_of(state.agents.begin(), state.agents.end(), [&](const auto &agent) { return replied(agent.first); })
+           && std::all_of(takeover.agentsOfPeers.begin(), takeover.agentsOfPeers.end(), replied);
 }
 
 void sendFenceQueries(ClusterState &state, Step &step)
@@ -138,6 +141,13 @@
     known.peer = from.peer;
 }
 
+void recordAgentsOfPeer(ClusterState &state, const Protocol::MapAck &ack)
+{
+    if (state.takeover && ack.epoch >= state.takeover->epoch) {
+        state.takeover->agentsOfPeers.insert(ack.agents.begin(), ack.agents.end());
+    }
+}
+
 void beginTakeover(ClusterState &state, Step &step, std::set<Protocol::Partition> partitions, bool formerProcessEnded)
 {
     Takeover takeover;
--- a/src/libs/cluster/takeover.h
+++ b/src/libs/cluster/takeover.h
@@ -10,6 +10,9 @@
 /// Records that a process has adopted a map of this epoch.
 void recordAcknowledgement(ClusterState &state, const Protocol::EntryRecord &from, Protocol::Epoch epoch);
 
+/// Records the agents at which the sender may have started tasks. The takeover is incomplete without a reply of each.
+void recordAgentsOfPeer(ClusterState &state, const Protocol::MapAck &ack);
+
 /// Starts the fencing that the current map requires. \a partitions may be empty. \a formerProcessEnded tells that no former owner is left to wait for.
 void beginTakeover(ClusterState &state, Step &step, std::set<Protocol::Partition> partitions, bool formerProcessEnded);
 
--- a/src/libs/protocol/messages.h
+++ b/src/libs/protocol/messages.h
@@ -156,11 +156,12 @@
     Base::ProcessId from;
     Base::Endpoint peer; ///< peer endpoint of the sender
     Epoch epoch = 0;
+    std::vector<std::string> agents; ///< names of the agents that the sender knows; it may have started tasks there as a former owner
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(from, peer, epoch);
+        archive(from, peer, epoch, agents);
     }
 };
 
--- a/tests/auto/cluster/tst_membership.cpp
+++ b/tests/auto/cluster/tst_membership.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <functional>
 #include <set>
 
 using namespace LaburnumFlow;
@@ -68,7 +69,9 @@
 }
 
 /// Lets the entry take over the partitions of the other members, with an empty answer from each agent that it queries. Returns one that it gained.
-Protocol::Partition takeOver(Entry &entry)
+Protocol::Partition takeOver(
+    Entry &entry,
+    const std::function<void()> &meanwhile = [] {})
 {
     Protocol::PartitionMap next = makeMap({a}, entry.state.map->epoch + 1);
     next.unfenced = {{entry.state.map->epoch, entry.state.map->entries}};
@@ -77,6 +80,7 @@
     for (std::size_t queries = entry.all<Events::SendToAgent>().size(); queries > 0; --queries) {
         entry.feed(Events::AgentReplyReceived{{"a", 1}, Protocol::FenceReply{next.epoch, {}, {}, true}});
     }
+    meanwhile();
     entry.advance(4000);
     CPPUNIT_ASSERT(!entry.all<PartitionsGained>().empty());
     return entry.all<PartitionsGained>().at(0)->partitions.at(0);
@@ -101,6 +105,7 @@
     CPPUNIT_TEST(fenceQueries);
     CPPUNIT_TEST(agentFirstHeardOfLate);
     CPPUNIT_TEST(forgottenAgent);
+    CPPUNIT_TEST(agentKnownToFormerOwnerOnly);
     CPPUNIT_TEST(startsUnknownDuringTakeover);
     CPPUNIT_TEST(confirmDead);
     CPPUNIT_TEST(leaving);
@@ -339,7 +344,7 @@
             entry.read(next, 2);
             const std::size_t recovering = entry.countPartitions(Authority::Recovering);
             entry.advance(row.acknowledgedAfterMs);
-            entry.message(c, Protocol::MapAck{c.id, c.peer, 11});
+            entry.message(c, Protocol::MapAck{c.id, c.peer, 11, {}});
             for (std::int64_t passed = row.acknowledgedAfterMs; passed < row.servingAfterMs - 50; passed += 50) {
                 entry.advance(50);
             }
@@ -414,6 +419,33 @@
         CPPUNIT_ASSERT(!isKnownUnstarted(entry.state, taken, unheard));
     }
 
+    /// Guards against a takeover that is complete without the list of an agent which only the former owner can reach, and which goes on under its echoes.
+    void agentKnownToFormerOwnerOnly()
+    {
+        for (const bool known : {false, true}) {
+            Entry former("eb");
+            former.read(makeMap({a, b}), 1);
+            Entry entry = servingEntry({a, b});
+            entry.receiveAgentHeartbeat();
+            entry.feed(Events::AgentLinkChanged{{"a", 1}, true});
+            if (known) {
+                former.receiveAgentHeartbeat();
+            } else {
+                Protocol::AgentHeartbeat heartbeat;
+                heartbeat.from = {"z", 1};
+                heartbeat.token = {1, 1};
+                former.feed(Events::DatagramReceived{{}, heartbeat});
+            }
+            advanceWithHeartbeats(entry, {b}, 10'000);
+            const Base::WallTime submitted = entry.state.wall;
+            advanceWithHeartbeats(entry, {b}, 1'000);
+            former.message(a, Protocol::MapAnnounce{makeMap({a}, 11)});
+            const auto acknowledgement = former.sent<Protocol::MapAck>().at(0);
+            const Protocol::Partition taken = takeOver(entry, [&] { entry.message(b, acknowledgement); });
+            CPPUNIT_ASSERT_EQUAL(known, isKnownUnstarted(entry.state, taken, submitted));
+        }
+    }
+
     /// Guards against a refusal as not run, while a takeover goes on, of a submission that the former owner has started or may still start.
     void startsUnknownDuringTakeover()
     {
