--- /dev/null
+++ b/tests/auto/entrynode/ownerchangeagents.cpp
@@ -0,0 +1,222 @@
+#include "ownerchangemodel.h"
+
+#include "jobs/jobtext.h"
+
+#include <cstdlib>
+#include <utility>
+
+namespace LaburnumFlow::EntryNode::Testing {
+
+namespace {
+
+constexpr Base::Duration lateExecutionMin = 2s;
+constexpr Base::Duration lateExecutionMax = 12s;
+constexpr Base::Duration workerHeartbeatInterval = 500ms;
+
+} // namespace
+
+void OwnerChangeModel::feedAgent(NodeIndex index, const TaskAgent::AgentEvent &event)
+{
+    TaskAgent::AgentState &state = agentAt(index).state;
+    for (const TaskAgent::AgentEffect &effect : TaskAgent::reduce(state, TaskAgent::TimePassed{now_})) {
+        carryOut(index, effect);
+    }
+    for (const TaskAgent::AgentEffect &effect : TaskAgent::reduce(state, event)) {
+        carryOut(index, effect);
+    }
+}
+
+/// The event is lost if the agent restarts before.
+void OwnerChangeModel::postToAgent(Base::Duration delay, NodeIndex index, TaskAgent::AgentEvent event)
+{
+    post(delay, [this, index, incarnation = agentAt(index).incarnation, event = std::move(event)] {
+        if (agentAt(index).incarnation == incarnation) {
+            feedAgent(index, event);
+        }
+    });
+}
+
+void OwnerChangeModel::carryOut(NodeIndex index, const TaskAgent::AgentEffect &effect)
+{
+    if (const auto *start = std::get_if<TaskAgent::CallStart>(&effect)) {
+        callStart(index, *start);
+    } else if (const auto *stop = std::get_if<TaskAgent::CallStop>(&effect)) {
+        callStop(index, *stop);
+    } else if (const auto *hold = std::get_if<TaskAgent::CallHold>(&effect)) {
+        callHold(index, *hold);
+    } else if (const auto *update = std::get_if<TaskAgent::UpdateEntries>(&effect)) {
+        agentAt(index).knownEntries = update->entries;
+    } else if (const auto *report = std::get_if<TaskAgent::SendReport>(&effect)) {
+        sendReport(index, *report);
+    } else if (const auto *decision = std::get_if<TaskAgent::Decision>(&effect)) {
+        noteDecision(agentAt(index).name, decision->event, decision->fields);
+    }
+}
+
+void OwnerChangeModel::sendReport(NodeIndex index, const TaskAgent::SendReport &effect)
+{
+    const LinkId id = std::strtoull(effect.entry.c_str(), nullptr, 10);
+    const NodeIndex entry = links_.at(id).acceptor;
+    send(id, entry, [this, entry, id, index, report = effect.report] {
+        const auto link = entries_[entry].agentLinks.find(index);
+        if (link != entries_[entry].agentLinks.end() && link->second == id) {
+            feedOwner(entry, Jobs::AgentReported{agentAt(index).name, report});
+        }
+    });
+}
+
+void OwnerChangeModel::restartAgent(NodeIndex index)
+{
+    Agent &agent = agentAt(index);
+    note(agent.name + " is killed and starts again");
+    ++agent.incarnation;
+    for (const auto &[id, link] : links_) {
+        if (link.dialer == index) {
+            breakLink(id, 1ms, 5ms);
+        }
+    }
+    agent.state = TaskAgent::makeAgent(now_);
+    agent.entryLinks.clear();
+    agent.knownEntries.clear();
+    agent.entriesReadAt = {};
+}
+
+/// Returns whether the next call to a worker gets no answer and is executed late.
+bool OwnerChangeModel::isCallLate()
+{
+    return options_.lateCallShare > 0 && chance(options_.lateCallShare);
+}
+
+void OwnerChangeModel::callStart(NodeIndex index, const TaskAgent::CallStart &call)
+{
+    if (isCallLate()) {
+        note(agentAt(index).name + " gets no answer to the start of " + Jobs::formatRun(call.run));
+        post(randomTime(lateExecutionMin, lateExecutionMax), [this, index, call] { executeStart(index, call); });
+        postToAgent(call.timeout, index, TaskAgent::StartAnswered{call.run, call.workerStartTimeMs, TaskAgent::StartAnswered::Outcome::NoAnswer, {}, {}});
+        return;
+    }
+    post(randomTime(1ms, 6ms), [this, index, call] { postToAgent(randomTime(1ms, 6ms), index, executeStart(index, call)); });
+}
+
+void OwnerChangeModel::callStop(NodeIndex index, const TaskAgent::CallStop &call)
+{
+    const bool late = isCallLate();
+    if (late) {
+        note(agentAt(index).name + " gets no answer to the stop of " + Jobs::formatRun(call.run));
+        postToAgent(call.timeout, index, TaskAgent::StopAnswered{call.run, false});
+    }
+    post(late ? randomTime(lateExecutionMin, lateExecutionMax) : randomTime(1ms, 6ms), [this, index, call, late] {
+        agentAt(index).worker.expire(now_);
+        const bool stopped = agentAt(index).worker.stop(call, now_);
+        if (!late) {
+            postToAgent(randomTime(1ms, 6ms), index, TaskAgent::StopAnswered{call.run, stopped});
+        }
+    });
+}
+
+void OwnerChangeModel::callHold(NodeIndex index, const TaskAgent::CallHold &call)
+{
+    const TaskAgent::HoldAnswered noAnswer{false, false, 0, {}, call.number, call.calledAt, {}, {}};
+    const bool late = isCallLate();
+    if (late) {
+        note(agentAt(index).name + " gets no answer to hold call " + std::to_string(call.number));
+        postToAgent(call.timeout, index, noAnswer);
+    }
+    post(late ? randomTime(lateExecutionMin, lateExecutionMax) : randomTime(1ms, 6ms), [this, index, call, noAnswer, late] {
+        const bool held = beginHold(index, call);
+        if (late) {
+            return;
+        }
+        if (!held) {
+            postToAgent(randomTime(1ms, 6ms), index, noAnswer);
+            return;
+        }
+        post(call.wait, [this, index, call, started = agentAt(index).worker.startTimeMs()] { endHold(index, call, started); });
+    });
+}
+
+TaskAgent::StartAnswered OwnerChangeModel::executeStart(NodeIndex index, const TaskAgent::CallStart &call)
+{
+    expireWorkers();
+    ModelWorker &worker = agentAt(index).worker;
+    TaskAgent::StartAnswered answer{call.run, call.workerStartTimeMs, TaskAgent::StartAnswered::Outcome::Refused, Jobs::RunRefusal::Reason::Stale, {}};
+    if (!worker.accepts(call, now_)) {
+        return answer;
+    }
+    checkSingleRun(index, call.run);
+    if (isStored(call.run.task.job)) {
+        violate(rules_.checkStart(call.run, now_));
+    }
+    worker.start(call, now_, randomTime(100ms, 2500ms));
+    note(agentAt(index).name + " starts " + Jobs::formatRun(call.run));
+    ++starts_;
+    answer.outcome = TaskAgent::StartAnswered::Outcome::Started;
+    answer.workerClock = worker.clock(now_);
+    return answer;
+}
+
+/// Returns whether the worker executes the call.
+bool OwnerChangeModel::beginHold(NodeIndex index, const TaskAgent::CallHold &call)
+{
+    ModelWorker &worker = agentAt(index).worker;
+    worker.expire(now_);
+    const auto acknowledged = worker.beginHold(call, now_);
+    if (!acknowledged) {
+        return false;
+    }
+    for (const ModelWorker::AcknowledgedEnd &ended : *acknowledged) {
+        if (isStored(ended.end.run.task.job)) {
+            violate(rules_.checkAcknowledgedEnd(ended.end, ended.endedAt));
+        }
+    }
+    return true;
+}
+
+/// The connection of a call that waits is lost when the worker restarts.
+void OwnerChangeModel::endHold(NodeIndex index, const TaskAgent::CallHold &call, std::int64_t workerStartTimeMs)
+{
+    ModelWorker &worker = agentAt(index).worker;
+    worker.expire(now_);
+    TaskAgent::HoldAnswered answer{false, false, 0, {}, call.number, call.calledAt, {}, {}};
+    if (worker.startTimeMs() == workerStartTimeMs) {
+        answer = worker.endHold(call, now_);
+    }
+    postToAgent(randomTime(1ms, 6ms), index, answer);
+}
+
+void OwnerChangeModel::expireWorkers()
+{
+    for (Agent &agent : agents_) {
+        agent.worker.expire(now_);
+    }
+}
+
+void OwnerChangeModel::restartWorker(NodeIndex index)
+{
+    Agent &agent = agentAt(index);
+    note(agent.name + "'s worker is killed and starts again");
+    const std::int64_t startTimeMs = ModelWorker::firstStartTimeMs + std::chrono::duration_cast<std::chrono::milliseconds>(now_).count();
+    agent.worker = ModelWorker(startTimeMs, now_);
+    agent.heartbeats = 0;
+}
+
+void OwnerChangeModel::checkSingleRun(NodeIndex index, const Jobs::RunRef &run)
+{
+    for (const Agent &agent : agents_) {
+        if (agent.worker.runsTask(run.task)) {
+            violate(agentAt(index).name + " starts " + Jobs::formatRun(run) + ", which " + agent.name + " is running");
+        }
+    }
+}
+
+void OwnerChangeModel::sendWorkerHeartbeat(NodeIndex index)
+{
+    Agent &agent = agentAt(index);
+    TaskAgent::WorkerHeartbeat heartbeat;
+    heartbeat.worker = {"worker-" + agent.name, agent.worker.startTimeMs(), "service", "domain", "a", "rack", {}, {8000, 65'536, 0}, false};
+    heartbeat.sequence = ++agent.heartbeats;
+    feedAgent(index, heartbeat);
+    post(workerHeartbeatInterval, [this, index] { sendWorkerHeartbeat(index); });
+}
+
+} // namespace LaburnumFlow::EntryNode::Testing
--- a/tests/auto/entrynode/ownerchangefaults.cpp
+++ b/tests/auto/entrynode/ownerchangefaults.cpp
@@ -1,9 +1,6 @@
 #include "ownerchangemodel.h"
 
-#include "jobs/jobtext.h"
-
 #include <algorithm>
-#include <cstdlib>
 #include <utility>
 
 namespace LaburnumFlow::EntryNode::Testing {
@@ -14,13 +11,15 @@
 constexpr Base::Duration callerTimeout = 1500ms;
 constexpr Base::Duration resubmitDelay = 1300ms;
 constexpr Base::Duration forwardDelay = 100ms;
+constexpr double agentRestartShare = 0.15; ///< Of the times at which a fault begins.
+constexpr double workerRestartShare = 0.15; ///< Of the times at which a fault begins.
 
-Jobs::SubmitCall makeCall(Jobs::JobId job, std::uint32_t tasks)
+Jobs::SubmitCall makeCall(Jobs::JobId job, std::uint32_t tasks, bool stored)
 {
     Jobs::SubmitCall call;
     call.job = job;
     call.rules = {"queue", "service", 0, 3, 1.6, 5000};
-    call.bestEffort = true;
+    call.bestEffort = !stored;
     call.spec.payload = "payload";
     call.spec.steps.push_back({tasks, {1000, 64, 0}, 1000, {}, {}, {}, 0});
     return call;
@@ -28,95 +27,13 @@
 
 } // namespace
 
-void OwnerChangeModel::feedAgent(NodeIndex index, const TaskAgent::AgentEvent &event)
-{
-    TaskAgent::AgentState &state = agentAt(index).state;
-    for (const TaskAgent::AgentEffect &effect : TaskAgent::reduce(state, TaskAgent::TimePassed{now_})) {
-        carryOut(index, effect);
-    }
-    for (const TaskAgent::AgentEffect &effect : TaskAgent::reduce(state, event)) {
-        carryOut(index, effect);
-    }
-}
-
-void OwnerChangeModel::carryOut(NodeIndex index, const TaskAgent::AgentEffect &effect)
-{
-    if (const auto *start = std::get_if<TaskAgent::CallStart>(&effect)) {
-        post(randomTime(1ms, 6ms), [this, index, call = *start] { executeStart(index, call); });
-    } else if (const auto *stop = std::get_if<TaskAgent::CallStop>(&effect)) {
-        post(randomTime(1ms, 6ms), [this, index, call = *stop] {
-            agentAt(index).worker.expire(now_);
-            agentAt(index).worker.stop(call);
-            post(randomTime(1ms, 6ms), [this, index, call] { feedAgent(index, TaskAgent::StopAnswered{call.run, true}); });
-        });
-    } else if (const auto *holdCall = std::get_if<TaskAgent::CallHold>(&effect)) {
-        post(randomTime(1ms, 6ms), [this, index, call = *holdCall] {
-            agentAt(index).worker.expire(now_);
-            agentAt(index).worker.beginHold(call, now_);
-            post(call.wait, [this, index, call] {
-                agentAt(index).worker.expire(now_);
-                post(randomTime(1ms, 6ms), [this, index, answer = agentAt(index).worker.hold(call, now_)] { feedAgent(index, answer); });
-            });
-        });
-    } else if (const auto *update = std::get_if<TaskAgent::UpdateEntries>(&effect)) {
-        agentAt(index).knownEntries = update->entries;
-    } else if (const auto *report = std::get_if<TaskAgent::SendReport>(&effect)) {
-        const LinkId id = std::strtoull(report->entry.c_str(), nullptr, 10);
-        const NodeIndex entry = links_.at(id).acceptor;
-        send(id, entry, [this, entry, id, index, what = report->report] {
-            const auto link = entries_[entry].agentLinks.find(index);
-            if (link != entries_[entry].agentLinks.end() && link->second == id) {
-                feedOwner(entry, Jobs::AgentReported{agentAt(index).name, what});
-            }
-        });
-    }
-}
-
-void OwnerChangeModel::executeStart(NodeIndex index, const TaskAgent::CallStart &call)
-{
-    for (Agent &agent : agents_) {
-        agent.worker.expire(now_);
-    }
-    ModelWorker &worker = agentAt(index).worker;
-    TaskAgent::StartAnswered answer{call.run, workerStartTimeMs, TaskAgent::StartAnswered::Outcome::Refused, Jobs::RunRefusal::Reason::Stale, {}};
-    if (worker.accepts(call, now_)) {
-        checkSingleRun(index, call.run);
-        worker.start(call, now_, randomTime(100ms, 2500ms));
-        note(agentAt(index).name + " starts " + Jobs::formatRun(call.run));
-        ++starts_;
-        answer.outcome = TaskAgent::StartAnswered::Outcome::Started;
-        answer.workerClock = ModelWorker::clock(now_);
-    }
-    post(randomTime(1ms, 6ms), [this, index, answer] { feedAgent(index, answer); });
-}
-
-void OwnerChangeModel::checkSingleRun(NodeIndex index, const Jobs::RunRef &run)
-{
-    for (const Agent &agent : agents_) {
-        if (!agent.worker.runsTask(run.task)) {
-            continue;
-        }
-        const std::string text = agentAt(index).name + " starts " + Jobs::formatRun(run) + ", which " + agent.name + " is running";
-        violations_ += std::to_string(now_.count() / 1000) + " " + text + "\n";
-        note(text);
-    }
-}
-
-void OwnerChangeModel::sendWorkerHeartbeat(NodeIndex index)
-{
-    TaskAgent::WorkerHeartbeat heartbeat;
-    heartbeat.worker = {"worker-" + agentAt(index).name, workerStartTimeMs, "service", "domain", "a", "rack", {}, {8000, 65'536, 0}, false};
-    heartbeat.sequence = ++agentAt(index).heartbeats;
-    feedAgent(index, heartbeat);
-    post(500ms, [this, index] { sendWorkerHeartbeat(index); });
-}
-
 void OwnerChangeModel::updateCallers()
 {
     if (now_ >= nextJobAt_) {
         nextJobAt_ = now_ + randomTime(50ms, 250ms);
         if (callers_.size() < maxCallers) {
-            callers_[++lastJob_] = {static_cast<std::uint32_t>(1 + randomIndex(4)), 0, 0, now_, {}, false, false};
+            ++lastJob_;
+            callers_[lastJob_] = {static_cast<std::uint32_t>(1 + randomIndex(4)), 0, 0, now_, {}, isStored(lastJob_), false, false};
         }
     }
     for (auto &[job, caller] : callers_) {
@@ -138,9 +55,14 @@
     }
 }
 
+bool OwnerChangeModel::isStored(Jobs::JobId job) const
+{
+    return options_.storedJobs && job % 2 == 1;
+}
+
 bool OwnerChangeModel::callersTimeOut() const
 {
-    return witnesses_ == Witnesses::WithFormerOwner || witnesses_ == Witnesses::Absent;
+    return options_.witnesses == Witnesses::WithFormerOwner || options_.witnesses == Witnesses::Absent;
 }
 
 bool OwnerChangeModel::hasTimedOut(const Caller &caller) const
@@ -162,7 +84,7 @@
     caller.entry = owners[randomIndex(owners.size())];
     caller.epoch = entries_[caller.entry].owner->epoch;
     caller.submittedAt = now_;
-    Jobs::SubmitCall call = makeCall(job, caller.tasks);
+    Jobs::SubmitCall call = makeCall(job, caller.tasks, caller.stored);
     call.mayHaveRun = std::exchange(caller.submittedBefore, true);
     if (callersTimeOut()) {
         call.callerTimeoutMs = static_cast<std::uint32_t>(callerTimeout / 1ms);
@@ -187,6 +109,12 @@
 {
     nextFaultAt_ = now_ + randomTime(100ms, 1500ms);
     const NodeIndex index = likelyOwner();
+    if (options_.agentsRestart && chance(agentRestartShare)) {
+        restartAgent(firstAgent + randomIndex(agents_.size()));
+    }
+    if (options_.workersRestart && chance(workerRestartShare)) {
+        restartWorker(firstAgent + randomIndex(agents_.size()));
+    }
     switch (randomIndex(7)) {
     case 0:
         refuseByStore(index, randomTime(300ms, 6s));
@@ -213,7 +141,7 @@
 
 void OwnerChangeModel::beginPartitionFault(NodeIndex index)
 {
-    switch (witnesses_) {
+    switch (options_.witnesses) {
     case Witnesses::WithFormerOwner:
         separate(index);
         return;
@@ -272,7 +200,7 @@
     const Base::Duration refused = randomTime(4500ms, 6s);
     const Base::Duration time = refused + randomTime(500ms, 2s);
     refuseByStore(index, refused);
-    const bool ownerAlone = witnesses_ == Witnesses::LinkedToSuccessor;
+    const bool ownerAlone = options_.witnesses == Witnesses::LinkedToSuccessor;
     isolateEntry(ownerAlone ? index : successor, time);
     for (NodeIndex agent = firstAgent; agent < firstAgent + agents_.size(); ++agent) {
         const bool stays = chance(0.6);
@@ -331,7 +259,7 @@
     for (std::size_t offset = 0; offset < entries_.size() / 2 + 1; ++offset) {
         side.push_back((index + offset) % entries_.size());
     }
-    partition(side, randomTime(partitionTime_.shortest, partitionTime_.longest));
+    partition(side, randomTime(options_.partitionTime.shortest, options_.partitionTime.longest));
 }
 
 /// Separates the given entry from the store and the others after the others have been down for so long that their presence has lapsed.
@@ -346,7 +274,7 @@
             kill(other, lapse + randomTime(100ms, 1s));
         }
     }
-    const Base::Duration time = randomTime(partitionTime_.shortest, partitionTime_.longest);
+    const Base::Duration time = randomTime(options_.partitionTime.shortest, options_.partitionTime.longest);
     isolationUntil_ = now_ + lapse;
     nextFaultAt_ = now_ + lapse + time;
     post(lapse, [this, index, time] { partition({index}, time); });
@@ -354,7 +282,7 @@
 
 void OwnerChangeModel::suspendWitness(NodeIndex index, Base::Duration time)
 {
-    if (witnesses_ == Witnesses::Killed) {
+    if (options_.witnesses == Witnesses::Killed) {
         kill(index, time);
         return;
     }
--- a/tests/auto/entrynode/ownerchangelinks.cpp
+++ b/tests/auto/entrynode/ownerchangelinks.cpp
@@ -100,14 +100,24 @@
         postToEntry(2ms, index, [answer] { answer(Jobs::CommitRefused{}); });
         return;
     }
-    post(randomTime(1ms, 6ms), [this, index, incarnation, commit, answer] {
+    const bool late = options_.lateCommitShare > 0 && chance(options_.lateCommitShare);
+    if (late) {
+        postToEntry(storeTimeout, index, [answer] { answer(Jobs::CommitUnknown{}); });
+    }
+    post(late ? randomTime(500ms, 6s) : randomTime(1ms, 6ms), [this, index, incarnation, commit, answer, late] {
         Jobs::CommitResult result = Jobs::CommitConflict{store_.owner, store_.ownerRevision};
         if (commit.expectedOwnerRevision == store_.ownerRevision) {
             store_.owner = Jobs::decodeOwnerRecord(commit.writes.front().value);
+            for (std::size_t write = 1; write < commit.writes.size(); ++write) {
+                store_.jobs[commit.writes[write].key] = commit.writes[write].value;
+            }
+            for (const std::string &key : commit.deletes) {
+                store_.jobs.erase(key);
+            }
             store_.ownerRevision = ++store_.lastRevision;
             result = Jobs::Committed{store_.ownerRevision};
         }
-        if (!entries_[index].up || entries_[index].record.incarnation != incarnation) {
+        if (late || !entries_[index].up || entries_[index].record.incarnation != incarnation) {
             return;
         }
         const bool lost = chance(lostResponseShare);
--- a/tests/auto/entrynode/ownerchangemodel.cpp
+++ b/tests/auto/entrynode/ownerchangemodel.cpp
@@ -17,8 +17,7 @@
 
 } // namespace
 
-OwnerChangeModel::OwnerChangeModel(std::uint64_t seed, Witnesses witnesses, PartitionTime partitionTime)
-    : random_(seed), witnesses_(witnesses), partitionTime_(partitionTime)
+OwnerChangeModel::OwnerChangeModel(std::uint64_t seed, ModelOptions options) : random_(seed), options_(options)
 {
     entries_.resize(3 + randomIndex(3));
     for (NodeIndex index = 0; index < entries_.size(); ++index) {
@@ -109,6 +108,26 @@
     log_ += std::to_string(now_.count() / 1000) + " " + text + "\n";
 }
 
+void OwnerChangeModel::noteDecision(const std::string &node, const std::string &event, const std::vector<std::pair<std::string, std::string>> &fields)
+{
+    std::string text = node + ' ' + event;
+    for (const auto &[key, value] : fields) {
+        text += ' ';
+        text += key;
+        text += '=';
+        text += value;
+    }
+    note(text);
+}
+
+void OwnerChangeModel::violate(const std::string &text)
+{
+    if (!text.empty()) {
+        violations_ += std::to_string(now_.count() / 1000) + " " + text + "\n";
+        note(text);
+    }
+}
+
 void OwnerChangeModel::runTimers()
 {
     for (NodeIndex index = 0; index < entries_.size(); ++index) {
@@ -182,12 +201,30 @@
     feedOwnership(index, SteppedDown{});
 }
 
+/// Returns the owner's jobs, as read from the store when it loaded them.
+Jobs::StoredJobs OwnerChangeModel::loadedJobs(const Entry &entry, const BeginOwning &begin)
+{
+    Jobs::StoredJobs jobs{begin.record, begin.revision, {}, {}};
+    for (const auto &[key, value] : entry.loaded) {
+        if (key.starts_with(Jobs::jobPrefix)) {
+            if (auto pack = Jobs::decodeJobPack(value)) {
+                jobs.packs.push_back({key, std::move(*pack)});
+            }
+        } else if (key.starts_with(Jobs::finishedPrefix)) {
+            if (auto segment = Jobs::decodeFinishedSegment(value)) {
+                jobs.finished.push_back({key, std::move(*segment)});
+            }
+        }
+    }
+    return jobs;
+}
+
 void OwnerChangeModel::beginOwning(NodeIndex index, const BeginOwning &begin)
 {
     Entry &entry = entries_[index];
     note(entry.record.name + " owns the jobs, epoch " + std::to_string(begin.record.epoch));
     ++takeovers_;
-    entry.owner = Jobs::takeOver({begin.record, begin.revision, {}, {}}, now_, wallAt(now_));
+    entry.owner = Jobs::takeOver(loadedJobs(entry, begin), now_, wallAt(now_));
     feedOwner(index, Jobs::EntriesChanged{entry.endpoints});
     for (const auto &[agent, link] : std::map(entry.agentLinks)) {
         feedOwner(index, Jobs::AgentLinked{agentAt(agent).name});
@@ -234,7 +271,10 @@
     } else if (std::holds_alternative<FormerOwnersFenced>(effect)) {
         feedOwner(index, Jobs::FormerOwnersFenced{});
     } else if (std::holds_alternative<LoadJobs>(effect)) {
-        callStore(index, JobsLoaded{false}, [] { return JobsLoaded{true}; });
+        callStore(index, JobsLoaded{false}, [this, index] {
+            entries_[index].loaded = store_.jobs;
+            return JobsLoaded{true};
+        });
     } else if (const auto *begin = std::get_if<BeginOwning>(&effect)) {
         beginOwning(index, *begin);
     } else if (const auto *lost = std::get_if<OwnershipLost>(&effect)) {
@@ -261,14 +301,7 @@
         entry.endpoints = endpoints->entries;
         feedOwner(index, Jobs::EntriesChanged{entry.endpoints});
     } else if (const auto *decision = std::get_if<OwnershipDecision>(&effect)) {
-        std::string text = name + " " + decision->event;
-        for (const auto &[key, value] : decision->fields) {
-            text += ' ';
-            text += key;
-            text += '=';
-            text += value;
-        }
-        note(text);
+        noteDecision(name, decision->event, decision->fields);
     }
 }
 
--- a/tests/auto/entrynode/ownerchangemodel.h
+++ b/tests/auto/entrynode/ownerchangemodel.h
@@ -2,6 +2,7 @@
 
 #include "entrynode/ownership.h"
 #include "ownerchangeworker.h"
+#include "runrules.h"
 
 #include "jobs/owner.h"
 #include "taskagent/agentreducer.h"
@@ -11,6 +12,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// Drives the reducers of entries and agents around a store in a seeded schedule of faults, without sockets.
@@ -31,15 +33,25 @@
     Base::Duration longest = 8s;
 };
 
+/// What the model plays beside faults of entries, links and the store.
+struct ModelOptions {
+    Witnesses witnesses = Witnesses::LinkedToSuccessor;
+    PartitionTime partitionTime = {}; ///< For Witnesses::WithFormerOwner and Witnesses::Absent.
+    bool storedJobs = false; ///< Every second job is stored. Otherwise all are best-effort.
+    bool agentsRestart = false;
+    bool workersRestart = false; ///< Under the same id and without memory.
+    double lateCallShare = 0.0; ///< Of the calls to workers: no answer arrives, and the call is executed seconds later by the process that is there then.
+    double lateCommitShare = 0.0; ///< Of the commits: no answer arrives, and the commit is executed later.
+};
+
 class OwnerChangeModel
 {
 public:
-    /// The partition time holds for Witnesses::WithFormerOwner and Witnesses::Absent.
-    OwnerChangeModel(std::uint64_t seed, Witnesses witnesses, PartitionTime partitionTime = {});
+    OwnerChangeModel(std::uint64_t seed, ModelOptions options);
 
     void run(Base::Duration time);
 
-    /// Returns the starts of tasks that were already running, one line each; empty if there were none.
+    /// Returns the violations of the rules on runs of tasks, one line each; empty if there were none.
     const std::string &violations() const
     {
         return violations_;
@@ -75,6 +87,7 @@
         Base::MonoTime refusedByStoreUntil{};
         OwnershipState ownership;
         std::optional<Jobs::OwnerState> owner;
+        std::map<std::string, std::string> loaded; ///< Records of jobs, as last read for a takeover.
         std::vector<Base::Endpoint> endpoints;
         std::map<std::string, LinkId> peerLinks; ///< Dialed by this entry.
         std::map<std::string, LinkId> entryLinks; ///< On which the latest heartbeat of a peer has arrived.
@@ -86,6 +99,7 @@
         TaskAgent::AgentState state;
         ModelWorker worker;
         std::uint64_t heartbeats = 0;
+        std::uint64_t incarnation = 0;
         std::vector<Base::Endpoint> knownEntries; ///< The only ones that the agent dials.
         Base::MonoTime entriesReadAt{};
         Base::MonoTime cutFromStoreUntil{};
@@ -101,6 +115,7 @@
 
     struct Store {
         std::int64_t lastRevision = 0;
+        std::map<std::string, std::string> jobs; ///< Records of jobs, by key.
         std::optional<Jobs::OwnerRecord> owner;
         std::int64_t ownerRevision = 0;
         std::optional<Jobs::ConfirmerRecord> confirmers;
@@ -116,6 +131,7 @@
         std::uint64_t epoch = 0; ///< Of the owner that has the job; 0 if none does.
         Base::MonoTime submitAt{};
         Base::MonoTime submittedAt{};
+        bool stored = false;
         bool submittedBefore = false;
         bool forwarded = false; ///< By the entry that had it from the caller, after the loss of an owner.
     };
@@ -128,6 +144,8 @@
     void postToEntry(Base::Duration delay, NodeIndex index, Action action);
     void deliverToEntry(NodeIndex index, std::uint64_t incarnation, const Action &action);
     void note(const std::string &text);
+    void noteDecision(const std::string &node, const std::string &event, const std::vector<std::pair<std::string, std::string>> &fields);
+    void violate(const std::string &text);
     void runTimers();
 
     // Entries.
@@ -138,6 +156,7 @@
     void carryOut(NodeIndex index, const OwnershipEffect &effect);
     void carryOut(NodeIndex index, Jobs::OwnerEffect &effect);
     void beginOwning(NodeIndex index, const BeginOwning &begin);
+    static Jobs::StoredJobs loadedJobs(const Entry &entry, const BeginOwning &begin);
     NodeIndex entryIndex(const std::string &name) const;
 
     // Store.
@@ -167,14 +186,28 @@
         return agents_[index - firstAgent];
     }
     void feedAgent(NodeIndex index, const TaskAgent::AgentEvent &event);
+    void postToAgent(Base::Duration delay, NodeIndex index, TaskAgent::AgentEvent event);
     void carryOut(NodeIndex index, const TaskAgent::AgentEffect &effect);
-    void executeStart(NodeIndex index, const TaskAgent::CallStart &call);
+    void sendReport(NodeIndex index, const TaskAgent::SendReport &effect);
+    void restartAgent(NodeIndex index);
+
+    // Calls to workers.
+    bool isCallLate();
+    void callStart(NodeIndex index, const TaskAgent::CallStart &call);
+    void callStop(NodeIndex index, const TaskAgent::CallStop &call);
+    void callHold(NodeIndex index, const TaskAgent::CallHold &call);
+    TaskAgent::StartAnswered executeStart(NodeIndex index, const TaskAgent::CallStart &call);
+    bool beginHold(NodeIndex index, const TaskAgent::CallHold &call);
+    void endHold(NodeIndex index, const TaskAgent::CallHold &call, std::int64_t workerStartTimeMs);
+    void expireWorkers();
+    void restartWorker(NodeIndex index);
     void sendWorkerHeartbeat(NodeIndex index);
     void checkSingleRun(NodeIndex index, const Jobs::RunRef &run);
 
     // Callers and faults.
     void updateCallers();
     void submit(Jobs::JobId job, Caller &caller);
+    bool isStored(Jobs::JobId job) const;
     bool callersTimeOut() const;
     bool hasTimedOut(const Caller &caller) const;
     void beginFault();
@@ -191,8 +224,8 @@
     NodeIndex likelyOwner();
 
     std::mt19937_64 random_;
-    Witnesses witnesses_;
-    PartitionTime partitionTime_;
+    ModelOptions options_;
+    RunRules rules_;
     Base::MonoTime now_{100s};
     std::multimap<Base::MonoTime, Action> events_;
     std::vector<Entry> entries_;
--- /dev/null
+++ b/tests/auto/entrynode/tst_ownerchangefaults.cpp
@@ -0,0 +1,82 @@
+#include "modelplays.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::EntryNode::Testing;
+
+namespace {
+
+constexpr std::uint64_t seeds = 300;
+constexpr Base::Duration simulatedTime = 30s;
+
+} // namespace
+
+/// Plays owner changes together with late calls, restarting agents and workers, stored jobs and late commits.
+class OwnerChangeFaultsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OwnerChangeFaultsTest);
+    CPPUNIT_TEST(runsEachTaskOnceWhenWorkersRestart);
+    CPPUNIT_TEST(runsEachTaskOnceWhenWorkersRestartInAPartition);
+    CPPUNIT_TEST(runsEachTaskOnceWhenWorkersRestartAndCallsAreLate);
+    CPPUNIT_TEST(runsEachTaskOnceWhenAgentsRestartAndCallsAreLate);
+    CPPUNIT_TEST(startsNoStoredTaskAfterItsAcknowledgedEnd);
+    CPPUNIT_TEST(startsNoStoredTaskAfterItsAcknowledgedEndWhenCallsAreLate);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against a run that a restarted worker has while its answer is taken for the former process's.
+    void runsEachTaskOnceWhenWorkersRestart()
+    {
+        ModelOptions options;
+        options.workersRestart = true;
+        checkSeeds(options, seeds, simulatedTime);
+    }
+
+    // Guards against the same while most entries lose the store.
+    void runsEachTaskOnceWhenWorkersRestartInAPartition()
+    {
+        ModelOptions options;
+        options.witnesses = Witnesses::WithFormerOwner;
+        options.workersRestart = true;
+        checkSeeds(options, seeds, simulatedTime);
+    }
+
+    // Guards against a late start that a restarted worker executes before it hears of the cancellation.
+    void runsEachTaskOnceWhenWorkersRestartAndCallsAreLate()
+    {
+        ModelOptions options;
+        options.workersRestart = true;
+        options.lateCallShare = 0.05;
+        checkSeeds(options, seeds, simulatedTime);
+    }
+
+    // Guards against a start that a worker executes after its task was started elsewhere, also if the agent has forgotten it.
+    void runsEachTaskOnceWhenAgentsRestartAndCallsAreLate()
+    {
+        ModelOptions options;
+        options.agentsRestart = true;
+        options.lateCallShare = 0.2;
+        checkSeeds(options, seeds, simulatedTime);
+    }
+
+    // Guards against a former owner that starts a task whose end its successor has acknowledged.
+    void startsNoStoredTaskAfterItsAcknowledgedEnd()
+    {
+        ModelOptions options;
+        options.witnesses = Witnesses::WithFormerOwner;
+        options.storedJobs = true;
+        options.lateCommitShare = 0.05;
+        checkSeeds(options, seeds, simulatedTime);
+    }
+
+    // Guards against the same while calls to workers are executed late.
+    void startsNoStoredTaskAfterItsAcknowledgedEndWhenCallsAreLate()
+    {
+        ModelOptions options;
+        options.storedJobs = true;
+        options.lateCallShare = 0.1;
+        checkSeeds(options, seeds, simulatedTime);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OwnerChangeFaultsTest);
