Don't take a start that only its answer shows for a run of the worker's former process

The answer to a start names no process. If a worker restarted within one heartbeat and its new process executed the start, the agent took the run for one of the former process and reported it as lost at the restart; the owner started the task elsewhere beside it. No partition and no late call is needed.

Only a list names the process that gives it. A run counts as ended by a restart only if a list of the former process has shown it; otherwise its start is cancelled at the new process first, like one without an answer. The same for a stop, whose answer may be the former process's, and for a run that a former process of the agent started, which the restart of the worker turned into an ended one.

Four tests there assumed that an answered start proves the process; each now has the list that does, and checks as much as before.

--- a/src/libs/taskagent/agentcancellations.cpp
+++ b/src/libs/taskagent/agentcancellations.cpp
@@ -24,8 +24,7 @@
 void cancelStart(Context &context, const RunRef &run, LocalRun &local)
 {
     local.phase = LocalRun::Phase::CancellingStart;
-    const std::int64_t startTimeMs = context.state.worker ? context.state.worker->startTimeMs : 0;
-    logDecision(context, "run.barring", {{"run", Jobs::formatRun(run)}, {"born", std::to_string(startTimeMs)}});
+    logDecision(context, "run.barring", {{"run", Jobs::formatRun(run)}, {"born", std::to_string(workerStartTimeMs(context.state))}});
     stopRun(context, run);
 }
 
@@ -42,9 +41,11 @@
 
 void recordUnansweredStart(AgentState &state, const RunRef &run, const LocalRun &local)
 {
-    const Base::MonoTime until = local.calledAt + lateExecutionTimeout;
+    // A run that this process hasn't started was started before it began.
+    const Base::MonoTime calledBy = local.calledAt != Base::MonoTime{} ? local.calledAt : state.startedAt;
+    const Base::MonoTime until = calledBy + lateExecutionTimeout;
     std::erase_if(state.unansweredStarts, [&state](const auto &start) { return start.second <= state.now; });
-    if (local.calledAt != Base::MonoTime{} && until > state.now) {
+    if (until > state.now) {
         state.unansweredStarts.insert_or_assign(run, until);
     }
 }
@@ -52,7 +53,7 @@
 void recordUnansweredStarts(AgentState &state)
 {
     for (const auto &[run, local] : state.runs) {
-        if (local.phase != LocalRun::Phase::Running) {
+        if (local.phase != LocalRun::Phase::Running || !local.listed) {
             recordUnansweredStart(state, run, local);
         }
     }
--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -154,8 +154,7 @@
 void applyOrders(Context &context, const Jobs::OwnerOrders &orders)
 {
     AgentState &state = context.state;
-    const std::int64_t startTimeMs = state.worker ? state.worker->startTimeMs : 0;
-    const bool sameWorker = state.worker && startTimeMs == orders.workerStartTimeMs;
+    const bool sameWorker = state.worker && state.worker->startTimeMs == orders.workerStartTimeMs;
     const bool tokenRecent = state.now - std::chrono::milliseconds(orders.echo) <= Jobs::maxTokenAgeForStart;
     for (const Jobs::StartOrder &start : orders.starts) {
         for (const Jobs::RunRef &run : start.runs) {
@@ -317,6 +316,7 @@
 {
     AgentState state;
     state.now = now;
+    state.startedAt = now;
     // A former process may have renewed the lease a moment ago.
     Internal::recordLeaseRenewal(state);
     return state;
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -44,7 +44,7 @@
     }
 }
 
-void updateListedRun(AgentState &state, const ListedRun &listed)
+void updateListedRun(AgentState &state, const ListedRun &listed, bool ofKnownIncarnation)
 {
     const auto [found, added] = state.runs.try_emplace(listed.run);
     LocalRun &local = found->second;
@@ -57,6 +57,7 @@
         local.startedAt = added ? Base::MonoTime{} : state.now;
         local.progressChangedAt = state.now;
     }
+    local.listed = local.listed || ofKnownIncarnation;
     updateProgress(state, listed, local);
 }
 
@@ -149,6 +150,11 @@
     }
 }
 
+std::int64_t workerStartTimeMs(const AgentState &state)
+{
+    return state.worker ? state.worker->startTimeMs : 0;
+}
+
 void recordLeaseRenewal(AgentState &state)
 {
     const auto lease = std::chrono::duration_cast<Base::Duration>(Jobs::workerLease * Jobs::clockDriftFactor);
@@ -187,7 +193,7 @@
         return;
     }
     found->second.stopping = true;
-    context.effects.push_back(CallStop{run, state.epoch, callTimeout(state)});
+    context.effects.push_back(CallStop{run, state.epoch, workerStartTimeMs(state), callTimeout(state)});
 }
 
 void reportRefusal(AgentState &state, const RunRef &run, RunRefusal::Reason reason)
@@ -241,7 +247,8 @@
 {
     AgentState &state = context.state;
     const auto found = state.runs.find(event.run);
-    if (found == state.runs.end()) {
+    // A former incarnation may have answered, which tells nothing of the current one.
+    if (found == state.runs.end() || event.workerStartTimeMs != workerStartTimeMs(state)) {
         return;
     }
     if (!event.answered) {
@@ -296,8 +303,9 @@
         cancelUnansweredStarts(context);
     }
     updateClockOffset(state, event.workerClock);
+    const bool ofKnownIncarnation = event.workerStartTimeMs != 0 && state.worker->startTimeMs == event.workerStartTimeMs;
     for (const ListedRun &run : event.running) {
-        updateListedRun(state, run);
+        updateListedRun(state, run, ofKnownIncarnation);
     }
     adoptRecordedEnds(state, event.ends);
     for (const Jobs::RunEnd &end : event.ends) {
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -32,6 +32,7 @@
     Jobs::Resources need; ///< reserved resources; 0 if not known
     std::uint32_t latencyTargetMs = 0; ///< target of the tail latency; 0 if there is none or it isn't known
     bool stopping = false; ///< a stop call is in progress or was answered
+    bool listed = false; ///< a list of the worker's current incarnation has shown the run; only a list names the process that gives it
     Base::MonoTime possibleUntil{}; ///< the worker may execute the start call late until then, whatever its lease
     Base::MonoTime calledAt{};
     Base::MonoTime startedAt{};
@@ -45,6 +46,7 @@
 
 struct AgentState {
     Base::MonoTime now{};
+    Base::MonoTime startedAt{}; ///< start of this process
 
     // The worker.
     std::optional<Jobs::WorkerInfo> worker;
@@ -136,6 +138,7 @@
 
 struct StopAnswered {
     Jobs::RunRef run;
+    std::int64_t workerStartTimeMs = 0; ///< incarnation that was called
     bool answered = false;
 };
 
@@ -189,6 +192,7 @@
 struct CallStop {
     Jobs::RunRef run;
     std::uint64_t fence = 0;
+    std::int64_t workerStartTimeMs = 0;
     Base::Duration timeout{};
 };
 
--- a/src/libs/taskagent/agentsteps.h
+++ b/src/libs/taskagent/agentsteps.h
@@ -28,6 +28,9 @@
 
 void updateClockOffset(AgentState &state, const std::optional<std::chrono::milliseconds> &workerClock);
 
+/// Returns the start time of the worker's known incarnation, or 0 if there is none.
+std::int64_t workerStartTimeMs(const AgentState &state);
+
 /// Moves the time by which all runs have ended to the latest end that a renewal sent now can have.
 void recordLeaseRenewal(AgentState &state);
 
@@ -52,10 +55,10 @@
 /// Stops a run that this process hasn't started. A former process may have sent a start call that the worker has yet to execute.
 void stopUnknownRun(Context &context, const Jobs::RunRef &run);
 
-/// Records that the start call of the run has no response.
+/// Records that the start call of the run has no response that proves where it was executed.
 void recordUnansweredStart(AgentState &state, const Jobs::RunRef &run, const LocalRun &local);
 
-/// Records all runs whose start calls have no response yet.
+/// Records all runs whose start calls another incarnation of the worker than the known one may have executed or may still execute.
 void recordUnansweredStarts(AgentState &state);
 
 /// Cancels all starts that the worker's new incarnation may execute late.
--- a/tests/auto/entrynode/ownerchangeagents.cpp
+++ b/tests/auto/entrynode/ownerchangeagents.cpp
@@ -103,13 +103,13 @@
     const bool late = isCallLate();
     if (late) {
         note(agentAt(index).name + " gets no answer to the stop of " + Jobs::formatRun(call.run));
-        postToAgent(call.timeout, index, TaskAgent::StopAnswered{call.run, false});
+        postToAgent(call.timeout, index, TaskAgent::StopAnswered{call.run, call.workerStartTimeMs, false});
     }
     post(late ? randomTime(lateExecutionMin, lateExecutionMax) : randomTime(1ms, 6ms), [this, index, call, late] {
         agentAt(index).worker.expire(now_);
         const bool stopped = agentAt(index).worker.stop(call, now_);
         if (!late) {
-            postToAgent(randomTime(1ms, 6ms), index, TaskAgent::StopAnswered{call.run, stopped});
+            postToAgent(randomTime(1ms, 6ms), index, TaskAgent::StopAnswered{call.run, call.workerStartTimeMs, stopped});
         }
     });
 }
--- a/tests/auto/taskagent/tst_agent.cpp
+++ b/tests/auto/taskagent/tst_agent.cpp
@@ -141,7 +141,7 @@
         const auto refused = [](const Jobs::AgentReport &report) { return !report.refusals.empty(); };
         agent.answerHold();
         CPPUNIT_ASSERT(!agent.reported(refused));
-        agent.feed(StopAnswered{runOf(7), true});
+        agent.feed(StopAnswered{runOf(7), firstStartTimeMs, true});
         agent.answerHold();
         CPPUNIT_ASSERT(!agent.reported(refused) || agent.holds.size() > 2);
         agent.advance(10ms);
@@ -156,7 +156,7 @@
         agent.begin();
         agent.orders(1, {startOf(runOf(7))});
         agent.feed(StartAnswered{runOf(7), firstStartTimeMs, StartAnswered::Outcome::NoAnswer, {}, {}});
-        agent.feed(StopAnswered{runOf(7), true});
+        agent.feed(StopAnswered{runOf(7), firstStartTimeMs, true});
         agent.answerHold({}, {{1, runOf(7), Jobs::RunOutcome::Stopped, 0}});
         CPPUNIT_ASSERT(agent.reported([](const auto &report) { return report.ends.size() == 1 && report.ends[0].outcome == Jobs::RunOutcome::Stopped; }));
         CPPUNIT_ASSERT(!agent.reported([](const auto &report) { return !report.refusals.empty(); }));
--- a/tests/auto/taskagent/tst_latecalls.cpp
+++ b/tests/auto/taskagent/tst_latecalls.cpp
@@ -21,6 +21,9 @@
     CPPUNIT_TEST(lateStartIsCancelledAtARestartedWorker);
     CPPUNIT_TEST(runsOfASilentWorkerLapseDespiteACancelledStart);
     CPPUNIT_TEST(startInProgressAtARestartIsCancelledBeforeItCountsAsEnded);
+    CPPUNIT_TEST(startAnsweredByTheNewProcessIsNoLostRun);
+    CPPUNIT_TEST(stopAnsweredByTheFormerProcessCancelsNothing);
+    CPPUNIT_TEST(unknownRunIsStoppedAgainAtARestartedWorker);
     CPPUNIT_TEST(lateStartIsCancelledAtAWorkerThatReturns);
     CPPUNIT_TEST(answeredAndOldStartsAreNotCancelledAgain);
     CPPUNIT_TEST(unknownRunIsStoppedAtTheWorker);
@@ -88,6 +91,7 @@
         agent.begin(1);
         agent.orders(1, {startOf(runOf(7))});
         agent.answerStart(runOf(7));
+        agent.answerHold({{runOf(7), 20}});
         const std::uint64_t overtaken = agent.holds.back().number;
         agent.orders(2, {}, {}, "2");
         agent.heartbeat(1, firstStartTimeMs + 5000);
@@ -108,7 +112,7 @@
         agent.heartbeat(1, firstStartTimeMs + 5000);
         CPPUNIT_ASSERT_EQUAL(before + 1, agent.stops.size());
         CPPUNIT_ASSERT(agent.stops.back().run == runOf(7));
-        agent.feed(StopAnswered{runOf(7), false});
+        agent.feed(StopAnswered{runOf(7), firstStartTimeMs + 5000, false});
         agent.advance(stopRetryDelay);
         CPPUNIT_ASSERT_EQUAL(before + 2, agent.stops.size());
     }
@@ -141,6 +145,7 @@
         agent.begin();
         agent.orders(1, {startOf(runOf(7)), startOf(runOf(8))});
         agent.answerStart(runOf(8));
+        agent.answerHold({{runOf(8), 5}});
         const std::size_t before = agent.reports.size();
         agent.heartbeat(1, firstStartTimeMs + 5000);
         agent.answerHold({}, {}, firstStartTimeMs + 5000);
@@ -151,12 +156,60 @@
         }
         CPPUNIT_ASSERT(agent.reported([](const auto &report) { return report.ends.size() == 1 && report.ends[0].run == runOf(8); }));
         CPPUNIT_ASSERT(agent.lastFull().running.at(0).run == runOf(7));
-        agent.feed(StopAnswered{runOf(7), true});
+        agent.feed(StopAnswered{runOf(7), firstStartTimeMs + 5000, true});
         agent.answerHold({}, {}, firstStartTimeMs + 5000);
         CPPUNIT_ASSERT(agent.reported([](const auto &report) { return report.refusals.size() == 1 && report.refusals[0].run == runOf(7); }));
         CPPUNIT_ASSERT(agent.state.runs.empty());
     }
 
+    /// Guards against two runs of a task: the new process of a worker has executed the start, whose answer names no process, and the restart that is
+    /// noticed later counts as the end of the run.
+    void startAnsweredByTheNewProcessIsNoLostRun()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        agent.answerStart(runOf(7));
+        const std::int64_t restartedAt = firstStartTimeMs + 5000;
+        agent.heartbeat(1, restartedAt);
+        CPPUNIT_ASSERT(!agent.reported([](const auto &report) { return !report.ends.empty(); }));
+        CPPUNIT_ASSERT(agent.stops.back().run == runOf(7));
+        agent.feed(StopAnswered{runOf(7), restartedAt, true});
+        agent.answerHold({}, {{1, runOf(7), Jobs::RunOutcome::Stopped, 10}}, restartedAt);
+        CPPUNIT_ASSERT(agent.reported([](const auto &report) { return report.ends.size() == 1 && report.ends[0].run == runOf(7); }));
+        CPPUNIT_ASSERT(agent.state.runs.empty());
+    }
+
+    /// Guards against the same when the stop that cancels a start was answered by the former process: it bars nothing at the new one.
+    void stopAnsweredByTheFormerProcessCancelsNothing()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7))});
+        agent.feed(StartAnswered{runOf(7), firstStartTimeMs, StartAnswered::Outcome::NoAnswer, {}, {}});
+        const std::int64_t restartedAt = firstStartTimeMs + 5000;
+        agent.heartbeat(1, restartedAt);
+        agent.feed(StopAnswered{runOf(7), firstStartTimeMs, true});
+        agent.answerHold({}, {}, restartedAt);
+        CPPUNIT_ASSERT(!agent.reported([](const auto &report) { return !report.refusals.empty() || !report.ends.empty(); }));
+        agent.feed(StopAnswered{runOf(7), restartedAt, true});
+        agent.answerHold({}, {}, restartedAt);
+        CPPUNIT_ASSERT(agent.reported([](const auto &report) { return report.refusals.size() == 1 && report.refusals[0].run == runOf(7); }));
+    }
+
+    /// Guards against the same when a former process of the agent has sent the start: the restart of the worker counted as the end of the run.
+    void unknownRunIsStoppedAgainAtARestartedWorker()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {}, {runOf(7)});
+        const std::size_t before = agent.stops.size();
+        agent.heartbeat(1, firstStartTimeMs + 5000);
+        CPPUNIT_ASSERT(!agent.reported([](const auto &report) { return !report.ends.empty(); }));
+        CPPUNIT_ASSERT_EQUAL(before + 1, agent.stops.size());
+        CPPUNIT_ASSERT(agent.stops.back().run == runOf(7));
+    }
+
     /// Guards against the same when the worker's end was known before it returned.
     void lateStartIsCancelledAtAWorkerThatReturns()
     {
@@ -181,6 +234,7 @@
         agent.advance(lateExecutionTimeout);
         agent.orders(1, {startOf(runOf(8))});
         agent.answerStart(runOf(8));
+        agent.answerHold({{runOf(8), 5}});
         const std::size_t before = agent.stops.size();
         agent.heartbeat(1, firstStartTimeMs + 20'000);
         CPPUNIT_ASSERT_EQUAL(before, agent.stops.size());
@@ -196,7 +250,7 @@
         agent.orders(1, {}, {runOf(7)});
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), agent.stops.size());
         CPPUNIT_ASSERT(!agent.reported(refused));
-        agent.feed(StopAnswered{runOf(7), true});
+        agent.feed(StopAnswered{runOf(7), firstStartTimeMs, true});
         agent.answerHold();
         CPPUNIT_ASSERT(
             agent.reported([](const auto &report) { return report.refusals.size() == 1 && report.refusals[0].reason == Jobs::RunRefusal::Reason::Stale; }));
@@ -209,7 +263,7 @@
         AgentHarness agent;
         agent.begin();
         agent.orders(1, {}, {runOf(7)});
-        agent.feed(StopAnswered{runOf(7), true});
+        agent.feed(StopAnswered{runOf(7), firstStartTimeMs, true});
         HoldAnswered truncated;
         truncated.answered = true;
         truncated.workerStartTimeMs = firstStartTimeMs;
@@ -267,6 +321,7 @@
         agent.begin();
         agent.orders(1, {startOf(runOf(7))});
         agent.answerStart(runOf(7));
+        agent.answerHold({{runOf(7), 5}});
         agent.heartbeat(1, firstStartTimeMs + 5000);
         CPPUNIT_ASSERT(agent.state.runs.empty());
         agent.answerHold({}, {}, firstStartTimeMs + 5000);
@@ -371,7 +426,7 @@
     {
         agent.orders(1, {startOf(run)});
         agent.feed(StartAnswered{run, firstStartTimeMs, StartAnswered::Outcome::NoAnswer, {}, {}});
-        agent.feed(StopAnswered{run, true});
+        agent.feed(StopAnswered{run, firstStartTimeMs, true});
         agent.answerHold();
         CPPUNIT_ASSERT(agent.state.runs.empty());
     }
