Repeat a stored task whose run was given up only after a proof from the store

An owner cut off from the store, confirmed by other entries, started tasks of stored jobs for 8 s. Among them it repeated tasks whose agents had fallen silent for it, and those had followed a successor that had acknowledged the ends.

A task that was given up without a word of its agent now waits until the store has held this owner's claim since. Until then no successor existed, so the silent agent's lease has ended and with it every end that could still be acknowledged; a proof of that age suffices for good. Tasks that were never started go on for 8 s as before: an agent that may get them is one that the successor still awaits. The same for the tasks of agents that haven't reported to a new owner in time. Best-effort jobs are as before, their ends aren't recorded.

Two new tests in jobs.takeover failed with the change of each taken out. Weighed: 0.8 s in place of 8 s for all stored tasks (the users' trial), which ends service of accepted jobs in each short outage of the store; it has a window of up to 0.8 s in which a successor may exist.

--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -117,7 +117,9 @@
     const Base::MonoTime storedWorkUntil = event.confirmedByStore ? Base::MonoTime::max() : event.storeConfirmedAt + storedWorkTimeout;
     const bool storedWorkResumes = state.now >= state.storedWorkUntil && state.now < storedWorkUntil;
     state.storedWorkUntil = storedWorkUntil;
-    state.schedulingDue |= regained || storedWorkResumes;
+    const bool newProof = event.storeConfirmedAt > state.storeConfirmedAt;
+    state.storeConfirmedAt = event.storeConfirmedAt;
+    state.schedulingDue |= regained || storedWorkResumes || (newProof && !state.ready.empty());
     state.confirmedByStore = event.confirmedByStore;
 }
 
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -11,6 +11,19 @@
 
 using RunSet = std::unordered_set<RunRef, RunRefHash>;
 
+/// Notes for the run's task that the agent hasn't told how the run ended.
+void markGivenUp(OwnerState &state, const RunRef &run, AgentIndex index)
+{
+    Job *job = findJob(state, run.task.job);
+    if (job == nullptr || !hasTask(*job, run.task)) {
+        return;
+    }
+    Task &task = job->tasks[flatIndex(*job, run.task)];
+    if (task.phase == Task::Phase::Active && task.agent == index && task.run == run.run) {
+        task.givenUpAt = state.now;
+    }
+}
+
 /// Handles the end of all runs on the agent's worker.
 void handleAllRunsLost(Context &context, AgentIndex index, std::string_view reason)
 {
@@ -248,6 +261,9 @@
     for (AgentIndex index = 0; index < context.state.agents.size(); ++index) {
         const Agent &agent = context.state.agents[index];
         if (!agent.runs.empty() && context.state.now - agent.tokenAt > runExpiryTimeout) {
+            for (const auto &[run, active] : agent.runs) {
+                markGivenUp(context.state, run, index);
+            }
             handleAllRunsLost(context, index, "silent");
         }
     }
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -72,6 +72,13 @@
     return state.runCounts.contains(taskRef(job, flat));
 }
 
+/// Returns whether a successor may have recorded the end of the task's last run. Best-effort jobs aren't recorded.
+bool mayHaveRecordedEnd(const OwnerState &state, const Job &job, std::uint32_t flat)
+{
+    const std::optional<Base::MonoTime> &givenUpAt = job.tasks[flat].givenUpAt;
+    return !job.bestEffort && givenUpAt && state.storeConfirmedAt < *givenUpAt;
+}
+
 /// Returns whether the step has waited for at least \a limit. Otherwise requests another round for that time.
 bool hasWaited(Round &round, const StepProgress &progress, Base::Duration limit)
 {
@@ -107,7 +114,7 @@
         return;
     }
     for (std::uint32_t flat = first; flat < job.firstTask[step + 1U]; ++flat) {
-        if (hasFormerRun(round.context.state, job, flat)) {
+        if (hasFormerRun(round.context.state, job, flat) || mayHaveRecordedEnd(round.context.state, job, flat)) {
             return;
         }
     }
@@ -197,7 +204,8 @@
     const StepSpec &spec = stepSpec(job, step);
     bool allPlaced = true;
     for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U] && job.readyTasks > 0; ++flat) {
-        if (job.tasks[flat].phase != Task::Phase::Ready || isRestartDelayed(round, job.tasks[flat]) || hasFormerRun(round.context.state, job, flat)) {
+        if (job.tasks[flat].phase != Task::Phase::Ready || isRestartDelayed(round, job.tasks[flat]) || hasFormerRun(round.context.state, job, flat)
+            || mayHaveRecordedEnd(round.context.state, job, flat)) {
             continue;
         }
         const AgentIndex index = spec.need.cpuMilli > round.largestFreeMilli ? noAgent : chooseWorker(round.context.state, job, flat, round.reservedWorkers);
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -43,6 +43,9 @@
     std::string checkpoint; ///< From the latest run that had one; the next run resumes from it.
     std::uint8_t consecutiveQuickEnds = 0; ///< Of a long-running task: consecutive ends by itself soon after a start.
     Base::MonoTime notBefore{}; ///< Earliest time of the next start.
+    /// When the last run was given up without a word of its agent, which may have followed a successor that has recorded the end. The next start waits
+    /// until the store has held this owner's claim since.
+    std::optional<Base::MonoTime> givenUpAt;
 };
 
 /// Index of a step among those of all occurrences that have begun, in order. For a job that isn't repeated it is the index in the spec.
@@ -188,6 +191,7 @@
     Base::MonoTime authorityUntil = Base::MonoTime::max(); ///< No orders are sent from then on, as another entry may own the jobs.
     bool confirmedByStore = true; ///< As in AuthorityRenewed.
     Base::MonoTime storedWorkUntil = Base::MonoTime::max(); ///< No tasks of stored jobs start from then on.
+    Base::MonoTime storeConfirmedAt = Base::MonoTime::max(); ///< As in AuthorityRenewed.
     KindSpeeds kindSpeeds;
     std::unordered_map<std::string, QueueRules> rules; ///< By queue.
     std::uint64_t rulesVersion = 0;
--- a/src/libs/jobs/ownertakeover.cpp
+++ b/src/libs/jobs/ownertakeover.cpp
@@ -108,7 +108,8 @@
 void resolveTasksInDoubt(Context &context)
 {
     OwnerState &state = context.state;
-    if (formerRunsResolved(state) && !state.awaitedAgents.empty()) {
+    const bool agentsUnreported = !state.awaitedAgents.empty();
+    if (formerRunsResolved(state) && agentsUnreported) {
         logDecision(context, "owner.unreported", {{"agents", std::to_string(state.awaitedAgents.size())}});
         if (!state.formerOwnersFenced) {
             state.givenUpAgents = state.awaitedAgents;
@@ -129,6 +130,9 @@
         for (Task &task : job.tasks) {
             if (task.phase == Task::Phase::InDoubt) {
                 task.phase = Task::Phase::Blocked;
+                if (agentsUnreported) {
+                    task.givenUpAt = state.now;
+                }
             }
         }
         breakPartialGangs(context, job);
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -41,6 +41,8 @@
     CPPUNIT_TEST(storedJobsStartInAShortOutage);
     CPPUNIT_TEST(outageOfStoredJobsCountsFromTheLastProof);
     CPPUNIT_TEST(lateProofsKeepStoredJobsStarting);
+    CPPUNIT_TEST(storedTaskOfASilentAgentWaitsForTheStore);
+    CPPUNIT_TEST(storedTaskOfAnUnreportedAgentWaitsForTheStore);
     CPPUNIT_TEST(storedRunsEndBeforeASuccessorRepeatsThem);
     CPPUNIT_TEST(everyCallOfAnUnfencedOwnerWaitsForItsAgents);
     CPPUNIT_TEST(adoptsWhatRuns);
@@ -212,6 +214,40 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
     }
 
+    /// Guards against a start after an end that a successor has recorded: an owner cut off from the store takes a run as lost whose agent follows the
+    /// successor. Tasks that were never started go on, and so do best-effort jobs, whose ends are not recorded.
+    void storedTaskOfASilentAgentWaitsForTheStore()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"}, 2, {jobRecord(7, 1)});
+        owner.join("agent-1");
+        owner.join("agent-2", 1000, {possibleRun(9, 0, 1)});
+        owner.submit(1, bestEffort(8, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.orderedStarts("agent-1").size());
+        const Base::MonoTime lastProof = owner.state.now;
+        owner.feed(AuthorityRenewed{owner.state.now + 1h, false, lastProof});
+        reportFrom(owner, "agent-2", runExpiryTimeout + 100ms);
+        owner.reportEnd("agent-2", {{9, 0, 0}, 1}, RunOutcome::Stopped);
+        CPPUNIT_ASSERT((owner.orderedStarts("agent-2") == std::vector<RunRef>{{{8, 0, 0}, static_cast<std::uint32_t>(runsPerEpoch) + 2}}));
+        owner.reportEnd("agent-2", owner.orderedStarts("agent-2").at(0), RunOutcome::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStarts("agent-2").size());
+        owner.feed(AuthorityRenewed{owner.state.now + 1h, false, owner.state.now});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.orderedStarts("agent-2").size());
+    }
+
+    /// Guards against the same when the run is a former owner's and its agent hasn't reported.
+    void storedTaskOfAnUnreportedAgentWaitsForTheStore()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"}, 2, {jobRecord(7, 1)});
+        owner.join("agent-1");
+        const Base::MonoTime lastProof = owner.state.now;
+        owner.feed(FormerOwnersFenced{});
+        owner.feed(AuthorityRenewed{owner.state.now + 1h, false, lastProof});
+        reportFrom(owner, "agent-1", formerRunExpiryTimeout + 100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
+        owner.feed(AuthorityRenewed{owner.state.now + 1h, false, owner.state.now});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+    }
+
     /// Guards against a long task of a stored job that its owner keeps running without the store, while a successor that can't reach the agent
     /// starts it again after its longest wait.
     void storedRunsEndBeforeASuccessorRepeatsThem()
@@ -402,6 +438,15 @@
     }
 
 private:
+    /// Lets the time pass with reports of one agent only.
+    static void reportFrom(OwnerHarness &owner, const std::string &agent, Base::Duration time)
+    {
+        for (Base::Duration waited{}; waited < time; waited += 100ms) {
+            owner.advanceTime(100ms);
+            owner.feed(AgentReported{agent, owner.report(agent)});
+        }
+    }
+
     /// Checks that the only task starts on agent-1 once the time has passed, and not 300 ms earlier.
     static void checkStartsAfter(OwnerHarness &owner, Base::Duration time)
     {
