Raise the fence with each start in doubt, so that any later call bars it

A start without an answer was cancelled and its task started elsewhere; the worker restarted, forgot the stop, and executed the start before the agent had heard of the restart and repeated the stop. The fence was the owner's epoch, which all calls of one owner share, so it kept out nothing.

The fence is now the epoch followed by a time in milliseconds. It is raised when a start gets no answer, when the worker has restarted and when the agent's process starts, so the first call of any kind that reaches a new process bars all earlier ones: late starts, also those of a former process of the agent, and late hold calls, which would renew the lease or make the new process forget unread ends. Hold calls go on for 15 s after an unanswered start, and the first one that fails is accompanied by two stop calls. Calls in flight with the lower fence are refused and sent again; a refused hold is no silence, and a refused current fence is raised by a minute.

--- a/src/libs/taskagent/agentcancellations.cpp
+++ b/src/libs/taskagent/agentcancellations.cpp
@@ -21,6 +21,31 @@
 
 } // namespace
 
+std::uint64_t callFence(const AgentState &state)
+{
+    constexpr std::uint64_t maxTimeMs = (std::uint64_t(1) << fenceTimeBits) - 1;
+    return (state.epoch << fenceTimeBits) + std::min(state.fenceTimeMs, maxTimeMs);
+}
+
+void raiseFence(AgentState &state)
+{
+    // The time puts a new process of the agent above the former one.
+    const auto nowMs = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(state.now).count());
+    state.fenceTimeMs = std::max(state.fenceTimeMs + 1, nowMs);
+}
+
+void handleRefusedFence(AgentState &state, std::uint64_t fence)
+{
+    if (fence == callFence(state)) {
+        state.fenceTimeMs += fenceRecoveryStep / std::chrono::milliseconds(1);
+    }
+}
+
+bool hasUnansweredStarts(const AgentState &state)
+{
+    return std::any_of(state.unansweredStarts.begin(), state.unansweredStarts.end(), [&state](const auto &start) { return start.second > state.now; });
+}
+
 void cancelStart(Context &context, const RunRef &run, LocalRun &local)
 {
     local.phase = LocalRun::Phase::CancellingStart;
@@ -62,6 +87,7 @@
 void cancelUnansweredStarts(Context &context)
 {
     AgentState &state = context.state;
+    raiseFence(state);
     std::erase_if(state.unansweredStarts, [&state](const auto &start) { return start.second <= state.now; });
     for (const auto &[run, until] : state.unansweredStarts) {
         const auto [found, added] = state.runs.try_emplace(run);
@@ -73,6 +99,17 @@
     }
 }
 
+void barLateStarts(Context &context)
+{
+    const AgentState &state = context.state;
+    if (!state.worker || !hasUnansweredStarts(state)) {
+        return;
+    }
+    for (int i = 0; i < barringCalls; ++i) {
+        context.effects.push_back(CallStop{state.unansweredStarts.rbegin()->first, callFence(state), state.worker->startTimeMs, callTimeout(state)});
+    }
+}
+
 std::optional<Base::MonoTime> lateStartsPossibleUntil(const AgentState &state)
 {
     std::optional<Base::MonoTime> latest;
--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -229,7 +229,10 @@
         return false;
     }
     const bool leaveUncertain = state.leaving && !state.stopping;
-    return !state.runsListed || !state.runs.empty() || state.endsAckedToWorker < state.endsRecorded || state.endsGapUnconfirmed || leaveUncertain;
+    // After a restart of the worker, the first call that reaches it bars late starts.
+    const bool barsLateStarts = Internal::hasUnansweredStarts(state) && !state.stopping;
+    return barsLateStarts || !state.runsListed || !state.runs.empty() || state.endsAckedToWorker < state.endsRecorded || state.endsGapUnconfirmed
+           || leaveUncertain;
 }
 
 void startHold(Context &context)
@@ -239,7 +242,7 @@
         return;
     }
     CallHold hold;
-    hold.fence = state.epoch;
+    hold.fence = Internal::callFence(state);
     hold.endsAckedToWorker = state.endsRecorded;
     hold.number = ++state.lastHoldNumber;
     if (!state.runs.empty()) {
@@ -248,7 +251,7 @@
     const bool cancellationConfirmed
         = std::any_of(state.runs.begin(), state.runs.end(), [](const auto &run) { return run.second.phase == LocalRun::Phase::StartCancelled; });
     // Without runs there is no lease to renew. Such a call must not wait, as a renewal may become necessary in the meantime, unless no run is started.
-    if (state.runsListed && !cancellationConfirmed && (!state.runs.empty() || state.leaving)) {
+    if (state.runsListed && !cancellationConfirmed && (!state.runs.empty() || state.leaving || Internal::hasUnansweredStarts(state))) {
         hold.wait = holdWait;
     }
     if (hold.until) {
@@ -317,6 +320,7 @@
     AgentState state;
     state.now = now;
     state.startedAt = now;
+    Internal::raiseFence(state);
     // A former process may have renewed the lease a moment ago.
     Internal::recordLeaseRenewal(state);
     return state;
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -177,8 +177,8 @@
     local.latencyTargetMs = order.latencyTargetMs;
     local.calledAt = state.now;
     recordLeaseRenewal(state);
-    context.effects.push_back(
-        CallStart{run, order.payload, order.checkpoint, order.ticket, *until, state.epoch, state.worker->id, state.worker->startTimeMs, callTimeout(state)});
+    context.effects.push_back(CallStart{
+        run, order.payload, order.checkpoint, order.ticket, *until, callFence(state), state.worker->id, state.worker->startTimeMs, callTimeout(state)});
 }
 
 void stopRun(Context &context, const RunRef &run)
@@ -193,7 +193,7 @@
         return;
     }
     found->second.stopping = true;
-    context.effects.push_back(CallStop{run, state.epoch, workerStartTimeMs(state), callTimeout(state)});
+    context.effects.push_back(CallStop{run, callFence(state), workerStartTimeMs(state), callTimeout(state)});
 }
 
 void reportRefusal(AgentState &state, const RunRef &run, RunRefusal::Reason reason)
@@ -238,6 +238,7 @@
         return;
     case StartAnswered::Outcome::NoAnswer:
         recordUnansweredStart(state, event.run, local);
+        raiseFence(state);
         cancelStart(context, event.run, local);
         return;
     }
@@ -274,7 +275,16 @@
     if (!event.answered && outdated) {
         return;
     }
+    if (event.refusedFence) {
+        handleRefusedFence(state, *event.refusedFence);
+        state.holdNotBefore = state.now + holdRetryDelay;
+        state.endsAckedToWorker = 0;
+        return;
+    }
     if (!event.answered) {
+        if (!state.silentSince) {
+            barLateStarts(context);
+        }
         recordSilence(state, event);
         state.holdNotBefore = state.now + (state.worker ? holdRetryDelay : holdRetryDelayWithoutWorker);
         state.endsAckedToWorker = 0;
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -66,6 +66,7 @@
     std::uint64_t lastHoldNumber = 0; ///< number of the latest hold call; tells which lists are newer than a stop or an epoch
     std::optional<std::chrono::milliseconds> newestListClock; ///< worker's clock in the newest answer to a hold call of this incarnation
     std::uint64_t oldestValidHold = 0; ///< answers to earlier hold calls are ignored: a newer answer or a newer incarnation is known
+    std::uint64_t fenceTimeMs = 0; ///< lower part of the fence that calls carry; the epoch is the upper part
     std::uint64_t lastHoldBeforeEpoch = 0; ///< hold calls up to this number carried a lower fence
     std::unordered_map<Jobs::RunRef, std::uint64_t, Jobs::RunRefHash> startCancelledAtHold; ///< number of the latest hold call when the stop was answered
     std::map<Jobs::RunRef, Base::MonoTime> unansweredStarts; ///< start calls without a response, and until when the worker may execute them
@@ -166,6 +167,7 @@
     std::vector<ListedRun> running;
     std::vector<Jobs::RunEnd> ends;
     bool endsTruncated = false; ///< the worker may have more ends, which it lists once these are acknowledged
+    std::optional<std::uint64_t> refusedFence = {}; ///< fence from CallHold if the worker refused the call because it has seen a higher one
 };
 
 /// The process was told to stop. It starts no more runs; those on the worker may end.
--- a/src/libs/taskagent/agentsteps.h
+++ b/src/libs/taskagent/agentsteps.h
@@ -48,6 +48,18 @@
 
 // Start calls that the worker may execute late.
 
+/// Returns the fence for calls to the worker.
+std::uint64_t callFence(const AgentState &state);
+
+/// Raises the fence above that of all calls so far. The worker executes none of them any more once a call with the new fence has reached it.
+void raiseFence(AgentState &state);
+
+/// Raises the fence further if the worker has refused the current one.
+void handleRefusedFence(AgentState &state, std::uint64_t fence);
+
+/// Returns whether the worker may execute a start call late that this process knows of.
+bool hasUnansweredStarts(const AgentState &state);
+
 /// Makes a start without a response impossible by a stop call. The run counts as possible until the stop is answered and a newer list lacks
 /// it.
 void cancelStart(Context &context, const Jobs::RunRef &run, LocalRun &local);
@@ -67,6 +79,9 @@
 /// Returns the time up to which the worker may execute a start call of a former incarnation late. Returns no value without such a call.
 std::optional<Base::MonoTime> lateStartsPossibleUntil(const AgentState &state);
 
+/// Sends calls that bar late starts at a worker that may have restarted a moment ago. One of them suffices; more are sent as some may get lost.
+void barLateStarts(Context &context);
+
 /// Drops cancelled starts that a list of the worker lacks which is newer than the cancellation: they never ran.
 void dropCancelledStarts(Context &context, const HoldAnswered &event);
 
--- a/src/libs/taskagent/taskagentconstants.h
+++ b/src/libs/taskagent/taskagentconstants.h
@@ -20,6 +20,11 @@
 constexpr Base::Duration silenceReportTimeout = 150ms;
 constexpr Base::Duration renewalStopTimeout = 250ms; ///< the lease of a worker that is silent for longer is no longer renewed, so that its runs end soon
 constexpr Base::Duration lateExecutionTimeout = 15s; ///< a call without a response may be executed up to 12 s after it was sent; the rest is slack
+
+/// A fence is the owner's epoch, followed by this many bits of a time in milliseconds, which suffice for 2 years. Run numbers limit epochs to 16 bits.
+constexpr unsigned fenceTimeBits = 36;
+constexpr std::chrono::milliseconds fenceRecoveryStep = 1min; ///< by which the fence is raised if the worker refuses it, as a former process's clock was ahead
+constexpr int barringCalls = 2; ///< stop calls, beside a hold call, that bar late starts at a worker which may have restarted
 constexpr Base::Duration stopRetryDelay = 20ms;
 constexpr Base::Duration holdRetryDelay = 15ms; ///< delay after a failed hold call
 constexpr Base::Duration holdRetryDelayWithoutWorker = 300ms;
--- a/tests/auto/entrynode/tst_ownerchangefaults.cpp
+++ b/tests/auto/entrynode/tst_ownerchangefaults.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(runsEachTaskOnceWhenWorkersRestart);
     CPPUNIT_TEST(runsEachTaskOnceWhenWorkersRestartInAPartition);
     CPPUNIT_TEST(runsEachTaskOnceWhenWorkersRestartAndCallsAreLate);
+    CPPUNIT_TEST(runsEachTaskOnceWhenWorkersRestartAndManyCallsAreLate);
     CPPUNIT_TEST(runsEachTaskOnceWhenAgentsRestartAndCallsAreLate);
     CPPUNIT_TEST(startsNoStoredTaskAfterItsAcknowledgedEnd);
     CPPUNIT_TEST(startsNoStoredTaskAfterItsAcknowledgedEndWhenCallsAreLate);
@@ -50,6 +51,15 @@
         checkSeeds(options, seeds, simulatedTime);
     }
 
+    // Guards against the same when the calls that would bar the start get lost too.
+    void runsEachTaskOnceWhenWorkersRestartAndManyCallsAreLate()
+    {
+        ModelOptions options;
+        options.workersRestart = true;
+        options.lateCallShare = 0.2;
+        checkSeeds(options, seeds, simulatedTime);
+    }
+
     // Guards against a start that a worker executes after its task was started elsewhere, also if the agent has forgotten it.
     void runsEachTaskOnceWhenAgentsRestartAndCallsAreLate()
     {
--- a/tests/auto/platform/tst_dialects.cpp
+++ b/tests/auto/platform/tst_dialects.cpp
@@ -275,6 +275,9 @@
         CPPUNIT_ASSERT(lists.ends[0].outcome == Jobs::RunOutcome::Done);
         CPPUNIT_ASSERT(!holdAnswer(call, answer(200, "{}")).answered);
         CPPUNIT_ASSERT(!holdAnswer(call, answer(409, R"({"Running":[],"Ended":[]})")).answered);
+        CPPUNIT_ASSERT(!holdAnswer(call, answer(409, R"({"Reason":"late"})")).refusedFence);
+        const TaskAgent::CallHold fenced{.until = {}, .fence = 7, .endsAckedToWorker = 0, .wait = {}, .number = 1, .timeout = {}, .calledAt = {}};
+        CPPUNIT_ASSERT(holdAnswer(fenced, answer(409, R"({"Reason":"fence"})")).refusedFence == std::uint64_t(7));
         CPPUNIT_ASSERT(!holdAnswer(call, {Outcome::NotSent, 0, ""}).refused);
         CPPUNIT_ASSERT(holdAnswer(call, {Outcome::NotSent, 0, "", true}).refused);
     }
