tests: messages to an entry that stands still twice keep their order

The owner's decisions are in the model's log now, and worker.changed names the worker's start time, which this trace needed.

--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -61,7 +61,12 @@
         agent.health = {};
     }
     if (replaced || agent.worker->draining != report.worker->draining) {
-        logDecision(context, "worker.changed", {{"agent", agent.name}, {"worker", report.worker->id}, {"draining", report.worker->draining ? "1" : "0"}});
+        logDecision(context,
+                    "worker.changed",
+                    {{"agent", agent.name},
+                     {"worker", report.worker->id},
+                     {"born", std::to_string(report.worker->startTimeMs)},
+                     {"draining", report.worker->draining ? "1" : "0"}});
     }
     agent.worker = report.worker;
     context.state.schedulingDue = true;
--- a/tests/auto/entrynode/ownerchangemodel.cpp
+++ b/tests/auto/entrynode/ownerchangemodel.cpp
@@ -1,6 +1,7 @@
 #include "ownerchangemodel.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace LaburnumFlow::EntryNode::Testing {
@@ -83,17 +84,37 @@
 /// Events wait while the entry stands still, and are lost when it is killed.
 void OwnerChangeModel::deliverToEntry(NodeIndex index, std::uint64_t incarnation, const Action &action)
 {
-    const Entry &entry = entries_[index];
+    Entry &entry = entries_[index];
     if (!entry.up || entry.record.incarnation != incarnation) {
         return;
     }
-    if (now_ < entry.standsStillUntil) {
-        post(entry.standsStillUntil - now_, [this, index, incarnation, action] { deliverToEntry(index, incarnation, action); });
+    // Messages on a link don't overtake each other, also if the entry stands still again.
+    if (now_ < entry.standsStillUntil || !entry.held.empty()) {
+        if (entry.held.empty()) {
+            post(std::max<Base::Duration>(entry.standsStillUntil - now_, Base::Duration(1)), [this, index, incarnation] { releaseHeld(index, incarnation); });
+        }
+        entry.held.push_back(action);
         return;
     }
     action();
 }
 
+/// Delivers what has waited for the entry, in order.
+void OwnerChangeModel::releaseHeld(NodeIndex index, std::uint64_t incarnation)
+{
+    Entry &entry = entries_[index];
+    if (!entry.up || entry.record.incarnation != incarnation) {
+        return;
+    }
+    if (now_ < entry.standsStillUntil) {
+        post(entry.standsStillUntil - now_, [this, index, incarnation] { releaseHeld(index, incarnation); });
+        return;
+    }
+    for (const Action &action : std::exchange(entry.held, {})) {
+        action();
+    }
+}
+
 void OwnerChangeModel::postTo(Base::Duration delay, NodeIndex node, Action action)
 {
     if (node < firstAgent) {
@@ -322,6 +343,8 @@
         }
     } else if (const auto *start = std::get_if<Jobs::StartCommit>(&effect)) {
         commit(index, start->commit);
+    } else if (const auto *decision = std::get_if<Jobs::Decision>(&effect)) {
+        noteDecision(entry.record.name, decision->event, decision->fields);
     } else if (const auto *stepDownEffect = std::get_if<Jobs::StepDown>(&effect)) {
         stepDown(index, "seen epoch " + std::to_string(stepDownEffect->seenEpoch));
     }
--- a/tests/auto/entrynode/ownerchangemodel.h
+++ b/tests/auto/entrynode/ownerchangemodel.h
@@ -84,6 +84,7 @@
         Jobs::EntryRecord record;
         bool up = true;
         Base::MonoTime standsStillUntil{};
+        std::vector<Action> held; ///< Events that wait until the entry no longer stands still.
         Base::MonoTime refusedByStoreUntil{};
         OwnershipState ownership;
         std::optional<Jobs::OwnerState> owner;
@@ -144,6 +145,7 @@
     void post(Base::Duration delay, Action action);
     void postToEntry(Base::Duration delay, NodeIndex index, Action action);
     void deliverToEntry(NodeIndex index, std::uint64_t incarnation, const Action &action);
+    void releaseHeld(NodeIndex index, std::uint64_t incarnation);
     void note(const std::string &text);
     void noteDecision(const std::string &node, const std::string &event, const std::vector<std::pair<std::string, std::string>> &fields);
     void violate(const std::string &text);
