Let each call of an unfenced former owner wait for the agents that were given up

The first call that a former owner may have had made the owner wait 4 s for all given-up agents and then count the former owner as fenced, so that later calls of it started at once.

The wait belongs to the job now: its tasks start when the given-up agents have reported, or after 4 s, and other jobs go on meanwhile; before, one such call held up every new job for 4 s. A former owner counts as fenced only when it is.

--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -66,6 +66,17 @@
     return true;
 }
 
+/// Lets the job wait for the runs that a former owner may have started for the call on agents that were given up.
+void awaitFormerRuns(Context &context, Job &job, const SubmitCall &call)
+{
+    const OwnerState &state = context.state;
+    if (!call.bestEffort || !call.mayHaveRun || state.givenUpAgents.empty()) {
+        return;
+    }
+    job.formerRunsUntil = state.now + formerRunExpiryTimeout;
+    logDecision(context, "job.uncertain", {{"id", formatId(job.id)}, {"agents", std::to_string(state.givenUpAgents.size())}});
+}
+
 /// Extends the life of a best-effort job by the timeout of a caller that waits for it, and resumes the job if it was abandoned.
 void registerCaller(Context &context, Job &job, const SubmitCall &call)
 {
@@ -114,6 +125,7 @@
             reply(context, id, {.kind = CallAnswer::Kind::Accepted});
         } else {
             known->mayHaveRun |= call.mayHaveRun;
+            awaitFormerRuns(context, *known, call);
             known->waitingForAcceptance.push_back(id);
             registerCaller(context, *known, call);
         }
@@ -137,9 +149,7 @@
         return;
     }
     job.waitingForAcceptance.push_back(id);
-    if (call.bestEffort && call.mayHaveRun) {
-        awaitGivenUpAgents(context);
-    }
+    awaitFormerRuns(context, job, call);
     if (call.bestEffort) {
         beginBestEffortJob(context, std::move(job), call);
         return;
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -226,9 +226,23 @@
     return std::any_of(first, last, [](const Task &task) { return task.phase == Task::Phase::Ready; });
 }
 
+/// Returns whether the job waits for runs that a former owner may have started on agents that were given up. If so, requests another round for the end.
+bool awaitsFormerRuns(Round &round, const Job &job)
+{
+    OwnerState &state = round.context.state;
+    if (state.givenUpAgents.empty() || !job.formerRunsUntil || state.now >= *job.formerRunsUntil) {
+        return false;
+    }
+    requestRescheduleAt(state, *job.formerRunsUntil);
+    return true;
+}
+
 /// Returns whether all ready tasks of the job were placed.
 bool placeTasks(Round &round, Job &job)
 {
+    if (awaitsFormerRuns(round, job)) {
+        return false;
+    }
     for (StepIndex step = 0; step < job.steps.size() && job.readyTasks > 0; ++step) {
         if (stepSpec(job, step).gang) {
             placeGang(round, job, step);
