Stop the runs of stored jobs before a successor repeats them

Without the store an owner starts no stored tasks after 8 s but went on renewing those that ran; a successor that can't reach their agent starts them again 12 s after its claim.

At 8 s without a proof the owner orders the stop of all runs of stored jobs, and of those that agents report later. The 4 s until the successor's wait is over suffice for the stop, or for the leases of an agent that the order doesn't reach. The stops save checkpoints and the tasks start again with the next proof. Cost: tasks of stored jobs that are longer than the outage start over in an outage of the store of more than 8 s for all. Best-effort runs are untouched.

Tasks that run until they are cancelled go on: stopping them would end them for their users in each such outage.

--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -27,6 +27,7 @@
     Internal::answerHeldQueries(context);
     Internal::expireJobs(context);
     Internal::stopOrphans(context);
+    Internal::stopStoredRuns(context);
     Internal::recordAgents(context);
     Internal::resolveTasksInDoubt(context);
     Internal::beginDueOccurrences(context);
@@ -117,6 +118,7 @@
     const Base::MonoTime storedWorkUntil = event.confirmedByStore ? Base::MonoTime::max() : event.storeConfirmedAt + storedWorkTimeout;
     const bool storedWorkResumes = state.now >= state.storedWorkUntil && state.now < storedWorkUntil;
     state.storedWorkUntil = storedWorkUntil;
+    state.storedRunsStopped = state.storedRunsStopped && state.now >= storedWorkUntil;
     const bool newProof = event.storeConfirmedAt > state.storeConfirmedAt;
     state.storeConfirmedAt = event.storeConfirmedAt;
     state.schedulingDue |= regained || storedWorkResumes || (newProof && !state.ready.empty());
@@ -298,6 +300,9 @@
     if (!state.orphans.empty() && state.now < state.orphansUntil) {
         due.consider(state.orphansUntil);
     }
+    if (!state.storedRunsStopped && state.storedWorkUntil != Base::MonoTime::max()) {
+        due.consider(state.storedWorkUntil);
+    }
     if (!state.heldQueries.empty()) {
         due.consider(state.heldQueries.front().until);
     }
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -192,7 +192,8 @@
     Base::MonoTime formerRunsResolvedBy{}; ///< From then on no unreported run of a former owner can still be running.
     Base::MonoTime authorityUntil = Base::MonoTime::max(); ///< No orders are sent from then on, as another entry may own the jobs.
     bool confirmedByStore = true; ///< As in AuthorityRenewed.
-    Base::MonoTime storedWorkUntil = Base::MonoTime::max(); ///< No tasks of stored jobs start from then on.
+    Base::MonoTime storedWorkUntil = Base::MonoTime::max(); ///< No tasks of stored jobs start from then on, and those that run are stopped.
+    bool storedRunsStopped = false; ///< The stops were ordered.
     Base::MonoTime storeConfirmedAt = Base::MonoTime::max(); ///< As in AuthorityRenewed.
     KindSpeeds kindSpeeds;
     std::unordered_map<std::string, QueueRules> rules; ///< By queue.
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -135,6 +135,13 @@
 /// Adopts the orphans of the job.
 void adoptOrphans(Context &context, Job &job);
 
+/// Orders the stop of all runs of stored jobs once the store hasn't confirmed this owner for storedWorkTimeout: a successor that can't reach their agents
+/// starts their tasks again. Long-running tasks go on, as their users need them also in a long outage.
+void stopStoredRuns(Context &context);
+
+/// Returns whether the run must not go on without a newer proof from the store.
+bool needsStoreProof(const OwnerState &state, const Job &job, const RunRef &run);
+
 /// Waits again for the agents whose reports the owner has stopped waiting for while former owners were not fenced. One of those turns out to
 /// have gone on, so its runs may still be running.
 void awaitGivenUpAgents(Context &context);
--- a/src/libs/jobs/ownertakeover.cpp
+++ b/src/libs/jobs/ownertakeover.cpp
@@ -36,7 +36,7 @@
     Agent &agent = state.agents[index];
     Task &task = job.tasks[flatIndex(job, run.task)];
     const bool open = task.phase == Task::Phase::InDoubt || task.phase == Task::Phase::Ready || task.phase == Task::Phase::Blocked;
-    if (job.finishing || !open || !mayJoinGang(job, run)) {
+    if (job.finishing || !open || !mayJoinGang(job, run) || needsStoreProof(state, job, run)) {
         orderStop(agent, run);
         return;
     }
@@ -92,6 +92,31 @@
     std::erase_if(state.orphans, [](const auto &entry) { return entry.second.empty(); });
 }
 
+bool needsStoreProof(const OwnerState &state, const Job &job, const RunRef &run)
+{
+    return !job.bestEffort && state.now >= state.storedWorkUntil && !stepSpecOfTask(job, flatIndex(job, run.task)).longRunning;
+}
+
+void stopStoredRuns(Context &context)
+{
+    OwnerState &state = context.state;
+    if (state.now < state.storedWorkUntil || state.storedRunsStopped) {
+        return;
+    }
+    state.storedRunsStopped = true;
+    std::size_t stopped = 0;
+    for (Agent &agent : state.agents) {
+        for (const auto &[run, active] : agent.runs) {
+            const Job *job = findJob(state, run.task.job);
+            if (job != nullptr && hasTask(*job, run.task) && needsStoreProof(state, *job, run)) {
+                orderStop(agent, run);
+                ++stopped;
+            }
+        }
+    }
+    logDecision(context, "owner.stored-runs-stopped", {{"runs", std::to_string(stopped)}});
+}
+
 void awaitGivenUpAgents(Context &context)
 {
     OwnerState &state = context.state;
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -44,6 +44,8 @@
     CPPUNIT_TEST(storedTaskOfASilentAgentWaitsForTheStore);
     CPPUNIT_TEST(storedTaskOfAnUnreportedAgentWaitsForTheStore);
     CPPUNIT_TEST(storedRunsEndBeforeASuccessorRepeatsThem);
+    CPPUNIT_TEST(adoptedStoredRunsEndWithoutTheStore);
+    CPPUNIT_TEST(longRunningTasksEndBeforeASuccessorRepeatsThem);
     CPPUNIT_TEST(everyCallOfAnUnfencedOwnerWaitsForItsAgents);
     CPPUNIT_TEST(adoptsWhatRuns);
     CPPUNIT_TEST(runNumbersIncreaseAcrossOwners);
@@ -260,6 +262,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStops("agent-1").size());
     }
 
+    /// Guards against the same for a run that an agent reports when the owner has no proof from the store any more.
+    void adoptedStoredRunsEndWithoutTheStore()
+    {
+        OwnerHarness owner({"agent-1"}, 2, {jobRecord(7, 1)});
+        owner.feed(AuthorityRenewed{owner.state.now + 1h, false, owner.state.now});
+        owner.advanceTime(storedWorkTimeout);
+        owner.join("agent-1", 8000, {possibleRun(7, 0, 1)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStops("agent-1").size());
+    }
+
+    /// Guards against the same for a task that runs until it is cancelled.
+    void longRunningTasksEndBeforeASuccessorRepeatsThem()
+    {
+        JobRecord record = jobRecord(7, 1);
+        record.spec.steps[0].longRunning = true;
+        OwnerHarness owner({"agent-1"}, 2, {record});
+        owner.join("agent-1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+        owner.feed(AuthorityRenewed{owner.state.now + 1h, false, owner.state.now});
+        owner.advanceTimeWithReports(unfencedRunExpiryTimeout);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStops("agent-1").size());
+    }
+
     /// Guards against a former owner that counts as fenced since one of its calls has arrived, while it goes on with others.
     void everyCallOfAnUnfencedOwnerWaitsForItsAgents()
     {
