Let a call of a former owner wait also once that one is fenced

The wait of a job that a former owner may have started, new in, ended as soon as the former owner was fenced: its agents counted as awaited then and no longer as given up, while their leases go on for up to 4 s.

The test callOfAFormerOwnerWaitsAlsoOnceItIsFenced failed before.

--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -226,11 +226,12 @@
     return std::any_of(first, last, [](const Task &task) { return task.phase == Task::Phase::Ready; });
 }
 
-/// Returns whether the job waits for runs that a former owner may have started on agents that were given up. If so, requests another round for the end.
+/// Returns whether the job waits for runs that a former owner may have started on agents that haven't reported. If so, requests another round for the end.
 bool awaitsFormerRuns(Round &round, const Job &job)
 {
     OwnerState &state = round.context.state;
-    if (state.givenUpAgents.empty() || !job.formerRunsUntil || state.now >= *job.formerRunsUntil) {
+    const bool allReported = state.givenUpAgents.empty() && state.awaitedAgents.empty();
+    if (allReported || !job.formerRunsUntil || state.now >= *job.formerRunsUntil) {
         return false;
     }
     requestRescheduleAt(state, *job.formerRunsUntil);
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -70,7 +70,7 @@
     JobState state = JobState::Queued; ///< As callers may see it.
     bool bestEffort = false; ///< The job is never stored, and its callers wait for its end.
     bool mayHaveRun = false; ///< It may have run under a lost owner, so it must not be refused as never run.
-    /// No task starts until then while agents are given up: a former owner that isn't fenced may have started the job there.
+    /// No task starts until then while agents haven't reported: a former owner that wasn't fenced may have started the job there.
     std::optional<Base::MonoTime> formerRunsUntil;
     bool stored = false; ///< The store holds the job, or it is best-effort; its tasks may start.
     bool finishing = false; ///< Its final state is being recorded.
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(endReportedInTimeNeedsNoLapse);
     CPPUNIT_TEST(endOfASkippedOwnerNeedsALapse);
     CPPUNIT_TEST(everyCallOfAnUnfencedOwnerWaitsForItsAgents);
+    CPPUNIT_TEST(callOfAFormerOwnerWaitsAlsoOnceItIsFenced);
     CPPUNIT_TEST(adoptsWhatRuns);
     CPPUNIT_TEST(runNumbersIncreaseAcrossOwners);
     CPPUNIT_TEST(recordedAgentsWorkAtOnce);
@@ -343,6 +344,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
     }
 
+    /// Guards against a job that starts beside a run of a former owner as soon as that one is fenced: its leases go on for a while.
+    void callOfAFormerOwnerWaitsAlsoOnceItIsFenced()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"}, 2);
+        owner.join("agent-1");
+        owner.advanceTimeWithReports(unfencedRunExpiryTimeout + 100ms);
+        SubmitCall call = bestEffort(7, 1);
+        call.mayHaveRun = true;
+        owner.submit(1, call);
+        owner.feed(FormerOwnersFenced{});
+        owner.submit(2, bestEffort(8, 1));
+        owner.advanceTimeWithReports(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
+    }
+
     /// Guards against stopping or repeating runs because their owner changed.
     void adoptsWhatRuns()
     {
