Stop the runs of unknown best-effort jobs before their callers submit them elsewhere

Both sides serve best-effort jobs. The owner of one side is replaced; its successor kept the runs of jobs that nobody had submitted to it for 2.5 s, while their callers submit them again after 1.3 s, perhaps on the other side.

The successor stops them after 0.6 s now. Entries forward the jobs of their own callers within 0.1 to 0.3 s, so their runs are adopted as before. Cost: a caller whose entry was lost finds its run stopped if the run would have gone on for over 0.6 s after the takeover; the result of a run that ends earlier was lost before, too. If the owner's process ends, its agents stop renewing and the leases end within 1.2 s.

The bound holds for a takeover within 0.7 s of the loss; an owner that falls silent in another way may leave runs that go on for 3.2 s (by reading).

--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -39,7 +39,9 @@
 /// regions last for minutes.
 constexpr Base::Duration formerOwnerRetention = 10min;
 
-constexpr Base::Duration orphanGracePeriod = 2500ms; ///< Runs of best-effort jobs that are not submitted again within this time of a takeover are stopped.
+/// Runs of best-effort jobs that are not submitted again within this time of a takeover are stopped. Entries forward their callers' jobs at once. Other
+/// callers submit again after 1.3 s, perhaps to an owner on another side of a partition, and the runs must have ended by then.
+constexpr Base::Duration orphanGracePeriod = 600ms;
 
 // The caller of a best-effort job that gets no answer within its timeout submits the job again after a delay.
 constexpr Base::Duration resubmitDelayMax = 2s; ///< Longest such delay, including network delays.
