--- a/tests/auto/jobs/ownerharness.cpp
+++ b/tests/auto/jobs/ownerharness.cpp
@@ -32,6 +32,17 @@
     return call;
 }
 
+JobRecord jobRecord(JobId id, std::uint32_t tasks)
+{
+    const SubmitCall call = submission(id, tasks);
+    return {id, call.rules, call.spec, std::vector<std::uint8_t>(tasks, 0), std::vector<std::uint8_t>(tasks, 0), {}};
+}
+
+PossibleRun possibleRun(JobId job, std::uint32_t index, std::uint32_t run)
+{
+    return {{{job, 0, index}, run}, {1000, 64, 0}};
+}
+
 OwnerHarness::OwnerHarness(std::vector<std::string> recordedAgents, std::uint64_t epoch, const std::vector<JobRecord> &jobs)
 {
     StoredJobs stored;
--- a/tests/auto/jobs/ownerharness.h
+++ b/tests/auto/jobs/ownerharness.h
@@ -21,6 +21,12 @@
 /// Creates the same job as a best-effort one, which is never stored.
 SubmitCall bestEffort(JobId id, std::uint32_t tasks, std::uint32_t estimateMs = 100, std::uint32_t cpuMilli = 1000);
 
+/// Creates the record of a job with one step of equal tasks, none of which is done.
+JobRecord jobRecord(JobId id, std::uint32_t tasks);
+
+/// Creates a run of the task as an agent reports it.
+PossibleRun possibleRun(JobId job, std::uint32_t index, std::uint32_t run);
+
 class OwnerHarness
 {
 public:
--- a/tests/auto/jobs/tst_gangs.cpp
+++ b/tests/auto/jobs/tst_gangs.cpp
@@ -36,11 +36,6 @@
     return numbers;
 }
 
-PossibleRun possibleRun(JobId job, std::uint32_t index, std::uint32_t run)
-{
-    return {{{job, 0, index}, run}, {1000, 64, 0}};
-}
-
 } // namespace
 
 class TestGangs : public CppUnit::TestFixture
--- a/tests/auto/jobs/tst_repeatedstarts.cpp
+++ b/tests/auto/jobs/tst_repeatedstarts.cpp
@@ -11,11 +11,6 @@
 
 constexpr Base::Duration longestResubmitWindow = defaultCallerTimeout + resubmitDelayMax + 100ms; ///< For callers with short timeouts.
 
-PossibleRun possibleRun(JobId job, std::uint32_t index, std::uint32_t run)
-{
-    return {{{job, 0, index}, run}, {1000, 64, 0}};
-}
-
 /// Returns the agent that was ordered first to start the task of the only job.
 std::string startedOn(const OwnerHarness &owner, std::uint32_t index)
 {
