Count the wait of a former owner's call from when that owner is fenced

Cause: moved the wait for the agents that were given up to the job, which ends as soon as none is given up. FormerOwnersFenced moves these agents back to the awaited ones, but the job's tasks are ready already and no longer in doubt. So once the former owner was fenced, which may have run the call until that moment, the next round of scheduling started its tasks beside the former run (TWICE).

Change: a job with such a wait also waits while former runs aren't resolved.

Measured: TestTakeover::callWaitsOnWhenFormerOwnersAreFenced, a start less than 4 s after the fencing before, none in these 4 s now.

--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -230,8 +230,15 @@
 bool awaitsFormerRuns(Round &round, const Job &job)
 {
     OwnerState &state = round.context.state;
-    const bool allReported = state.givenUpAgents.empty() && state.awaitedAgents.empty();
-    if (allReported || !job.formerRunsUntil || state.now >= *job.formerRunsUntil) {
+    if (!job.formerRunsUntil) {
+        return false;
+    }
+    // The former owner was fenced meanwhile. Its runs on the agents that were given up, which are awaited again, end later than that.
+    if (!formerRunsResolved(state)) {
+        requestRescheduleAt(state, state.formerRunsResolvedBy);
+        return true;
+    }
+    if (state.givenUpAgents.empty() || state.now >= *job.formerRunsUntil) {
         return false;
     }
     requestRescheduleAt(state, *job.formerRunsUntil);
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(ownerWithoutAuthoritySendsNoOrders);
     CPPUNIT_TEST(everyCallOfAnUnfencedOwnerWaitsForItsAgents);
     CPPUNIT_TEST(callOfAFormerOwnerWaitsAlsoOnceItIsFenced);
+    CPPUNIT_TEST(callWaitsOnWhenFormerOwnersAreFenced);
     CPPUNIT_TEST(adoptsWhatRuns);
     CPPUNIT_TEST(runNumbersIncreaseAcrossOwners);
     CPPUNIT_TEST(recordedAgentsWorkAtOnce);
@@ -176,6 +177,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
     }
 
+    /// Guards against a start while a former owner's run of the call goes on: the owner is fenced during the wait, and its runs end later than that.
+    void callWaitsOnWhenFormerOwnersAreFenced()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"}, 2);
+        owner.join("agent-1");
+        owner.advanceTimeWithReports(unfencedRunExpiryTimeout + 100ms);
+        SubmitCall call = bestEffort(7, 1);
+        call.mayHaveRun = true;
+        owner.submit(1, call);
+        owner.advanceTimeWithReports(1s);
+        owner.feed(FormerOwnersFenced{});
+        checkStartsAfter(owner, ownerAuthorityTimeout + runExpiryTimeout);
+    }
+
     /// Guards against stopping or repeating runs because their owner changed.
     void adoptsWhatRuns()
     {
