Let no lease end for the end of a task that lasts

Cause: mayHaveRunAgain takes any end of a run that is two owners old for one whose task may have started again. Runs of tasks that last are often that old. When one ended, the lease of its worker ended for it, and with it all other runs there; a lapse in a calm time counts as an order for AVAIL. The end also counted as lapsed, so a task that fails at once was restarted without a delay and on the same worker.

Change: the ends of such tasks need no lapse, as they start again however they end.

Measured: TestStoredWork::lastingTaskThatEndsNeedsNoLapse, endsToLapse 1 before, 0 now.

--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -143,6 +143,11 @@
     if (!decides || !agent.reportedLate || epoch >= state.epoch || (job != nullptr && job->bestEffort)) {
         return false;
     }
+    const bool lasts = job != nullptr && hasTask(*job, end.run.task) && stepSpecOfTask(*job, flatIndex(*job, end.run.task)).longRunning;
+    // A task that runs until it is cancelled starts again however it ends.
+    if (lasts) {
+        return false;
+    }
     if (epoch + 1 < state.epoch || job == nullptr) {
         return true;
     }
--- a/tests/auto/jobs/tst_storedwork.cpp
+++ b/tests/auto/jobs/tst_storedwork.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(longRunningTasksEndBeforeASuccessorRepeatsThem);
     CPPUNIT_TEST(endOfARepeatedTaskIsAcknowledgedAfterALapse);
     CPPUNIT_TEST(endReportedInTimeNeedsNoLapse);
+    CPPUNIT_TEST(lastingTaskThatEndsNeedsNoLapse);
     CPPUNIT_TEST(endOfASkippedOwnerNeedsALapse);
     CPPUNIT_TEST_SUITE_END();
 
@@ -172,6 +173,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
     }
 
+    /// Guards against a lapse, which ends all runs of the worker, for the end of a task that starts again however it ends.
+    void lastingTaskThatEndsNeedsNoLapse()
+    {
+        JobRecord record = jobRecord(7, 1);
+        record.spec.steps[0].longRunning = true;
+        OwnerHarness owner({"agent-1"}, 3, {record});
+        owner.join("agent-1", 8000, {possibleRun(7, 0, 1)});
+        owner.reportEnd("agent-1", {{7, 0, 0}, 1}, RunOutcome::Failed);
+        owner.commitAll();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), owner.endsToLapse.at("agent-1"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), owner.endsRecorded.at("agent-1"));
+    }
+
     /// Guards against the same when an owner that the agent hasn't followed has started the task again: the agent reports to the next one in time.
     void endOfASkippedOwnerNeedsALapse()
     {
