Let the first report of an agent decide whether it is late

Cause: each full report set reportedLate anew. A new process of an agent names 0 as its former owner, so with any owner of epoch 2 or more it counted as late until the next owner. A run of two owners before that ended `done` was then taken for lapsed and repeated, and the lease of its worker ended for it.

Change: the first full report to this owner decides. From then on the owner knows the agent's runs; it repeats them only once the agent has been silent for so long that the lease has ended.

--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -51,7 +51,9 @@
     std::map<std::uint64_t, bool> ends; ///< Ends not acknowledged yet, by number; true if recorded.
     std::uint64_t endsRecorded = 0; ///< All ends up to this number are recorded.
     std::uint64_t endsToLapse = 0; ///< As in OwnerOrders.
-    bool reportedLate = false; ///< This owner, or one before it that the agent didn't follow, may have repeated tasks that the agent had.
+    /// This owner, or one before it that the agent didn't follow, may have repeated tasks that the agent had before its first full report. No value before
+    /// that report.
+    std::optional<bool> reportedLate;
     WorkerHealth health;
     OwnerOrders outbox; ///< Orders to be sent at the end of the reducer's step.
 
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -231,7 +231,10 @@
     updateWorker(context, index, report);
     if (report.full) {
         state.agents[index].reported = true;
-        state.agents[index].reportedLate = state.lateAgents.contains(name) || report.formerEpoch + 1 < state.epoch;
+        // A later process of the agent names no former owner, and the owner has known the agent's runs since the first report.
+        if (!state.agents[index].reportedLate) {
+            state.agents[index].reportedLate = state.lateAgents.contains(name) || report.formerEpoch + 1 < state.epoch;
+        }
         state.schedulingDue = true;
         reconcile(context, index, report);
         state.agentsChanged |= state.awaitedAgents.erase(name) > 0;
--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -140,7 +140,7 @@
 {
     const bool decides = end.outcome == RunOutcome::Done || end.outcome == RunOutcome::Failed;
     const std::uint64_t epoch = end.run.run / runsPerEpoch + 1;
-    if (!decides || !agent.reportedLate || epoch >= state.epoch || (job != nullptr && job->bestEffort)) {
+    if (!decides || !agent.reportedLate.value_or(false) || epoch >= state.epoch || (job != nullptr && job->bestEffort)) {
         return false;
     }
     const bool lasts = job != nullptr && hasTask(*job, end.run.task) && stepSpecOfTask(*job, flatIndex(*job, end.run.task)).longRunning;
--- a/tests/auto/jobs/tst_storedwork.cpp
+++ b/tests/auto/jobs/tst_storedwork.cpp
@@ -7,6 +7,15 @@
 using namespace LaburnumFlow::Jobs::Testing;
 using namespace std::chrono_literals;
 
+namespace {
+
+WorkerInfo workerInfo()
+{
+    return {"worker-1", 1'700'000'000'000, service, "domain-1", "a", "rack-1", {"a", "rack-1"}, {8000, 65'536, 0}, false};
+}
+
+} // namespace
+
 /// Tests what an owner does with tasks of stored jobs while the store doesn't confirm it, and with ends that its agents have kept for long.
 class TestStoredWork : public CppUnit::TestFixture
 {
@@ -23,6 +32,7 @@
     CPPUNIT_TEST(endOfARepeatedTaskIsAcknowledgedAfterALapse);
     CPPUNIT_TEST(endReportedInTimeNeedsNoLapse);
     CPPUNIT_TEST(lastingTaskThatEndsNeedsNoLapse);
+    CPPUNIT_TEST(newProcessOfAnAgentIsNotLate);
     CPPUNIT_TEST(endOfASkippedOwnerNeedsALapse);
     CPPUNIT_TEST_SUITE_END();
 
@@ -186,6 +196,27 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), owner.endsRecorded.at("agent-1"));
     }
 
+    /// Guards against a lapse, and a finished run that is repeated, since an agent that had reported in time has started again and names no former owner.
+    void newProcessOfAnAgentIsNotLate()
+    {
+        OwnerHarness owner({"agent-1"}, 3, {jobRecord(7, 1)});
+        AgentReport report = owner.report("agent-1");
+        report.full = true;
+        report.formerEpoch = 2;
+        report.worker = workerInfo();
+        report.running = {possibleRun(7, 0, 1)};
+        owner.feed(AgentLinked{"agent-1"});
+        owner.feed(AgentReported{"agent-1", report});
+        owner.feed(AgentUnlinked{"agent-1"});
+        report.formerEpoch = 0;
+        owner.feed(AgentLinked{"agent-1"});
+        owner.feed(AgentReported{"agent-1", report});
+        owner.reportEnd("agent-1", {{7, 0, 0}, 1}, RunOutcome::Done);
+        owner.commitAll();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), owner.endsToLapse.at("agent-1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
+    }
+
     /// Guards against the same when an owner that the agent hasn't followed has started the task again: the agent reports to the next one in time.
     void endOfASkippedOwnerNeedsALapse()
     {
