Let a new process of an agent acknowledge nothing before it knows of a lapse

Cause: beginLapse does nothing if the agent knows no end of that number, and the orders record the ends all the same.

Change: before the first list, orders that ask for a lapse record no ends.

Measured: TestLapse::newProcessAcknowledgesNothingBeforeALapse, AckedUpto 1 in the first hold call before, 0 now until the lease has ended.

--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -181,6 +181,10 @@
     for (const Jobs::RunRef &run : orders.stops) {
         Internal::stopRun(context, run);
     }
+    // Before the first list it isn't known whether the worker still has ends that may be acknowledged only after a lapse. The orders are repeated.
+    if (!state.firstEndListed && orders.endsToLapse > 0) {
+        return;
+    }
     Internal::beginLapse(context, orders.endsToLapse);
     state.endsRecorded = std::max(state.endsRecorded, orders.endsRecorded);
     state.ends.erase(state.ends.begin(), state.ends.upper_bound(state.endsRecorded));
--- a/tests/auto/taskagent/tst_lapse.cpp
+++ b/tests/auto/taskagent/tst_lapse.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(startsNothingDuringTheLapse);
     CPPUNIT_TEST(lapsesOnce);
     CPPUNIT_TEST(newProcessDoesNotLapseWithoutTheEnds);
+    CPPUNIT_TEST(newProcessAcknowledgesNothingBeforeALapse);
     CPPUNIT_TEST(restartedWorkerNeedsNoLapse);
     CPPUNIT_TEST(reportsTheFormerEpoch);
     CPPUNIT_TEST_SUITE_END();
@@ -81,6 +82,22 @@
         CPPUNIT_ASSERT(!agent.reported([](const auto &report) { return report.workerSilent; }));
     }
 
+    /// Guards against an end that counts for the platform since the agent has started again during the lapse: the orders come before the first list.
+    void newProcessAcknowledgesNothingBeforeALapse()
+    {
+        AgentHarness agent;
+        agent.heartbeat();
+        orderLapse(agent);
+        CPPUNIT_ASSERT(agent.now() <= agent.state.leaseEndsAt);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), agent.holds.back().endsAckedToWorker);
+        agent.answerHold({}, {doneEnd()});
+        orderLapse(agent);
+        agent.answerHold({}, {doneEnd()});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), agent.holds.back().endsAckedToWorker);
+        endLapse(agent);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), agent.holds.back().endsAckedToWorker);
+    }
+
     /// Guards against a lapse that outlasts the worker whose ends it is for.
     void restartedWorkerNeedsNoLapse()
     {
