Don't name an owner as a former one that hasn't answered the agent's full report

Cause: an agent named the owner before as its former one as soon as it had followed it. If that owner had started a task again and was replaced before its orders told the agent which ends need a lapse, the next owner took the agent for one in time and acknowledged the end at once (TWICE in its second form).

Change: an owner counts as a former one once its orders echo the token of the agent's full report. reportsTheFormerEpoch has these orders now; what it checks is the same.

Measured: TestLapse::ownerThatHasNotAnsweredIsNoFormerOne failed before and passes.

--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -130,7 +130,7 @@
     std::vector<RunRefusal> refusals;
     std::vector<RunRef> stalled; ///< Runs that make no progress.
     std::vector<RunCheckpoint> checkpoints;
-    std::uint64_t formerEpoch = 0; ///< Epoch of the owner that the agent followed before this one; 0 if there was none.
+    std::uint64_t formerEpoch = 0; ///< Epoch of the latest owner before this one that has answered a full report of the agent; 0 if there was none.
 
     template<class Archive>
     void serialize(Archive &archive)
--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -145,7 +145,8 @@
         state.holdInProgress = false;
     }
     if (event.orders.epoch > state.epoch) {
-        state.formerEpoch = state.epoch;
+        state.formerEpoch = state.judgedEpoch;
+        state.fullReportToken = 0;
     }
     state.epoch = event.orders.epoch;
     state.ownerEntry = event.entry;
@@ -206,6 +207,9 @@
     state.ordersSeen = event.orders.number;
     state.ownerConfirmedByStore = event.orders.confirmedByStore;
     state.echo = std::max(state.echo, event.orders.echo);
+    if (state.fullReportToken != 0 && event.orders.echo >= state.fullReportToken) {
+        state.judgedEpoch = state.epoch;
+    }
     if (!event.orders.entries.empty()) {
         context.effects.push_back(UpdateEntries{event.orders.entries});
     }
@@ -311,6 +315,7 @@
     report.workerSilent = state.silenceReported || Internal::isLapsing(state);
     report.endsAcknowledged = state.endsRecorded;
     report.token = std::chrono::duration_cast<std::chrono::milliseconds>(state.now).count();
+    state.fullReportToken = fullDue ? report.token : state.fullReportToken;
     state.lastReportAt = state.now;
     context.effects.push_back(SendReport{state.ownerEntry, std::move(report)});
 }
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -88,7 +88,9 @@
 
     // The owner.
     std::uint64_t epoch = 0;
-    std::uint64_t formerEpoch = 0; ///< epoch of the owner before this one
+    std::int64_t fullReportToken = 0; ///< token of the latest full report to this owner; 0 if there was none
+    std::uint64_t judgedEpoch = 0; ///< epoch of the latest owner whose orders tell which ends of a full report need a lapse
+    std::uint64_t formerEpoch = 0; ///< the same before this owner
     std::string ownerEntry; ///< link name of the entry that owns the jobs; empty if there is none
     bool ownerConfirmedByStore = true; ///< otherwise the owner may have a successor that it doesn't know
     std::uint64_t ordersSeen = 0; ///< number of the latest orders of the owner
--- a/tests/auto/taskagent/tst_lapse.cpp
+++ b/tests/auto/taskagent/tst_lapse.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(newProcessAcknowledgesNothingBeforeALapse);
     CPPUNIT_TEST(restartedWorkerNeedsNoLapse);
     CPPUNIT_TEST(reportsTheFormerEpoch);
+    CPPUNIT_TEST(ownerThatHasNotAnsweredIsNoFormerOne);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -116,11 +117,27 @@
         AgentHarness agent;
         agent.begin(2);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), agent.lastFull().formerEpoch);
+        agent.orders(2);
         agent.orders(5, {}, {}, "2");
         agent.answerHold();
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), agent.lastFull().formerEpoch);
     }
 
+    /// Guards against an end that a third owner acknowledges without a lapse: the second one has started the task again, and is replaced before the agent
+    /// hears from it that the end needs a lapse.
+    void ownerThatHasNotAnsweredIsNoFormerOne()
+    {
+        AgentHarness agent;
+        agent.begin(1);
+        agent.orders(1);
+        agent.orders(2, {}, {}, "2");
+        agent.answerHold();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), agent.lastFull().formerEpoch);
+        agent.orders(3, {}, {}, "3");
+        agent.answerHold();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), agent.lastFull().formerEpoch);
+    }
+
 private:
     static Jobs::RunEnd doneEnd()
     {
