tests: agents and workers restart in long partitions with stored jobs

The model played stored jobs in long partitions only with agents and workers that don't restart, so it couldn't show that a new process of an agent forgets a lapse, nor that an owner is replaced in the middle of one.

--- a/tests/auto/entrynode/tst_ownerchangefaults.cpp
+++ b/tests/auto/entrynode/tst_ownerchangefaults.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(startsNoStoredTaskAfterItsAcknowledgedEnd);
     CPPUNIT_TEST(startsNoStoredTaskAfterItsAcknowledgedEndWhenCallsAreLate);
     CPPUNIT_TEST(acknowledgesNoEndOfARepeatedTaskAfterALongPartition);
+    CPPUNIT_TEST(acknowledgesNoEndOfARepeatedTaskWhenAgentsRestart);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a run that a restarted worker has while its answer is taken for the former process's.
@@ -100,6 +101,18 @@
         // OwnerChangeTest::runsEachTaskOnceInALongPartition checks the other rule.
         checkSeeds(options, seeds / 3, 60s, CheckedRules::AcknowledgedEnds);
     }
+
+    // Guards against the same when agents and workers restart, also while a lease ends.
+    void acknowledgesNoEndOfARepeatedTaskWhenAgentsRestart()
+    {
+        ModelOptions options;
+        options.witnesses = Witnesses::WithFormerOwner;
+        options.partitionTime = {20s, 25s};
+        options.storedJobs = true;
+        options.agentsRestart = true;
+        options.workersRestart = true;
+        checkSeeds(options, seeds / 3, 60s, CheckedRules::AcknowledgedEnds);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnerChangeFaultsTest);
