agent: let unfenced former owners bound the leases of what they started

A new owner asks for the attempts of its partitions at once, before the former one is fenced, and the agent followed it from then on: its echoes renewed what the former owner had started. Cut off from the agent, the former owner takes these attempts for ended 2.5 s after its last echo and starts the next ones elsewhere, as long as the store or a majority confirms it. With three entries and the store beside one of them that is without limit of time: the new owner waits for an acknowledgement, the agent beside it goes on.

An agent now counts a former owner's echoes too, beside those of the new one, until the new one sends a start or a query for the partition, which entries do only once they serve it. The former owner's calculation holds again, and so does the new owner's, as the earlier of the two leases counts. Cost: what a dead owner started ends with that owner's echoes and not after the takeover.

--- a/src/libs/agent/admission.cpp
+++ b/src/libs/agent/admission.cpp
@@ -71,7 +71,7 @@
 
 void handleStartTask(AgentState &state, Step &step, const std::string &entry, const Protocol::StartBatch &batch, const Protocol::StartTask &task)
 {
-    const bool ownerAccepted = task.partition < Protocol::partitionCount && acceptOwner(state, step, entry, task.partition, batch.epoch);
+    const bool ownerAccepted = task.partition < Protocol::partitionCount && acceptServingOwner(state, step, entry, task.partition, batch.epoch);
     if (state.ledger.records.contains(task.key)) {
         step.count("agent.known-attempt");
         step.pendingUpdates.emplace_back(entry, task.key);
@@ -111,6 +111,9 @@
     if (owner.entry == entry) {
         return true;
     }
+    if (!owner.entry.empty()) {
+        owner.unfencedEntries.insert(owner.entry);
+    }
     owner.entry = entry;
     for (auto &[key, live] : state.ledger.live) {
         if (state.ledger.records.at(key).partition == partition) {
@@ -122,6 +125,15 @@
     return true;
 }
 
+bool acceptServingOwner(AgentState &state, Step &step, const std::string &entry, Protocol::Partition partition, Protocol::Epoch epoch)
+{
+    if (!acceptOwner(state, step, entry, partition, epoch)) {
+        return false;
+    }
+    state.partitionOwners[partition].unfencedEntries.clear();
+    return true;
+}
+
 bool areSettingsTooOld(const AgentState &state, const std::string &team, std::uint64_t teamRevision, std::uint64_t rootRevision)
 {
     return teamRevision < highestRevision(state, team) || rootRevision < highestRevision(state, rootSettings);
--- a/src/libs/agent/agentstate.h
+++ b/src/libs/agent/agentstate.h
@@ -84,6 +84,8 @@
 struct PartitionOwner {
     Protocol::Epoch epoch = 0;
     std::string entry;
+    /// Former owners that may still have authority, as the owner has only asked for their attempts. Empty once the owner serves.
+    std::set<std::string> unfencedEntries{};
 };
 
 /// Link and lease of an entry process.
--- a/src/libs/agent/leases.cpp
+++ b/src/libs/agent/leases.cpp
@@ -16,6 +16,12 @@
 
 constexpr std::uint32_t noRunLimit = 0;
 
+Base::MonoTime entryLeaseEnd(const AgentState &state, const std::string &entry)
+{
+    const auto found = state.entries.find(entry);
+    return found == state.entries.end() ? Base::MonoTime(0) : found->second.leaseEnd;
+}
+
 Base::MonoTime runLimitEnd(const LiveAttempt &live)
 {
     return live.limitMs == noRunLimit ? Base::MonoTime::max() : live.startedAt + std::chrono::milliseconds(live.limitMs);
@@ -129,8 +135,13 @@
 
 Base::MonoTime echoLeaseEnd(const AgentState &state, const RecordedAttempt &record, const LiveAttempt &live)
 {
-    const auto owner = state.entries.find(state.partitionOwners[record.partition].entry);
-    return std::max(live.startLeaseEnd, owner == state.entries.end() ? Base::MonoTime(0) : owner->second.leaseEnd);
+    const PartitionOwner &owner = state.partitionOwners[record.partition];
+    Base::MonoTime end = std::max(live.startLeaseEnd, entryLeaseEnd(state, owner.entry));
+    // A former owner that is not fenced yet starts the next attempt once its own echoes no longer renew this one.
+    for (const std::string &former : owner.unfencedEntries) {
+        end = std::min(end, entryLeaseEnd(state, former));
+    }
+    return end;
 }
 
 std::uint32_t grantLease(const AgentState &state, const RecordedAttempt &record, LiveAttempt &live)
--- a/src/libs/agent/leases.h
+++ b/src/libs/agent/leases.h
@@ -6,7 +6,7 @@
 
 namespace LaburnumFlow::Agent::Internal {
 
-/// Returns the time until which the owner's newest echo allows the attempt to run.
+/// Returns the time until which the newest echoes of the owner, and of former owners that may still have authority, allow the attempt to run.
 Base::MonoTime echoLeaseEnd(const AgentState &state, const RecordedAttempt &record, const LiveAttempt &live);
 
 /// Sets the lease of the attempt to the longest that is allowed now and returns its length in milliseconds.
--- a/src/libs/agent/requests.cpp
+++ b/src/libs/agent/requests.cpp
@@ -48,7 +48,7 @@
             recordFenced(state, step, key);
         } else if (known->second.reason != AgentReason::Fenced) {
             // After a handover the new owner sends no FenceQuery, so this query makes it the receiver of the updates.
-            acceptOwner(state, step, entry, known->second.partition, query.epoch);
+            acceptServingOwner(state, step, entry, known->second.partition, query.epoch);
         }
         step.pendingUpdates.emplace_back(entry, key);
     }
--- a/tests/auto/agent/schedulemodel.h
+++ b/tests/auto/agent/schedulemodel.h
@@ -43,7 +43,7 @@
             raiseRevision("", task.rootRevision);
         }
         for (const Protocol::StartTask &task : batch.tasks) {
-            const bool ownerAccepted = acceptOwner(entry, task.partition, batch.epoch);
+            const bool ownerAccepted = acceptServingOwner(entry, task.partition, batch.epoch);
             if (fenced_.contains(task.key) || delivered_.contains(task.key)) {
                 continue;
             }
@@ -77,7 +77,7 @@
             if (found == delivered_.end()) {
                 fenced_.insert(key);
             } else if (query) {
-                acceptOwner(entry, found->second.task.partition, epoch);
+                acceptServingOwner(entry, found->second.task.partition, epoch);
             }
         }
     }
@@ -174,11 +174,24 @@
         }
         if (owner.entry != entry) {
             ++ownerChanges_[partition];
+            if (!owner.entry.empty()) {
+                unfenced_[partition].insert(owner.entry);
+            }
         }
         owner = {epoch, entry};
         return true;
     }
 
+    /// Accepts an owner that sends a start or a query, for which it must have fenced the former ones.
+    bool acceptServingOwner(const std::string &entry, Protocol::Partition partition, Protocol::Epoch epoch)
+    {
+        const bool accepted = acceptOwner(entry, partition, epoch);
+        if (accepted) {
+            unfenced_[partition].clear();
+        }
+        return accepted;
+    }
+
     void raiseRevision(const std::string &team, std::uint64_t revision)
     {
         revisions_[team] = std::max(revisions_[team], revision);
@@ -219,7 +232,7 @@
         const DeliveredStart &delivery = delivered_.at(key);
         if (delivery.task.idempotent) {
             require(running.leaseEnd <= newestEcho(delivery) + Protocol::leaseDuration + 1ms,
-                    "lease extends beyond the owner's newest echo plus the lease duration",
+                    "lease extends beyond the newest echo of an owner, or of one that is not fenced, plus the lease duration",
                     key);
         }
     }
@@ -228,7 +241,12 @@
     {
         const Base::MonoTime echoed = echoes_[owners_[delivery.task.partition].entry];
         const bool sameOwner = ownerChanges_[delivery.task.partition] == delivery.ownerChange;
-        return sameOwner ? std::max(echoed, Base::MonoTime(delivery.token.agentMonoUs)) : echoed;
+        Base::MonoTime newest = sameOwner ? std::max(echoed, Base::MonoTime(delivery.token.agentMonoUs)) : echoed;
+        // A former owner starts the task elsewhere once it has not echoed for long enough, unless it is fenced.
+        for (const std::string &former : unfenced_[delivery.task.partition]) {
+            newest = std::min(newest, echoes_[former]);
+        }
+        return newest;
     }
 
     void checkReply(const SendToEntry &sent)
@@ -291,6 +309,7 @@
     Base::MonoTime now_{};
     std::map<Protocol::Partition, PartitionOwner> owners_;
     std::map<Protocol::Partition, int> ownerChanges_;
+    std::map<Protocol::Partition, std::set<std::string>> unfenced_; ///< Former owners that may still have authority
     Protocol::RevisionMap revisions_;
     std::map<std::string, Base::MonoTime> echoes_;
     std::map<Base::AttemptKey, DeliveredStart> delivered_;
--- a/tests/auto/agent/tst_reducer.cpp
+++ b/tests/auto/agent/tst_reducer.cpp
@@ -43,6 +43,8 @@
     CPPUNIT_TEST(queuedOutdated);
     CPPUNIT_TEST(updatesAfterLinkLoss);
     CPPUNIT_TEST(takeover);
+    CPPUNIT_TEST(unfencedFormerOwner);
+    CPPUNIT_TEST(ownersPassedOver);
     CPPUNIT_TEST(staleFenceQuery);
     CPPUNIT_TEST(fenceReplyParts);
     CPPUNIT_TEST(retention);
@@ -231,6 +233,48 @@
         expectUpdate(agent, "former owner", "a", key1, AttemptState::Running);
     }
 
+    /// Guards against a task that a former owner starts elsewhere while it still runs here. A fence query is sent before the former owner is
+    /// fenced, so what that owner started must end with its echoes until the new owner serves.
+    void unfencedFormerOwner()
+    {
+        for (const bool serves : {false, true}) {
+            Harness agent;
+            agent.start(makeStartTask(key1));
+            agent.request("b", Protocol::FenceQuery{2, {3}});
+            agent.hello("b");
+            if (serves) {
+                agent.request("b", Protocol::QueryAttempts{2, {key1}});
+            }
+            agent.advanceWithEchoes(1750ms, "b");
+            CPPUNIT_ASSERT(agent.effectsOfType<BackendStop>().empty());
+            agent.advanceWithEchoes(250ms, "b");
+            CPPUNIT_ASSERT_EQUAL(std::size_t{serves ? 0U : 1U}, agent.effectsOfType<BackendStop>().size());
+        }
+    }
+
+    /// Guards against the same task if another entry takes over before the first one serves: both former owners may still start it elsewhere.
+    void ownersPassedOver()
+    {
+        for (const std::string &silent : {std::string("a"), std::string("b"), std::string("c")}) {
+            Harness agent;
+            agent.hello("b");
+            agent.hello("c");
+            agent.start(makeStartTask(key1));
+            agent.request("b", Protocol::FenceQuery{2, {3}});
+            agent.request("c", Protocol::FenceQuery{3, {3}});
+            for (Base::Duration passed{}; passed < Protocol::leaseDuration; passed += Protocol::heartbeatInterval) {
+                CPPUNIT_ASSERT_MESSAGE(silent, agent.effectsOfType<BackendStop>().empty());
+                agent.advance(Protocol::heartbeatInterval);
+                for (const std::string &entry : {std::string("a"), std::string("b"), std::string("c")}) {
+                    if (entry != silent) {
+                        agent.hello(entry);
+                    }
+                }
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(silent, std::size_t{1}, agent.effectsOfType<BackendStop>().size());
+        }
+    }
+
     /// Guards against a reply to a fence query of a superseded owner, which would take the reply as final.
     void staleFenceQuery()
     {
