dispatch: repeat nothing of a job that an unanswering agent may run

A former owner that is cut off from its successor together with one agent takes the attempt at another agent for ended and starts the next one on its own side, while it has authority. The successor knows only the earlier attempt, from the agent on its side. It refused such a resubmission if a task was in no report, but not if each had a live attempt, and when that attempt ended it started the task again beside the run that it doesn't know.

A job that is adopted after a takeover in which an agent did not answer now ends as unknown (attempt-lost) when one of its tasks would have to start again. The successor can't tell whether the former owner has done that already. Jobs that are newer than the takeover, and takeovers that all agents answered, are not concerned. Cost: such jobs fail in place of a retry.

--- a/src/libs/dispatch/acceptance.cpp
+++ b/src/libs/dispatch/acceptance.cpp
@@ -58,7 +58,8 @@
     if (authority != Authority::Serving) {
         return Deferred{};
     }
-    if (!allTasksReported(submission, job.body->tasks.size()) && !isKnownUnstarted(context, job)) {
+    submission.mayRunUnreported = !isKnownUnstarted(context, job);
+    if (submission.mayRunUnreported && !allTasksReported(submission, job.body->tasks.size())) {
         return refuse(context, makeRefusal(Outcome::Unknown, Reason::OwnerLost));
     }
     context.count("ledger.adopted");
--- a/src/libs/dispatch/dispatchstate.h
+++ b/src/libs/dispatch/dispatchstate.h
@@ -114,6 +114,7 @@
     std::uint16_t startedTasks = 0;
     std::uint16_t succeededTasks = 0;
     std::uint32_t liveAttemptCount = 0;
+    bool mayRunUnreported = false; ///< An agent that did not answer after a takeover may run tasks of it, so none is started again
     std::optional<FailureDetails> stopping; ///< Set once the whole job ends: queued tasks are dropped and live attempts cancelled
     std::optional<Protocol::JobAnswer> answer;
     std::size_t answerBytes = 0;
--- a/src/libs/dispatch/retries.cpp
+++ b/src/libs/dispatch/retries.cpp
@@ -110,6 +110,12 @@
 void retryOrFail(Context &context, Submission &submission, std::uint16_t index, const Attempt &attempt, const Protocol::TaskUpdate &update)
 {
     Task &task = submission.tasks[index];
+    if (submission.mayRunUnreported) {
+        // The former owner may have started the next attempt at an agent that did not answer.
+        task.outcomeUnknown = true;
+        failJob(context, submission, Outcome::Unknown, {Reason::AttemptLost, index, 0, update.result});
+        return;
+    }
     if (update.state == AttemptState::Refused) {
         retryElsewhere(context, submission, index, attempt, update.reason);
         return;
--- a/tests/auto/dispatch/tst_relay.cpp
+++ b/tests/auto/dispatch/tst_relay.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(continuesRecovered);
     CPPUNIT_TEST(treatsFencedRecoveredAsLost);
     CPPUNIT_TEST(waitsForLeaseOfRestartedAgent);
+    CPPUNIT_TEST(repeatsNothingBesideMissingAgents);
     CPPUNIT_TEST(handsLedgerOver);
     CPPUNIT_TEST(losesPartitions);
     CPPUNIT_TEST_SUITE_END();
@@ -265,6 +266,46 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.startCount);
     }
 
+    /// Guards against a second run beside one at an agent that did not answer: the former owner may have repeated there what another agent reported.
+    void repeatsNothingBesideMissingAgents()
+    {
+        struct Case {
+            AttemptState ended; ///< End of the reported attempt
+            AgentReason reason;
+            bool complete; ///< Every agent answered the fence query
+            std::size_t starts;
+        };
+        const Case cases[] = {
+            {AttemptState::Stopped, AgentReason::LeaseEnded, false, 0},
+            {AttemptState::Refused, AgentReason::LeaseEnded, false, 0},
+            {AttemptState::Lost, AgentReason::BackendLost, false, 0},
+            {AttemptState::Failed, AgentReason::BackendError, false, 0},
+            {AttemptState::Stopped, AgentReason::LeaseEnded, true, 1},
+            {AttemptState::Refused, AgentReason::LeaseEnded, true, 1},
+        };
+        for (const Case &test : cases) {
+            Harness harness;
+            prepare(harness, "self");
+            harness.kind("t", "again", true);
+            beginTakeover(harness);
+            const Base::Uuid id = harness.idIn(partition);
+            const Protocol::JobBody body = Harness::body("t", "again", 1, 9000);
+            const Base::AttemptKey key{{id, 0}, 1};
+            Protocol::AttemptRecord record{
+                {key, AttemptState::Running, AgentReason::None, 0, {}}, partition, Protocol::computeBodyDigest(body), "t", "again", true};
+            harness.change(Cluster::AttemptsRecovered{"a", {record}});
+            const auto request = harness.submit(body, id);
+            endTakeover(harness, test.complete);
+            harness.update("a", key, test.ended, test.reason);
+            harness.advance(Protocol::leaseDuration + Protocol::leaseMargin + 1s);
+            CPPUNIT_ASSERT_EQUAL(test.starts, harness.startCount);
+            if (!test.complete) {
+                const Protocol::JobFailed failed = harness.failure(request);
+                CPPUNIT_ASSERT(failed.outcome == Outcome::Unknown && failed.reason == Reason::AttemptLost);
+            }
+        }
+    }
+
     /// Guards against a handover after which submissions run again or are unknown.
     void handsLedgerOver()
     {
