cluster: count a fence reply only if its agent lived until the former owner's end

A reply to a fence query is final as the agent refuses the former epoch from then on. It holds that epoch in memory. If it restarts after the reply and only the former owner hears its new process, that owner starts tasks there as long as it has authority, and its echoes renew them. The new owner, to which the agent is just silent, took the takeover for complete and started resubmissions of these tasks again.

A takeover counts as complete only if each agent that replied sent a token after the end of the former owners' authority: that process refused all their starts. Received 1 s later, a token was issued later, up to that delay of a datagram. The takeover ends at least 1.65 s later, so agents that stay send several. Cost: after a takeover in which an agent falls silent, older submissions that no agent reported are answered as unknown.

New test: cluster.membership, agentSilentSinceItsReply, failed before (known as unstarted). takeOver() and fenceQueries let the agent send heartbeats in the 4 s after its reply, as agents do; both had a silent agent whose reply counted, which was the fault. What they check is as before.

--- a/src/libs/cluster/clusterconstants.h
+++ b/src/libs/cluster/clusterconstants.h
@@ -19,6 +19,7 @@
 constexpr Base::Duration unfencedClearStagger = 500ms; ///< delay per position in the map, so that only one member clears the unfenced sets
 constexpr Base::Duration peerRetention = 60s;
 constexpr Base::Duration agentRetention = Protocol::deduplicationWindow;
+constexpr Base::Duration maxHeartbeatDelay = 1s; ///< a token received this long after a moment was issued after it
 constexpr std::size_t maxFormerIncarnations = 8;
 
 /// Adds 10 % for the clock drift between two machines.
--- a/src/libs/cluster/takeover.cpp
+++ b/src/libs/cluster/takeover.cpp
@@ -58,6 +58,15 @@
            && std::all_of(takeover.agentsOfPeers.begin(), takeover.agentsOfPeers.end(), replied);
 }
 
+/// Returns whether each agent that replied is known to have lived on until the moment. The next process of one that ended doesn't know the epoch that its
+/// reply promised to refuse.
+bool allRepliesHeldUntil(const ClusterState &state, Base::MonoTime moment)
+{
+    return std::all_of(state.agents.begin(), state.agents.end(), [&](const auto &agent) {
+        return !state.takeover->agentsReplied.contains(agent.first) || agent.second.tokenReceivedAt >= moment + maxHeartbeatDelay;
+    });
+}
+
 void sendFenceQueries(ClusterState &state, Step &step)
 {
     Takeover &takeover = *state.takeover;
@@ -82,9 +91,10 @@
         return record;
     }
     // Former owners may accept submissions until their authority ends, which is later than the write of the new map.
-    const Base::MonoTime since = state.now - formerAuthorityEndsAt(takeover).value_or(state.now);
+    const Base::MonoTime authorityEnd = formerAuthorityEndsAt(takeover).value_or(state.now);
+    const Base::MonoTime since = state.now - authorityEnd;
     record.at = state.wall - std::chrono::duration_cast<Base::WallTime>(since);
-    record.complete = allAgentsReplied(state);
+    record.complete = allAgentsReplied(state) && allRepliesHeldUntil(state, authorityEnd);
     record.unstartedSince = std::max(state.agentsKnownSince.value_or(state.wall), state.ledgerLostWall);
     return record;
 }
--- a/tests/auto/cluster/tst_membership.cpp
+++ b/tests/auto/cluster/tst_membership.cpp
@@ -68,10 +68,12 @@
     entry.read(map, 1);
 }
 
-/// Lets the entry take over the partitions of the other members, with an empty answer from each agent that it queries. Returns one that it gained.
+/// Lets the entry take over the partitions of the other members, with an empty answer from each agent that it queries and, if the agent stays, its
+/// heartbeats. Returns one that it gained.
 Protocol::Partition takeOver(
     Entry &entry,
-    const std::function<void()> &meanwhile = [] {})
+    const std::function<void()> &meanwhile = [] {},
+    bool agentStays = true)
 {
     Protocol::PartitionMap next = makeMap({a}, entry.state.map->epoch + 1);
     next.unfenced = {{entry.state.map->epoch, entry.state.map->entries}};
@@ -81,7 +83,12 @@
         entry.feed(Events::AgentReplyReceived{{"a", 1}, Protocol::FenceReply{next.epoch, {}, {}, true}});
     }
     meanwhile();
-    entry.advance(4000);
+    for (std::int64_t passed = 0; passed < 4000; passed += 250) {
+        entry.advance(250);
+        if (agentStays && entry.state.agents.contains("a")) {
+            entry.receiveAgentHeartbeat();
+        }
+    }
     CPPUNIT_ASSERT(!entry.all<PartitionsGained>().empty());
     return entry.all<PartitionsGained>().at(0)->partitions.at(0);
 }
@@ -106,6 +113,7 @@
     CPPUNIT_TEST(agentFirstHeardOfLate);
     CPPUNIT_TEST(forgottenAgent);
     CPPUNIT_TEST(agentKnownToFormerOwnerOnly);
+    CPPUNIT_TEST(agentSilentSinceItsReply);
     CPPUNIT_TEST(startsUnknownDuringTakeover);
     CPPUNIT_TEST(confirmDead);
     CPPUNIT_TEST(leaving);
@@ -380,7 +388,10 @@
             reply.last = true;
             entry.feed(Events::AgentReplyReceived{{"a", 1}, reply});
             entry.clearRecorded();
-            entry.advance(4000);
+            for (std::int64_t passed = 0; passed < 4000; passed += 250) {
+                entry.advance(250);
+                entry.receiveAgentHeartbeat();
+            }
             const auto recovered = entry.all<AttemptsRecovered>();
             CPPUNIT_ASSERT_EQUAL(std::size_t(answers ? 1 : 0), recovered.size());
             const auto isGain = [](const Change &change) { return std::holds_alternative<PartitionsGained>(change); };
@@ -446,6 +457,24 @@
         }
     }
 
+    /// Guards against a second start of what a restarted agent runs for the former owner. Its new process doesn't know the epoch of the reply, and
+    /// only the former owner hears it.
+    void agentSilentSinceItsReply()
+    {
+        for (const bool silent : {true, false}) {
+            Entry entry = servingEntry({a, b});
+            entry.receiveAgentHeartbeat();
+            entry.feed(Events::AgentLinkChanged{{"a", 1}, true});
+            advanceWithHeartbeats(entry, {b}, 10'000);
+            const Base::WallTime submitted = entry.state.wall;
+            advanceWithHeartbeats(entry, {b}, 1'000);
+            entry.receiveAgentHeartbeat();
+            const Protocol::Partition taken = takeOver(
+                entry, [] {}, !silent);
+            CPPUNIT_ASSERT_EQUAL(!silent, isKnownUnstarted(entry.state, taken, submitted));
+        }
+    }
+
     /// Guards against a refusal as not run, while a takeover goes on, of a submission that the former owner has started or may still start.
     void startsUnknownDuringTakeover()
     {
