agent: send no start or renewal whose lease is counted from long ago

A lease is counted from its order, in the reducer. The client's thread could send the call any time later: after a suspension of the agent's process, or after waiting up to 1 s for a connection to a server that starts again. By then the owner may have taken the lease for ended, which it does 0.5 s after the lease, and started the next attempt. Nothing at the server bars such a start, least of all at one that has just started.

The client now checks the time when libcurl fetches the body for sending, and aborts starts and renewals that are older than half the margin, 250 ms. Without its whole body the server can't execute the call, so the start is reported as not started and the owner tries elsewhere. What remains: a call that waits in the socket's buffers or at the server (known, over 0.5 s late).

New test: agent.backendclient, lateCall, failed before (succeeded in place of not started).

--- a/src/libs/agent/backendcall.cpp
+++ b/src/libs/agent/backendcall.cpp
@@ -1,5 +1,6 @@
 #include "backendcall.h"
 
+#include "base/timerservice.h"
 #include "base/uuid.h"
 #include "protocol/protocolconstants.h"
 
@@ -18,6 +19,8 @@
 constexpr long connectTimeoutMs = 1000;
 constexpr long shortCallTimeoutMs = 2000;
 constexpr long statusTimeoutMs = 500;
+/// A call that grants a lease is not sent later than this after its order. The lease is counted from the order, and leaseMargin covers the rest.
+constexpr Base::Duration maxSendDelay = Protocol::leaseMargin / 2;
 constexpr std::size_t maxResponseBytes = Protocol::maxBodyBytes;
 
 constexpr long httpOk = 200;
@@ -67,7 +70,7 @@
 }
 
 BackendCall::BackendCall(CallKind kind, const Base::AttemptKey &key, std::string_view method, const std::string &url, std::string body)
-    : kind_(kind), key_(key), body_(std::move(body)), handle_(curl_easy_init())
+    : kind_(kind), key_(key), body_(std::move(body)), orderedAt_(Base::monoNow()), handle_(curl_easy_init())
 {
     curl_easy_setopt(handle_, CURLOPT_URL, url.c_str());
     curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
@@ -103,11 +106,17 @@
     return status;
 }
 
+bool BackendCall::isLeaseOutdated() const
+{
+    const bool grantsLease = kind_ == CallKind::Start || kind_ == CallKind::Renew;
+    return grantsLease && Base::monoNow() - orderedAt_ > maxSendDelay;
+}
+
 std::size_t BackendCall::readBody(char *to, std::size_t size, std::size_t count, void *self)
 {
     auto *call = static_cast<BackendCall *>(self);
     const std::size_t n = std::min(size * count, call->body_.size() - call->bodyOffset_);
-    if (n == 0) {
+    if (n == 0 || call->isLeaseOutdated()) {
         return CURL_READFUNC_ABORT;
     }
     call->bodyOffset_ += call->body_.copy(to, n, call->bodyOffset_);
--- a/src/libs/agent/backendcall.h
+++ b/src/libs/agent/backendcall.h
@@ -64,12 +64,14 @@
 private:
     static std::size_t readBody(char *to, std::size_t size, std::size_t count, void *self);
     static std::size_t writeResponse(char *from, std::size_t size, std::size_t count, void *self);
+    bool isLeaseOutdated() const;
     BackendOutcome parseOutcome(std::string &result) const;
 
     CallKind kind_;
     Base::AttemptKey key_;
     std::string body_;
     std::size_t bodyOffset_ = 0;
+    Base::MonoTime orderedAt_; ///< Time of the order, from which a lease is counted
     std::string response_;
     bool responseTooLarge_ = false;
     CURL *handle_ = nullptr;
--- a/tests/auto/agent/tst_backendclient.cpp
+++ b/tests/auto/agent/tst_backendclient.cpp
@@ -1,6 +1,7 @@
 #include "agentharness.h"
 #include "childprocess.h"
 
+#include "agent/backendcall.h"
 #include "agent/backendclient.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -244,6 +245,7 @@
     CPPUNIT_TEST(killedServer);
     CPPUNIT_TEST(hungServer);
     CPPUNIT_TEST(noRepetition);
+    CPPUNIT_TEST(lateCall);
     CPPUNIT_TEST(gracefulEnd);
     CPPUNIT_TEST_SUITE_END();
 
@@ -393,6 +395,21 @@
         CPPUNIT_ASSERT_EQUAL(2, server.requests());
     }
 
+    /// Guards against a start that is sent late, after the agent's process was suspended or had waited for a connection, when its owner already counts its
+    /// lease as ended.
+    void lateCall()
+    {
+        const TestBackendServer server;
+        Client client(server.process.port());
+        const std::string url = "http://127.0.0.1:" + std::to_string(server.process.port()) + "/tasks/late";
+        Internal::BackendCall call(Internal::CallKind::Start, makeAttemptKey(1), "PUT", url, R"({"kind":"fold-preview","payload":{"runMs":5},"leaseMs":2000})");
+        std::this_thread::sleep_for(Protocol::leaseMargin);
+        const CURLcode code = curl_easy_perform(call.handle());
+        CPPUNIT_ASSERT_EQUAL(outcomeName(BackendOutcome::NotStarted), outcomeName(call.taskEnded(code).outcome));
+        client.status();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.recordCount("start"));
+    }
+
     /// Guards against a test backend server that interrupts tasks on SIGTERM, which would hide faults of the agent's drain.
     void gracefulEnd()
     {
