--- a/tests/auto/entrynode/ownerchangefaults.cpp
+++ b/tests/auto/entrynode/ownerchangefaults.cpp
@@ -7,93 +7,11 @@
 
 namespace {
 
-constexpr std::size_t maxCallers = 12;
-constexpr Base::Duration callerTimeout = 1500ms;
-constexpr Base::Duration resubmitDelay = 1300ms;
-constexpr Base::Duration forwardDelay = 100ms;
 constexpr double agentRestartShare = 0.15; ///< Of the times at which a fault begins.
 constexpr double workerRestartShare = 0.15; ///< Of the times at which a fault begins.
 
-Jobs::SubmitCall makeCall(Jobs::JobId job, std::uint32_t tasks, bool stored)
-{
-    Jobs::SubmitCall call;
-    call.job = job;
-    call.rules = {"queue", "service", 0, 3, 1.6, 5000};
-    call.bestEffort = !stored;
-    call.spec.payload = "payload";
-    call.spec.steps.push_back({tasks, {1000, 64, 0}, 1000, {}, {}, {}, 0});
-    return call;
-}
-
 } // namespace
 
-void OwnerChangeModel::updateCallers()
-{
-    if (now_ >= nextJobAt_) {
-        nextJobAt_ = now_ + randomTime(50ms, 250ms);
-        if (callers_.size() < maxCallers) {
-            ++lastJob_;
-            callers_[lastJob_] = {static_cast<std::uint32_t>(1 + randomIndex(4)), 0, 0, now_, {}, isStored(lastJob_), false, false};
-        }
-    }
-    for (auto &[job, caller] : callers_) {
-        const Entry &entry = entries_[caller.entry];
-        if (caller.epoch != 0 && (!entry.up || !entry.owner || entry.owner->epoch != caller.epoch)) {
-            caller.epoch = 0;
-            // An entry forwards its own callers' jobs at once; other callers submit again later.
-            caller.forwarded = !chance(0.5);
-            caller.submitAt = now_ + (caller.forwarded ? forwardDelay : resubmitDelay);
-        }
-        if (hasTimedOut(caller)) {
-            caller.epoch = 0;
-            caller.forwarded = false;
-            caller.submitAt = now_ + resubmitDelay;
-        }
-        if (caller.epoch == 0 && now_ >= caller.submitAt) {
-            submit(job, caller);
-        }
-    }
-}
-
-bool OwnerChangeModel::isStored(Jobs::JobId job) const
-{
-    return options_.storedJobs && job % 2 == 1;
-}
-
-bool OwnerChangeModel::callersTimeOut() const
-{
-    return options_.witnesses == Witnesses::WithFormerOwner || options_.witnesses == Witnesses::Absent;
-}
-
-bool OwnerChangeModel::hasTimedOut(const Caller &caller) const
-{
-    return callersTimeOut() && caller.epoch != 0 && now_ - caller.submittedAt >= callerTimeout;
-}
-
-void OwnerChangeModel::submit(Jobs::JobId job, Caller &caller)
-{
-    std::vector<NodeIndex> owners;
-    for (NodeIndex index = 0; index < entries_.size(); ++index) {
-        if (entries_[index].up && entries_[index].owner) {
-            owners.push_back(index);
-        }
-    }
-    if (owners.empty()) {
-        return;
-    }
-    caller.entry = owners[randomIndex(owners.size())];
-    caller.epoch = entries_[caller.entry].owner->epoch;
-    caller.submittedAt = now_;
-    Jobs::SubmitCall call = makeCall(job, caller.tasks, caller.stored);
-    call.mayHaveRun = std::exchange(caller.submittedBefore, true);
-    if (callersTimeOut()) {
-        call.callerTimeoutMs = static_cast<std::uint32_t>(callerTimeout / 1ms);
-        // Only an entry that has forwarded the call to a lost owner knows that the job may have run.
-        call.mayHaveRun = caller.forwarded;
-    }
-    postToEntry(randomTime(1ms, 8ms), caller.entry, [this, index = caller.entry, job, call] { feedOwner(index, Jobs::CallArrived{job, call}); });
-}
-
 /// Faults hit the owner more often than others, as only those change the owner.
 OwnerChangeModel::NodeIndex OwnerChangeModel::likelyOwner()
 {
