tests: stored jobs of two steps in the model of owner changes

The model played jobs of one step only, so that no owner change met a step that waits for another (rule ORDER).

twoStepShare: that share of the stored jobs has a second step after the first. Workers tell of all ends, also those that are never acknowledged, and RunRules reports a start of the second step before each task of the first has had a run that ended done at a worker.

--- a/tests/auto/entrynode/ownerchangeagents.cpp
+++ b/tests/auto/entrynode/ownerchangeagents.cpp
@@ -162,10 +162,7 @@
     if (!worker.accepts(call, now_)) {
         return answer;
     }
-    checkSingleRun(index, call.run);
-    if (isStored(call.run.task.job)) {
-        violateEndRule(rules_.checkStart(call.run, now_));
-    }
+    checkStart(index, call.run);
     worker.start(call, now_, randomTime(100ms, 2500ms));
     note(agentAt(index).name + " starts " + Jobs::formatRun(call.run));
     ++starts_;
@@ -195,12 +192,16 @@
 {
     for (Agent &agent : agents_) {
         agent.worker.expire(now_);
+        for (const Jobs::RunEnd &end : agent.worker.takeNewEnds()) {
+            rules_.noteEnd(end);
+        }
     }
 }
 
 void OwnerChangeModel::restartWorker(NodeIndex index)
 {
     Agent &agent = agentAt(index);
+    expireWorkers();
     note(agent.name + "'s worker is killed and starts again");
     const std::int64_t startTimeMs = ModelWorker::firstStartTimeMs + std::chrono::duration_cast<std::chrono::milliseconds>(now_).count();
     agent.worker = ModelWorker(startTimeMs, now_);
@@ -211,6 +212,17 @@
     }
 }
 
+/// The ends of all runs so far must have been noted.
+void OwnerChangeModel::checkStart(NodeIndex index, const Jobs::RunRef &run)
+{
+    checkSingleRun(index, run);
+    if (!isStored(run.task.job)) {
+        return;
+    }
+    violateEndRule(rules_.checkStart(run, now_));
+    violate(rules_.checkOrder(run));
+}
+
 void OwnerChangeModel::checkSingleRun(NodeIndex index, const Jobs::RunRef &run)
 {
     for (const Agent &agent : agents_) {
--- a/tests/auto/entrynode/ownerchangecallers.cpp
+++ b/tests/auto/entrynode/ownerchangecallers.cpp
@@ -7,30 +7,49 @@
 namespace {
 
 constexpr std::size_t maxCallers = 12;
+constexpr std::uint32_t maxTasksPerStep = 4;
+constexpr std::uint32_t taskEstimateMs = 1000;
+constexpr Jobs::Resources taskNeed{1000, 64, 0};
 constexpr Base::Duration callerTimeout = 1500ms;
 constexpr Base::Duration resubmitDelay = 1300ms;
 constexpr Base::Duration forwardDelay = 100ms;
 
-Jobs::SubmitCall makeCall(Jobs::JobId job, std::uint32_t tasks, bool stored)
+Jobs::SubmitCall makeCall(Jobs::JobId job, std::uint32_t tasks, std::uint32_t secondStepTasks, bool stored)
 {
     Jobs::SubmitCall call;
     call.job = job;
     call.rules = {"queue", "service", 0, 3, 1.6, 5000};
     call.bestEffort = !stored;
     call.spec.payload = "payload";
-    call.spec.steps.push_back({tasks, {1000, 64, 0}, 1000, {}, {}, {}, 0});
+    call.spec.steps.push_back({tasks, taskNeed, taskEstimateMs, {}, {}, {}, 0});
+    if (secondStepTasks > 0) {
+        call.spec.steps.push_back({secondStepTasks, taskNeed, taskEstimateMs, {0}, {}, {}, 0});
+    }
     return call;
 }
 
 } // namespace
 
+void OwnerChangeModel::addCaller()
+{
+    const Jobs::JobId job = ++lastJob_;
+    Caller caller;
+    caller.tasks = static_cast<std::uint32_t>(1 + randomIndex(maxTasksPerStep));
+    caller.submitAt = now_;
+    caller.stored = isStored(job);
+    if (caller.stored && options_.twoStepShare > 0 && chance(options_.twoStepShare)) {
+        caller.secondStepTasks = static_cast<std::uint32_t>(1 + randomIndex(maxTasksPerStep));
+        rules_.addTwoStepJob(job, caller.tasks);
+    }
+    callers_[job] = caller;
+}
+
 void OwnerChangeModel::updateCallers()
 {
     if (now_ >= nextJobAt_) {
         nextJobAt_ = now_ + randomTime(50ms, 250ms);
         if (callers_.size() < maxCallers) {
-            ++lastJob_;
-            callers_[lastJob_] = {static_cast<std::uint32_t>(1 + randomIndex(4)), 0, 0, now_, {}, isStored(lastJob_), false, false};
+            addCaller();
         }
     }
     for (auto &[job, caller] : callers_) {
@@ -81,7 +100,7 @@
     caller.entry = owners[randomIndex(owners.size())];
     caller.epoch = entries_[caller.entry].owner->epoch;
     caller.submittedAt = now_;
-    Jobs::SubmitCall call = makeCall(job, caller.tasks, caller.stored);
+    Jobs::SubmitCall call = makeCall(job, caller.tasks, caller.secondStepTasks, caller.stored);
     call.mayHaveRun = std::exchange(caller.submittedBefore, true);
     if (callersTimeOut()) {
         call.callerTimeoutMs = static_cast<std::uint32_t>(callerTimeout / 1ms);
--- a/tests/auto/entrynode/ownerchangemodel.h
+++ b/tests/auto/entrynode/ownerchangemodel.h
@@ -38,6 +38,7 @@
     Witnesses witnesses = Witnesses::LinkedToSuccessor;
     PartitionTime partitionTime = {}; ///< For Witnesses::WithFormerOwner and Witnesses::Absent.
     bool storedJobs = false; ///< Every second job is stored. Otherwise all are best-effort.
+    double twoStepShare = 0.0; ///< Of the stored jobs: the second step begins after the first.
     bool agentsRestart = false;
     bool workersRestart = false; ///< Under the same id and without memory.
     double lateCallShare = 0.0; ///< Of the calls to workers: no answer arrives, and the call is executed seconds later by the process that is there then.
@@ -135,6 +136,7 @@
 
     struct Caller {
         std::uint32_t tasks = 1;
+        std::uint32_t secondStepTasks = 0; ///< 0 if the job has one step.
         NodeIndex entry = 0;
         std::uint64_t epoch = 0; ///< Of the owner that has the job; 0 if none does.
         Base::MonoTime submitAt{};
@@ -212,9 +214,11 @@
     void expireWorkers();
     void restartWorker(NodeIndex index);
     void sendWorkerHeartbeat(NodeIndex index);
+    void checkStart(NodeIndex index, const Jobs::RunRef &run);
     void checkSingleRun(NodeIndex index, const Jobs::RunRef &run);
 
     // Callers and faults.
+    void addCaller();
     void updateCallers();
     void submit(Jobs::JobId job, Caller &caller);
     bool isStored(Jobs::JobId job) const;
--- a/tests/auto/entrynode/ownerchangeworker.cpp
+++ b/tests/auto/entrynode/ownerchangeworker.cpp
@@ -94,6 +94,7 @@
 {
     ++lastEnd_;
     ends_[lastEnd_] = {{lastEnd_, run, outcome, 0}, at};
+    newEnds_.push_back(ends_[lastEnd_].end);
 }
 
 } // namespace LaburnumFlow::EntryNode::Testing
--- a/tests/auto/entrynode/ownerchangeworker.h
+++ b/tests/auto/entrynode/ownerchangeworker.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace LaburnumFlow::EntryNode::Testing {
@@ -43,6 +44,12 @@
     /// Returns the answer to a hold call that has waited.
     TaskAgent::HoldAnswered endHold(const TaskAgent::CallHold &call, Base::MonoTime now) const;
 
+    /// Returns the ends since the last call, also those whose acknowledgement never comes.
+    std::vector<Jobs::RunEnd> takeNewEnds()
+    {
+        return std::exchange(newEnds_, {});
+    }
+
     bool runsTask(const Jobs::TaskRef &task) const;
 
     std::chrono::milliseconds clock(Base::MonoTime now) const
@@ -70,6 +77,7 @@
     Base::MonoTime startedAt_{};
     std::map<Jobs::RunRef, Run> runs_;
     std::map<std::uint64_t, AcknowledgedEnd> ends_;
+    std::vector<Jobs::RunEnd> newEnds_;
     std::map<Jobs::TaskRef, std::uint32_t> latestRuns_;
     std::set<Jobs::RunRef> stopped_;
     std::uint64_t lastEnd_ = 0;
--- a/tests/auto/entrynode/runrules.cpp
+++ b/tests/auto/entrynode/runrules.cpp
@@ -21,4 +21,26 @@
     return startedAfterEnd ? "the end of " + Jobs::formatRun(end.run) + " is acknowledged although its task has started after it" : std::string();
 }
 
+void RunRules::noteEnd(const Jobs::RunEnd &end)
+{
+    if (end.outcome == Jobs::RunOutcome::Done) {
+        endedDone_.insert(end.run.task);
+    }
+}
+
+std::string RunRules::checkOrder(const Jobs::RunRef &run) const
+{
+    const auto job = firstStepTasks_.find(run.task.job);
+    if (run.task.step == 0 || job == firstStepTasks_.end()) {
+        return {};
+    }
+    for (std::uint32_t index = 0; index < job->second; ++index) {
+        const Jobs::TaskRef first{run.task.job, 0, index};
+        if (!endedDone_.contains(first)) {
+            return Jobs::formatRun(run) + " starts before " + Jobs::formatRun({first, 0}) + " has ended done";
+        }
+    }
+    return {};
+}
+
 } // namespace LaburnumFlow::EntryNode::Testing
--- a/tests/auto/entrynode/runrules.h
+++ b/tests/auto/entrynode/runrules.h
@@ -18,7 +18,21 @@
     /// Returns a violation of the rules by the acknowledgement of an end, or an empty string.
     std::string checkAcknowledgedEnd(const Jobs::RunEnd &end, Base::MonoTime endedAt);
 
+    /// Adds a job whose second step may start only after all tasks of the first.
+    void addTwoStepJob(Jobs::JobId job, std::uint32_t firstStepTasks)
+    {
+        firstStepTasks_[job] = firstStepTasks;
+    }
+
+    /// Takes note of an end at a worker, whether or not it is acknowledged later.
+    void noteEnd(const Jobs::RunEnd &end);
+
+    /// Returns a violation of the order of steps by a start, or an empty string.
+    std::string checkOrder(const Jobs::RunRef &run) const;
+
 private:
+    std::map<Jobs::JobId, std::uint32_t> firstStepTasks_; ///< Of jobs with two steps.
+    std::set<Jobs::TaskRef> endedDone_; ///< Tasks with a run that ended done at a worker.
     std::map<Jobs::TaskRef, Base::MonoTime> latestStarts_;
     std::set<Jobs::TaskRef> doneTasks_; ///< Tasks with a run that was done and whose end was acknowledged.
 };
