tests: runs that end failed in the model of owner changes

All runs ended done, so that no owner change met the count of attempts (rule BUDGET).

failingRunShare: that share of the runs of stored jobs ends failed. RunRules reports a start after maxAttempts failed runs of the task whose ends were acknowledged, then or later, without a lapse of the worker's lease between.

Traced: a successor that has adopted a later run of the task doesn't count the failures of earlier ones that its predecessor hadn't recorded, and acknowledges them. With the option off the tests print the same takeovers and starts as before.

--- a/tests/auto/entrynode/ownerchangeagents.cpp
+++ b/tests/auto/entrynode/ownerchangeagents.cpp
@@ -11,6 +11,8 @@
 
 constexpr Base::Duration lateExecutionMin = 2s;
 constexpr Base::Duration lateExecutionMax = 12s;
+constexpr Base::Duration runTimeMin = 100ms;
+constexpr Base::Duration runTimeMax = 2500ms;
 constexpr Base::Duration workerHeartbeatInterval = 500ms;
 
 TaskAgent::HoldAnswered unanswered(const TaskAgent::CallHold &call)
@@ -163,7 +165,8 @@
         return answer;
     }
     checkStart(index, call.run);
-    worker.start(call, now_, randomTime(100ms, 2500ms));
+    const Base::Duration runTime = randomTime(runTimeMin, runTimeMax);
+    worker.start(call, now_, runTime, drawOutcome(call.run));
     note(agentAt(index).name + " starts " + Jobs::formatRun(call.run));
     ++starts_;
     answer.outcome = TaskAgent::StartAnswered::Outcome::Started;
@@ -181,9 +184,7 @@
         return false;
     }
     for (const ModelWorker::AcknowledgedEnd &ended : *acknowledged) {
-        if (isStored(ended.end.run.task.job)) {
-            violateEndRule(rules_.checkAcknowledgedEnd(ended.end, ended.endedAt));
-        }
+        checkAcknowledgedEnd(ended);
     }
     return true;
 }
@@ -221,6 +222,26 @@
     }
     violateEndRule(rules_.checkStart(run, now_));
     violate(rules_.checkOrder(run));
+    violateEndRule(rules_.checkBudget(run.task));
+}
+
+void OwnerChangeModel::checkAcknowledgedEnd(const ModelWorker::AcknowledgedEnd &ended)
+{
+    if (!isStored(ended.end.run.task.job)) {
+        return;
+    }
+    violateEndRule(rules_.checkAcknowledgedEnd(ended.end, ended.endedAt));
+    if (ended.end.outcome == Jobs::RunOutcome::Failed) {
+        rules_.noteAcknowledgedFailure(ended.end.run.task, ended.endedAt);
+        violateEndRule(rules_.checkBudget(ended.end.run.task));
+    }
+}
+
+/// Returns how the run ends unless it is stopped or its lease ends.
+Jobs::RunOutcome OwnerChangeModel::drawOutcome(const Jobs::RunRef &run)
+{
+    const bool fails = options_.failingRunShare > 0 && isStored(run.task.job) && chance(options_.failingRunShare);
+    return fails ? Jobs::RunOutcome::Failed : Jobs::RunOutcome::Done;
 }
 
 void OwnerChangeModel::checkSingleRun(NodeIndex index, const Jobs::RunRef &run)
--- a/tests/auto/entrynode/ownerchangecallers.cpp
+++ b/tests/auto/entrynode/ownerchangecallers.cpp
@@ -18,7 +18,7 @@
 {
     Jobs::SubmitCall call;
     call.job = job;
-    call.rules = {"queue", "service", 0, 3, 1.6, 5000};
+    call.rules = {"queue", "service", 0, RunRules::maxAttempts, 1.6, 5000};
     call.bestEffort = !stored;
     call.spec.payload = "payload";
     call.spec.steps.push_back({tasks, taskNeed, taskEstimateMs, {}, {}, {}, 0});
--- a/tests/auto/entrynode/ownerchangemodel.h
+++ b/tests/auto/entrynode/ownerchangemodel.h
@@ -39,6 +39,7 @@
     PartitionTime partitionTime = {}; ///< For Witnesses::WithFormerOwner and Witnesses::Absent.
     bool storedJobs = false; ///< Every second job is stored. Otherwise all are best-effort.
     double twoStepShare = 0.0; ///< Of the stored jobs: the second step begins after the first.
+    double failingRunShare = 0.0; ///< Of the runs of stored jobs that end by themselves: they end failed.
     bool agentsRestart = false;
     bool workersRestart = false; ///< Under the same id and without memory.
     double lateCallShare = 0.0; ///< Of the calls to workers: no answer arrives, and the call is executed seconds later by the process that is there then.
@@ -216,6 +217,8 @@
     void sendWorkerHeartbeat(NodeIndex index);
     void checkStart(NodeIndex index, const Jobs::RunRef &run);
     void checkSingleRun(NodeIndex index, const Jobs::RunRef &run);
+    void checkAcknowledgedEnd(const ModelWorker::AcknowledgedEnd &ended);
+    Jobs::RunOutcome drawOutcome(const Jobs::RunRef &run);
 
     // Callers and faults.
     void addCaller();
--- a/tests/auto/entrynode/ownerchangeworker.cpp
+++ b/tests/auto/entrynode/ownerchangeworker.cpp
@@ -10,12 +10,12 @@
         lapsedAt_ = leaseEndsAt_;
     }
     for (auto run = runs_.begin(); run != runs_.end();) {
-        const bool done = run->second.endsAt <= std::min(now, leaseEndsAt_);
-        if (!done && now < leaseEndsAt_) {
+        const bool ended = run->second.endsAt <= std::min(now, leaseEndsAt_);
+        if (!ended && now < leaseEndsAt_) {
             ++run;
             continue;
         }
-        recordEnd(run->first, done ? Jobs::RunOutcome::Done : Jobs::RunOutcome::Lapsed, done ? run->second.endsAt : leaseEndsAt_);
+        recordEnd(run->first, ended ? run->second.outcome : Jobs::RunOutcome::Lapsed, ended ? run->second.endsAt : leaseEndsAt_);
         run = runs_.erase(run);
     }
 }
@@ -27,12 +27,12 @@
     return call.fence >= fence_ && !stale && call.until > clock(now);
 }
 
-void ModelWorker::start(const TaskAgent::CallStart &call, Base::MonoTime now, Base::Duration runTime)
+void ModelWorker::start(const TaskAgent::CallStart &call, Base::MonoTime now, Base::Duration runTime, Jobs::RunOutcome outcome)
 {
     fence_ = std::max(fence_, call.fence);
     latestRuns_[call.run.task] = call.run.run;
     renewLease(call.until, now);
-    runs_[call.run] = {now, now + runTime};
+    runs_[call.run] = {now, now + runTime, outcome};
 }
 
 bool ModelWorker::stop(const TaskAgent::CallStop &call, Base::MonoTime now)
--- a/tests/auto/entrynode/ownerchangeworker.h
+++ b/tests/auto/entrynode/ownerchangeworker.h
@@ -21,13 +21,14 @@
 
     explicit ModelWorker(std::int64_t startTimeMs = firstStartTimeMs, Base::MonoTime startedAt = {}) : startTimeMs_(startTimeMs), startedAt_(startedAt) { }
 
-    /// Ends the runs that are done and, when the lease has ended, all others.
+    /// Ends the runs whose time is over and, when the lease has ended, all others.
     void expire(Base::MonoTime now);
 
     /// Returns whether the worker executes the call.
     bool accepts(const TaskAgent::CallStart &call, Base::MonoTime now) const;
 
-    void start(const TaskAgent::CallStart &call, Base::MonoTime now, Base::Duration runTime);
+    /// Starts a run that ends with the given outcome after the given time.
+    void start(const TaskAgent::CallStart &call, Base::MonoTime now, Base::Duration runTime, Jobs::RunOutcome outcome);
 
     /// Returns whether the worker executes the call.
     bool stop(const TaskAgent::CallStop &call, Base::MonoTime now);
@@ -68,6 +69,7 @@
     struct Run {
         Base::MonoTime startedAt{};
         Base::MonoTime endsAt{};
+        Jobs::RunOutcome outcome = Jobs::RunOutcome::Done; ///< At that time.
     };
 
     void renewLease(std::chrono::milliseconds until, Base::MonoTime now);
--- a/tests/auto/entrynode/runrules.cpp
+++ b/tests/auto/entrynode/runrules.cpp
@@ -2,6 +2,8 @@
 
 #include "jobs/jobtext.h"
 
+#include <iterator>
+
 namespace LaburnumFlow::EntryNode::Testing {
 
 std::string RunRules::checkStart(const Jobs::RunRef &run, Base::MonoTime now)
@@ -43,4 +45,17 @@
     return {};
 }
 
+std::string RunRules::checkBudget(const Jobs::TaskRef &task) const
+{
+    const auto failures = failures_.find(task);
+    const auto started = latestStarts_.find(task);
+    if (failures == failures_.end() || failures->second.size() < maxAttempts || started == latestStarts_.end()) {
+        return {};
+    }
+    const Base::MonoTime lastAllowed = *std::next(failures->second.begin(), maxAttempts - 1);
+    return started->second > lastAllowed
+               ? "the task of " + Jobs::formatRun({task, 0}) + " starts after " + std::to_string(maxAttempts) + " acknowledged failures"
+               : std::string();
+}
+
 } // namespace LaburnumFlow::EntryNode::Testing
