tests: cancellations in the model of owner changes

Owner changes never met the cancellation of a job.

cancelledShare: that share of the callers of stored jobs cancels within 4 s of the acceptance, and sends the call again until an owner answers it. There is no check beyond the existing ones.

--- a/tests/auto/entrynode/ownerchangecallers.cpp
+++ b/tests/auto/entrynode/ownerchangecallers.cpp
@@ -1,5 +1,7 @@
 #include "ownerchangemodel.h"
 
+#include "jobs/jobtext.h"
+
 #include <utility>
 
 namespace LaburnumFlow::EntryNode::Testing {
@@ -13,6 +15,9 @@
 constexpr Base::Duration callerTimeout = 1500ms;
 constexpr Base::Duration resubmitDelay = 1300ms;
 constexpr Base::Duration forwardDelay = 100ms;
+constexpr Base::Duration cancelDelayMin = 0ms; ///< From the acceptance of the job.
+constexpr Base::Duration cancelDelayMax = 4s;
+constexpr std::uint64_t firstCancelCall = std::uint64_t(1) << 32U; ///< Calls that cancel have the job's ID above this number.
 
 Jobs::SubmitCall makeCall(Jobs::JobId job, std::uint32_t tasks, std::uint32_t secondStepTasks, bool stored)
 {
@@ -86,7 +91,8 @@
     return callersTimeOut() && caller.epoch != 0 && now_ - caller.submittedAt >= callerTimeout;
 }
 
-void OwnerChangeModel::submit(Jobs::JobId job, Caller &caller)
+/// Returns one of the entries that own the jobs or take themselves for the owner.
+std::optional<OwnerChangeModel::NodeIndex> OwnerChangeModel::drawOwner()
 {
     std::vector<NodeIndex> owners;
     for (NodeIndex index = 0; index < entries_.size(); ++index) {
@@ -95,9 +101,18 @@
         }
     }
     if (owners.empty()) {
+        return std::nullopt;
+    }
+    return owners[randomIndex(owners.size())];
+}
+
+void OwnerChangeModel::submit(Jobs::JobId job, Caller &caller)
+{
+    const std::optional<NodeIndex> owner = drawOwner();
+    if (!owner) {
         return;
     }
-    caller.entry = owners[randomIndex(owners.size())];
+    caller.entry = *owner;
     caller.epoch = entries_[caller.entry].owner->epoch;
     caller.submittedAt = now_;
     Jobs::SubmitCall call = makeCall(job, caller.tasks, caller.secondStepTasks, caller.stored);
@@ -110,4 +125,38 @@
     postToEntry(randomTime(1ms, 8ms), caller.entry, [this, index = caller.entry, job, call] { feedOwner(index, Jobs::CallArrived{job, call}); });
 }
 
+void OwnerChangeModel::handleReply(const Jobs::Reply &reply)
+{
+    using Kind = Jobs::CallAnswer::Kind;
+    const Kind kind = reply.answer.kind;
+    if (reply.id >= firstCancelCall) {
+        if (kind == Kind::Accepted || kind == Kind::NotFound) {
+            cancellations_.erase(reply.id - firstCancelCall);
+        }
+        return;
+    }
+    callers_.erase(reply.id);
+    if (options_.cancelledShare > 0 && kind == Kind::Accepted && isStored(reply.id) && chance(options_.cancelledShare)) {
+        cancellations_[reply.id] = now_ + randomTime(cancelDelayMin, cancelDelayMax);
+    }
+}
+
+/// Sends the cancellations that are due. They are sent again until an owner answers them.
+void OwnerChangeModel::updateCancellations()
+{
+    for (auto &[job, dueAt] : cancellations_) {
+        if (now_ < dueAt) {
+            continue;
+        }
+        dueAt = now_ + resubmitDelay;
+        const std::optional<NodeIndex> owner = drawOwner();
+        if (!owner) {
+            continue;
+        }
+        note("the caller cancels job " + Jobs::formatId(job) + " at " + entries_[*owner].record.name);
+        const Jobs::CallArrived call{firstCancelCall + job, Jobs::CancelCall{job}};
+        postToEntry(randomTime(1ms, 8ms), *owner, [this, index = *owner, call] { feedOwner(index, call); });
+    }
+}
+
 } // namespace LaburnumFlow::EntryNode::Testing
--- a/tests/auto/entrynode/ownerchangemodel.cpp
+++ b/tests/auto/entrynode/ownerchangemodel.cpp
@@ -49,6 +49,7 @@
         now_ = step;
         runTimers();
         updateCallers();
+        updateCancellations();
         if (now_ >= nextFaultAt_) {
             beginFault();
         }
@@ -336,7 +337,7 @@
 {
     Entry &entry = entries_[index];
     if (const auto *reply = std::get_if<Jobs::Reply>(&effect)) {
-        callers_.erase(reply->id);
+        handleReply(*reply);
     } else if (auto *orders = std::get_if<Jobs::SendOrders>(&effect)) {
         const auto found
             = std::find_if(entry.agentLinks.begin(), entry.agentLinks.end(), [&](const auto &link) { return agentAt(link.first).name == orders->agent; });
--- a/tests/auto/entrynode/ownerchangemodel.h
+++ b/tests/auto/entrynode/ownerchangemodel.h
@@ -40,6 +40,7 @@
     bool storedJobs = false; ///< Every second job is stored. Otherwise all are best-effort.
     double twoStepShare = 0.0; ///< Of the stored jobs: the second step begins after the first.
     double failingRunShare = 0.0; ///< Of the runs of stored jobs that end by themselves: they end failed.
+    double cancelledShare = 0.0; ///< Of the stored jobs that are accepted: their callers cancel them some time later.
     bool agentsRestart = false;
     bool workersRestart = false; ///< Under the same id and without memory.
     double lateCallShare = 0.0; ///< Of the calls to workers: no answer arrives, and the call is executed seconds later by the process that is there then.
@@ -224,6 +225,9 @@
     void addCaller();
     void updateCallers();
     void submit(Jobs::JobId job, Caller &caller);
+    void handleReply(const Jobs::Reply &reply);
+    void updateCancellations();
+    std::optional<NodeIndex> drawOwner();
     bool isStored(Jobs::JobId job) const;
     bool callersTimeOut() const;
     bool hasTimedOut(const Caller &caller) const;
@@ -254,6 +258,7 @@
     Base::MonoTime isolationUntil_{};
     std::map<Jobs::JobId, Caller> callers_;
     Jobs::JobId lastJob_ = 0;
+    std::map<Jobs::JobId, Base::MonoTime> cancellations_; ///< Without an answer so far, with the time of the next call.
     Base::MonoTime nextJobAt_{};
     Base::MonoTime nextFaultAt_{};
     std::size_t starts_ = 0;
