tests: agents that stand still and limited lists of ends in the model of owner changes

Agents always ran and always read all ends of their worker at once.

agentsStandStill: agents stand still for 0.5 to 6 s at some of the faults. Their events wait in order and are lost when the agent is killed. maxListedEnds: an answer of a worker lists that many ends at most, and tells that there may be more.

--- a/tests/auto/entrynode/ownerchangeagents.cpp
+++ b/tests/auto/entrynode/ownerchangeagents.cpp
@@ -38,7 +38,7 @@
 {
     post(delay, [this, index, incarnation = agentAt(index).incarnation, event = std::move(event)] {
         if (agentAt(index).incarnation == incarnation) {
-            feedAgent(index, event);
+            deliverToAgent(index, [this, index, event] { feedAgent(index, event); });
         }
     });
 }
@@ -87,6 +87,8 @@
     agent.entryLinks.clear();
     agent.knownEntries.clear();
     agent.entriesReadAt = {};
+    agent.standsStillUntil = {};
+    agent.held.clear();
 }
 
 /// Returns whether the next call to a worker gets no answer and is executed late.
@@ -143,7 +145,7 @@
         }
         post(call.wait, [this, index, call] {
             agentAt(index).worker.expire(now_);
-            answerHold(index, call, agentAt(index).worker.endHold(call, now_));
+            answerHold(index, call, agentAt(index).worker.endHold(call, now_, options_.maxListedEnds));
         });
     });
 }
@@ -259,7 +261,7 @@
     TaskAgent::WorkerHeartbeat heartbeat;
     heartbeat.worker = {"worker-" + agent.name, agent.worker.startTimeMs(), "service", "domain", "a", "rack", {}, {8000, 65'536, 0}, false};
     heartbeat.sequence = ++agent.heartbeats;
-    feedAgent(index, heartbeat);
+    deliverToAgent(index, [this, index, heartbeat] { feedAgent(index, heartbeat); });
     post(workerHeartbeatInterval, [this, index] { sendWorkerHeartbeat(index); });
 }
 
--- a/tests/auto/entrynode/ownerchangefaults.cpp
+++ b/tests/auto/entrynode/ownerchangefaults.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double agentRestartShare = 0.15; ///< Of the times at which a fault begins.
+constexpr double agentStandStillShare = 0.15; ///< Of the times at which a fault begins.
 constexpr double workerRestartShare = 0.15; ///< Of the times at which a fault begins.
 
 } // namespace
@@ -33,6 +34,9 @@
     if (options_.workersRestart && chance(workerRestartShare)) {
         restartWorker(firstAgent + randomIndex(agents_.size()));
     }
+    if (options_.agentsStandStill && chance(agentStandStillShare)) {
+        suspendAgent(firstAgent + randomIndex(agents_.size()));
+    }
     switch (randomIndex(7)) {
     case 0:
         refuseByStore(index, randomTime(300ms, 6s));
--- a/tests/auto/entrynode/ownerchangelinks.cpp
+++ b/tests/auto/entrynode/ownerchangelinks.cpp
@@ -146,7 +146,7 @@
             return;
         }
         if (receiver >= firstAgent) {
-            action();
+            deliverToAgent(receiver, action);
         } else {
             deliverToEntry(receiver, incarnation, action);
         }
@@ -248,6 +248,10 @@
 
 void OwnerChangeModel::dialEntries(NodeIndex agent)
 {
+    if (now_ < agentAt(agent).standsStillUntil) {
+        post(agentAt(agent).standsStillUntil - now_, [this, agent] { dialEntries(agent); });
+        return;
+    }
     readEntries(agent);
     const std::vector<Base::Endpoint> &known = agentAt(agent).knownEntries;
     for (NodeIndex index = 0; index < entries_.size(); ++index) {
--- a/tests/auto/entrynode/ownerchangemodel.cpp
+++ b/tests/auto/entrynode/ownerchangemodel.cpp
@@ -121,7 +121,7 @@
     if (node < firstAgent) {
         postToEntry(delay, node, std::move(action));
     } else {
-        post(delay, std::move(action));
+        post(delay, [this, node, action = std::move(action)] { deliverToAgent(node, action); });
     }
 }
 
@@ -172,7 +172,11 @@
         }
     }
     for (NodeIndex index = firstAgent; index < firstAgent + agentCount; ++index) {
-        if (const auto due = TaskAgent::nextDue(agentAt(index).state); due && *due <= now_) {
+        const Agent &agent = agentAt(index);
+        if (now_ < agent.standsStillUntil || !agent.held.empty()) {
+            continue;
+        }
+        if (const auto due = TaskAgent::nextDue(agent.state); due && *due <= now_) {
             feedAgent(index, TaskAgent::TimePassed{now_});
         }
     }
--- a/tests/auto/entrynode/ownerchangemodel.h
+++ b/tests/auto/entrynode/ownerchangemodel.h
@@ -42,6 +42,8 @@
     double failingRunShare = 0.0; ///< Of the runs of stored jobs that end by themselves: they end failed.
     double cancelledShare = 0.0; ///< Of the stored jobs that are accepted: their callers cancel them some time later.
     bool agentsRestart = false;
+    bool agentsStandStill = false;
+    std::size_t maxListedEnds = 0; ///< In an answer of a worker; 0 for no limit.
     bool workersRestart = false; ///< Under the same id and without memory.
     double lateCallShare = 0.0; ///< Of the calls to workers: no answer arrives, and the call is executed seconds later by the process that is there then.
     double lateCommitShare = 0.0; ///< Of the commits: no answer arrives, and the commit is executed later.
@@ -110,6 +112,8 @@
         ModelWorker worker;
         std::uint64_t heartbeats = 0;
         std::uint64_t incarnation = 0;
+        Base::MonoTime standsStillUntil{};
+        std::vector<Action> held; ///< Events that wait until the agent no longer stands still.
         std::map<std::uint64_t, TaskAgent::CallHold> pendingHolds; ///< Calls without an answer or a failure, by number.
         std::vector<Base::Endpoint> knownEntries; ///< The only ones that the agent dials.
         Base::MonoTime entriesReadAt{};
@@ -204,6 +208,9 @@
     void carryOut(NodeIndex index, const TaskAgent::AgentEffect &effect);
     void sendReport(NodeIndex index, const TaskAgent::SendReport &effect);
     void restartAgent(NodeIndex index);
+    void suspendAgent(NodeIndex index);
+    void deliverToAgent(NodeIndex index, Action action);
+    void releaseHeldByAgent(NodeIndex index, std::uint64_t incarnation);
 
     // Calls to workers.
     bool isCallLate();
--- a/tests/auto/entrynode/ownerchangeworker.cpp
+++ b/tests/auto/entrynode/ownerchangeworker.cpp
@@ -68,14 +68,19 @@
     return acknowledged;
 }
 
-TaskAgent::HoldAnswered ModelWorker::endHold(const TaskAgent::CallHold &call, Base::MonoTime now) const
+TaskAgent::HoldAnswered ModelWorker::endHold(const TaskAgent::CallHold &call, Base::MonoTime now, std::size_t maxEnds) const
 {
     TaskAgent::HoldAnswered answer{true, false, startTimeMs_, clock(now), call.number, call.calledAt, {}, {}};
     for (const auto &[ref, run] : runs_) {
         answer.running.push_back({ref, static_cast<int>((now - run.startedAt) * 99 / (run.endsAt - run.startedAt))});
     }
     for (const auto &[number, ended] : ends_) {
+        // An agent can't tell a full list that is complete from one that isn't.
+        answer.endsTruncated = maxEnds > 0 && answer.ends.size() + 1 >= maxEnds;
         answer.ends.push_back(ended.end);
+        if (answer.endsTruncated) {
+            break;
+        }
     }
     return answer;
 }
--- a/tests/auto/entrynode/ownerchangeworker.h
+++ b/tests/auto/entrynode/ownerchangeworker.h
@@ -42,8 +42,8 @@
     /// Executes a hold call up to the wait for an end. Returns the ends that it acknowledges, or no value if its fence is too low.
     std::optional<std::vector<AcknowledgedEnd>> beginHold(const TaskAgent::CallHold &call, Base::MonoTime now);
 
-    /// Returns the answer to a hold call that has waited.
-    TaskAgent::HoldAnswered endHold(const TaskAgent::CallHold &call, Base::MonoTime now) const;
+    /// Returns the answer to a hold call that has waited. It lists the first \a maxEnds of the ends, or all if that is 0.
+    TaskAgent::HoldAnswered endHold(const TaskAgent::CallHold &call, Base::MonoTime now, std::size_t maxEnds) const;
 
     /// Returns the ends since the last call, also those whose acknowledgement never comes.
     std::vector<Jobs::RunEnd> takeNewEnds()
