tests: play all faults of the model of owner changes together

keepsTheRulesWhenEverythingIsPlayed and the same in a partition switch everything on: stored jobs, two steps, failing runs, cancellations, late calls and commits, agents and workers that restart, agents that stand still, short lists of ends.

--- a/tests/auto/entrynode/tst_ownerchangefaults.cpp
+++ b/tests/auto/entrynode/tst_ownerchangefaults.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(startsNoStoredTaskAfterItsAcknowledgedEnd);
     CPPUNIT_TEST(startsNoStoredTaskAfterItsAcknowledgedEndWhenCallsAreLate);
     CPPUNIT_TEST(acknowledgesNoEndOfARepeatedTaskAfterALongPartition);
+    CPPUNIT_TEST(keepsTheRulesWhenEverythingIsPlayed);
+    CPPUNIT_TEST(keepsTheRulesWhenEverythingIsPlayedInAPartition);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a run that a restarted worker has while its answer is taken for the former process's.
@@ -100,6 +102,36 @@
         // OwnerChangeTest::runsEachTaskOnceInALongPartition checks the other rule.
         checkSeeds(options, seeds / 3, 60s, CheckedRules::AcknowledgedEnds);
     }
+
+    // Guards against faults that break a rule of the runs only in combination.
+    void keepsTheRulesWhenEverythingIsPlayed()
+    {
+        checkSeeds(everything(), seeds / 3, simulatedTime);
+    }
+
+    // Guards against the same while most entries lose the store.
+    void keepsTheRulesWhenEverythingIsPlayedInAPartition()
+    {
+        ModelOptions options = everything();
+        options.witnesses = Witnesses::WithFormerOwner;
+        checkSeeds(options, seeds / 3, simulatedTime);
+    }
+
+    static ModelOptions everything()
+    {
+        ModelOptions options;
+        options.storedJobs = true;
+        options.twoStepShare = 0.5;
+        options.failingRunShare = 0.2;
+        options.cancelledShare = 0.2;
+        options.agentsRestart = true;
+        options.agentsStandStill = true;
+        options.maxListedEnds = 5;
+        options.workersRestart = true;
+        options.lateCallShare = 0.05;
+        options.lateCommitShare = 0.05;
+        return options;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnerChangeFaultsTest);
