--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -11,15 +11,15 @@
 
 using RunSet = std::unordered_set<RunRef, RunRefHash>;
 
-/// Notes for the run's task that the agent hasn't told how the run ended.
-void markGivenUp(OwnerState &state, const RunRef &run, AgentIndex index)
+/// Notes for the run's task that the agent hasn't told how the run ended, also if the owner had ordered its stop.
+void markGivenUp(OwnerState &state, const RunRef &run)
 {
     Job *job = findJob(state, run.task.job);
     if (job == nullptr || !hasTask(*job, run.task)) {
         return;
     }
     Task &task = job->tasks[flatIndex(*job, run.task)];
-    if (task.phase == Task::Phase::Active && task.agent == index && task.run == run.run) {
+    if (task.phase != Task::Phase::Done) {
         task.givenUpAt = state.now;
     }
 }
@@ -272,7 +272,7 @@
         const Agent &agent = context.state.agents[index];
         if (!agent.runs.empty() && context.state.now - agent.tokenAt > runExpiryTimeout) {
             for (const auto &[run, active] : agent.runs) {
-                markGivenUp(context.state, run, index);
+                markGivenUp(context.state, run);
             }
             handleAllRunsLost(context, index, "silent");
         }
--- a/tests/auto/entrynode/modelplays.cpp
+++ b/tests/auto/entrynode/modelplays.cpp
@@ -25,6 +25,7 @@
     const std::uint64_t first = environmentNumber("LABURNUMFLOW_FIRST_SEED", 1);
     const std::uint64_t count = environmentNumber("LABURNUMFLOW_SEEDS", seeds);
     const bool printLogs = std::getenv("LABURNUMFLOW_MODEL_LOG") != nullptr;
+    CPPUNIT_ASSERT(count > 0);
     std::size_t failed = 0;
     std::size_t takeovers = 0;
     std::size_t starts = 0;
--- a/tests/auto/entrynode/ownerchangeagents.cpp
+++ b/tests/auto/entrynode/ownerchangeagents.cpp
@@ -11,6 +11,8 @@
 
 constexpr Base::Duration lateExecutionMin = 2s;
 constexpr Base::Duration lateExecutionMax = 12s;
+constexpr Base::Duration runTimeMin = 100ms;
+constexpr Base::Duration runTimeMax = 2500ms;
 constexpr Base::Duration workerHeartbeatInterval = 500ms;
 
 TaskAgent::HoldAnswered unanswered(const TaskAgent::CallHold &call)
@@ -36,7 +38,7 @@
 {
     post(delay, [this, index, incarnation = agentAt(index).incarnation, event = std::move(event)] {
         if (agentAt(index).incarnation == incarnation) {
-            feedAgent(index, event);
+            deliverToAgent(index, [this, index, event] { feedAgent(index, event); });
         }
     });
 }
@@ -85,6 +87,8 @@
     agent.entryLinks.clear();
     agent.knownEntries.clear();
     agent.entriesReadAt = {};
+    agent.standsStillUntil = {};
+    agent.held.clear();
 }
 
 /// Returns whether the next call to a worker gets no answer and is executed late.
@@ -141,7 +145,7 @@
         }
         post(call.wait, [this, index, call] {
             agentAt(index).worker.expire(now_);
-            answerHold(index, call, agentAt(index).worker.endHold(call, now_));
+            answerHold(index, call, agentAt(index).worker.endHold(call, now_, options_.maxListedEnds));
         });
     });
 }
@@ -162,11 +166,9 @@
     if (!worker.accepts(call, now_)) {
         return answer;
     }
-    checkSingleRun(index, call.run);
-    if (isStored(call.run.task.job)) {
-        violateEndRule(rules_.checkStart(call.run, now_));
-    }
-    worker.start(call, now_, randomTime(100ms, 2500ms));
+    checkStart(index, call.run);
+    const Base::Duration runTime = randomTime(runTimeMin, runTimeMax);
+    worker.start(call, now_, runTime, drawOutcome(call.run));
     note(agentAt(index).name + " starts " + Jobs::formatRun(call.run));
     ++starts_;
     answer.outcome = TaskAgent::StartAnswered::Outcome::Started;
@@ -184,9 +186,7 @@
         return false;
     }
     for (const ModelWorker::AcknowledgedEnd &ended : *acknowledged) {
-        if (isStored(ended.end.run.task.job)) {
-            violateEndRule(rules_.checkAcknowledgedEnd(ended.end, ended.endedAt));
-        }
+        checkAcknowledgedEnd(ended);
     }
     return true;
 }
@@ -195,12 +195,16 @@
 {
     for (Agent &agent : agents_) {
         agent.worker.expire(now_);
+        for (const Jobs::RunEnd &end : agent.worker.takeNewEnds()) {
+            rules_.noteEnd(end);
+        }
     }
 }
 
 void OwnerChangeModel::restartWorker(NodeIndex index)
 {
     Agent &agent = agentAt(index);
+    expireWorkers();
     note(agent.name + "'s worker is killed and starts again");
     const std::int64_t startTimeMs = ModelWorker::firstStartTimeMs + std::chrono::duration_cast<std::chrono::milliseconds>(now_).count();
     agent.worker = ModelWorker(startTimeMs, now_);
@@ -211,6 +215,37 @@
     }
 }
 
+/// The ends of all runs so far must have been noted.
+void OwnerChangeModel::checkStart(NodeIndex index, const Jobs::RunRef &run)
+{
+    checkSingleRun(index, run);
+    if (!isStored(run.task.job)) {
+        return;
+    }
+    violateEndRule(rules_.checkStart(run, now_));
+    violate(rules_.checkOrder(run));
+    violateEndRule(rules_.checkBudget(run.task));
+}
+
+void OwnerChangeModel::checkAcknowledgedEnd(const ModelWorker::AcknowledgedEnd &ended)
+{
+    if (!isStored(ended.end.run.task.job)) {
+        return;
+    }
+    violateEndRule(rules_.checkAcknowledgedEnd(ended.end, ended.endedAt));
+    if (ended.end.outcome == Jobs::RunOutcome::Failed) {
+        rules_.noteAcknowledgedFailure(ended.end.run.task, ended.endedAt);
+        violateEndRule(rules_.checkBudget(ended.end.run.task));
+    }
+}
+
+/// Returns how the run ends unless it is stopped or its lease ends.
+Jobs::RunOutcome OwnerChangeModel::drawOutcome(const Jobs::RunRef &run)
+{
+    const bool fails = options_.failingRunShare > 0 && isStored(run.task.job) && chance(options_.failingRunShare);
+    return fails ? Jobs::RunOutcome::Failed : Jobs::RunOutcome::Done;
+}
+
 void OwnerChangeModel::checkSingleRun(NodeIndex index, const Jobs::RunRef &run)
 {
     for (const Agent &agent : agents_) {
@@ -226,7 +261,7 @@
     TaskAgent::WorkerHeartbeat heartbeat;
     heartbeat.worker = {"worker-" + agent.name, agent.worker.startTimeMs(), "service", "domain", "a", "rack", {}, {8000, 65'536, 0}, false};
     heartbeat.sequence = ++agent.heartbeats;
-    feedAgent(index, heartbeat);
+    deliverToAgent(index, [this, index, heartbeat] { feedAgent(index, heartbeat); });
     post(workerHeartbeatInterval, [this, index] { sendWorkerHeartbeat(index); });
 }
 
--- a/tests/auto/entrynode/ownerchangemodel.cpp
+++ b/tests/auto/entrynode/ownerchangemodel.cpp
@@ -49,6 +49,7 @@
         now_ = step;
         runTimers();
         updateCallers();
+        updateCancellations();
         if (now_ >= nextFaultAt_) {
             beginFault();
         }
@@ -120,7 +121,7 @@
     if (node < firstAgent) {
         postToEntry(delay, node, std::move(action));
     } else {
-        post(delay, std::move(action));
+        post(delay, [this, node, action = std::move(action)] { deliverToAgent(node, action); });
     }
 }
 
@@ -171,7 +172,11 @@
         }
     }
     for (NodeIndex index = firstAgent; index < firstAgent + agentCount; ++index) {
-        if (const auto due = TaskAgent::nextDue(agentAt(index).state); due && *due <= now_) {
+        const Agent &agent = agentAt(index);
+        if (now_ < agent.standsStillUntil || !agent.held.empty()) {
+            continue;
+        }
+        if (const auto due = TaskAgent::nextDue(agent.state); due && *due <= now_) {
             feedAgent(index, TaskAgent::TimePassed{now_});
         }
     }
@@ -336,7 +341,7 @@
 {
     Entry &entry = entries_[index];
     if (const auto *reply = std::get_if<Jobs::Reply>(&effect)) {
-        callers_.erase(reply->id);
+        handleReply(*reply);
     } else if (auto *orders = std::get_if<Jobs::SendOrders>(&effect)) {
         const auto found
             = std::find_if(entry.agentLinks.begin(), entry.agentLinks.end(), [&](const auto &link) { return agentAt(link.first).name == orders->agent; });
--- a/tests/auto/entrynode/ownerchangemodel.h
+++ b/tests/auto/entrynode/ownerchangemodel.h
@@ -38,7 +38,12 @@
     Witnesses witnesses = Witnesses::LinkedToSuccessor;
     PartitionTime partitionTime = {}; ///< For Witnesses::WithFormerOwner and Witnesses::Absent.
     bool storedJobs = false; ///< Every second job is stored. Otherwise all are best-effort.
+    double twoStepShare = 0.0; ///< Of the stored jobs: the second step begins after the first.
+    double failingRunShare = 0.0; ///< Of the runs of stored jobs that end by themselves: they end failed.
+    double cancelledShare = 0.0; ///< Of the stored jobs that are accepted: their callers cancel them some time later.
     bool agentsRestart = false;
+    bool agentsStandStill = false;
+    std::size_t maxListedEnds = 0; ///< In an answer of a worker; 0 for no limit.
     bool workersRestart = false; ///< Under the same id and without memory.
     double lateCallShare = 0.0; ///< Of the calls to workers: no answer arrives, and the call is executed seconds later by the process that is there then.
     double lateCommitShare = 0.0; ///< Of the commits: no answer arrives, and the commit is executed later.
@@ -107,6 +112,8 @@
         ModelWorker worker;
         std::uint64_t heartbeats = 0;
         std::uint64_t incarnation = 0;
+        Base::MonoTime standsStillUntil{};
+        std::vector<Action> held; ///< Events that wait until the agent no longer stands still.
         std::map<std::uint64_t, TaskAgent::CallHold> pendingHolds; ///< Calls without an answer or a failure, by number.
         std::vector<Base::Endpoint> knownEntries; ///< The only ones that the agent dials.
         Base::MonoTime entriesReadAt{};
@@ -135,6 +142,7 @@
 
     struct Caller {
         std::uint32_t tasks = 1;
+        std::uint32_t secondStepTasks = 0; ///< 0 if the job has one step.
         NodeIndex entry = 0;
         std::uint64_t epoch = 0; ///< Of the owner that has the job; 0 if none does.
         Base::MonoTime submitAt{};
@@ -200,6 +208,9 @@
     void carryOut(NodeIndex index, const TaskAgent::AgentEffect &effect);
     void sendReport(NodeIndex index, const TaskAgent::SendReport &effect);
     void restartAgent(NodeIndex index);
+    void suspendAgent(NodeIndex index);
+    void deliverToAgent(NodeIndex index, Action action);
+    void releaseHeldByAgent(NodeIndex index, std::uint64_t incarnation);
 
     // Calls to workers.
     bool isCallLate();
@@ -212,11 +223,18 @@
     void expireWorkers();
     void restartWorker(NodeIndex index);
     void sendWorkerHeartbeat(NodeIndex index);
+    void checkStart(NodeIndex index, const Jobs::RunRef &run);
     void checkSingleRun(NodeIndex index, const Jobs::RunRef &run);
+    void checkAcknowledgedEnd(const ModelWorker::AcknowledgedEnd &ended);
+    Jobs::RunOutcome drawOutcome(const Jobs::RunRef &run);
 
     // Callers and faults.
+    void addCaller();
     void updateCallers();
     void submit(Jobs::JobId job, Caller &caller);
+    void handleReply(const Jobs::Reply &reply);
+    void updateCancellations();
+    std::optional<NodeIndex> drawOwner();
     bool isStored(Jobs::JobId job) const;
     bool callersTimeOut() const;
     bool hasTimedOut(const Caller &caller) const;
@@ -247,6 +265,7 @@
     Base::MonoTime isolationUntil_{};
     std::map<Jobs::JobId, Caller> callers_;
     Jobs::JobId lastJob_ = 0;
+    std::map<Jobs::JobId, Base::MonoTime> cancellations_; ///< Without an answer so far, with the time of the next call.
     Base::MonoTime nextJobAt_{};
     Base::MonoTime nextFaultAt_{};
     std::size_t starts_ = 0;
--- a/tests/auto/entrynode/ownerchangeworker.cpp
+++ b/tests/auto/entrynode/ownerchangeworker.cpp
@@ -10,12 +10,12 @@
         lapsedAt_ = leaseEndsAt_;
     }
     for (auto run = runs_.begin(); run != runs_.end();) {
-        const bool done = run->second.endsAt <= std::min(now, leaseEndsAt_);
-        if (!done && now < leaseEndsAt_) {
+        const bool ended = run->second.endsAt <= std::min(now, leaseEndsAt_);
+        if (!ended && now < leaseEndsAt_) {
             ++run;
             continue;
         }
-        recordEnd(run->first, done ? Jobs::RunOutcome::Done : Jobs::RunOutcome::Lapsed, done ? run->second.endsAt : leaseEndsAt_);
+        recordEnd(run->first, ended ? run->second.outcome : Jobs::RunOutcome::Lapsed, ended ? run->second.endsAt : leaseEndsAt_);
         run = runs_.erase(run);
     }
 }
@@ -27,12 +27,12 @@
     return call.fence >= fence_ && !stale && call.until > clock(now);
 }
 
-void ModelWorker::start(const TaskAgent::CallStart &call, Base::MonoTime now, Base::Duration runTime)
+void ModelWorker::start(const TaskAgent::CallStart &call, Base::MonoTime now, Base::Duration runTime, Jobs::RunOutcome outcome)
 {
     fence_ = std::max(fence_, call.fence);
     latestRuns_[call.run.task] = call.run.run;
     renewLease(call.until, now);
-    runs_[call.run] = {now, now + runTime};
+    runs_[call.run] = {now, now + runTime, outcome};
 }
 
 bool ModelWorker::stop(const TaskAgent::CallStop &call, Base::MonoTime now)
@@ -68,14 +68,19 @@
     return acknowledged;
 }
 
-TaskAgent::HoldAnswered ModelWorker::endHold(const TaskAgent::CallHold &call, Base::MonoTime now) const
+TaskAgent::HoldAnswered ModelWorker::endHold(const TaskAgent::CallHold &call, Base::MonoTime now, std::size_t maxEnds) const
 {
     TaskAgent::HoldAnswered answer{true, false, startTimeMs_, clock(now), call.number, call.calledAt, {}, {}};
     for (const auto &[ref, run] : runs_) {
         answer.running.push_back({ref, static_cast<int>((now - run.startedAt) * 99 / (run.endsAt - run.startedAt))});
     }
     for (const auto &[number, ended] : ends_) {
+        // An agent can't tell a full list that is complete from one that isn't.
+        answer.endsTruncated = maxEnds > 0 && answer.ends.size() + 1 >= maxEnds;
         answer.ends.push_back(ended.end);
+        if (answer.endsTruncated) {
+            break;
+        }
     }
     return answer;
 }
@@ -94,6 +99,7 @@
 {
     ++lastEnd_;
     ends_[lastEnd_] = {{lastEnd_, run, outcome, 0}, at};
+    newEnds_.push_back(ends_[lastEnd_].end);
 }
 
 } // namespace LaburnumFlow::EntryNode::Testing
--- a/tests/auto/entrynode/ownerchangeworker.h
+++ b/tests/auto/entrynode/ownerchangeworker.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace LaburnumFlow::EntryNode::Testing {
@@ -20,13 +21,14 @@
 
     explicit ModelWorker(std::int64_t startTimeMs = firstStartTimeMs, Base::MonoTime startedAt = {}) : startTimeMs_(startTimeMs), startedAt_(startedAt) { }
 
-    /// Ends the runs that are done and, when the lease has ended, all others.
+    /// Ends the runs whose time is over and, when the lease has ended, all others.
     void expire(Base::MonoTime now);
 
     /// Returns whether the worker executes the call.
     bool accepts(const TaskAgent::CallStart &call, Base::MonoTime now) const;
 
-    void start(const TaskAgent::CallStart &call, Base::MonoTime now, Base::Duration runTime);
+    /// Starts a run that ends with the given outcome after the given time.
+    void start(const TaskAgent::CallStart &call, Base::MonoTime now, Base::Duration runTime, Jobs::RunOutcome outcome);
 
     /// Returns whether the worker executes the call.
     bool stop(const TaskAgent::CallStop &call, Base::MonoTime now);
@@ -40,8 +42,14 @@
     /// Executes a hold call up to the wait for an end. Returns the ends that it acknowledges, or no value if its fence is too low.
     std::optional<std::vector<AcknowledgedEnd>> beginHold(const TaskAgent::CallHold &call, Base::MonoTime now);
 
-    /// Returns the answer to a hold call that has waited.
-    TaskAgent::HoldAnswered endHold(const TaskAgent::CallHold &call, Base::MonoTime now) const;
+    /// Returns the answer to a hold call that has waited. It lists the first \a maxEnds of the ends, or all if that is 0.
+    TaskAgent::HoldAnswered endHold(const TaskAgent::CallHold &call, Base::MonoTime now, std::size_t maxEnds) const;
+
+    /// Returns the ends since the last call, also those whose acknowledgement never comes.
+    std::vector<Jobs::RunEnd> takeNewEnds()
+    {
+        return std::exchange(newEnds_, {});
+    }
 
     bool runsTask(const Jobs::TaskRef &task) const;
 
@@ -61,6 +69,7 @@
     struct Run {
         Base::MonoTime startedAt{};
         Base::MonoTime endsAt{};
+        Jobs::RunOutcome outcome = Jobs::RunOutcome::Done; ///< At that time.
     };
 
     void renewLease(std::chrono::milliseconds until, Base::MonoTime now);
@@ -70,6 +79,7 @@
     Base::MonoTime startedAt_{};
     std::map<Jobs::RunRef, Run> runs_;
     std::map<std::uint64_t, AcknowledgedEnd> ends_;
+    std::vector<Jobs::RunEnd> newEnds_;
     std::map<Jobs::TaskRef, std::uint32_t> latestRuns_;
     std::set<Jobs::RunRef> stopped_;
     std::uint64_t lastEnd_ = 0;
--- a/tests/auto/entrynode/tst_ownerchangefaults.cpp
+++ b/tests/auto/entrynode/tst_ownerchangefaults.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(startsNoStoredTaskAfterItsAcknowledgedEndWhenCallsAreLate);
     CPPUNIT_TEST(acknowledgesNoEndOfARepeatedTaskAfterALongPartition);
     CPPUNIT_TEST(acknowledgesNoEndOfARepeatedTaskWhenAgentsRestart);
+    CPPUNIT_TEST(keepsTheRulesWhenEverythingIsPlayed);
+    CPPUNIT_TEST(keepsTheRulesWhenEverythingIsPlayedInAPartition);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a run that a restarted worker has while its answer is taken for the former process's.
@@ -59,7 +61,7 @@
         ModelOptions options;
         options.workersRestart = true;
         options.lateCallShare = 0.2;
-        checkSeeds(options, seeds, simulatedTime);
+        checkSeeds(options, 2000, simulatedTime);
     }
 
     // Guards against a start that a worker executes after its task was started elsewhere, also if the agent has forgotten it.
@@ -113,6 +115,36 @@
         options.workersRestart = true;
         checkSeeds(options, seeds / 3, 60s, CheckedRules::AcknowledgedEnds);
     }
+
+    // Guards against faults that break a rule of the runs only in combination.
+    void keepsTheRulesWhenEverythingIsPlayed()
+    {
+        checkSeeds(everything(), seeds / 3, simulatedTime);
+    }
+
+    // Guards against the same while most entries lose the store.
+    void keepsTheRulesWhenEverythingIsPlayedInAPartition()
+    {
+        ModelOptions options = everything();
+        options.witnesses = Witnesses::WithFormerOwner;
+        checkSeeds(options, seeds / 3, simulatedTime);
+    }
+
+    static ModelOptions everything()
+    {
+        ModelOptions options;
+        options.storedJobs = true;
+        options.twoStepShare = 0.5;
+        options.failingRunShare = 0.2;
+        options.cancelledShare = 0.2;
+        options.agentsRestart = true;
+        options.agentsStandStill = true;
+        options.maxListedEnds = 5;
+        options.workersRestart = true;
+        options.lateCallShare = 0.05;
+        options.lateCommitShare = 0.05;
+        return options;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnerChangeFaultsTest);
