--- a/tests/auto/entrynode/ownerchangecallers.cpp
+++ b/tests/auto/entrynode/ownerchangecallers.cpp
@@ -91,13 +91,12 @@
     return callersTimeOut() && caller.epoch != 0 && now_ - caller.submittedAt >= callerTimeout;
 }
 
-/// Returns one of the entries that own the jobs or take themselves for the owner.
-std::optional<OwnerChangeModel::NodeIndex> OwnerChangeModel::drawOwner()
+/// Returns one of the entries that own the jobs or take themselves for the owner, if there is one that the node can reach.
+std::optional<OwnerChangeModel::NodeIndex> OwnerChangeModel::drawOwner(std::optional<NodeIndex> from)
 {
     std::vector<NodeIndex> owners;
     for (NodeIndex index = 0; index < entries_.size(); ++index) {
-        // An entry that forwards a call is on the side of the owner that it has lost.
-        const bool reachable = !caller.forwarded || !isCut(caller.entry, index);
+        const bool reachable = !from || !isCut(*from, index);
         if (entries_[index].up && entries_[index].owner && reachable) {
             owners.push_back(index);
         }
@@ -110,7 +109,8 @@
 
 void OwnerChangeModel::submit(Jobs::JobId job, Caller &caller)
 {
-    const std::optional<NodeIndex> owner = drawOwner();
+    // An entry that forwards a call is on the side of the owner that it has lost.
+    const std::optional<NodeIndex> owner = drawOwner(caller.forwarded ? std::optional(caller.entry) : std::nullopt);
     if (!owner) {
         return;
     }
--- a/tests/auto/entrynode/ownerchangemodel.h
+++ b/tests/auto/entrynode/ownerchangemodel.h
@@ -234,7 +234,7 @@
     void submit(Jobs::JobId job, Caller &caller);
     void handleReply(const Jobs::Reply &reply);
     void updateCancellations();
-    std::optional<NodeIndex> drawOwner();
+    std::optional<NodeIndex> drawOwner(std::optional<NodeIndex> from = std::nullopt);
     bool isStored(Jobs::JobId job) const;
     bool callersTimeOut() const;
     bool hasTimedOut(const Caller &caller) const;
