Raise the fence no more for a start that it already bars

Each start without an answer raised the fence, also one that was sent before the latest raise. Calls on their way with a lower fence are refused, so starts that were lost together could bar others one after the other. A start that was sent before the latest raise is barred by it already.

--- a/src/libs/taskagent/agentcancellations.cpp
+++ b/src/libs/taskagent/agentcancellations.cpp
@@ -32,6 +32,7 @@
     // The time puts a new process of the agent above the former one.
     const auto nowMs = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(state.now).count());
     state.fenceTimeMs = std::max(state.fenceTimeMs + 1, nowMs);
+    state.fenceRaisedAt = state.now;
 }
 
 void handleRefusedFence(AgentState &state, std::uint64_t fence)
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -238,7 +238,10 @@
         return;
     case StartAnswered::Outcome::NoAnswer:
         recordUnansweredStart(state, event.run, local);
-        raiseFence(state);
+        // A fence that was raised after the call bars it already; raising it again would only bar later calls that are on their way.
+        if (local.calledAt >= state.fenceRaisedAt) {
+            raiseFence(state);
+        }
         cancelStart(context, event.run, local);
         return;
     }
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -67,6 +67,7 @@
     std::optional<std::chrono::milliseconds> newestListClock; ///< worker's clock in the newest answer to a hold call of this incarnation
     std::uint64_t oldestValidHold = 0; ///< answers to earlier hold calls are ignored: a newer answer or a newer incarnation is known
     std::uint64_t fenceTimeMs = 0; ///< lower part of the fence that calls carry; the epoch is the upper part
+    Base::MonoTime fenceRaisedAt{}; ///< calls sent before carry a lower fence
     std::uint64_t lastHoldBeforeEpoch = 0; ///< hold calls up to this number carried a lower fence
     std::unordered_map<Jobs::RunRef, std::uint64_t, Jobs::RunRefHash> startCancelledAtHold; ///< number of the latest hold call when the stop was answered
     std::map<Jobs::RunRef, Base::MonoTime> unansweredStarts; ///< start calls without a response, and until when the worker may execute them
--- a/tests/auto/taskagent/tst_fence.cpp
+++ b/tests/auto/taskagent/tst_fence.cpp
@@ -13,6 +13,7 @@
 {
     CPPUNIT_TEST_SUITE(TestFence);
     CPPUNIT_TEST(callsAfterAnUnansweredStartBarIt);
+    CPPUNIT_TEST(startThatIsBarredRaisesTheFenceNoMore);
     CPPUNIT_TEST(callsAfterARestartBarEarlierOnes);
     CPPUNIT_TEST(callsOfANewProcessBarThoseOfTheFormerOne);
     CPPUNIT_TEST(higherEpochBarsAnyCallOfALowerOne);
@@ -37,6 +38,19 @@
         CPPUNIT_ASSERT(agent.holds.back().fence > late);
     }
 
+    /// Guards against starts that bar each other on their way, one after the other, once a single one has got no answer.
+    void startThatIsBarredRaisesTheFenceNoMore()
+    {
+        AgentHarness agent;
+        agent.begin();
+        agent.orders(1, {startOf(runOf(7)), startOf(runOf(8))});
+        agent.feed(StartAnswered{runOf(7), firstStartTimeMs, StartAnswered::Outcome::NoAnswer, {}, {}});
+        const std::uint64_t raised = agent.stops.back().fence;
+        agent.feed(StartAnswered{runOf(8), firstStartTimeMs, StartAnswered::Outcome::NoAnswer, {}, {}});
+        CPPUNIT_ASSERT(agent.stops.back().run == runOf(8));
+        CPPUNIT_ASSERT_EQUAL(raised, agent.stops.back().fence);
+    }
+
     /// Guards against a hold call for the worker's former process that the new one executes late: it would renew the lease and make the new process
     /// forget ends that nobody has read.
     void callsAfterARestartBarEarlierOnes()
