tests: a store that executes transactions and resets their connections

What callers would see: nothing so far. libcurl sends a call again by itself if a reused connection breaks before the answer, so an entry may take the answer to the second sending for that to the only one. No test played that.

Change: the stand-in of the store executes each so many-th transaction and resets its connection, and on demand answers the second sending of the same transaction 503 without effect. Two tests with real processes submit stored jobs to two entries meanwhile: each accepted job ends with one run of each task, no refused job runs, and the owner and its epoch stay.

--- /dev/null
+++ b/tests/auto/node/tst_storeresets.cpp
@@ -0,0 +1,129 @@
+#include "site.h"
+
+#include "../system/waiting.h"
+
+#include "jobs/records.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <functional>
+#include <future>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace LaburnumFlow;
+using namespace NodeTest;
+using SystemTest::generousSeconds;
+using SystemTest::waitFor;
+
+namespace {
+
+constexpr int jobsPerEntry = 15;
+constexpr std::size_t tasksPerJob = 2;
+constexpr int taskMs = 20;
+constexpr long answerTimeoutMs = 3000;
+
+std::string jobName(int entry, int number)
+{
+    constexpr int firstNumber = 10; // Two digits
+    return "000000000000c" + std::to_string(entry) + std::to_string(firstNumber + number);
+}
+
+struct Outcomes {
+    std::set<std::string> accepted;
+    std::set<std::string> refused;
+};
+
+/// Submits stored jobs one after the other, each until it is accepted or refused.
+Outcomes submitJobs(const Site &site, int entry)
+{
+    Outcomes outcomes;
+    for (int i = 0; i < jobsPerEntry; ++i) {
+        const std::string id = jobName(entry, i);
+        long status = 0;
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] {
+            status = site.submit(entry, id, tasksPerJob, taskMs, false, answerTimeoutMs).status;
+            return status == 200 || status == 429 || status == 503;
+        }));
+        (status == 200 ? outcomes.accepted : outcomes.refused).insert(id);
+    }
+    return outcomes;
+}
+
+std::size_t countRuns(const std::vector<PlatformSite::WorkerStandIn::Run> &runs, const std::string &job)
+{
+    return static_cast<std::size_t>(std::count_if(runs.begin(), runs.end(), [&job](const auto &run) { return run.task.starts_with(job); }));
+}
+
+void checkOutcomes(Site &site, int entry, const Outcomes &outcomes)
+{
+    for (const std::string &id : outcomes.accepted) {
+        CPPUNIT_ASSERT_MESSAGE(id, waitFor(generousSeconds, [&] { return site.jobState(entry, id) == "completed"; }));
+    }
+    const std::vector<PlatformSite::WorkerStandIn::Run> runs = site.allRuns();
+    for (const std::string &id : outcomes.accepted) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(id, tasksPerJob, countRuns(runs, id));
+    }
+    for (const std::string &id : outcomes.refused) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("refused: " + id, std::size_t(0), countRuns(runs, id));
+    }
+}
+
+std::uint64_t ownerEpoch(Site &site)
+{
+    const auto record = Jobs::decodeOwnerRecord(site.platform.read(std::string(Jobs::ownerKey)).at(std::string(Jobs::ownerKey)));
+    CPPUNIT_ASSERT(record.has_value());
+    return record->epoch;
+}
+
+} // namespace
+
+/// Tests entries whose calls the store executes without an answer.
+class TestStoreResets : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestStoreResets);
+    CPPUNIT_TEST(executedCommitsWhoseConnectionsAreReset);
+    CPPUNIT_TEST(executedCommitsThatAreTurnedAwayWhenTheyComeAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against accepted jobs that are lost, refused jobs that run, and an owner that takes its own commit for that of another one, when the store
+    /// resets connections after it has executed a transaction.
+    void executedCommitsWhoseConnectionsAreReset()
+    {
+        submitWhileTheStoreResets();
+    }
+
+    /// Guards against the same if the store, having executed a transaction, turns away its second sending.
+    void executedCommitsThatAreTurnedAwayWhenTheyComeAgain()
+    {
+        const unsigned turnedAway = submitWhileTheStoreResets(true);
+        CPPUNIT_ASSERT(turnedAway > 0);
+    }
+
+private:
+    /// Submits jobs to two entries while each third transaction is executed and its connection reset. Returns how many second sendings were turned away.
+    static unsigned submitWhileTheStoreResets(bool turnsAwaySecondSendings = false)
+    {
+        Site site(2);
+        site.waitUntilReady(0);
+        site.waitUntilReady(1);
+        const int owner = site.waitForOwner();
+        const std::uint64_t epoch = ownerEpoch(site);
+        site.platform.turnsAwaySecondSendings = turnsAwaySecondSendings;
+        site.platform.resetsEach = 3;
+        auto second = std::async(std::launch::async, submitJobs, std::cref(site), 1);
+        const Outcomes first = submitJobs(site, 0);
+        checkOutcomes(site, 0, first);
+        checkOutcomes(site, 1, second.get());
+        CPPUNIT_ASSERT(site.platform.resets() > 0);
+        CPPUNIT_ASSERT(!PlatformSite::overlap(site.allRuns()));
+        CPPUNIT_ASSERT_EQUAL(owner, site.waitForOwner());
+        CPPUNIT_ASSERT_EQUAL(epoch, ownerEpoch(site));
+        return site.platform.secondSendingsTurnedAway();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestStoreResets);
--- a/tests/standins/platformsite/platformstandin.cpp
+++ b/tests/standins/platformsite/platformstandin.cpp
@@ -28,12 +28,50 @@
     written.revision = revision_;
 }
 
+void PlatformStandIn::remove(const std::string &key)
+{
+    const std::lock_guard lock(mutex_);
+    ++revision_;
+    items_.erase(key);
+}
+
+std::map<std::string, std::string> PlatformStandIn::read(const std::string &prefix)
+{
+    const std::lock_guard lock(mutex_);
+    std::map<std::string, std::string> found;
+    for (auto next = items_.lower_bound(prefix); next != items_.end() && next->first.starts_with(prefix); ++next) {
+        found[next->first] = LaburnumFlow::Store::decodeBase64(next->second.value).value_or("");
+    }
+    return found;
+}
+
+void PlatformStandIn::holdReads(const std::string &prefix)
+{
+    const std::lock_guard lock(mutex_);
+    heldPrefix_ = prefix;
+    held_ = 0;
+    releasedUpTo_ = 0;
+}
+
+void PlatformStandIn::releaseReads(unsigned count)
+{
+    const std::lock_guard lock(mutex_);
+    releasedUpTo_ = count;
+    released_.notify_all();
+}
+
+unsigned PlatformStandIn::heldReads()
+{
+    const std::lock_guard lock(mutex_);
+    return held_;
+}
+
 StandInReply PlatformStandIn::answer(const StandInRequest &request)
 {
     if (request.path == "/control") {
         return control(request.body);
     }
-    const std::lock_guard lock(mutex_);
+    std::unique_lock lock(mutex_);
     if (turnsAway) {
         return {503, {}};
     }
@@ -43,12 +81,12 @@
     }
     if (request.path == "/kv-range") {
         const auto after = request.query.find("After");
-        return range(request.query.at("Prefix"), after == request.query.end() ? "" : after->second);
+        StandInReply reply = range(request.query.at("Prefix"), after == request.query.end() ? "" : after->second);
+        waitForRelease(request.query.at("Prefix"), lock);
+        return reply;
     }
     if (request.path == "/kv-txn") {
-        const StandInReply reply = transaction(request.body);
-        const bool lost = losesEach > 0 && ++transactions_ % losesEach == 0;
-        return lost ? StandInReply{0, {}} : reply;
+        return faultyTransaction(request.body);
     }
     if (request.path == "/kv-lease") {
         return grant(request.body);
@@ -139,6 +177,33 @@
     return {200, json{{"Revision", revision_}}.dump()};
 }
 
+StandInReply PlatformStandIn::faultyTransaction(const std::string &body)
+{
+    if (resetBodies_.erase(body) > 0 && turnsAwaySecondSendings) {
+        ++turnedAway_;
+        return {503, {}};
+    }
+    StandInReply reply = transaction(body);
+    ++transactions_;
+    if (resetsEach > 0 && transactions_ % resetsEach == 0) {
+        resetBodies_.insert(body);
+        ++resets_;
+        reply.reset = true;
+    }
+    const bool lost = losesEach > 0 && transactions_ % losesEach == 0;
+    return lost ? StandInReply{0, {}} : reply;
+}
+
+void PlatformStandIn::waitForRelease(const std::string &prefix, std::unique_lock<std::mutex> &lock)
+{
+    constexpr std::chrono::seconds limit{5}; // Longer than any caller waits, so that threads end.
+    if (heldPrefix_.empty() || prefix != heldPrefix_) {
+        return;
+    }
+    const unsigned number = ++held_;
+    released_.wait_for(lock, limit, [this, number] { return releasedUpTo_ >= number; });
+}
+
 StandInReply PlatformStandIn::grant(const std::string &body)
 {
     const std::chrono::milliseconds term(json::parse(body)["TtlMs"].get<std::int64_t>());
--- a/tests/standins/platformsite/platformstandin.h
+++ b/tests/standins/platformsite/platformstandin.h
@@ -6,9 +6,11 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 
 namespace PlatformSite {
@@ -27,8 +29,12 @@
     /// Carries out a call of the platform's store.
     StandInReply answer(const StandInRequest &request);
 
-    /// Writes a key as the operator does. POST /control with {"turnsAway":true,"losesEach":3} sets the faults below.
+    /// Writes a key as the operator does. POST /control with {"turnsAway":true,"losesEach":3} sets the first two faults below.
     void put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+
+    /// Returns the keys that begin with prefix, with their values.
+    std::map<std::string, std::string> read(const std::string &prefix);
 
     /// While set, each call is answered 503 without effect.
     std::atomic<bool> turnsAway = false;
@@ -36,6 +42,30 @@
     /// If not 0, each so many-th transaction is carried out and its answer lost.
     std::atomic<unsigned> losesEach = 0;
 
+    /// If not 0, each so many-th transaction is carried out and its connection reset.
+    std::atomic<unsigned> resetsEach = 0;
+
+    /// While set, a transaction that comes again after the reset of its connection is answered 503 without effect the first time.
+    std::atomic<bool> turnsAwaySecondSendings = false;
+
+    /// Returns how many connections were reset, and how many transactions were turned away as second sendings.
+    unsigned resets() const
+    {
+        return resets_;
+    }
+
+    unsigned secondSendingsTurnedAway() const
+    {
+        return turnedAway_;
+    }
+
+    /// From now on, answers to range reads with this prefix are kept back until they are released. An empty prefix keeps back none.
+    void holdReads(const std::string &prefix);
+    /// Releases the first so many answers that were kept back.
+    void releaseReads(unsigned count);
+    /// Returns how many answers have been kept back since holdReads().
+    unsigned heldReads();
+
 private:
     using Clock = std::chrono::steady_clock;
 
@@ -55,6 +85,8 @@
     StandInReply item(const std::string &key) const;
     StandInReply range(const std::string &prefix, const std::string &after) const;
     StandInReply transaction(const std::string &body);
+    StandInReply faultyTransaction(const std::string &body);
+    void waitForRelease(const std::string &prefix, std::unique_lock<std::mutex> &lock);
     StandInReply grant(const std::string &body);
     StandInReply keep(std::int64_t lease);
     StandInReply end(std::int64_t lease);
@@ -67,6 +99,13 @@
     std::map<std::int64_t, Lease> leases_;
     std::int64_t revision_ = 1;
     unsigned transactions_ = 0;
+    std::set<std::string> resetBodies_; ///< of transactions that haven't come again
+    std::atomic<unsigned> resets_ = 0;
+    std::atomic<unsigned> turnedAway_ = 0;
+    std::condition_variable released_;
+    std::string heldPrefix_;
+    unsigned held_ = 0;
+    unsigned releasedUpTo_ = 0;
     std::int64_t lastLease_ = 0;
     StandInServer server_;
 };
--- a/tests/standins/platformsite/standinserver.cpp
+++ b/tests/standins/platformsite/standinserver.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <memory>
 #include <stdexcept>
@@ -18,6 +19,13 @@
     return MHD_YES;
 }
 
+/// Sends a reset at once, whereas closing the socket would first end the stream in order.
+void resetConnection(MHD_Connection *connection)
+{
+    const sockaddr none{.sa_family = AF_UNSPEC, .sa_data = {}};
+    connect(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd, &none, sizeof none);
+}
+
 MHD_Result onRequest(void *self,
                      MHD_Connection *connection,
                      const char *url,
@@ -41,6 +49,10 @@
     request.path = url;
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &addArgument, &request.query);
     const StandInReply reply = static_cast<StandInServer *>(self)->handler()(request);
+    if (reply.reset) {
+        resetConnection(connection);
+        return MHD_NO;
+    }
     if (reply.status == 0) {
         return MHD_NO;
     }
--- a/tests/standins/platformsite/standinserver.h
+++ b/tests/standins/platformsite/standinserver.h
@@ -19,6 +19,7 @@
 struct StandInReply {
     int status = 200; ///< 0: the connection is closed without an answer
     std::string body;
+    bool reset = false; ///< the connection is reset without an answer
 };
 
 /// An HTTP server on the loopback address with a thread per connection, so that handlers may wait.
