Drop the pages of an earlier load of the jobs

What callers would see: after a takeover, a query of an accepted job is answered 410, and the job is not run again.

Cause: an entry that lost the ownership while it was reading the jobs, and gained it again, took the late answer of a page of the first load for one of the second, as the callback asked only whether a load was in progress. The first load then went on beside the second, and whichever ended first began the ownership, with the pages that had arrived by then. A load whose page could not be read likewise began another one 50 ms later, even if a new one was on its way.

Evidence: TestStoreResets::pageOfAnEarlierLoadIsDropped keeps back the first page of a load, replaces the owner, adds a job and answers the first page during the second load.

Change: loads are numbered; answers and retries of an earlier one are dropped.

--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -111,6 +111,8 @@
     void carryOut(EntryNode::OwnerChanged &changed);
     void carryOut(EntryNode::OwnershipDecision &decision);
     void loadPage(std::string prefix, const std::string &after);
+    bool isLoading(std::uint64_t load) const;
+    void retryLoad(std::uint64_t load);
     void loaded();
 
     // The owner's reducer.
@@ -160,6 +162,7 @@
     std::string ownerName_; ///< entry that owns the jobs according to ownership_; empty if there is none
     std::optional<Jobs::OwnerState> owner_; ///< set while this entry owns the jobs
     Jobs::StoredJobs loadedJobs_;
+    std::uint64_t loads_ = 0; ///< reads of all jobs begun; also identifies the latest one
     std::vector<std::pair<Waiting, Jobs::Call>> waitingForOwner_; ///< relayed calls that arrived while the jobs were being read
 
     std::unordered_map<HttpIo::RequestId, OpenRequest> requests_;
--- a/src/app/laburnumnode/entrystore.cpp
+++ b/src/app/laburnumnode/entrystore.cpp
@@ -100,19 +100,20 @@
 void EntryProcess::carryOut(EntryNode::LoadJobs & /*load*/)
 {
     loadedJobs_ = {};
+    ++loads_;
     loadPage(std::string(Jobs::jobPrefix), {});
 }
 
 void EntryProcess::loadPage(std::string prefix, const std::string &after)
 {
     HttpIo::ClientRequest request = Platform::rangeRequest(storeAddress_, prefix, after, false);
-    callStore("load-jobs", std::move(request), jobsPageTimeout, [this, prefix = std::move(prefix)](const HttpIo::ClientResponse &response) {
-        if (ownership_.mode != EntryNode::OwnershipState::Mode::Loading) {
+    callStore("load-jobs", std::move(request), jobsPageTimeout, [this, prefix = std::move(prefix), load = loads_](const HttpIo::ClientResponse &response) {
+        if (!isLoading(load)) {
             return;
         }
         const auto page = Platform::parsePageResponse(response);
         if (!page) {
-            loop_.callAfter(std::chrono::milliseconds(50), [this] { feedOwnership(EntryNode::JobsLoaded{false}); });
+            loop_.callAfter(jobsReadRetryDelay, [this, load] { retryLoad(load); });
             return;
         }
         for (const Platform::StoreItem &item : page->items) {
@@ -134,6 +135,19 @@
     });
 }
 
+/// Returns whether this is the load in progress. The ownership may have been lost and gained again since an earlier one.
+bool EntryProcess::isLoading(std::uint64_t load) const
+{
+    return load == loads_ && ownership_.mode == EntryNode::OwnershipState::Mode::Loading;
+}
+
+void EntryProcess::retryLoad(std::uint64_t load)
+{
+    if (isLoading(load)) {
+        feedOwnership(EntryNode::JobsLoaded{false});
+    }
+}
+
 void EntryProcess::readRules()
 {
     callStore("read-rules", Platform::itemRequest(storeAddress_, Platform::rulesKey), std::nullopt, [this](const HttpIo::ClientResponse &response) {
--- a/src/app/laburnumnode/nodeconstants.h
+++ b/src/app/laburnumnode/nodeconstants.h
@@ -10,6 +10,7 @@
 
 constexpr Base::Duration rulesReadInterval = 400ms; ///< interval between reads of the operator's configuration
 constexpr Base::Duration jobsPageTimeout = 2s; ///< timeout for reading one page of jobs from the store
+constexpr Base::Duration jobsReadRetryDelay = 50ms; ///< delay before the jobs are read again from the first page, after a page could not be read
 constexpr Base::Duration minStoreTimeout = 120ms;
 constexpr Base::Duration maxStoreTimeout = 1s;
 constexpr Base::Duration storeLossReportDelay = 500ms; ///< the loss of the store is logged after calls have failed for this long
--- a/tests/auto/node/tst_storeresets.cpp
+++ b/tests/auto/node/tst_storeresets.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <functional>
 #include <future>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -78,14 +79,21 @@
     return record->epoch;
 }
 
+/// Lets the store name an owner that does not exist.
+void replaceOwner(Site &site, std::uint64_t epoch)
+{
+    site.platform.put(std::string(Jobs::ownerKey), Jobs::encodeRecord(Jobs::OwnerRecord{epoch, 0, "other", 1, {}}));
+}
+
 } // namespace
 
-/// Tests entries whose calls the store executes without an answer.
+/// Tests entries whose calls the store executes without an answer, or answers late.
 class TestStoreResets : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestStoreResets);
     CPPUNIT_TEST(executedCommitsWhoseConnectionsAreReset);
     CPPUNIT_TEST(executedCommitsThatAreTurnedAwayWhenTheyComeAgain);
+    CPPUNIT_TEST(pageOfAnEarlierLoadIsDropped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -103,6 +111,32 @@
         CPPUNIT_ASSERT(turnedAway > 0);
     }
 
+    /// Guards against a takeover without a stored job: an entry that lost the ownership while it was reading the jobs, and gained it again, took a page of
+    /// its first load for one of the second.
+    void pageOfAnEarlierLoadIsDropped()
+    {
+        const std::string job = jobName(0, 0);
+        Site site(1);
+        site.waitUntilReady(0);
+        CPPUNIT_ASSERT_EQUAL(200L, site.submit(0, job, 1, 3000, false).status);
+        const std::map<std::string, std::string> packs = site.platform.read(std::string(Jobs::jobPrefix));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), packs.size());
+        // The first load finds no job.
+        site.platform.holdReads(std::string(Jobs::jobPrefix));
+        replaceOwner(site, 20);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return !site.ownerIndex(); }));
+        site.platform.remove(packs.begin()->first);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.platform.heldReads() == 1; }));
+        replaceOwner(site, 30);
+        site.platform.put(packs.begin()->first, packs.begin()->second);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.platform.heldReads() == 2; }));
+        site.platform.releaseReads(1);
+        waitFor(1, [&] { return site.ownerIndex().has_value(); });
+        site.platform.holdReads({});
+        site.platform.releaseReads(2);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.jobState(0, job) == "completed"; }));
+    }
+
 private:
     /// Submits jobs to two entries while each third transaction is executed and its connection reset. Returns how many second sendings were turned away.
     static unsigned submitWhileTheStoreResets(bool turnsAwaySecondSendings = false)
