Take no owner from a read that began before newer knowledge

What callers would see: a job may be refused that has been accepted and runs. By reading: an entry forwarded a call to the new owner, of which it knew from a heartbeat. Then a slow read of the cluster ended that had been executed before the new owner's claim. The entry took the former owner for the owner again and forwarded the call to it. Its refusal, for instance 503 as it could not reach the store, was that of the latest attempt and so was passed on.

Cause: the reducer took each read of the owner record for current, also one that was in progress when a heartbeat named a newer owner, or when a claim or an ownership ended. If a claim ended at once without an answer, as with a reset connection, such a read showed the record from before the claim, and the entry claimed again what it already owned.

Change: a read in progress is outdated when the entry learns of a higher epoch, or when its claim or ownership ends. An entry that does not own the jobs then takes no owner record and no confirmer record from it and reads again at once.

--- a/src/libs/entrynode/authority.cpp
+++ b/src/libs/entrynode/authority.cpp
@@ -100,7 +100,10 @@
 
 void recordEpoch(OwnershipState &state, std::uint64_t epoch)
 {
-    state.highestEpoch = std::max(state.highestEpoch, epoch);
+    if (epoch > state.highestEpoch) {
+        state.highestEpoch = epoch;
+        outdateRead(state);
+    }
 }
 
 void confirmClaim(OwnershipState &state, Base::MonoTime at)
--- a/src/libs/entrynode/claims.cpp
+++ b/src/libs/entrynode/claims.cpp
@@ -157,6 +157,7 @@
     case ClaimEnded::Outcome::Unknown:
         state.mode = Mode::Confirming;
         state.readNotBefore = state.now;
+        outdateRead(state);
         return;
     case ClaimEnded::Outcome::Lost:
     case ClaimEnded::Outcome::Refused:
@@ -187,6 +188,7 @@
     // The record may have changed since the last read.
     state.ownerRecordCurrent = false;
     state.readNotBefore = state.now;
+    outdateRead(state);
     state.ownerSilentSince = state.now;
 }
 
--- a/src/libs/entrynode/ownership.cpp
+++ b/src/libs/entrynode/ownership.cpp
@@ -92,6 +92,11 @@
     Internal::recordStoreResponse(state);
     Internal::checkPresence(context, event.content->entries);
     Internal::updatePeers(context, event.content->entries);
+    const bool ownsJobs = state.mode == Mode::Owning || state.mode == Mode::Loading;
+    if (state.readOutdated && !ownsJobs) {
+        state.readNotBefore = state.now;
+        return;
+    }
     Internal::readConfirmers(state, *event.content);
     // While claiming or owning, the outcomes of this entry's own writes tell who owns the jobs.
     const bool confirming = state.mode == Mode::Confirming;
@@ -151,6 +156,7 @@
         return;
     }
     state.readInProgress = true;
+    state.readOutdated = false;
     state.readStartedAt = state.now;
     context.effects.push_back(ReadCluster{});
 }
@@ -172,6 +178,11 @@
     state.lastStoreResponseAt = state.now;
 }
 
+void outdateRead(OwnershipState &state)
+{
+    state.readOutdated = state.readOutdated || state.readInProgress;
+}
+
 } // namespace Internal
 
 OwnershipState makeOwnership(Jobs::EntryRecord self, Base::Duration presenceTtl, Base::MonoTime now)
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -87,6 +87,7 @@
     bool lastReadSucceeded = false; ///< of the latest read that has ended
     Base::MonoTime lastReadStartedAt{}; ///< of the latest read that has ended
     bool readInProgress = false;
+    bool readOutdated = false; ///< the read in progress may show an older owner record than this entry knows of
     Base::MonoTime readStartedAt{}; ///< start of the latest read
     Base::MonoTime readNotBefore{};
     Base::MonoTime heartbeatNotBefore{};
--- a/src/libs/entrynode/ownershipsteps.h
+++ b/src/libs/entrynode/ownershipsteps.h
@@ -21,6 +21,9 @@
 /// Records that the store has responded to this entry.
 void recordStoreResponse(OwnershipState &state);
 
+/// Records that the store may hold a newer owner record than the read in progress shows.
+void outdateRead(OwnershipState &state);
+
 // Claims.
 void claimIfNeeded(Context &context);
 void handleClaimEnded(Context &context, const ClaimEnded &event);
