Don't take the vacated owner record for a commit of one's own

What callers would see: work that had ended runs again after an entry was stopped, as its end was acknowledged to the worker but not stored.

Cause: a stopping owner vacates the owner record with the next sequence number and goes on until it has the answer, which takes up to 1 s if the answer is lost. A commit that it sends meanwhile, for instance for an end that an agent reports, has the same sequence number. It conflicts with the vacated record, and the recorder compared only epoch and sequence: it took the commit for executed.

Evidence: TestRecorder::vacatedRecordIsNoOwnCommit failed before this commit (the verdict was not OwnershipLost).

Change: the record must also name this entry and its incarnation.

Measured: jobs.recorder passes.

--- a/src/libs/jobs/recorder.cpp
+++ b/src/libs/jobs/recorder.cpp
@@ -16,6 +16,13 @@
     return put == nullptr ? 0 : put->record.size();
 }
 
+/// Returns whether the commit that leaves the owner record like this is the one in progress. An owner that vacates the ownership writes the next sequence
+/// number too, but without its name.
+bool isWrittenBy(const OwnerRecord &record, const OwnerRecord &owner)
+{
+    return record.epoch == owner.epoch && record.sequence == owner.sequence && record.owner == owner.owner && record.incarnation == owner.incarnation;
+}
+
 } // namespace
 
 Recorder::Recorder(OwnerRecord owner, std::int64_t revision)
@@ -152,7 +159,7 @@
     sent_ = false;
     const auto *committed = std::get_if<Committed>(&result);
     const auto *conflict = std::get_if<CommitConflict>(&result);
-    if (conflict != nullptr && (!conflict->current || conflict->current->epoch != owner_.epoch || conflict->current->sequence != owner_.sequence)) {
+    if (conflict != nullptr && (!conflict->current || !isWrittenBy(*conflict->current, owner_))) {
         return Verdict::OwnershipLost;
     }
     mayBeRecorded_ |= std::holds_alternative<CommitUnknown>(result);
--- a/tests/auto/jobs/tst_recorder.cpp
+++ b/tests/auto/jobs/tst_recorder.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(repeatsUnknownCommitUnchanged);
     CPPUNIT_TEST(recognizesOwnLateCommit);
     CPPUNIT_TEST(anotherOwnerEndsTheOwnership);
+    CPPUNIT_TEST(vacatedRecordIsNoOwnCommit);
     CPPUNIT_TEST(keyIsRemovedLater);
     CPPUNIT_TEST(keyStaysWhileAJobNeedsIt);
     CPPUNIT_TEST(keyStaysIfItIsUsedAgain);
@@ -125,6 +126,19 @@
         CPPUNIT_ASSERT(recorder.takeRecorded().empty());
     }
 
+    /// Guards against acknowledging changes that aren't stored: the entry has vacated the ownership, and the commit that it sent before it learned of
+    /// that meets a record with its own epoch and the next sequence number.
+    void vacatedRecordIsNoOwnCommit()
+    {
+        Recorder recorder = makeRecorder();
+        const OwnerRecord &owner = recorder.owner();
+        const OwnerRecord vacant{owner.epoch, owner.sequence + 1, {}, 0, {}};
+        recorder.add(putJob(1));
+        recorder.next(1s, wall);
+        CPPUNIT_ASSERT(recorder.finish(CommitConflict{vacant, 8}, 1s) == Recorder::Verdict::OwnershipLost);
+        CPPUNIT_ASSERT(recorder.takeRecorded().empty());
+    }
+
     /// Guards against a transaction that writes and removes the same key, which the store refuses each time it is repeated.
     void keyIsRemovedLater()
     {
