After a conflict with one's own commit, adopt the agents that it listed

What callers would see: two runs of one task. After a change of owner, the new owner does not wait for the report of an agent that the store does not list.

Cause: a refused commit is repeated with the agents that are current by then. If an earlier try was executed although it was reported as refused, as libcurl's second sending was answered 503, the repetition conflicts with that try. The recorder took the conflict for a success, rightly, but also took the agents of the repetition for recorded, so that it never recorded a new one.

Evidence: TestRecorder::agentsOfAnExecutedCommitAreThoseInTheStore failed before this commit (the recorded agents were those of the repetition).

Change: the agents are those of the record in the store.

--- a/src/libs/jobs/recorder.cpp
+++ b/src/libs/jobs/recorder.cpp
@@ -171,8 +171,9 @@
     // A conflict with the record that this very commit writes means that an earlier try was executed.
     revision_ = committed != nullptr ? committed->revision : conflict->revision;
     backoff_ = Base::Duration::zero();
-    confirmedAgents_ = owner_.agents;
-    recordedAgents_ = owner_.agents;
+    // The try that was executed may have listed other agents than the latest one.
+    confirmedAgents_ = committed != nullptr ? owner_.agents : conflict->current->agents;
+    recordedAgents_ = confirmedAgents_;
     commit_.reset();
     recorded_ = std::exchange(inFlight_, {});
     return Verdict::Recorded;
--- a/tests/auto/jobs/tst_recorder.cpp
+++ b/tests/auto/jobs/tst_recorder.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(recordsAgents);
     CPPUNIT_TEST(leavingAgentsAreNotRecorded);
     CPPUNIT_TEST(refusedCommitIsRepeatedWithNewAgents);
+    CPPUNIT_TEST(agentsOfAnExecutedCommitAreThoseInTheStore);
     CPPUNIT_TEST(removesOldSegments);
     CPPUNIT_TEST(finalStatesOutliveOlderRecords);
     CPPUNIT_TEST(finalStatesOfFormerOwnersOutliveTheirRecords);
@@ -271,6 +272,24 @@
         CPPUNIT_ASSERT(third->writes.at(0).value == second->writes.at(0).value);
     }
 
+    /// Guards against a successor that doesn't wait for an agent: a try of the commit was executed although it was reported as refused, so that the
+    /// store lists the agents of that try and not those of the later one.
+    void agentsOfAnExecutedCommitAreThoseInTheStore()
+    {
+        Recorder recorder = makeRecorder();
+        recorder.setAgents({"a"});
+        const auto executed = recorder.next(1s, wall);
+        recorder.finish(CommitRefused{}, 1s);
+        recorder.setAgents({"a", "b"});
+        recorder.next(2s, wall);
+        const CommitConflict conflict{decodeOwnerRecord(executed->writes[0].value), 9};
+        CPPUNIT_ASSERT(recorder.finish(conflict, 2s) == Recorder::Verdict::Recorded);
+        CPPUNIT_ASSERT(recorder.recordedAgents() == std::vector<std::string>{"a"});
+        const auto next = recorder.next(3s, wall);
+        CPPUNIT_ASSERT(next.has_value());
+        CPPUNIT_ASSERT(decodeOwnerRecord(next->writes[0].value)->agents == (std::vector<std::string>{"a", "b"}));
+    }
+
     /// Guards against removing the records of accepted jobs because the first job of their commit ended within it, as when that
     /// job is cancelled while it waits to be stored.
     void keyStaysIfItIsUsedAgain()
