tests: owner changes while the store resets connections

What callers would see: nothing so far; the play is a guard. No play had a call to the store that was executed and whose outcome the entry did not learn within milliseconds. Until now it was only lost until the timeout.

Change: the model of owner changes resets the connections of a share of the entries' calls to the store after their execution. The entry is told at once that the outcome is unknown or, in a second play, that the call was refused, as if libcurl had sent it again by itself and that sending had been refused.

--- a/tests/auto/entrynode/ownerchangelinks.cpp
+++ b/tests/auto/entrynode/ownerchangelinks.cpp
@@ -11,6 +11,12 @@
 constexpr double lostResponseShare = 0.03;
 constexpr Base::Duration storeTimeout = 150ms;
 
+/// What an entry is told of a call that the store may have executed.
+OwnershipEvent unknownOutcome(const OwnershipEvent &result)
+{
+    return std::visit([](const auto &known) -> OwnershipEvent { return std::decay_t<decltype(known)>{}; }, result);
+}
+
 std::pair<std::size_t, std::size_t> pairOf(std::size_t one, std::size_t other)
 {
     return std::minmax({one, other});
@@ -41,11 +47,16 @@
         return;
     }
     const std::uint64_t incarnation = entries_[index].record.incarnation;
-    post(randomTime(1ms, 6ms), [this, index, incarnation, execute] {
+    post(randomTime(1ms, 6ms), [this, index, incarnation, execute, refused] {
         const OwnershipEvent result = execute();
         if (!entries_[index].up || entries_[index].record.incarnation != incarnation) {
             return;
         }
+        if (resetsStoreConnection()) {
+            const OwnershipEvent reported = options_.secondSendingsRefused ? refused : unknownOutcome(result);
+            postToEntry(randomTime(1ms, 3ms), index, [this, index, reported] { feedOwnership(index, reported); });
+            return;
+        }
         if (std::holds_alternative<ClaimEnded>(result) && chance(lostResponseShare)) {
             postToEntry(storeTimeout, index, [this, index] { feedOwnership(index, ClaimEnded{ClaimEnded::Outcome::Unknown, 0}); });
             return;
@@ -58,6 +69,11 @@
     });
 }
 
+bool OwnerChangeModel::resetsStoreConnection()
+{
+    return options_.storeResetShare > 0 && chance(options_.storeResetShare);
+}
+
 ClaimEnded OwnerChangeModel::executeClaim(const Claim &claim)
 {
     if (claim.expectedRevision != store_.ownerRevision || claim.confirmers.expectedRevision != store_.confirmersRevision) {
@@ -120,6 +136,11 @@
         if (late || !entries_[index].up || entries_[index].record.incarnation != incarnation) {
             return;
         }
+        if (resetsStoreConnection()) {
+            const Jobs::CommitResult reported = options_.secondSendingsRefused ? Jobs::CommitResult(Jobs::CommitRefused{}) : Jobs::CommitUnknown{};
+            postToEntry(randomTime(1ms, 3ms), index, [answer, reported] { answer(reported); });
+            return;
+        }
         const bool lost = chance(lostResponseShare);
         postToEntry(lost ? storeTimeout : randomTime(1ms, 6ms), index, [answer, lost, result] { answer(lost ? Jobs::CommitUnknown{} : result); });
     });
--- a/tests/auto/entrynode/ownerchangemodel.h
+++ b/tests/auto/entrynode/ownerchangemodel.h
@@ -47,6 +47,8 @@
     bool workersRestart = false; ///< Under the same id and without memory.
     double lateCallShare = 0.0; ///< Of the calls to workers: no answer arrives, and the call is executed seconds later by the process that is there then.
     double lateCommitShare = 0.0; ///< Of the commits: no answer arrives, and the commit is executed later.
+    double storeResetShare = 0.0; ///< Of the entries' calls to the store: the store executes the call and resets the connection before it answers.
+    bool secondSendingsRefused = false; ///< Such a call is sent again without the entry's knowledge, and that sending is refused.
 };
 
 class OwnerChangeModel
@@ -179,6 +181,7 @@
 
     // Store.
     void callStore(NodeIndex index, const OwnershipEvent &refused, const std::function<OwnershipEvent()> &execute);
+    bool resetsStoreConnection();
     void commit(NodeIndex index, const Jobs::Commit &commit);
     ClaimEnded executeClaim(const Claim &claim);
     ConfirmersWritten executeWrite(const WriteConfirmers &write);
