Count calls that libcurl sends a second time

laburnumflow's libcurl clients send a call again by themselves when a reused connection breaks before the response.

HttpTransfer::Transfer holds one request on a libcurl handle: options, body, response and outcome. libcurl's pre-request callback runs before each sending, so it counts those with and without a body. What is sent and reported is as before. laburnumnode counts second sendings (laburnumflow_second_sendings_total) and logs them (call.second-sending).

Measured: httpio.exchange and metrics.processmetrics pass; the new lines of the metrics have assertions.

--- a/src/app/laburnumnode/agentprocess.cpp
+++ b/src/app/laburnumnode/agentprocess.cpp
@@ -206,7 +206,7 @@
     request.timeout = timeout;
     const Base::MonoTime startedAt = Base::monoNow();
     workerCalls_.send(std::move(request), [this, name, startedAt, read = std::move(read)](const HttpIo::ClientResponse &response) {
-        metrics_.observeCall(name, callOutcome(response), Base::monoNow() - startedAt);
+        recordCall(name, response, Base::monoNow() - startedAt);
         feed(read(response));
     });
 }
@@ -287,7 +287,7 @@
     request.timeout = maxStoreTimeout;
     const Base::MonoTime startedAt = Base::monoNow();
     storeCalls_.send(std::move(request), [this, startedAt](const HttpIo::ClientResponse &response) {
-        metrics_.observeCall("read-cluster", callOutcome(response), Base::monoNow() - startedAt);
+        recordCall("read-cluster", response, Base::monoNow() - startedAt);
         entriesReadInProgress_ = false;
         const auto page = Platform::parsePageResponse(response);
         if (!page || !mayOwnerBeReplaced()) {
--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -156,7 +156,7 @@
 {
     const Base::MonoTime startedAt = Base::monoNow();
     adviceCalls_.send(Platform::adviceRequest(adviceAddress_, ask), [this, ask, epoch = owner_->epoch, startedAt](const HttpIo::ClientResponse &response) {
-        metrics_.observeCall("advise", callOutcome(response), Base::monoNow() - startedAt);
+        recordCall("advise", response, Base::monoNow() - startedAt);
         if (owner_ && owner_->epoch == epoch) {
             feedOwner(Platform::adviceAnswer(ask, response));
         }
--- a/src/app/laburnumnode/entrystore.cpp
+++ b/src/app/laburnumnode/entrystore.cpp
@@ -14,7 +14,7 @@
     request.timeout = timeout.value_or(storeTimeout_.current());
     const Base::MonoTime startedAt = Base::monoNow();
     storeCalls_.send(std::move(request), [this, name, startedAt, handle = std::move(handle)](const HttpIo::ClientResponse &response) {
-        metrics_.observeCall(name, callOutcome(response), Base::monoNow() - startedAt);
+        recordCall(name, response, Base::monoNow() - startedAt);
         if (response.outcome == HttpIo::ClientResponse::Outcome::Answered) {
             storeTimeout_.handleResponse(Base::monoNow() - startedAt);
         } else {
--- a/src/app/laburnumnode/nodeprocess.cpp
+++ b/src/app/laburnumnode/nodeprocess.cpp
@@ -5,6 +5,7 @@
 
 #include "base/timerservice.h"
 
+#include <chrono>
 #include <cstdlib>
 
 namespace LaburnumFlow::Node {
@@ -69,6 +70,21 @@
     droppedLines_ = dropped;
 }
 
+void NodeProcess::recordCall(std::string_view name, const HttpIo::ClientResponse &response, Base::Duration duration)
+{
+    metrics_.observeCall(name, callOutcome(response), duration);
+    if (response.secondSending == HttpTransfer::SecondSending::None) {
+        return;
+    }
+    const bool prevented = response.secondSending == HttpTransfer::SecondSending::Prevented;
+    metrics_.countSecondSending(name, prevented);
+    logDecision("call.second-sending",
+                {{"call", std::string(name)},
+                 {"result", prevented ? "prevented" : "sent"},
+                 {"status", std::to_string(response.status)},
+                 {"ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count())}});
+}
+
 void NodeProcess::logDecision(std::string_view event, const LogFields &fields)
 {
     metrics_.countDecision(event);
--- a/src/app/laburnumnode/nodeprocess.h
+++ b/src/app/laburnumnode/nodeprocess.h
@@ -4,6 +4,7 @@
 #include "signals.h"
 
 #include "eventloop/eventloop.h"
+#include "httpio/httpclient.h"
 #include "metrics/processmetrics.h"
 #include "net/looplinks.h"
 #include "nodestatus/nodestatus.h"
@@ -57,6 +58,9 @@
     /// Counts the decision and writes it to the log.
     void logDecision(std::string_view event, const LogFields &fields);
 
+    /// Records a call to another process in the metrics, and logs it if it was sent a second time or would have been. name is the call's name in both.
+    void recordCall(std::string_view name, const HttpIo::ClientResponse &response, Base::Duration duration);
+
     Settings::NodeSettings settings_;
     EventLoop::Loop loop_;
     Runtime::DecisionLog log_;
--- a/src/libs/httpio/httpclient.cpp
+++ b/src/libs/httpio/httpclient.cpp
@@ -1,13 +1,14 @@
 #include "httpclient.h"
 
+#include "httptransfer/transfer.h"
+
 #include <curl/curl.h>
 #include <sys/epoll.h>
 
-#include <cerrno>
 #include <chrono>
-#include <list>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace LaburnumFlow::HttpIo {
 
@@ -16,61 +17,13 @@
 constexpr long maxCachedConnections = 16;
 constexpr std::size_t maxIdleHandles = 16;
 
-std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *target)
-{
-    static_cast<std::string *>(target)->append(data, size * count);
-    return size * count;
-}
-
-struct SlistDeleter {
-    void operator()(curl_slist *list) const
-    {
-        curl_slist_free_all(list);
-    }
-};
-
 struct Call {
-    CURL *easy = nullptr;
-    ClientRequest request;
-    std::unique_ptr<curl_slist, SlistDeleter> headers;
-    std::string body;
+    Call(CURL *easy, ClientRequest request, HttpClient::Callback handler) : transfer(easy, std::move(request)), callback(std::move(handler)) { }
+
+    HttpTransfer::Transfer transfer;
     HttpClient::Callback callback;
 };
 
-std::unique_ptr<curl_slist, SlistDeleter> headerList(const ClientRequest &request)
-{
-    // Without the empty Expect header libcurl waits for "100 Continue" before it sends larger bodies.
-    curl_slist *list = curl_slist_append(nullptr, "Expect:");
-    if (!request.body.empty()) {
-        list = curl_slist_append(list, "Content-Type: application/json");
-    }
-    for (const Header &header : request.headers) {
-        list = curl_slist_append(list, (header.name + ": " + header.value).c_str());
-    }
-    return std::unique_ptr<curl_slist, SlistDeleter>(list);
-}
-
-ClientResponse::Outcome outcomeOf(CURL *easy, CURLcode code)
-{
-    if (code == CURLE_OK) {
-        return ClientResponse::Outcome::Answered;
-    }
-    if (code == CURLE_COULDNT_CONNECT) {
-        return ClientResponse::Outcome::NotSent;
-    }
-    long sent = 0;
-    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
-    return sent == 0 ? ClientResponse::Outcome::NotSent : ClientResponse::Outcome::Unknown;
-}
-
-/// Returns whether the peer has refused the connection. Other failures to connect, such as a timeout, don't show that no process listens there.
-bool isRefused(CURL *easy, CURLcode code)
-{
-    long error = 0;
-    curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &error);
-    return code == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
-}
-
 } // namespace
 
 struct HttpClient::Private {
@@ -78,7 +31,6 @@
     ~Private();
 
     void send(ClientRequest request, Callback callback);
-    void configure(Call &call) const;
     void act(curl_socket_t socket, int action);
     void collect();
     void finish(CURL *easy, CURLcode code);
@@ -131,36 +83,10 @@
     return easy;
 }
 
-void HttpClient::Private::configure(Call &call) const
-{
-    CURL *easy = call.easy;
-    const ClientRequest &request = call.request;
-    curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-    if (!request.body.empty()) {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
-    }
-    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call.headers.get());
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendBody);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &call.body);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(request.timeout).count()));
-    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
-    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
-}
-
 void HttpClient::Private::send(ClientRequest request, Callback callback)
 {
-    auto call = std::make_unique<Call>();
-    call->easy = takeHandle();
-    call->request = std::move(request);
-    call->headers = headerList(call->request);
-    call->callback = std::move(callback);
-    configure(*call);
-    CURL *easy = call->easy;
-    calls_.emplace(easy, std::move(call));
+    CURL *easy = takeHandle();
+    calls_.emplace(easy, std::make_unique<Call>(easy, std::move(request), std::move(callback)));
     curl_multi_add_handle(multi_, easy);
 }
 
@@ -189,15 +115,7 @@
     }
     const std::unique_ptr<Call> call = std::move(found->second);
     calls_.erase(found);
-    ClientResponse response;
-    response.outcome = outcomeOf(easy, code);
-    response.refused = isRefused(easy, code);
-    if (response.outcome == ClientResponse::Outcome::Answered) {
-        long status = 0;
-        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-        response.status = static_cast<int>(status);
-        response.body = std::move(call->body);
-    }
+    ClientResponse response = call->transfer.takeResponse(code);
     curl_multi_remove_handle(multi_, easy);
     if (idle_.size() < maxIdleHandles) {
         curl_easy_reset(easy);
--- /dev/null
+++ b/src/libs/httptransfer/httpmessages.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "base/types.h"
+
+#include <string>
+#include <vector>
+
+/// HTTP requests on libcurl: what is sent, how often, and what became of it.
+namespace LaburnumFlow::HttpTransfer {
+
+struct Header {
+    std::string name;
+    std::string value;
+};
+
+struct Request {
+    std::string method;
+    std::string url;
+    std::string body; ///< sent as application/json unless empty
+    std::vector<Header> headers;
+    Base::Duration timeout{}; ///< 0 for none
+    /// The request may be sent a second time if a reused connection breaks before the response.
+    bool idempotent = true;
+};
+
+/// What became of the second sending that libcurl begins by itself if a reused connection breaks before the response.
+enum class SecondSending {
+    None, ///< no connection broke
+    Prevented, ///< the request ended with the connection
+    Sent,
+};
+
+/// What became of a request.
+struct Response {
+    enum class Outcome {
+        Answered,
+        NotSent, ///< the server can't have received the whole request
+        Unknown, ///< the server may have carried out the request
+    };
+
+    Outcome outcome = Outcome::Unknown;
+    int status = 0;
+    std::string body;
+    bool refused = false; ///< with NotSent: the connection was refused, so no process listens at the address
+    SecondSending secondSending = SecondSending::None;
+};
+
+} // namespace LaburnumFlow::HttpTransfer
--- a/src/libs/metrics/processmetrics.cpp
+++ b/src/libs/metrics/processmetrics.cpp
@@ -70,6 +70,11 @@
         = prometheus::BuildHistogram().Name("laburnumflow_answer_seconds").Help("Time from a caller's request to its answer").Register(registry);
     prometheus::Family<prometheus::Histogram> &callFamily
         = prometheus::BuildHistogram().Name("laburnumflow_call_seconds").Help("Time of calls to the store and to the worker").Register(registry);
+    prometheus::Family<prometheus::Counter> &secondSendingFamily
+        = prometheus::BuildCounter()
+              .Name("laburnumflow_second_sendings_total")
+              .Help("Calls whose reused connection broke before the response: sent a second time, or prevented from it")
+              .Register(registry);
     prometheus::Counter &committedEntries = prometheus::BuildCounter()
                                                 .Name("laburnumflow_committed_entries_total")
                                                 .Help("Entries of the store that commits of the owner wrote or removed, repeated commits included")
@@ -83,6 +88,7 @@
     std::map<std::string, prometheus::Counter *, std::less<>> decisions;
     std::map<std::pair<std::string, int>, prometheus::Histogram *, std::less<>> answers;
     std::map<std::pair<std::string, CallOutcome>, prometheus::Histogram *, std::less<>> calls;
+    std::map<std::pair<std::string, bool>, prometheus::Counter *, std::less<>> secondSendings; ///< by call and whether they were prevented
     std::map<Gauge, prometheus::Gauge *> gauges;
 };
 
@@ -118,6 +124,15 @@
     histogram->Observe(toSeconds(duration));
 }
 
+void ProcessMetrics::countSecondSending(std::string_view call, bool prevented)
+{
+    prometheus::Counter *&counter = d_->secondSendings[{std::string(call), prevented}];
+    if (counter == nullptr) {
+        counter = &d_->secondSendingFamily.Add({{"call", std::string(call)}, {"result", prevented ? "prevented" : "sent"}});
+    }
+    counter->Increment();
+}
+
 void ProcessMetrics::countCommittedEntries(std::size_t entries)
 {
     d_->committedEntries.Increment(static_cast<double>(entries));
--- a/src/libs/metrics/processmetrics.h
+++ b/src/libs/metrics/processmetrics.h
@@ -45,6 +45,8 @@
     void observeAnswer(std::string_view kind, int status, Base::Duration duration);
     /// Records the duration of a call to the store ("commit", …) or to the worker ("start", …).
     void observeCall(std::string_view call, CallOutcome outcome, Base::Duration duration);
+    /// Counts a call whose reused connection broke before the response, and that was sent a second time or would have been.
+    void countSecondSending(std::string_view call, bool prevented);
     /// Counts the store entries that a commit of the owner writes or removes.
     void countCommittedEntries(std::size_t entries);
     /// Counts log lines that were dropped.
--- a/tests/auto/metrics/tst_processmetrics.cpp
+++ b/tests/auto/metrics/tst_processmetrics.cpp
@@ -23,6 +23,8 @@
         metrics.countDecision("job.accepted");
         metrics.observeAnswer("submit", 429, 3ms);
         metrics.observeCall("commit", CallOutcome::Unknown, 1500ms);
+        metrics.countSecondSending("start", true);
+        metrics.countSecondSending("read-rules", false);
         metrics.countCommittedEntries(5);
         metrics.countDroppedLines(3);
         metrics.set(Gauge::OpenJobs, 7);
@@ -35,6 +37,8 @@
                                  "laburnumflow_answer_seconds_bucket{request=\"submit\",status=\"429\",le=\"0.002\"} 0",
                                  "laburnumflow_answer_seconds_bucket{request=\"submit\",status=\"429\",le=\"0.005\"} 1",
                                  "laburnumflow_call_seconds_sum{call=\"commit\",outcome=\"unknown\"} 1.5",
+                                 "laburnumflow_second_sendings_total{call=\"start\",result=\"prevented\"} 1",
+                                 "laburnumflow_second_sendings_total{call=\"read-rules\",result=\"sent\"} 1",
                                  "laburnumflow_committed_entries_total 5",
                                  "laburnumflow_log_lines_dropped_total 3",
                                  "# TYPE laburnumflow_open_jobs gauge",
