Send a call once, and call it lost if its connection breaks

Callers would see two runs of one task at a time, or a refusal of a job that runs: a server reads a call on a reused connection, so has executed it, and resets the connection before it answers; libcurl 7.88.1 then connects and sends the call again by itself, and HttpIo::HttpClient took what the second sending met for the answer to the only one. Refused connections, 503, 429, 409, 421 and 400 told the agent that a start never ran, and the store's writes that they were not executed.

A request is sent at most once unless it is idempotent. libcurl asks for a new connection, or reports a reused one, before a second sending: Transfer refuses both once a first sending has begun.

--- a/src/libs/httptransfer/httpmessages.h
+++ b/src/libs/httptransfer/httpmessages.h
@@ -19,14 +19,13 @@
     std::string body; ///< sent as application/json unless empty
     std::vector<Header> headers;
     Base::Duration timeout{}; ///< 0 for none
-    /// The request may be sent a second time if a reused connection breaks before the response.
-    bool idempotent = true;
+    bool idempotent = false; ///< may be sent a second time if a reused connection breaks before the response
 };
 
 /// What became of the second sending that libcurl begins by itself if a reused connection breaks before the response.
 enum class SecondSending {
     None, ///< no connection broke
-    Prevented, ///< the request ended with the connection
+    Prevented, ///< the request ended with the connection, as it isn't idempotent
     Sent,
 };
 
--- a/src/libs/httptransfer/transfer.cpp
+++ b/src/libs/httptransfer/transfer.cpp
@@ -1,5 +1,7 @@
 #include "transfer.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
@@ -53,7 +55,7 @@
 {
     Response response;
     response.outcome = outcomeOf(code);
-    response.refused = isConnectionRefused(handle_, code);
+    response.refused = response.outcome == Response::Outcome::NotSent && isConnectionRefused(handle_, code);
     response.secondSending = secondSending_;
     if (response.outcome == Response::Outcome::Answered) {
         response.status = status();
@@ -87,6 +89,8 @@
     curl_easy_setopt(handle_, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(handle_, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(handle_, CURLOPT_HTTPHEADER, headers_.get());
+    curl_easy_setopt(handle_, CURLOPT_OPENSOCKETFUNCTION, &Transfer::openSocket);
+    curl_easy_setopt(handle_, CURLOPT_OPENSOCKETDATA, this);
     curl_easy_setopt(handle_, CURLOPT_PREREQFUNCTION, &Transfer::beforeSending);
     curl_easy_setopt(handle_, CURLOPT_PREREQDATA, this);
     curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &Transfer::writeBody);
@@ -109,23 +113,44 @@
     curl_easy_setopt(handle_, CURLOPT_SEEKDATA, this);
 }
 
-/// libcurl calls this with each connection that is there for the request, before it sends anything.
+/// libcurl calls this for each new connection.
+curl_socket_t Transfer::openSocket(void *self, curlsocktype /*purpose*/, curl_sockaddr *address)
+{
+    if (!static_cast<Transfer *>(self)->mayUseConnection()) {
+        return CURL_SOCKET_BAD;
+    }
+    return ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+}
+
+/// libcurl calls this when a connection, new or reused, is there for the request, before it sends anything.
 int Transfer::beforeSending(void *self, char * /*remoteAddress*/, char * /*localAddress*/, int /*remotePort*/, int /*localPort*/)
 {
-    return static_cast<Transfer *>(self)->mayBeginSending() ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+    auto *transfer = static_cast<Transfer *>(self);
+    if (!transfer->mayUseConnection()) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    transfer->beginSending();
+    return CURL_PREREQFUNC_OK;
+}
+
+/// A connection after the first sending is for a second one.
+bool Transfer::mayUseConnection()
+{
+    if (sendings_ == 0 || request_.idempotent) {
+        return true;
+    }
+    secondSending_ = SecondSending::Prevented;
+    return false;
 }
 
-bool Transfer::mayBeginSending()
+void Transfer::beginSending()
 {
-    if (++sendings_ > 1) {
-        secondSending_ = request_.idempotent ? SecondSending::Sent : SecondSending::Prevented;
-        if (!request_.idempotent) {
-            return false;
-        }
+    ++sendings_;
+    if (sendings_ > 1) {
+        secondSending_ = SecondSending::Sent;
     }
     bodyOffset_ = 0;
     wholeRequestTaken_ = wholeRequestTaken_ || request_.body.empty();
-    return true;
 }
 
 std::size_t Transfer::readBody(char *target, std::size_t size, std::size_t count, void *self)
@@ -146,18 +171,10 @@
     return taken;
 }
 
-/// libcurl calls this only to send the body once more, when a reused connection has broken before the response.
+/// libcurl calls this to send the body once more. beginSending() has set the offset back.
 int Transfer::rewindBody(void *self, curl_off_t offset, int /*origin*/)
 {
-    return offset == 0 && static_cast<Transfer *>(self)->mayRewind() ? CURL_SEEKFUNC_OK : CURL_SEEKFUNC_FAIL;
-}
-
-bool Transfer::mayRewind()
-{
-    if (!request_.idempotent) {
-        secondSending_ = SecondSending::Prevented;
-    }
-    return request_.idempotent;
+    return offset == 0 && static_cast<Transfer *>(self)->request_.idempotent ? CURL_SEEKFUNC_OK : CURL_SEEKFUNC_FAIL;
 }
 
 std::size_t Transfer::writeBody(char *data, std::size_t size, std::size_t count, void *self)
@@ -176,9 +193,6 @@
     if (code == CURLE_OK) {
         return Response::Outcome::Answered;
     }
-    if (code == CURLE_COULDNT_CONNECT) {
-        return Response::Outcome::NotSent;
-    }
     return wholeRequestTaken_ ? Response::Outcome::Unknown : Response::Outcome::NotSent;
 }
 
--- a/src/libs/httptransfer/transfer.h
+++ b/src/libs/httptransfer/transfer.h
@@ -49,6 +49,7 @@
         void operator()(curl_slist *list) const;
     };
 
+    static curl_socket_t openSocket(void *self, curlsocktype purpose, curl_sockaddr *address);
     static int beforeSending(void *self, char *remoteAddress, char *localAddress, int remotePort, int localPort);
     static std::size_t readBody(char *target, std::size_t size, std::size_t count, void *self);
     static int rewindBody(void *self, curl_off_t offset, int origin);
@@ -58,9 +59,9 @@
     std::unique_ptr<curl_slist, HeaderListDeleter> makeHeaders() const;
     void configure();
     void configureBody();
-    bool mayBeginSending();
+    bool mayUseConnection();
+    void beginSending();
     std::size_t takeBody(std::span<char> target);
-    bool mayRewind();
     Response::Outcome outcomeOf(CURLcode code) const;
 
     CURL *handle_;
