Don't use a libcurl handle again after a call that failed

What callers would see: after each prevented second sending, one more call fails that nothing was wrong with, and is reported as not sent: a start goes to another worker, a commit is repeated 20 ms later.

Cause: libcurl notes in the handle that the body has to be sent once more, and curl_easy_reset() does not clear that. The next call on the handle begins with going back in its body, which Transfer refuses (CURLE_SEND_FAIL_REWIND).

Evidence: TestSecondSending::callAfterALostOneIsSent failed before this commit (outcome not Answered).

Change: only handles of calls that ended without an error are kept.

--- a/src/libs/httpio/httpclient.cpp
+++ b/src/libs/httpio/httpclient.cpp
@@ -117,7 +117,8 @@
     calls_.erase(found);
     ClientResponse response = call->transfer.takeResponse(code);
     curl_multi_remove_handle(multi_, easy);
-    if (idle_.size() < maxIdleHandles) {
+    // After a broken connection the handle still wants to send the body again, also that of its next call, and a reset doesn't change that.
+    if (code == CURLE_OK && idle_.size() < maxIdleHandles) {
         curl_easy_reset(easy);
         idle_.push_back(easy);
     } else {
--- a/tests/auto/httpio/tst_secondsending.cpp
+++ b/tests/auto/httpio/tst_secondsending.cpp
@@ -47,6 +47,19 @@
         return last;
     }
 
+    /// Sends a call that nothing interferes with.
+    ClientResponse sendNext(const std::string &method, std::string body)
+    {
+        ClientResponse next;
+        client_.send({method, "http://127.0.0.1:" + std::to_string(server_.port()) + "/call", std::move(body), {}, 20s},
+                     [this, &next](ClientResponse response) {
+                         next = std::move(response);
+                         loop_.stop();
+                     });
+        loop_.run();
+        return next;
+    }
+
     std::size_t callsRead() const
     {
         return server_.calls().size();
@@ -80,6 +93,7 @@
     CPPUNIT_TEST(callIsLostIfTheServerThenAccepts);
     CPPUNIT_TEST(callIsLostIfTheServerThenIsSilent);
     CPPUNIT_TEST(callWithoutBodyIsLost);
+    CPPUNIT_TEST(callAfterALostOneIsSent);
     CPPUNIT_TEST(idempotentCallIsSentAgain);
     CPPUNIT_TEST(idempotentCallWithoutBodyIsSentAgain);
     CPPUNIT_TEST(idempotentCallIsNotRefusedAfterAServerHasReadIt);
@@ -126,6 +140,17 @@
         checkLost(AnswerCalls{404}, "DELETE", {});
     }
 
+    // Guards against a call that isn't sent, and is reported so, because libcurl's handle still wants to send the body of the lost call again.
+    void callAfterALostOneIsSent()
+    {
+        LostAnswer lost(AnswerCalls{200});
+        CPPUNIT_ASSERT(lost.send("POST", "{}", false).outcome == Outcome::Unknown);
+        const ClientResponse next = lost.sendNext("POST", "{}");
+        CPPUNIT_ASSERT(next.outcome == Outcome::Answered);
+        CPPUNIT_ASSERT_EQUAL(200, next.status);
+        CPPUNIT_ASSERT_EQUAL(callsWithoutSecondSending + 1, lost.callsRead());
+    }
+
     // Guards against reads that fail for a broken connection, and against second sendings that nobody counts.
     void idempotentCallIsSentAgain()
     {
