Don't raise the store's timeout for calls that end at once

What callers would see: while the store resets connections, an entry waits up to 1 s for each response that is lost without a reset, in place of about 120 ms: a submission takes that long to be accepted.

Cause: each call without a response counted as one that timed out and raised the timeout by half, also one that ended after 2 ms with a reset or a refused connection. With second sendings prevented, resets show as such calls.

Evidence: TestStoreTimeout::brokenConnectionsDoNotRaiseIt failed with the former rule, the first broken connection raised the timeout.

Change: only calls that have waited for their timeout, less 5 ms for the timer, raise it.

--- a/src/app/laburnumnode/entrystore.cpp
+++ b/src/app/laburnumnode/entrystore.cpp
@@ -13,12 +13,14 @@
 {
     request.timeout = timeout.value_or(storeTimeout_.current());
     const Base::MonoTime startedAt = Base::monoNow();
-    storeCalls_.send(std::move(request), [this, name, startedAt, handle = std::move(handle)](const HttpIo::ClientResponse &response) {
-        recordCall(name, response, Base::monoNow() - startedAt);
+    const Base::Duration allowed = request.timeout;
+    storeCalls_.send(std::move(request), [this, name, startedAt, allowed, handle = std::move(handle)](const HttpIo::ClientResponse &response) {
+        const Base::Duration waited = Base::monoNow() - startedAt;
+        recordCall(name, response, waited);
         if (response.outcome == HttpIo::ClientResponse::Outcome::Answered) {
-            storeTimeout_.handleResponse(Base::monoNow() - startedAt);
+            storeTimeout_.handleResponse(waited);
         } else {
-            storeTimeout_.handleTimeout();
+            storeTimeout_.handleNoResponse(waited, allowed);
         }
         watchStore(name, response);
         handle(response);
--- a/src/app/laburnumnode/storetimeout.cpp
+++ b/src/app/laburnumnode/storetimeout.cpp
@@ -10,6 +10,7 @@
 
 constexpr int responseTimeWindow = 8; ///< responses over which the response time is averaged
 constexpr int averageTimeFactor = 6; ///< timeout as a multiple of the average response time
+constexpr Base::Duration timerTolerance = 5ms; ///< a call may time out by so much earlier, as its timer counts whole milliseconds
 
 } // namespace
 
@@ -21,8 +22,11 @@
     current_ = std::clamp<Base::Duration>(std::max<Base::Duration>(target, current_ * 7 / 8), minStoreTimeout, maxStoreTimeout);
 }
 
-void StoreTimeout::handleTimeout()
+void StoreTimeout::handleNoResponse(Base::Duration waited, Base::Duration timeout)
 {
+    if (waited + timerTolerance < timeout) {
+        return;
+    }
     current_ = std::min<Base::Duration>(current_ * 3 / 2, maxStoreTimeout);
 }
 
--- a/src/app/laburnumnode/storetimeout.h
+++ b/src/app/laburnumnode/storetimeout.h
@@ -15,7 +15,9 @@
     }
 
     void handleResponse(Base::Duration responseTime);
-    void handleTimeout();
+    /// Handles the end of a call without a response after it has waited for the given time. Only a call that has used up its timeout counts: a
+    /// connection that breaks at once doesn't show that the store is slow.
+    void handleNoResponse(Base::Duration waited, Base::Duration timeout);
 
 private:
     Base::Duration current_{200'000};
