Agent: calls to the backend server go through HttpTransfer::Transfer

The agent's client had a rule of its own against the second sendings that libcurl makes by itself: every call with a body was sent once, every call without one as often as libcurl liked. Nothing counted either.

BackendCall uses Transfer, which decides that for all clients. Outcomes are as before: NotStarted if the backend server can't have received the whole request, Lost if the connection broke after that. That 429 and 503 mean "not started" holds because a start is sent once, so they answer its only sending. Idempotent are Status and Stop: the id of an attempt is never given to another task, so a second DELETE finds the same task stopped or none, and the client repeats stops without an answer anyway. Not idempotent are Start; Renew, since the lease counts from its receipt; Throttle, since it may overtake a newer one; and Checkpoint, whose effect is the backend server's.

The counters backend.second-sending.sent and .prevented count them.

--- a/src/libs/agent/backendcall.cpp
+++ b/src/libs/agent/backendcall.cpp
@@ -16,39 +16,41 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr long connectTimeoutMs = 1000;
-constexpr long shortCallTimeoutMs = 2000;
-constexpr long statusTimeoutMs = 500;
+constexpr Base::Duration shortCallTimeout = 2s;
+constexpr Base::Duration statusTimeout = 500ms;
 /// A call that grants a lease is not sent later than this after its order. The lease is counted from the order, and leaseMargin covers the rest.
 constexpr Base::Duration maxSendDelay = Protocol::leaseMargin / 2;
 constexpr std::size_t maxResponseBytes = Protocol::maxBodyBytes;
 
-constexpr long httpOk = 200;
-constexpr long httpConflict = 409;
-constexpr long httpTooManyRequests = 429;
-constexpr long httpUnavailable = 503;
+constexpr int httpOk = 200;
+constexpr int httpConflict = 409;
+constexpr int httpTooManyRequests = 429;
+constexpr int httpUnavailable = 503;
 
-long callTimeoutMs(CallKind kind)
+Base::Duration callTimeout(CallKind kind)
 {
     switch (kind) {
     case CallKind::Start:
-        return 0; // no timeout: the task's lease ends the call
+        return {}; // no timeout: the task's lease ends the call
     case CallKind::Status:
-        return statusTimeoutMs;
+        return statusTimeout;
     case CallKind::Renew:
     case CallKind::Stop:
     case CallKind::Throttle:
     case CallKind::Checkpoint:
         break;
     }
-    return shortCallTimeoutMs;
+    return shortCallTimeout;
 }
 
-/// Always fails. When a reused connection breaks before the response, libcurl rewinds the body and sends the request again
-/// by itself. The task may have started by then, so the rewind must fail to prevent a second start.
-int refuseRewind(void *, curl_off_t, int)
+/// Returns whether a second sending leaves the backend server as the first one did. A stop does, as no other task ever gets the id of an attempt. A start may
+/// run the task again, a renewal counts its lease anew, and a throttle may overtake a newer one; a checkpoint is the backend server's work.
+bool isIdempotent(CallKind kind)
 {
-    return CURL_SEEKFUNC_FAIL;
+    return kind == CallKind::Status || kind == CallKind::Stop;
 }
 
 Json parseObject(const std::string &text)
@@ -69,41 +71,26 @@
     return Base::toString(key.task.submission) + "-" + std::to_string(key.task.index) + "-" + std::to_string(key.attempt);
 }
 
-BackendCall::BackendCall(CallKind kind, const Base::AttemptKey &key, std::string_view method, const std::string &url, std::string body)
-    : kind_(kind), key_(key), body_(std::move(body)), orderedAt_(Base::monoNow()), handle_(curl_easy_init())
+void BackendCall::HandleDeleter::operator()(CURL *handle) const
 {
-    curl_easy_setopt(handle_, CURLOPT_URL, url.c_str());
-    curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(handle_, CURLOPT_PROXY, "");
-    curl_easy_setopt(handle_, CURLOPT_CONNECTTIMEOUT_MS, connectTimeoutMs);
-    curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS, callTimeoutMs(kind));
-    curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &BackendCall::writeResponse);
-    curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
-    curl_easy_setopt(handle_, CURLOPT_PRIVATE, this);
-    if (!body_.empty()) {
-        headers_ = curl_slist_append(headers_, "Content-Type: application/json");
-        headers_ = curl_slist_append(headers_, "Expect:");
-        curl_easy_setopt(handle_, CURLOPT_HTTPHEADER, headers_);
-        curl_easy_setopt(handle_, CURLOPT_UPLOAD, 1L);
-        curl_easy_setopt(handle_, CURLOPT_INFILESIZE_LARGE, static_cast<curl_off_t>(body_.size()));
-        curl_easy_setopt(handle_, CURLOPT_READFUNCTION, &BackendCall::readBody);
-        curl_easy_setopt(handle_, CURLOPT_READDATA, this);
-        curl_easy_setopt(handle_, CURLOPT_SEEKFUNCTION, &refuseRewind);
-    }
-    curl_easy_setopt(handle_, CURLOPT_CUSTOMREQUEST, std::string(method).c_str());
+    curl_easy_cleanup(handle);
 }
 
-BackendCall::~BackendCall()
+BackendCall::BackendCall(CallKind kind, const Base::AttemptKey &key, std::string_view method, const std::string &url, std::string body)
+    : kind_(kind)
+    , key_(key)
+    , orderedAt_(Base::monoNow())
+    , handle_(curl_easy_init())
+    , transfer_(handle_.get(), {std::string(method), url, std::move(body), {}, callTimeout(kind), isIdempotent(kind)})
 {
-    curl_easy_cleanup(handle_);
-    curl_slist_free_all(headers_);
+    transfer_.setSendCondition([this] { return !isLeaseOutdated(); });
+    transfer_.setBodySink([this](std::string_view part) { return appendResponse(part); });
+    curl_easy_setopt(handle_.get(), CURLOPT_CONNECTTIMEOUT_MS, connectTimeoutMs);
 }
 
-long BackendCall::httpStatus() const
+void BackendCall::finish(CURLcode code)
 {
-    long status = 0;
-    curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
-    return status;
+    response_ = transfer_.takeResponse(code);
 }
 
 bool BackendCall::isLeaseOutdated() const
@@ -112,36 +99,23 @@
     return grantsLease && Base::monoNow() - orderedAt_ > maxSendDelay;
 }
 
-std::size_t BackendCall::readBody(char *to, std::size_t size, std::size_t count, void *self)
-{
-    auto *call = static_cast<BackendCall *>(self);
-    const std::size_t n = std::min(size * count, call->body_.size() - call->bodyOffset_);
-    if (n == 0 || call->isLeaseOutdated()) {
-        return CURL_READFUNC_ABORT;
-    }
-    call->bodyOffset_ += call->body_.copy(to, n, call->bodyOffset_);
-    return n;
-}
-
-std::size_t BackendCall::writeResponse(char *from, std::size_t size, std::size_t count, void *self)
+bool BackendCall::appendResponse(std::string_view part)
 {
-    auto *call = static_cast<BackendCall *>(self);
-    const std::size_t n = size * count;
-    if (call->response_.size() + n > maxResponseBytes) {
-        call->responseTooLarge_ = true;
-        return 0;
+    responseTooLarge_ = responseBody_.size() + part.size() > maxResponseBytes;
+    if (!responseTooLarge_) {
+        responseBody_.append(part);
     }
-    call->response_.append(from, n);
-    return n;
+    return !responseTooLarge_;
 }
 
 BackendOutcome BackendCall::parseOutcome(std::string &result) const
 {
-    const long status = httpStatus();
+    const int status = httpStatus();
     if (status == httpTooManyRequests || status == httpUnavailable) {
+        // This answers the only sending of the start, as starts are not idempotent.
         return BackendOutcome::NotStarted;
     }
-    const Json response = parseObject(response_);
+    const Json response = parseObject(responseBody_);
     if (status == httpOk && response.contains("result")) {
         result = response["result"].dump();
         return BackendOutcome::Succeeded;
@@ -157,28 +131,28 @@
     return BackendOutcome::Failed;
 }
 
-BackendTaskEnded BackendCall::taskEnded(CURLcode code) const
+BackendTaskEnded BackendCall::taskEnded() const
 {
     BackendTaskEnded ended{key_, BackendOutcome::Lost, {}};
     if (responseTooLarge_) {
         ended.outcome = BackendOutcome::Failed;
         ended.result = "response of the backend server is larger than " + std::to_string(maxResponseBytes) + " bytes";
-    } else if (code == CURLE_OK) {
+    } else if (isAnswered()) {
         ended.outcome = parseOutcome(ended.result);
-    } else if (!isSent()) {
+    } else if (response_.outcome == HttpTransfer::Response::Outcome::NotSent) {
         // The backend server can't start a task before it has received the whole body.
         ended.outcome = BackendOutcome::NotStarted;
     }
     return ended;
 }
 
-BackendStatus BackendCall::status(CURLcode code) const
+BackendStatus BackendCall::status() const
 {
     BackendStatus status;
-    if (code != CURLE_OK || httpStatus() != httpOk) {
+    if (httpStatus() != httpOk) {
         return status;
     }
-    const Json response = parseObject(response_);
+    const Json response = parseObject(responseBody_);
     const auto state = response.find("state");
     if (state == response.end() || !state->is_string()) {
         return status;
--- a/src/libs/agent/backendcall.h
+++ b/src/libs/agent/backendcall.h
@@ -2,8 +2,10 @@
 
 #include "agentevents.h"
 
-#include <cstddef>
+#include "httptransfer/transfer.h"
+
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -28,7 +30,7 @@
 {
 public:
     BackendCall(CallKind kind, const Base::AttemptKey &key, std::string_view method, const std::string &url, std::string body);
-    ~BackendCall();
+    ~BackendCall() = default;
     BackendCall(const BackendCall &) = delete;
     BackendCall &operator=(const BackendCall &) = delete;
 
@@ -44,38 +46,51 @@
 
     CURL *handle() const
     {
-        return handle_;
+        return handle_.get();
     }
 
-    long httpStatus() const;
+    /// Takes the result once the transfer has ended with \a code. The functions below are for calls that have ended.
+    void finish(CURLcode code);
 
-    /// Returns how a finished start call ended.
-    BackendTaskEnded taskEnded(CURLcode code) const;
+    bool isAnswered() const
+    {
+        return response_.outcome == HttpTransfer::Response::Outcome::Answered;
+    }
 
-    /// Returns the content of a finished status call, or Unreachable if it failed.
-    BackendStatus status(CURLcode code) const;
+    /// Returns the status of the response; 0 if there is none.
+    int httpStatus() const
+    {
+        return response_.status;
+    }
 
-    /// Returns true once the whole request may have reached the backend server.
-    bool isSent() const
+    HttpTransfer::SecondSending secondSending() const
     {
-        return bodyOffset_ == body_.size();
+        return response_.secondSending;
     }
 
+    /// Returns how a start call ended.
+    BackendTaskEnded taskEnded() const;
+
+    /// Returns the content of a status call, or Unreachable if it failed.
+    BackendStatus status() const;
+
 private:
-    static std::size_t readBody(char *to, std::size_t size, std::size_t count, void *self);
-    static std::size_t writeResponse(char *from, std::size_t size, std::size_t count, void *self);
+    struct HandleDeleter {
+        void operator()(CURL *handle) const;
+    };
+
+    bool appendResponse(std::string_view part);
     bool isLeaseOutdated() const;
     BackendOutcome parseOutcome(std::string &result) const;
 
     CallKind kind_;
     Base::AttemptKey key_;
-    std::string body_;
-    std::size_t bodyOffset_ = 0;
     Base::MonoTime orderedAt_; ///< Time of the order, from which a lease is counted
-    std::string response_;
+    std::string responseBody_;
     bool responseTooLarge_ = false;
-    CURL *handle_ = nullptr;
-    curl_slist *headers_ = nullptr;
+    std::unique_ptr<CURL, HandleDeleter> handle_;
+    HttpTransfer::Transfer transfer_;
+    HttpTransfer::Response response_;
 };
 
 } // namespace LaburnumFlow::Agent::Internal
--- a/src/libs/agent/backendclient.cpp
+++ b/src/libs/agent/backendclient.cpp
@@ -28,16 +28,18 @@
 constexpr int retryPollTimeoutMs = 20;
 constexpr Base::Duration stopRetryInterval = 50ms; ///< A stop that reaches the backend server before its start finds no task and is repeated
 constexpr int maxStopTries = 20;
-constexpr long firstHttpError = 300;
+constexpr int firstHttpError = 300;
 /// A start call that has not ended this long after its stop is aborted. Its lease has ended by then.
 constexpr Base::Duration stopTimeout = 12s;
 
 class BackendClient : public BackendServer
 {
 public:
-    BackendClient(const Base::Endpoint &backend, std::function<void(Event)> post)
+    BackendClient(const Base::Endpoint &backend, Base::CounterRegistry &counters, std::function<void(Event)> post)
         : baseUrl_("http://" + (backend.address.find(':') == std::string::npos ? backend.address : "[" + backend.address + "]") + ":"
                    + std::to_string(backend.port))
+        , secondSendingsSent_(counters.counter("backend.second-sending.sent"))
+        , secondSendingsPrevented_(counters.counter("backend.second-sending.prevented"))
         , postEvent_(std::move(post))
     {
         curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -182,18 +184,20 @@
         const auto found = calls_.find(handle);
         const CallPtr call = std::move(found->second);
         calls_.erase(found);
+        call->finish(code);
         curl_multi_remove_handle(multi_, handle);
+        countSecondSending(call->secondSending());
         switch (call->kind()) {
         case CallKind::Start:
             starts_.erase(call->key());
             stops_.erase(call->key());
-            postEvent_(call->taskEnded(code));
+            postEvent_(call->taskEnded());
             break;
         case CallKind::Status:
-            postEvent_(call->status(code));
+            postEvent_(call->status());
             break;
         case CallKind::Stop:
-            scheduleStopRetry(*call, code);
+            scheduleStopRetry(*call);
             break;
         case CallKind::Renew:
         case CallKind::Throttle:
@@ -202,10 +206,24 @@
         }
     }
 
-    void scheduleStopRetry(const BackendCall &call, CURLcode code)
+    void countSecondSending(HttpTransfer::SecondSending secondSending)
+    {
+        switch (secondSending) {
+        case HttpTransfer::SecondSending::None:
+            break;
+        case HttpTransfer::SecondSending::Prevented:
+            secondSendingsPrevented_.add();
+            break;
+        case HttpTransfer::SecondSending::Sent:
+            secondSendingsSent_.add();
+            break;
+        }
+    }
+
+    void scheduleStopRetry(const BackendCall &call)
     {
         const auto progress = stops_.find(call.key());
-        const bool done = code == CURLE_OK && call.httpStatus() < firstHttpError;
+        const bool done = call.isAnswered() && call.httpStatus() < firstHttpError;
         if (progress != stops_.end() && !done && progress->second.tries < maxStopTries) {
             progress->second.retryAt = Base::monoNow() + stopRetryInterval;
         }
@@ -229,6 +247,8 @@
     }
 
     std::string baseUrl_;
+    Base::Counter &secondSendingsSent_;
+    Base::Counter &secondSendingsPrevented_;
     std::function<void(Event)> postEvent_;
     CURLM *multi_ = nullptr;
     std::map<CURL *, CallPtr> calls_; ///< Like starts_ and stops_, used by the thread only
@@ -242,9 +262,9 @@
 
 } // namespace
 
-std::unique_ptr<BackendServer> makeBackendClient(const Base::Endpoint &backend, std::function<void(Event)> post)
+std::unique_ptr<BackendServer> makeBackendClient(const Base::Endpoint &backend, Base::CounterRegistry &counters, std::function<void(Event)> post)
 {
-    return std::make_unique<BackendClient>(backend, std::move(post));
+    return std::make_unique<BackendClient>(backend, counters, std::move(post));
 }
 
 } // namespace LaburnumFlow::Agent
--- a/src/libs/agent/backendclient.h
+++ b/src/libs/agent/backendclient.h
@@ -2,6 +2,8 @@
 
 #include "agentevents.h"
 
+#include "base/counters.h"
+
 #include <functional>
 #include <memory>
 
@@ -21,7 +23,8 @@
 };
 
 /// Returns a client that calls the backend server over HTTP, using libcurl on a thread of its own named "backend".
-/// The callback receives BackendTaskEnded and BackendStatus on that thread.
-std::unique_ptr<BackendServer> makeBackendClient(const Base::Endpoint &backend, std::function<void(Event)> post);
+/// The callback receives BackendTaskEnded and BackendStatus on that thread. Second sendings of calls whose connection breaks before the response are counted as
+/// "backend.second-sending.sent" and "backend.second-sending.prevented" in \a counters, which must outlive the client.
+std::unique_ptr<BackendServer> makeBackendClient(const Base::Endpoint &backend, Base::CounterRegistry &counters, std::function<void(Event)> post);
 
 } // namespace LaburnumFlow::Agent
--- a/src/libs/agentruntime/agentruntime.cpp
+++ b/src/libs/agentruntime/agentruntime.cpp
@@ -200,7 +200,7 @@
     d_->boundEndpoint = Runtime::withPort(d_->settings.listen, port);
     d_->started = true;
     d_->state = initialState(d_->agentConfig());
-    d_->backend = makeBackendClient(d_->settings.backend, [this](Event event) { d_->reducer.post(std::move(event)); });
+    d_->backend = makeBackendClient(d_->settings.backend, d_->counters, [this](Event event) { d_->reducer.post(std::move(event)); });
     d_->network.start();
     d_->reducer.start();
     return {};
--- a/tests/auto/agent/tst_backendclient.cpp
+++ b/tests/auto/agent/tst_backendclient.cpp
@@ -4,6 +4,8 @@
 #include "agent/backendcall.h"
 #include "agent/backendclient.h"
 
+#include "../resettingserver.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -26,6 +28,7 @@
 namespace {
 
 constexpr auto eventTimeout = 60s; ///< Generous, as no check depends on how long something takes
+constexpr auto counterCheckInterval = 1ms;
 
 BackendStart makeStart(const Base::AttemptKey &key, const std::string &payload, std::uint32_t leaseMs = 120'000)
 {
@@ -38,7 +41,7 @@
 class Client
 {
 public:
-    explicit Client(std::uint16_t port) : client_(makeBackendClient({"127.0.0.1", port}, [this](const Event &event) { post(event); })) { }
+    explicit Client(std::uint16_t port) : client_(makeBackendClient({"127.0.0.1", port}, counters_, [this](const Event &event) { post(event); })) { }
 
     ~Client()
     {
@@ -84,6 +87,16 @@
         return ended_.size();
     }
 
+    /// Returns how many second sendings were sent and how many were prevented, once there is one.
+    std::pair<std::uint64_t, std::uint64_t> waitForSecondSending()
+    {
+        const auto limit = std::chrono::steady_clock::now() + eventTimeout;
+        while (secondSendings() == std::pair<std::uint64_t, std::uint64_t>{0, 0} && std::chrono::steady_clock::now() < limit) {
+            std::this_thread::sleep_for(counterCheckInterval);
+        }
+        return secondSendings();
+    }
+
 private:
     void post(const Event &event)
     {
@@ -102,6 +115,13 @@
         CPPUNIT_ASSERT_MESSAGE("no matching event from the backend client within eventTimeout", changed_.wait_for(lock, eventTimeout, condition));
     }
 
+    std::pair<std::uint64_t, std::uint64_t> secondSendings() const
+    {
+        const auto values = counters_.snapshot();
+        return {values.at("backend.second-sending.sent"), values.at("backend.second-sending.prevented")};
+    }
+
+    Base::CounterRegistry counters_;
     std::mutex mutex_;
     std::condition_variable changed_;
     std::vector<BackendTaskEnded> ended_;
@@ -245,6 +265,7 @@
     CPPUNIT_TEST(killedServer);
     CPPUNIT_TEST(hungServer);
     CPPUNIT_TEST(noRepetition);
+    CPPUNIT_TEST(secondSendings);
     CPPUNIT_TEST(lateCall);
     CPPUNIT_TEST(gracefulEnd);
     CPPUNIT_TEST_SUITE_END();
@@ -393,6 +414,41 @@
         client->start(makeStart(makeAttemptKey(2), "2"));
         expectEnd(client, makeAttemptKey(2), BackendOutcome::Lost);
         CPPUNIT_ASSERT_EQUAL(2, server.requests());
+        CPPUNIT_ASSERT(client.waitForSecondSending() == std::pair(std::uint64_t{0}, std::uint64_t{1}));
+    }
+
+    /// Guards against a second sending of a call that is not idempotent, against one that a broken connection ends though it may be sent again, and against second
+    /// sendings that nobody counts.
+    void secondSendings()
+    {
+        const struct {
+            std::string name;
+            std::function<void(BackendServer &)> call;
+            bool sentAgain;
+        } cases[] = {
+            {"status", [](BackendServer &backend) { backend.queryStatus(); }, true},
+            {"stop", [](BackendServer &backend) { backend.stop({makeAttemptKey(1)}); }, true},
+            {"renew",
+             [](BackendServer &backend) {
+                 backend.renew({makeAttemptKey(1), 2000});
+             },
+             false},
+            {"throttle",
+             [](BackendServer &backend) {
+                 backend.throttle({makeAttemptKey(1), 0.5});
+             },
+             false},
+            {"checkpoint", [](BackendServer &backend) { backend.checkpoint({makeAttemptKey(1)}); }, false},
+        };
+        for (const auto &row : cases) {
+            const Testing::ResettingServer server(Testing::AnswerCalls{});
+            Client client(server.port());
+            client.status();
+            row.call(*client.operator->());
+            const std::pair<std::uint64_t, std::uint64_t> expected(row.sentAgain ? 1 : 0, row.sentAgain ? 0 : 1);
+            CPPUNIT_ASSERT_MESSAGE(row.name, client.waitForSecondSending() == expected);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::size_t{row.sentAgain ? 3U : 2U}, server.calls().size());
+        }
     }
 
     /// Guards against a start that is sent late, after the agent's process was suspended or had waited for a connection, when its owner already counts its
@@ -404,8 +460,8 @@
         const std::string url = "http://127.0.0.1:" + std::to_string(server.process.port()) + "/tasks/late";
         Internal::BackendCall call(Internal::CallKind::Start, makeAttemptKey(1), "PUT", url, R"({"kind":"fold-preview","payload":{"runMs":5},"leaseMs":2000})");
         std::this_thread::sleep_for(Protocol::leaseMargin);
-        const CURLcode code = curl_easy_perform(call.handle());
-        CPPUNIT_ASSERT_EQUAL(outcomeName(BackendOutcome::NotStarted), outcomeName(call.taskEnded(code).outcome));
+        call.finish(curl_easy_perform(call.handle()));
+        CPPUNIT_ASSERT_EQUAL(outcomeName(BackendOutcome::NotStarted), outcomeName(call.taskEnded().outcome));
         client.status();
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.recordCount("start"));
     }
