Store: the client of etcd goes through HttpTransfer::Transfer

libcurl rewinds a body of CURLOPT_POSTFIELDS by itself, so whether a call of the store was sent twice depended on the kind of connection that it was given, and nothing counted.

HttpCaller uses Transfer. Its callers say whether a call is idempotent: range and watch are, the transaction of a compare-and-swap isn't. compareAndSwap() keeps a connection of its own: on an idle one that the store has just closed it would be lost, which MapWorker answers with a read-back and, if the old map stands, with an undecided write, and SettingsService with a read and a resend; a handshake per write costs less, as writes are changes of the map and of settings only. With that the store's calls have no second sending to prevent, since libcurl begins one on reused connections only; so there is store.second-sending.sent and no counter of prevented ones.

Before (the new tests on the former client): readsAreSentAgain fails, as there is no such counter; writesUseNoIdleConnection passes, and fails with the connection of its own taken away ("Expected: 1, Actual: 2" calls on the idle connection). After: store.platformstore 21, settingsservice 8, callbudget 2, storecodec 8, entry.storeworkers 4 passed, none failed.

--- a/src/libs/store/etcdstore.cpp
+++ b/src/libs/store/etcdstore.cpp
@@ -32,14 +32,16 @@
 } // namespace
 
 EtcdStore::EtcdStore(const Settings::EtcdStoreSettings &settings, Base::CounterRegistry &counters)
-    : caller_(settings.endpoint), callTimeout_(std::chrono::milliseconds(settings.callDeadlineMs)), staleResponses_(counters.counter("store.stale"))
+    : caller_(settings.endpoint, counters.counter("store.second-sending.sent"))
+    , callTimeout_(std::chrono::milliseconds(settings.callDeadlineMs))
+    , staleResponses_(counters.counter("store.stale"))
 {
 }
 
 boost::leaf::result<RangeResult> EtcdStore::range(std::string_view prefix, Base::Duration deadline)
 {
     const std::int64_t minRevision = newestRevisionSeen_.load();
-    BOOST_LEAF_AUTO(body, call("/v3/kv/range", Internal::rangeRequest(prefix), deadline, Internal::Connection::Reused));
+    BOOST_LEAF_AUTO(body, call("/v3/kv/range", Internal::rangeRequest(prefix), deadline, Internal::Idempotent::Yes));
     auto response = Internal::parseRangeResponse(body);
     if (!response) {
         return boost::leaf::new_error(malformedResponse(body));
@@ -56,11 +58,10 @@
     if (value.size() > maxValueBytes) {
         return boost::leaf::new_error(ValueTooLarge{value.size()});
     }
-    // On a reused connection libcurl resends a request whose response was lost. The second write would then report a
-    // conflict with the first.
+    // A second sending would report a conflict with the first.
     const std::int64_t minRevision = newestRevisionSeen_.load();
     const std::string request = Internal::swapRequest(key, value, expectedModRevision);
-    BOOST_LEAF_AUTO(body, call("/v3/kv/txn", request, deadline, Internal::Connection::New));
+    BOOST_LEAF_AUTO(body, call("/v3/kv/txn", request, deadline, Internal::Idempotent::No));
     auto response = Internal::parseSwapResponse(body);
     if (!response) {
         return boost::leaf::new_error(malformedResponse(body));
@@ -110,9 +111,9 @@
     return boost::leaf::new_error(StoreUnavailable{created ? "the store closed the watch" : "the store did not confirm the watch before the deadline"});
 }
 
-boost::leaf::result<std::string> EtcdStore::call(const char *path, const std::string &request, Base::Duration deadline, Internal::Connection connection)
+boost::leaf::result<std::string> EtcdStore::call(const char *path, const std::string &request, Base::Duration deadline, Internal::Idempotent idempotent)
 {
-    BOOST_LEAF_AUTO(response, caller_.post(path, request, std::min(deadline, callTimeout_), connection));
+    BOOST_LEAF_AUTO(response, caller_.post(path, request, std::min(deadline, callTimeout_), idempotent));
     if (auto checked = checkStatus(response.status, response.body); !checked) {
         return checked.error();
     }
--- a/src/libs/store/httpcaller.cpp
+++ b/src/libs/store/httpcaller.cpp
@@ -1,8 +1,10 @@
 #include "httpcaller.h"
 
+#include "httptransfer/transfer.h"
+
 #include <curl/curl.h>
 
-#include <algorithm>
+#include <chrono>
 
 namespace LaburnumFlow::Store::Internal {
 
@@ -13,24 +15,7 @@
 /// Holds the settings of 48 teams of 1 MB each in base64 (64 MB), doubled as a reserve.
 constexpr std::size_t maxResponseBytes = 128UL * 1024UL * 1024UL;
 
-struct HeaderList {
-    HeaderList()
-    {
-        list = curl_slist_append(nullptr, "Content-Type: application/json");
-        // An empty Expect header: otherwise libcurl delays larger bodies for up to a second to wait for "100 Continue".
-        list = curl_slist_append(list, "Expect:");
-    }
-
-    ~HeaderList()
-    {
-        curl_slist_free_all(list);
-    }
-
-    HeaderList(const HeaderList &) = delete;
-    HeaderList &operator=(const HeaderList &) = delete;
-
-    curl_slist *list = nullptr;
-};
+constexpr int httpOk = 200;
 
 void initializeCurl()
 {
@@ -54,24 +39,21 @@
     CURL *curl;
 };
 
-/// State of one call, filled by libcurl's write callback.
+/// State of one call, filled while the response arrives.
 struct HttpCaller::Call {
-    CURL *curl = nullptr;
     const LineSink *sink = nullptr; ///< Null collects the whole body
     std::string body;
     int status = 0;
     bool endedBySink = false;
 
-    bool receive(std::string_view data)
+    bool receive(std::string_view data, int responseStatus)
     {
-        long code = 0;
-        curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &code);
-        status = static_cast<int>(code);
+        status = responseStatus;
         if (body.size() + data.size() > maxResponseBytes) {
             return false;
         }
         body.append(data);
-        return sink == nullptr || code != 200 || deliverLines();
+        return sink == nullptr || status != httpOk || deliverLines();
     }
 
     bool deliverLines()
@@ -87,14 +69,10 @@
         body.erase(0, start);
         return true;
     }
-
-    static std::size_t write(char *data, std::size_t size, std::size_t count, void *call)
-    {
-        return static_cast<Call *>(call)->receive({data, size * count}) ? size * count : 0;
-    }
 };
 
-HttpCaller::HttpCaller(const Base::Endpoint &server) : server_("http://" + server.address + ":" + std::to_string(server.port))
+HttpCaller::HttpCaller(const Base::Endpoint &server, Base::Counter &secondSendings)
+    : server_("http://" + server.address + ":" + std::to_string(server.port)), secondSendings_(secondSendings)
 {
     initializeCurl();
 }
@@ -114,51 +92,40 @@
 
 void HttpCaller::release(std::unique_ptr<Handle> handle)
 {
+    curl_easy_reset(handle->curl);
     const std::lock_guard lock(mutex_);
     if (idle_.size() < maxIdleHandles) {
         idle_.push_back(std::move(handle));
     }
 }
 
-int HttpCaller::perform(Call &call, const char *path, const std::string &body, Base::Duration deadline, Connection connection)
+int HttpCaller::perform(Call &call, const char *path, const std::string &body, Base::Duration deadline, Idempotent idempotent)
 {
-    const long timeoutMs = static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(deadline).count());
-    std::unique_ptr<Handle> handle = timeoutMs > 0 ? acquire() : nullptr;
-    if (handle == nullptr) {
+    if (deadline < std::chrono::milliseconds(1)) {
         return CURLE_OPERATION_TIMEDOUT;
     }
-    const HeaderList headers;
-    const std::string url = server_ + path;
+    std::unique_ptr<Handle> handle = acquire();
     CURL *curl = handle->curl;
-    call.curl = curl;
-    curl_easy_reset(curl);
-    curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
-    curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers.list);
-    curl_easy_setopt(curl, CURLOPT_POST, 1L);
-    curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body.data());
-    curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body.size()));
-    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &Call::write);
-    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &call);
-    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, timeoutMs);
-    curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-    // Disables the proxies of the environment, as the store is reached directly.
-    curl_easy_setopt(curl, CURLOPT_PROXY, "");
-    curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, connection == Connection::New ? 1L : 0L);
+    HttpTransfer::Transfer transfer(curl, {"POST", server_ + path, body, {}, deadline, idempotent == Idempotent::Yes});
+    transfer.setBodySink([&](std::string_view data) { return call.receive(data, transfer.status()); });
+    curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, idempotent == Idempotent::No ? 1L : 0L);
     const CURLcode code = curl_easy_perform(curl);
+    const HttpTransfer::Response response = transfer.takeResponse(code);
+    if (response.secondSending == HttpTransfer::SecondSending::Sent) {
+        secondSendings_.add();
+    }
     if (code == CURLE_OK) {
-        long status = 0;
-        curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
-        call.status = static_cast<int>(status);
+        call.status = response.status;
         // After an error the handle is destroyed with its connections, as a connection that went silent stays silent.
         release(std::move(handle));
     }
     return code;
 }
 
-boost::leaf::result<HttpResponse> HttpCaller::post(const char *path, const std::string &body, Base::Duration deadline, Connection connection)
+boost::leaf::result<HttpResponse> HttpCaller::post(const char *path, const std::string &body, Base::Duration deadline, Idempotent idempotent)
 {
     Call call;
-    const int code = perform(call, path, body, deadline, connection);
+    const int code = perform(call, path, body, deadline, idempotent);
     if (code != CURLE_OK) {
         return boost::leaf::new_error(StoreUnavailable{curl_easy_strerror(static_cast<CURLcode>(code))});
     }
@@ -169,7 +136,7 @@
 {
     Call call;
     call.sink = &sink;
-    const int code = perform(call, path, body, deadline, Connection::Reused);
+    const int code = perform(call, path, body, deadline, Idempotent::Yes);
     if (call.endedBySink) {
         return StreamResponse{StreamEnd::BySink, call.status, {}};
     }
--- a/src/libs/store/httpcaller.h
+++ b/src/libs/store/httpcaller.h
@@ -2,6 +2,8 @@
 
 #include "platformstore.h"
 
+#include "base/counters.h"
+
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -16,9 +18,9 @@
     std::string body;
 };
 
-enum class Connection {
-    Reused, ///< May use an idle connection; libcurl resends the request if the server has closed it
-    New, ///< Opens a connection, on which the request is sent at most once
+enum class Idempotent {
+    No, ///< Sent at most once, on a connection of its own: an idle one that the server has just closed would leave the outcome unknown
+    Yes, ///< May use an idle connection, and is sent again if that breaks before the response
 };
 
 /// Why a streamed response ended.
@@ -36,18 +38,20 @@
 
 /// Posts JSON to one HTTP server and keeps a small pool of libcurl handles. Thread-safe. Calls fail with StoreUnavailable
 /// if the connection breaks; post() also does when the deadline passes.
+/// No second sending is ever prevented, since libcurl begins one on reused connections only.
 class HttpCaller
 {
 public:
     /// Receives one line without its line feed. Returns false to end the call.
     using LineSink = std::function<bool(std::string_view line)>;
 
-    explicit HttpCaller(const Base::Endpoint &server);
+    /// secondSendings: counts the calls that were sent again.
+    HttpCaller(const Base::Endpoint &server, Base::Counter &secondSendings);
     ~HttpCaller();
     HttpCaller(const HttpCaller &) = delete;
     HttpCaller &operator=(const HttpCaller &) = delete;
 
-    boost::leaf::result<HttpResponse> post(const char *path, const std::string &body, Base::Duration deadline, Connection connection);
+    boost::leaf::result<HttpResponse> post(const char *path, const std::string &body, Base::Duration deadline, Idempotent idempotent);
 
     /// Calls the sink with each line of a response with status 200 as it arrives.
     boost::leaf::result<StreamResponse> stream(const char *path, const std::string &body, Base::Duration deadline, const LineSink &sink);
@@ -59,9 +63,10 @@
     std::unique_ptr<Handle> acquire();
     void release(std::unique_ptr<Handle> handle);
     /// Returns the CURLcode. The handle goes back to the pool only after success.
-    int perform(Call &call, const char *path, const std::string &body, Base::Duration deadline, Connection connection);
+    int perform(Call &call, const char *path, const std::string &body, Base::Duration deadline, Idempotent idempotent);
 
     std::string server_;
+    Base::Counter &secondSendings_;
     std::mutex mutex_;
     std::vector<std::unique_ptr<Handle>> idle_;
 };
--- a/tests/auto/store/storeprocess.cpp
+++ b/tests/auto/store/storeprocess.cpp
@@ -62,7 +62,7 @@
     close(output[1]);
     port_ = readPort(output[0]);
     close(output[0]);
-    caller_ = std::make_unique<Internal::HttpCaller>(settings().endpoint);
+    caller_ = std::make_unique<Internal::HttpCaller>(settings().endpoint, secondSendings_);
 }
 
 StoreProcess::~StoreProcess()
@@ -78,7 +78,7 @@
 
 std::string StoreProcess::post(const char *path, const std::string &json)
 {
-    const auto response = caller_->post(path, json, timeout, Internal::Connection::Reused);
+    const auto response = caller_->post(path, json, timeout, Internal::Idempotent::Yes);
     CPPUNIT_ASSERT_MESSAGE(json, response && response->status == 200);
     return response->body;
 }
--- a/tests/auto/store/storeprocess.h
+++ b/tests/auto/store/storeprocess.h
@@ -37,6 +37,7 @@
 
     pid_t child_ = -1;
     std::uint16_t port_ = 0;
+    Base::Counter secondSendings_;
     std::unique_ptr<Internal::HttpCaller> caller_;
 };
 
--- a/tests/auto/store/tst_platformstore.cpp
+++ b/tests/auto/store/tst_platformstore.cpp
@@ -6,9 +6,12 @@
 #include "storeoutcome.h"
 #include "storeprocess.h"
 
+#include "../resettingserver.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
+#include <functional>
 #include <future>
 #include <memory>
 #include <thread>
@@ -205,6 +208,8 @@
     CPPUNIT_TEST_SUB_SUITE(TestEtcdStore, StoreContract);
     CPPUNIT_TEST(faults);
     CPPUNIT_TEST(answerLostAfterEffect);
+    CPPUNIT_TEST(readsAreSentAgain);
+    CPPUNIT_TEST(writesUseNoIdleConnection);
     CPPUNIT_TEST(refusesStaleAnswers);
     CPPUNIT_TEST(silentWatch);
     CPPUNIT_TEST(watchEndsWithTheStore);
@@ -262,6 +267,42 @@
         CPPUNIT_ASSERT_EQUAL(std::string("2"), all("/l").at(0).value);
     }
 
+    /// Guards against reads that fail whenever the store resets an idle connection, and against second sendings that nobody counts.
+    void readsAreSentAgain()
+    {
+        const Testing::AnswerCalls found{200, R"({"header":{"revision":"7"}})"};
+        const struct {
+            std::string name;
+            std::function<std::string(EtcdStore &)> call;
+            std::string outcome;
+        } cases[] = {
+            {"range", [](EtcdStore &store) { return callOutcome([&] { return store.range("/r", generous); }); }, "ok"},
+            // The answer is none to a watch.
+            {"watch", [](EtcdStore &store) { return callOutcome([&] { return store.watch("/r", 1, generous); }); }, "StoreUnavailable"},
+        };
+        for (const auto &row : cases) {
+            const Testing::ResettingServer server(found);
+            Base::CounterRegistry counters;
+            EtcdStore store(settingsOf(server), counters);
+            callOutcome([&] { return store.range("/r", generous); });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.outcome, row.call(store));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::size_t{3}, server.calls().size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::uint64_t{1}, counters.snapshot().at("store.second-sending.sent"));
+        }
+    }
+
+    /// Guards against a write on an idle connection: if the store closes it at that time, the write's outcome is unknown.
+    void writesUseNoIdleConnection()
+    {
+        const Testing::ResettingServer server(Testing::AnswerCalls{});
+        Base::CounterRegistry counters;
+        EtcdStore store(settingsOf(server), counters);
+        callOutcome([&] { return store.range("/r", generous); });
+        // The server accepts no other connection while the first one is open.
+        CPPUNIT_ASSERT_EQUAL(std::string("StoreUnavailable"), callOutcome([&] { return store.compareAndSwap("/r", "1", 0, 100ms); }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.calls().size());
+    }
+
     /// Guards against an entry that confirms its authority with an older state of the partition map.
     void refusesStaleAnswers()
     {
@@ -316,6 +357,13 @@
         return store_;
     }
 
+    Settings::EtcdStoreSettings settingsOf(const Testing::ResettingServer &server) const
+    {
+        Settings::EtcdStoreSettings settings = process_.settings();
+        settings.endpoint.port = server.port();
+        return settings;
+    }
+
     StoreProcess process_;
     Base::CounterRegistry counters_;
     EtcdStore store_{process_.settings(), counters_};
