Don't take the owner's own resignation for a commit of its changes

Callers would see a second run of a task whose end was acknowledged, an accepted job that no later owner knows, or a cancelled one that runs on. An entry that stops resigns: it writes an owner record without an owner under its epoch and the next sequence number, and stays the owner until the response. Ends that arrive meanwhile begin a commit under the same sequence number. If the store has executed the resignation, the commit conflicts with it, and the recorder took a conflict with a record of its epoch and sequence for an earlier try of the commit: callers were answered and workers acknowledged although nothing was stored. That needs a resignation whose response is lost or overtaken.

The store's record is the commit's only if it is the same record. An owner that sees any other one has lost the ownership.

--- a/src/libs/jobs/recorder.cpp
+++ b/src/libs/jobs/recorder.cpp
@@ -152,7 +152,8 @@
     sent_ = false;
     const auto *committed = std::get_if<Committed>(&result);
     const auto *conflict = std::get_if<CommitConflict>(&result);
-    if (conflict != nullptr && (!conflict->current || conflict->current->epoch != owner_.epoch || conflict->current->sequence != owner_.sequence)) {
+    // An entry that stops resigns under this epoch and, while a commit is on its way, under the same sequence number.
+    if (conflict != nullptr && conflict->current != owner_) {
         return Verdict::OwnershipLost;
     }
     mayBeRecorded_ |= std::holds_alternative<CommitUnknown>(result);
--- a/tests/auto/jobs/tst_recorder.cpp
+++ b/tests/auto/jobs/tst_recorder.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(repeatsUnknownCommitUnchanged);
     CPPUNIT_TEST(recognizesOwnLateCommit);
     CPPUNIT_TEST(anotherOwnerEndsTheOwnership);
+    CPPUNIT_TEST(ownResignationIsNotTheCommit);
     CPPUNIT_TEST(keyIsRemovedLater);
     CPPUNIT_TEST(keyStaysWhileAJobNeedsIt);
     CPPUNIT_TEST(keyStaysIfItIsUsedAgain);
@@ -125,6 +126,19 @@
         CPPUNIT_ASSERT(recorder.takeRecorded().empty());
     }
 
+    /// Guards against changes that count as stored although the store holds this owner's resignation in place of their commit: callers get answers and workers
+    /// acknowledgements for them, and the next owner starts the tasks again.
+    void ownResignationIsNotTheCommit()
+    {
+        Recorder recorder = makeRecorder();
+        // An entry that stops resigns under the next sequence number while the owner goes on until the response.
+        const OwnerRecord resigned{recorder.owner().epoch, recorder.owner().sequence + 1, {}, 0, {}};
+        recorder.add(finishJob(1));
+        recorder.next(1s, wall);
+        CPPUNIT_ASSERT(recorder.finish(CommitConflict{resigned, 8}, 1s) == Recorder::Verdict::OwnershipLost);
+        CPPUNIT_ASSERT(recorder.takeRecorded().empty());
+    }
+
     /// Guards against a transaction that writes and removes the same key, which the store refuses each time it is repeated.
     void keyIsRemovedLater()
     {
