Don't call a request refused because an earlier one on its handle was

Callers would see two runs of a task: "refused" means that no process listens at the worker's address, so an agent whose worker is leaving reports all its runs as ended. libcurl keeps the error number of a handle's former request, also over curl_easy_reset(). A request for which no socket can be opened, as the process has no file descriptors left, fails with the same result code as a refused connection, and the number of an earlier refusal made it one.

Only a request with a socket can be refused.

--- a/src/libs/httptransfer/transfer.cpp
+++ b/src/libs/httptransfer/transfer.cpp
@@ -55,7 +55,8 @@
 {
     Response response;
     response.outcome = outcomeOf(code);
-    response.refused = response.outcome == Response::Outcome::NotSent && isConnectionRefused(handle_, code);
+    // Without a socket, libcurl still names the error of an earlier request on this handle.
+    response.refused = response.outcome == Response::Outcome::NotSent && socketOpened_ && isConnectionRefused(handle_, code);
     response.secondSending = secondSending_;
     if (response.outcome == Response::Outcome::Answered) {
         response.status = status();
@@ -116,10 +117,14 @@
 /// libcurl calls this for each new connection.
 curl_socket_t Transfer::openSocket(void *self, curlsocktype /*purpose*/, curl_sockaddr *address)
 {
-    if (!static_cast<Transfer *>(self)->mayUseConnection()) {
+    auto *transfer = static_cast<Transfer *>(self);
+    transfer->socketOpened_ = false;
+    if (!transfer->mayUseConnection()) {
         return CURL_SOCKET_BAD;
     }
-    return ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    const int fd = ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    transfer->socketOpened_ = fd >= 0;
+    return fd;
 }
 
 /// libcurl calls this when a connection, new or reused, is there for the request, before it sends anything.
--- a/src/libs/httptransfer/transfer.h
+++ b/src/libs/httptransfer/transfer.h
@@ -72,6 +72,7 @@
     std::string responseBody_;
     std::size_t bodyOffset_ = 0; ///< bytes of the request's body that libcurl has taken for the current sending
     std::size_t sendings_ = 0; ///< on connections that were made
+    bool socketOpened_ = false; ///< at the latest try to connect
     bool wholeRequestTaken_ = false; ///< by libcurl for one of the sendings, so that the server may have received it
     SecondSending secondSending_ = SecondSending::None;
 };
--- a/tests/auto/httpio/tst_exchange.cpp
+++ b/tests/auto/httpio/tst_exchange.cpp
@@ -6,6 +6,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <string>
 #include <vector>
@@ -57,6 +61,38 @@
     HttpClient client;
 };
 
+/// Takes all file descriptors that the process may still open.
+class NoDescriptors
+{
+public:
+    NoDescriptors()
+    {
+        ::getrlimit(RLIMIT_NOFILE, &former_);
+        const rlimit lower{std::min<rlim_t>(former_.rlim_cur, maxDescriptors), former_.rlim_max};
+        ::setrlimit(RLIMIT_NOFILE, &lower);
+        for (int fd = ::open("/dev/null", O_RDONLY | O_CLOEXEC); fd >= 0; fd = ::open("/dev/null", O_RDONLY | O_CLOEXEC)) {
+            taken_.push_back(fd);
+        }
+    }
+
+    ~NoDescriptors()
+    {
+        for (const int fd : taken_) {
+            ::close(fd);
+        }
+        ::setrlimit(RLIMIT_NOFILE, &former_);
+    }
+
+    NoDescriptors(const NoDescriptors &) = delete;
+    NoDescriptors &operator=(const NoDescriptors &) = delete;
+
+private:
+    static constexpr rlim_t maxDescriptors = 256;
+
+    rlimit former_{};
+    std::vector<int> taken_;
+};
+
 } // namespace
 
 class TestExchange : public CppUnit::TestFixture
@@ -67,6 +103,7 @@
     CPPUNIT_TEST(refusesLargeBodies);
     CPPUNIT_TEST(tellsWhatWasNotSent);
     CPPUNIT_TEST(requestThatNeverLeftIsNotRefused);
+    CPPUNIT_TEST(requestWithoutASocketIsNotRefused);
     CPPUNIT_TEST(timedOutRequestIsUnknown);
     CPPUNIT_TEST(asksToCloseConnections);
     CPPUNIT_TEST_SUITE_END();
@@ -145,6 +182,19 @@
         CPPUNIT_ASSERT(std::none_of(responses.begin(), responses.end(), [](const auto &response) { return response.refused; }));
     }
 
+    /// Guards against "no process listens there" because an earlier request was refused.
+    void requestWithoutASocketIsNotRefused()
+    {
+        Exchange exchange([](const ServerRequest & /*request*/) {});
+        ClientRequest refused = exchange.request("GET", "/");
+        refused.url = "http://127.0.0.1:" + std::to_string(Testing::freePort()) + "/";
+        CPPUNIT_ASSERT(exchange.send({refused})[0].refused);
+        const NoDescriptors none;
+        const ClientResponse response = exchange.send({exchange.request("GET", "/")})[0];
+        CPPUNIT_ASSERT(response.outcome == Outcome::NotSent);
+        CPPUNIT_ASSERT(!response.refused);
+    }
+
     /// Guards against "not carried out" for a request whose answer is lost.
     void timedOutRequestIsUnknown()
     {
