--- a/src/app/laburnumnode/entrystore.cpp
+++ b/src/app/laburnumnode/entrystore.cpp
@@ -13,12 +13,14 @@
 {
     request.timeout = timeout.value_or(storeTimeout_.current());
     const Base::MonoTime startedAt = Base::monoNow();
-    storeCalls_.send(std::move(request), [this, name, startedAt, handle = std::move(handle)](const HttpIo::ClientResponse &response) {
-        metrics_.observeCall(name, callOutcome(response), Base::monoNow() - startedAt);
+    const Base::Duration allowed = request.timeout;
+    storeCalls_.send(std::move(request), [this, name, startedAt, allowed, handle = std::move(handle)](const HttpIo::ClientResponse &response) {
+        const Base::Duration waited = Base::monoNow() - startedAt;
+        recordCall(name, response, waited);
         if (response.outcome == HttpIo::ClientResponse::Outcome::Answered) {
-            storeTimeout_.handleResponse(Base::monoNow() - startedAt);
+            storeTimeout_.handleResponse(waited);
         } else {
-            storeTimeout_.handleTimeout();
+            storeTimeout_.handleNoResponse(waited, allowed);
         }
         watchStore(name, response);
         handle(response);
@@ -100,19 +102,20 @@
 void EntryProcess::carryOut(EntryNode::LoadJobs & /*load*/)
 {
     loadedJobs_ = {};
+    ++loads_;
     loadPage(std::string(Jobs::jobPrefix), {});
 }
 
 void EntryProcess::loadPage(std::string prefix, const std::string &after)
 {
     HttpIo::ClientRequest request = Platform::rangeRequest(storeAddress_, prefix, after, false);
-    callStore("load-jobs", std::move(request), jobsPageTimeout, [this, prefix = std::move(prefix)](const HttpIo::ClientResponse &response) {
-        if (ownership_.mode != EntryNode::OwnershipState::Mode::Loading) {
+    callStore("load-jobs", std::move(request), jobsPageTimeout, [this, prefix = std::move(prefix), load = loads_](const HttpIo::ClientResponse &response) {
+        if (!isLoading(load)) {
             return;
         }
         const auto page = Platform::parsePageResponse(response);
         if (!page) {
-            loop_.callAfter(std::chrono::milliseconds(50), [this] { feedOwnership(EntryNode::JobsLoaded{false}); });
+            loop_.callAfter(jobsReadRetryDelay, [this, load] { retryLoad(load); });
             return;
         }
         for (const Platform::StoreItem &item : page->items) {
@@ -134,6 +137,19 @@
     });
 }
 
+/// Returns whether this is the load in progress. The ownership may have been lost and gained again since an earlier one.
+bool EntryProcess::isLoading(std::uint64_t load) const
+{
+    return load == loads_ && ownership_.mode == EntryNode::OwnershipState::Mode::Loading;
+}
+
+void EntryProcess::retryLoad(std::uint64_t load)
+{
+    if (isLoading(load)) {
+        feedOwnership(EntryNode::JobsLoaded{false});
+    }
+}
+
 void EntryProcess::readRules()
 {
     callStore("read-rules", Platform::itemRequest(storeAddress_, Platform::rulesKey), std::nullopt, [this](const HttpIo::ClientResponse &response) {
