--- a/tests/auto/entrynode/ownerchangemodel.h
+++ b/tests/auto/entrynode/ownerchangemodel.h
@@ -205,6 +205,7 @@
     }
     void feedAgent(NodeIndex index, const TaskAgent::AgentEvent &event);
     void postToAgent(Base::Duration delay, NodeIndex index, TaskAgent::AgentEvent event);
+    void postToAgentProcess(Base::Duration delay, NodeIndex index, Action action);
     void carryOut(NodeIndex index, const TaskAgent::AgentEffect &effect);
     void sendReport(NodeIndex index, const TaskAgent::SendReport &effect);
     void restartAgent(NodeIndex index);
@@ -213,6 +214,7 @@
     void releaseHeldByAgent(NodeIndex index, std::uint64_t incarnation);
 
     // Calls to workers.
+    static TaskAgent::HoldAnswered unanswered(const TaskAgent::CallHold &call);
     bool isCallLate();
     void callStart(NodeIndex index, const TaskAgent::CallStart &call);
     void callStop(NodeIndex index, const TaskAgent::CallStop &call);
