tests: the model of owner changes plays lost answers and second sendings

What callers would see: two runs of a task at the same time, when a client of workers takes the answer to a second sending for the answer to the only one. The model sent no call twice, so it could not show this.

New settings, all off by default: calls whose connection is reset after the worker executed them, of which the agent learns within milliseconds (lostAnswerShare); workers that refuse a share of their calls (refusedCallShare) or refuse connections while they restart (longestWorkerDownTime); and, as a planted fault, calls that are sent again after such a reset and answered by what the worker then says (secondSendingShare, unreachableAgainShare). A second sending waits while its agent stands still, and hold calls that a restart of the worker interrupts are sent again too. fenceRefusalsUnanswered takes a start that is refused by its fence for unanswered, as platform/workerdialect.cpp does.

--- a/tests/auto/entrynode/modelplays.cpp
+++ b/tests/auto/entrynode/modelplays.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::size_t minTakeoversPerSeed = 2;
 constexpr std::size_t minStartsPerSeed = 20;
+constexpr std::size_t minLostAnswersPerSeed = 20; ///< If answers are lost.
 
 std::uint64_t environmentNumber(const char *name, std::uint64_t fallback)
 {
@@ -29,11 +30,13 @@
     std::size_t failed = 0;
     std::size_t takeovers = 0;
     std::size_t starts = 0;
+    std::size_t lostAnswers = 0;
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
         OwnerChangeModel model(seed, options);
         model.run(time);
         takeovers += model.takeovers();
         starts += model.starts();
+        lostAnswers += model.lostAnswers();
         const std::string &violations = rules == CheckedRules::All ? model.violations() : model.endViolations();
         if (!violations.empty()) {
             ++failed;
@@ -44,6 +47,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), failed);
     CPPUNIT_ASSERT_GREATEREQUAL(count * minTakeoversPerSeed, takeovers);
     CPPUNIT_ASSERT_GREATEREQUAL(count * minStartsPerSeed, starts);
+    if (options.lostAnswerShare > 0 || options.secondSendingShare > 0) {
+        std::cerr << " lost answers " << lostAnswers << '\n';
+        CPPUNIT_ASSERT_GREATEREQUAL(count * minLostAnswersPerSeed, lostAnswers);
+    }
+}
+
+std::size_t countFailedSeeds(const ModelOptions &options, std::uint64_t seeds, Base::Duration time)
+{
+    std::size_t failed = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        OwnerChangeModel model(seed, options);
+        model.run(time);
+        failed += model.violations().empty() ? 0 : 1;
+    }
+    return failed;
 }
 
 } // namespace LaburnumFlow::EntryNode::Testing
--- a/tests/auto/entrynode/modelplays.h
+++ b/tests/auto/entrynode/modelplays.h
@@ -19,4 +19,7 @@
 /// printed.
 void checkSeeds(const ModelOptions &options, std::uint64_t seeds, Base::Duration time, CheckedRules rules = CheckedRules::All);
 
+/// Plays the model with each of the given number of seeds from 1. Returns the number of those that violate a rule.
+std::size_t countFailedSeeds(const ModelOptions &options, std::uint64_t seeds, Base::Duration time);
+
 } // namespace LaburnumFlow::EntryNode::Testing
--- a/tests/auto/entrynode/ownerchangeagents.cpp
+++ b/tests/auto/entrynode/ownerchangeagents.cpp
@@ -102,12 +102,17 @@
     Agent &agent = agentAt(index);
     expireWorkers();
     note(agent.name + "'s worker is killed and starts again");
-    const std::int64_t startTimeMs = ModelWorker::firstStartTimeMs + std::chrono::duration_cast<std::chrono::milliseconds>(now_).count();
-    agent.worker = ModelWorker(startTimeMs, now_);
+    agent.workerDownUntil = now_ + (options_.longestWorkerDownTime > 0ms ? randomTime(0ms, options_.longestWorkerDownTime) : 0ms);
+    const auto startedAt = std::chrono::duration_cast<std::chrono::milliseconds>(agent.workerDownUntil);
+    agent.worker = ModelWorker(ModelWorker::firstStartTimeMs + startedAt.count(), agent.workerDownUntil);
     agent.heartbeats = 0;
     // The connections of pending calls are reset.
     for (const auto &[number, call] : std::exchange(agent.pendingHolds, {})) {
-        postToAgent(randomTime(1ms, 6ms), index, unanswered(call));
+        if (isSentTwice()) {
+            sendHoldAgain(index, call, randomTime(1ms, 6ms));
+        } else {
+            postToAgent(randomTime(1ms, 6ms), index, unanswered(call));
+        }
     }
 }
 
@@ -157,7 +162,9 @@
     TaskAgent::WorkerHeartbeat heartbeat;
     heartbeat.worker = {"worker-" + agent.name, agent.worker.startTimeMs(), "service", "domain", "a", "rack", {}, {8000, 65'536, 0}, false};
     heartbeat.sequence = ++agent.heartbeats;
-    deliverToAgent(index, [this, index, heartbeat] { feedAgent(index, heartbeat); });
+    if (!isWorkerDown(index)) {
+        deliverToAgent(index, [this, index, heartbeat] { feedAgent(index, heartbeat); });
+    }
     post(workerHeartbeatInterval, [this, index] { sendWorkerHeartbeat(index); });
 }
 
--- a/tests/auto/entrynode/ownerchangemodel.h
+++ b/tests/auto/entrynode/ownerchangemodel.h
@@ -46,6 +46,12 @@
     std::size_t maxListedEnds = 0; ///< In an answer of a worker; 0 for no limit.
     bool workersRestart = false; ///< Under the same id and without memory.
     double lateCallShare = 0.0; ///< Of the calls to workers: no answer arrives, and the call is executed seconds later by the process that is there then.
+    Base::Duration longestWorkerDownTime{}; ///< Of a worker that restarts: it refuses connections meanwhile.
+    double refusedCallShare = 0.0; ///< Of the calls that reach a worker: it answers that it is unhealthy, and has done nothing.
+    double lostAnswerShare = 0.0; ///< Of the calls to workers: executed in time, but the connection is reset, of which the agent learns at once.
+    double secondSendingShare = 0.0; ///< A planted fault. Of the calls to workers: sent again when the connection is reset, with no trace of the first sending.
+    double unreachableAgainShare = 0.0; ///< Of these: the second sending meets a refused connection, whether or not the worker restarts.
+    bool fenceRefusalsUnanswered = false; ///< A start that is refused by its fence counts as unanswered, as in the product. Otherwise it counts as refused.
     double lateCommitShare = 0.0; ///< Of the commits: no answer arrives, and the commit is executed later.
 };
 
@@ -83,6 +89,12 @@
         return takeovers_;
     }
 
+    /// Returns the number of calls to workers whose first answer was lost because the connection was reset.
+    std::size_t lostAnswers() const
+    {
+        return lostAnswers_;
+    }
+
 private:
     using Action = std::function<void()>;
 
@@ -114,6 +126,7 @@
         std::uint64_t incarnation = 0;
         Base::MonoTime standsStillUntil{};
         std::vector<Action> held; ///< Events that wait until the agent no longer stands still.
+        Base::MonoTime workerDownUntil{};
         std::map<std::uint64_t, TaskAgent::CallHold> pendingHolds; ///< Calls without an answer or a failure, by number.
         std::vector<Base::Endpoint> knownEntries; ///< The only ones that the agent dials.
         Base::MonoTime entriesReadAt{};
@@ -214,13 +227,28 @@
     void releaseHeldByAgent(NodeIndex index, std::uint64_t incarnation);
 
     // Calls to workers.
+    enum class CallFate {
+        Answered,
+        Late, ///< No answer arrives, and the call is executed late.
+        AnswerLost,
+        SentTwice,
+    };
     static TaskAgent::HoldAnswered unanswered(const TaskAgent::CallHold &call);
-    bool isCallLate();
+    CallFate drawFate(NodeIndex index, const std::string &call);
+    bool isSentTwice();
+    bool isWorkerDown(NodeIndex index) const;
+    bool refusesCall();
     void callStart(NodeIndex index, const TaskAgent::CallStart &call);
     void callStop(NodeIndex index, const TaskAgent::CallStop &call);
     void callHold(NodeIndex index, const TaskAgent::CallHold &call);
+    void sendStartAgain(NodeIndex index, const TaskAgent::CallStart &call);
+    void sendStopAgain(NodeIndex index, const TaskAgent::CallStop &call);
+    void sendHoldAgain(NodeIndex index, const TaskAgent::CallHold &call, Base::Duration delay);
     TaskAgent::StartAnswered executeStart(NodeIndex index, const TaskAgent::CallStart &call);
-    bool beginHold(NodeIndex index, const TaskAgent::CallHold &call);
+    void beginRun(NodeIndex index, const TaskAgent::CallStart &call);
+    bool executeStop(NodeIndex index, const TaskAgent::CallStop &call);
+    void executeHold(NodeIndex index, const TaskAgent::CallHold &call, CallFate fate);
+    std::optional<TaskAgent::HoldAnswered> beginHold(NodeIndex index, const TaskAgent::CallHold &call);
     void answerHold(NodeIndex index, const TaskAgent::CallHold &call, const TaskAgent::HoldAnswered &answer);
     void expireWorkers();
     void restartWorker(NodeIndex index);
@@ -272,6 +300,7 @@
     Base::MonoTime nextFaultAt_{};
     std::size_t starts_ = 0;
     std::size_t takeovers_ = 0;
+    std::size_t lostAnswers_ = 0;
     std::string violations_;
     std::string endViolations_;
     std::string log_;
--- a/tests/auto/entrynode/ownerchangeworker.cpp
+++ b/tests/auto/entrynode/ownerchangeworker.cpp
@@ -20,11 +20,17 @@
     }
 }
 
-bool ModelWorker::accepts(const TaskAgent::CallStart &call, Base::MonoTime now) const
+ModelWorker::StartReply ModelWorker::replyTo(const TaskAgent::CallStart &call, Base::MonoTime now) const
 {
+    if (call.fence < fence_) {
+        return StartReply::LowFence;
+    }
+    if (runs_.contains(call.run)) {
+        return StartReply::AlreadyRunning;
+    }
     const auto latest = latestRuns_.find(call.run.task);
     const bool stale = stopped_.contains(call.run) || (latest != latestRuns_.end() && call.run.run <= latest->second);
-    return call.fence >= fence_ && !stale && call.until > clock(now);
+    return stale || call.until <= clock(now) ? StartReply::Outdated : StartReply::Accepted;
 }
 
 void ModelWorker::start(const TaskAgent::CallStart &call, Base::MonoTime now, Base::Duration runTime, Jobs::RunOutcome outcome)
--- a/tests/auto/entrynode/ownerchangeworker.h
+++ b/tests/auto/entrynode/ownerchangeworker.h
@@ -24,8 +24,15 @@
     /// Ends the runs whose time is over and, when the lease has ended, all others.
     void expire(Base::MonoTime now);
 
-    /// Returns whether the worker executes the call.
-    bool accepts(const TaskAgent::CallStart &call, Base::MonoTime now) const;
+    /// What the worker says to a start.
+    enum class StartReply {
+        Accepted,
+        AlreadyRunning,
+        LowFence,
+        Outdated,
+    };
+
+    StartReply replyTo(const TaskAgent::CallStart &call, Base::MonoTime now) const;
 
     /// Starts a run that ends with the given outcome after the given time.
     void start(const TaskAgent::CallStart &call, Base::MonoTime now, Base::Duration runTime, Jobs::RunOutcome outcome);
