--- a/tests/standins/platformsite/standinserver.cpp
+++ b/tests/standins/platformsite/standinserver.cpp
@@ -19,11 +19,13 @@
     return MHD_YES;
 }
 
-/// Sends a reset at once, whereas closing the socket would first end the stream in order.
+/// Sends a reset at once, whereas libmicrohttpd would first end the stream in order.
 void resetConnection(MHD_Connection *connection)
 {
     const sockaddr none{.sa_family = AF_UNSPEC, .sa_data = {}};
-    connect(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd, &none, sizeof none);
+    const int socket = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    // Connecting to no address resets the connection.
+    static_cast<void>(connect(socket, &none, sizeof none));
 }
 
 MHD_Result onRequest(void *self,
