Space out claims that fail at once

What callers would see: nothing, but the store's calls are priced and limited.

Cause: an entry repeated a claim as soon as a read of the cluster had ended. With a store that refuses writes (429, 503) and answers reads, or that resets the connections of writes, that is a claim per 4 ms or so, since a broken connection is reported at once and no longer after the timeout.

Change: a claim that was refused or whose outcome is unknown is repeated 50 ms later at the earliest.

--- a/src/libs/entrynode/claims.cpp
+++ b/src/libs/entrynode/claims.cpp
@@ -120,6 +120,9 @@
         return;
     }
     state.claimableSince = state.claimableSince.value_or(state.now);
+    if (state.now < state.claimNotBefore) {
+        return;
+    }
     if (hasLargerPeer(state) && state.now - *state.claimableSince < largerEntryGracePeriod) {
         return;
     }
@@ -155,12 +158,16 @@
         beginLoading(context, event.revision, state.claimedAt);
         return;
     case ClaimEnded::Outcome::Unknown:
+        state.claimNotBefore = state.now + claimRetryDelay;
         state.mode = Mode::Confirming;
         state.readNotBefore = state.now;
         outdateRead(state);
         return;
-    case ClaimEnded::Outcome::Lost:
     case ClaimEnded::Outcome::Refused:
+        state.claimNotBefore = state.now + claimRetryDelay;
+        resumeFollowing(context);
+        return;
+    case ClaimEnded::Outcome::Lost:
         resumeFollowing(context);
         return;
     }
--- a/src/libs/entrynode/entrynodeconstants.h
+++ b/src/libs/entrynode/entrynodeconstants.h
@@ -30,6 +30,7 @@
 /// How long a claim waits for entries with a larger processor share to claim first. They learn the reason for a claim at their next read
 /// of the cluster at the latest.
 constexpr Base::Duration largerEntryGracePeriod = 300ms;
+constexpr Base::Duration claimRetryDelay = 50ms; ///< delay before a claim that the store refused, or that got no answer, is repeated
 constexpr Base::Duration dialRetryDelay = 200ms;
 
 constexpr Base::Duration submitTimeout = 1500ms; ///< a call that could not be forwarded to any owner for this long is answered without one
--- a/src/libs/entrynode/ownership.cpp
+++ b/src/libs/entrynode/ownership.cpp
@@ -225,6 +225,9 @@
             due.consider(state.authorityUntil);
         }
     }
+    if (state.claimableSince && state.now < state.claimNotBefore) {
+        due.consider(state.claimNotBefore);
+    }
     if (state.claimableSince && state.now < *state.claimableSince + largerEntryGracePeriod) {
         due.consider(*state.claimableSince + largerEntryGracePeriod);
     }
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -71,6 +71,7 @@
     std::optional<Base::MonoTime> claimableSince; ///< since when there has been a reason to replace the owner
     Jobs::OwnerRecord claim; ///< record of the latest claim
     Base::MonoTime claimedAt{}; ///< when the latest claim was sent
+    Base::MonoTime claimNotBefore{}; ///< of the next claim
     Base::MonoTime claimWonAt{}; ///< when this entry learned that the store held the latest claim
     Base::MonoTime claimConfirmedAt{}; ///< latest time at which the store is known to have held the claim
     Base::MonoTime authorityUntil{}; ///< end of this entry's authority as the owner unless it is confirmed again
--- a/tests/auto/entrynode/tst_ownership.cpp
+++ b/tests/auto/entrynode/tst_ownership.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(unknownClaimIsReadBack);
     CPPUNIT_TEST(readFromBeforeAClaimDoesNotResolveIt);
     CPPUNIT_TEST(ownClaimThatIsTakenForLostIsReplaced);
+    CPPUNIT_TEST(claimsThatFailAtOnceAreSpacedOut);
     CPPUNIT_TEST(replacesAbsentOwner);
     CPPUNIT_TEST(keepsOwnerThatSendsHeartbeats);
     CPPUNIT_TEST(keepsPresentOwnerOfBrokenLink);
@@ -116,6 +117,7 @@
         entry.read(std::nullopt, 0, {});
         entry.feed(ClaimEnded{ClaimEnded::Outcome::Unknown, 0});
         entry.read(std::nullopt, 0, {});
+        entry.advance(claimRetryDelay);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.effects<Claim>().size());
         entry.feed(ClaimEnded{ClaimEnded::Outcome::Lost, 0});
         entry.read(makeOwner("entry-1", 1), 6, {});
@@ -124,6 +126,25 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(6), entry.effects<Claim>()[2].expectedRevision);
     }
 
+    /// Guards against some hundred claims per second, each of which is priced, by an entry whose writes the store refuses, or whose connections it resets,
+    /// while it answers reads.
+    void claimsThatFailAtOnceAreSpacedOut()
+    {
+        for (const auto outcome : {ClaimEnded::Outcome::Refused, ClaimEnded::Outcome::Unknown}) {
+            EntryHarness entry;
+            entry.read(std::nullopt, 0, {});
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.effects<Claim>().size());
+            for (int i = 0; i < 5; ++i) {
+                entry.feed(ClaimEnded{outcome, 0});
+                entry.read(std::nullopt, 0, {});
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.effects<Claim>().size());
+            CPPUNIT_ASSERT(nextDue(entry.state) <= entry.now() + claimRetryDelay);
+            entry.advance(claimRetryDelay);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.effects<Claim>().size());
+        }
+    }
+
     /// Guards against jobs without an owner after the owner's VM has failed: its presence key expires and its heartbeats stop.
     void replacesAbsentOwner()
     {
