laburnumctl: requests go through HttpTransfer::Transfer

An operator whose call timed out before a connection was made, or before the entry could have received the whole request, was told "the request may have been carried out" (exit status 4), though no entry can have carried it out.

Each call has a handle, so a connection, of its own, so libcurl never sent one twice; the outcome now comes from Transfer as everywhere: exit status 5 if no entry can have received the whole request. Idempotent are GET; DELETE, as a cancelled job that is cancelled stays so; submit with --id, which joins the first submission; settings set and rollback, which carry a change id; and settings check. Not idempotent are submit without --id, as the entry makes an id for each sending; drain, which may reach the process that replaces the drained one; and confirm-dead, whose repetition is refused once the first has taken effect. Requests name the type of their body (settings check had none of its own). Proxies of the environment are ignored, as by the other clients.

tst_ctl_httpclient on the former client: 2 passed, 2 failed (notSentIfNoConnectionIsMadeInTime, notSentIfTheBodyIsNotTaken: "Expected: not sent, Actual: sent"); now 4 passed. httpio.exchange 7 and httpio.secondsending 9 passed. By hand, on loopback with one entry and with two: submit, settings set, check, list and rollback, workers, health and drain did what they say.

--- a/src/app/laburnumctl/commands.cpp
+++ b/src/app/laburnumctl/commands.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <iostream>
 
 namespace LaburnumFlow::Ctl {
@@ -96,9 +97,10 @@
     }
     HttpRequest request = requestOf(options, "POST", "/v1/teams/" + escaped(options.team) + "/jobs");
     request.body = job.dump();
-    request.headers.emplace_back("Content-Type: application/json");
+    // The entry gives a job without an id a new one with each sending.
+    request.idempotent = !options.id.empty();
     if (!options.id.empty()) {
-        request.headers.push_back("Idempotency-Key: " + options.id);
+        request.headers.push_back({"Idempotency-Key", options.id});
     }
     return call(options, request, printJob);
 }
@@ -160,7 +162,8 @@
     HttpRequest request;
     request.method = method;
     request.url = urlOf(options, path);
-    request.timeoutMs = options.timeoutMs;
+    request.timeout = std::chrono::milliseconds(options.timeoutMs);
+    request.idempotent = method == "GET" || method == "DELETE";
     return request;
 }
 
@@ -188,7 +191,7 @@
 
 int reportUnreachable(const Unreachable &error)
 {
-    std::cerr << "laburnumctl: " << error.detail << (error.sent ? "; the request may have been carried out" : "; nothing was sent") << '\n';
+    std::cerr << "laburnumctl: " << error.detail << (error.sent ? "; the request may have been carried out" : "; no entry received the whole request") << '\n';
     return error.sent ? exitUnknown : exitUnreachable;
 }
 
--- a/src/app/laburnumctl/commands.h
+++ b/src/app/laburnumctl/commands.h
@@ -30,7 +30,7 @@
 /// The request's URL at the entry.
 std::string urlOf(const Options &options, const std::string &path);
 
-/// A request to the entry, with the time-out of the command line.
+/// A request to the entry, with the time-out of the command line. GET and DELETE are idempotent: a job that is cancelled twice is cancelled.
 HttpRequest requestOf(const Options &options, const std::string &method, const std::string &path);
 
 } // namespace LaburnumFlow::Ctl
--- a/src/app/laburnumctl/nodescommand.cpp
+++ b/src/app/laburnumctl/nodescommand.cpp
@@ -23,9 +23,8 @@
 /// Nothing if the process does not answer.
 Json statusOf(const Options &options, const std::string &address)
 {
-    HttpRequest request;
+    HttpRequest request = requestOf(options, "GET", "/status");
     request.url = "http://" + address + "/status";
-    request.timeoutMs = options.timeoutMs;
     return leaf::try_handle_all(
         [&]() -> leaf::result<Json> {
             BOOST_LEAF_AUTO(reply, perform(request));
--- a/src/app/laburnumctl/settingscommands.cpp
+++ b/src/app/laburnumctl/settingscommands.cpp
@@ -22,6 +22,8 @@
 
 using Json = nlohmann::json;
 
+constexpr const char *settingsContentType = "application/yaml";
+
 std::string subtreePath(const std::string &team)
 {
     return team == "root" ? "/v1/settings/root" : "/v1/settings/teams/" + escaped(team);
@@ -122,9 +124,11 @@
 
 boost::leaf::result<int> change(const Options &options, const std::string &team, HttpRequest request)
 {
-    request.headers.push_back("If-Match: \"" + std::to_string(options.revision) + "\"");
-    request.headers.push_back("Change-Id: " + (options.changeId.empty() ? newChangeId() : options.changeId));
-    request.headers.push_back("Author: " + authorOf(options));
+    request.headers.push_back({"If-Match", "\"" + std::to_string(options.revision) + "\""});
+    request.headers.push_back({"Change-Id", options.changeId.empty() ? newChangeId() : options.changeId});
+    request.headers.push_back({"Author", authorOf(options)});
+    // The entry answers the same change id with the change that was made.
+    request.idempotent = true;
     BOOST_LEAF_AUTO(reply, perform(request));
     if (reply.status >= 300) {
         if (reply.status == 412 && !options.json) {
@@ -159,7 +163,7 @@
     BOOST_LEAF_AUTO(options, withRevision(given, team));
     HttpRequest request = requestOf(options, "PUT", subtreePath(team));
     request.body = yaml;
-    request.headers.emplace_back("Content-Type: application/yaml");
+    request.contentType = settingsContentType;
     return change(options, team, std::move(request));
 }
 
@@ -204,6 +208,8 @@
 boost::leaf::result<int> check(const Options &options, const std::string &team)
 {
     HttpRequest request = requestOf(options, "POST", subtreePath(team) + "/check");
+    request.contentType = settingsContentType;
+    request.idempotent = true;
     if (!readFile(options.file.empty() ? "-" : options.file, request.body)) {
         return exitUsage;
     }
--- a/src/libs/httptransfer/httpmessages.h
+++ b/src/libs/httptransfer/httpmessages.h
@@ -16,10 +16,11 @@
 struct Request {
     std::string method;
     std::string url;
-    std::string body; ///< sent as application/json unless empty
+    std::string body;
     std::vector<Header> headers;
     Base::Duration timeout{}; ///< 0 for none
     bool idempotent = false; ///< may be sent a second time if a reused connection breaks before the response
+    std::string contentType = "application/json"; ///< sent unless the body is empty
 };
 
 /// What became of the second sending that libcurl begins by itself if a reused connection breaks before the response.
--- a/src/libs/httptransfer/transfer.cpp
+++ b/src/libs/httptransfer/transfer.cpp
@@ -75,7 +75,7 @@
     // Without the empty Expect header libcurl waits for "100 Continue" before it sends larger bodies.
     curl_slist *list = curl_slist_append(nullptr, "Expect:");
     if (!request_.body.empty()) {
-        list = curl_slist_append(list, "Content-Type: application/json");
+        list = curl_slist_append(list, ("Content-Type: " + request_.contentType).c_str());
     }
     for (const Header &header : request_.headers) {
         list = curl_slist_append(list, (header.name + ": " + header.value).c_str());
