laburnumload: calls go through HttpTransfer::Transfer

The report could name a job refused that the entry ran: when a reused connection broke before the answer, libcurl sent the submission again by itself, and what the second sending met, such as 503, stood for the answer to the first.

The runner uses Transfer. Submissions aren't sent again by libcurl, so a lost one has no answer, and a scenario with resendMs sends it again knowingly, under its id to the next entry. Queries and cancellations of a job are idempotent. CURLOPT_POSTFIELDS isn't used any more in src/.

--- a/src/tools/laburnumload/callforms.cpp
+++ b/src/tools/laburnumload/callforms.cpp
@@ -38,7 +38,7 @@
     if (purpose == CallPurpose::Cancel) {
         return {"DELETE", path + "/" + id, {}, {}};
     }
-    return {"POST", path, {"Idempotency-Key: " + id}, ownBody(scenario, job)};
+    return {"POST", path, {{"Idempotency-Key", id}}, ownBody(scenario, job)};
 }
 
 /// The stand-in of a worker reads the run time from the payload.
--- a/src/tools/laburnumload/callforms.h
+++ b/src/tools/laburnumload/callforms.h
@@ -3,6 +3,8 @@
 #include "scenario.h"
 #include "schedule.h"
 
+#include "httptransfer/httpmessages.h"
+
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -27,11 +29,11 @@
     Cancel,
 };
 
-/// One HTTP request to an entry.
+/// One HTTP request to an entry. The body is JSON.
 struct CallForm {
     std::string method;
     std::string path;
-    std::vector<std::string> headers;
+    std::vector<HttpTransfer::Header> headers;
     std::string body;
 };
 
--- a/src/tools/laburnumload/runner.cpp
+++ b/src/tools/laburnumload/runner.cpp
@@ -1,5 +1,7 @@
 #include "runner.h"
 
+#include "httptransfer/transfer.h"
+
 #include <curl/curl.h>
 
 #include <algorithm>
@@ -16,12 +18,14 @@
 namespace {
 
 using Clock = std::chrono::steady_clock;
+using Outcome = HttpTransfer::Response::Outcome;
 
-constexpr long answerSlackMs = 10'000; ///< beyond the deadline before the tool gives a job up
+constexpr std::chrono::milliseconds answerSlack{10'000}; ///< beyond the deadline before the tool gives a job up
 constexpr int maxPollMs = 100;
 constexpr std::size_t mostResends = 4;
 constexpr std::chrono::milliseconds queryPause{20}; ///< between queries of a stored job; an entry holds each until the job ends, or for 200 ms
 constexpr int roundTripSamples = 51;
+constexpr std::chrono::seconds roundTripTimeout{5};
 constexpr long maxConnections = 4'000;
 
 struct DueCall {
@@ -37,19 +41,21 @@
 };
 
 struct OpenCall {
-    std::size_t job = 0;
-    CallPurpose purpose = CallPurpose::Submit;
-    std::size_t detour = 0; ///< as in DueCall
-    std::string url;
-    CallForm form;
-    std::string received;
-    curl_slist *headers = nullptr;
+    OpenCall(CURL *handle, HttpTransfer::Request request, const DueCall &due)
+        : job(due.job), purpose(due.purpose), detour(due.detour), transfer(handle, std::move(request))
+    {
+    }
+
+    std::size_t job;
+    CallPurpose purpose;
+    std::size_t detour; ///< as in DueCall
+    HttpTransfer::Transfer transfer;
 };
 
-std::size_t append(char *data, std::size_t size, std::size_t count, void *target)
+/// Submissions are sent again by the tool only, which then knows that the first answer is lost.
+bool isIdempotent(CallPurpose purpose)
 {
-    static_cast<std::string *>(target)->append(data, size * count);
-    return size * count;
+    return purpose == CallPurpose::Query || purpose == CallPurpose::Cancel;
 }
 
 class Runner
@@ -126,29 +132,13 @@
     {
         const PlannedJob &job = jobs_[call.job];
         const std::size_t entry = (job.entry + call.detour) % entries_.size();
-        auto open = std::make_unique<OpenCall>();
-        open->job = call.job;
-        open->purpose = call.purpose;
-        open->detour = call.detour;
-        open->form = formOf(scenario_, job, results_[call.job].id, call.purpose);
-        open->url = "http://" + entries_[entry] + open->form.path;
+        CallForm form = formOf(scenario_, job, results_[call.job].id, call.purpose);
+        HttpTransfer::Request request{std::move(form.method), "http://" + entries_[entry] + form.path, std::move(form.body), std::move(form.headers)};
+        request.timeout = std::chrono::milliseconds(scenario_.deadlineMs) + answerSlack;
+        request.idempotent = isIdempotent(call.purpose);
         CURL *handle = curl_easy_init();
-        for (const std::string &header : open->form.headers) {
-            open->headers = curl_slist_append(open->headers, header.c_str());
-        }
-        curl_easy_setopt(handle, CURLOPT_HTTPHEADER, open->headers);
-        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, open->form.method.c_str());
-        if (!open->form.body.empty()) {
-            curl_easy_setopt(handle, CURLOPT_POSTFIELDS, open->form.body.data());
-            curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(open->form.body.size()));
-        }
-        curl_easy_setopt(handle, CURLOPT_URL, open->url.c_str());
-        curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, scenario_.deadlineMs + answerSlackMs);
-        curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &append);
-        curl_easy_setopt(handle, CURLOPT_WRITEDATA, &open->received);
+        open_.emplace(handle, std::make_unique<OpenCall>(handle, std::move(request), call));
         curl_multi_add_handle(multi_, handle);
-        open_.emplace(handle, std::move(open));
     }
 
     void collect()
@@ -167,26 +157,24 @@
         const std::unique_ptr<OpenCall> open = std::move(found->second);
         open_.erase(found);
         if (open->purpose == CallPurpose::Submit || open->purpose == CallPurpose::Query) {
-            record(*open, handle, code);
+            record(*open, code);
         }
         curl_multi_remove_handle(multi_, handle);
         curl_easy_cleanup(handle);
-        curl_slist_free_all(open->headers);
     }
 
-    void record(const OpenCall &open, CURL *handle, CURLcode code)
+    void record(OpenCall &open, CURLcode code)
     {
         JobResult &result = results_[open.job];
         const std::chrono::duration<double, std::milli> latency = Clock::now() - intended(open.job);
         result.latencyMs = latency.count() + 2 * scenario_.clientDelayMs;
-        if (code != CURLE_OK) {
+        const HttpTransfer::Response response = open.transfer.takeResponse(code);
+        if (response.outcome != Outcome::Answered) {
             result.reason = curl_easy_strerror(code);
             sendAgain(open);
             return;
         }
-        long status = 0;
-        curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
-        CallMeaning meaning = meaningOf(scenario_, status, open.received);
+        CallMeaning meaning = meaningOf(scenario_, response.status, response.body);
         if (!meaning.end) {
             due_.push({Clock::now() + queryPause, open.job, CallPurpose::Query, open.detour});
             return;
@@ -226,13 +214,11 @@
 double measureRoundTripMs(const Scenario &scenario, const std::string &entry)
 {
     const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> handle(curl_easy_init(), &curl_easy_cleanup);
-    std::string received;
-    curl_easy_setopt(handle.get(), CURLOPT_URL, ("http://" + entry + probePath(scenario)).c_str());
-    curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, &append);
-    curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &received);
-    curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, 5'000L);
+    const HttpTransfer::Request probe{"GET", "http://" + entry + probePath(scenario), {}, {}, roundTripTimeout, true};
     std::vector<double> times;
     for (int i = 0; i < roundTripSamples; ++i) {
+        curl_easy_reset(handle.get());
+        const HttpTransfer::Transfer transfer(handle.get(), probe);
         const Clock::time_point begin = Clock::now();
         if (curl_easy_perform(handle.get()) == CURLE_OK) {
             times.push_back(std::chrono::duration<double, std::milli>(Clock::now() - begin).count());
--- a/tests/auto/platform/tst_dialects.cpp
+++ b/tests/auto/platform/tst_dialects.cpp
@@ -201,7 +201,8 @@
         sent.spec.steps.push_back({4, {500, 64, 0}, 30, {}, {}, {}});
         sent.spec.steps.push_back({1, {1000, 64, 0}, 50, {0}, {}, {}});
         const CallerRequest submission = submissionRequest(route, sent);
-        CPPUNIT_ASSERT_EQUAL(std::string("Host: a.example"), submission.headers.front());
+        CPPUNIT_ASSERT_EQUAL(std::string("Host"), submission.headers.front().name);
+        CPPUNIT_ASSERT_EQUAL(std::string("a.example"), submission.headers.front().value);
         const Decoded decoded = decodeCall(request(submission.method, submission.path, submission.body), &*document);
         const auto &call = std::get<Jobs::SubmitCall>(std::get<Jobs::Call>(decoded));
         CPPUNIT_ASSERT_EQUAL(sent.job, call.job);
