Count the done end of a task's later run beside an adopted cancelled start

Seen: after an owner change a stored task that had ended done started again, or a run that went on was stopped.

Cause: an agent's full report lists cancelled starts as runs that may be there. A later run that was still listed as running was stopped in favour of the cancelled start.

Change: an end done of any run of the task completes a task of which this owner has only adopted a run, and the adopted run is stopped. A later run that an agent lists replaces an adopted earlier one. The same for a gang's done end.

--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -58,6 +58,25 @@
     return task.phase == Task::Phase::InDoubt || task.phase == Task::Phase::Ready ? &task : nullptr;
 }
 
+/// Returns the task of an end of another run than the one that was adopted for the task, or null. If that one is a cancelled start, a former owner has
+/// started the task again since; the task's work is done either way.
+Task *taskDoneByOtherRun(const OwnerState &state, Job &job, const RunEnd &end)
+{
+    if (end.outcome != RunOutcome::Done || !hasTask(job, end.run.task)) {
+        return nullptr;
+    }
+    const std::uint32_t flat = flatIndex(job, end.run.task);
+    Task &task = job.tasks[flat];
+    return isAdopted(state, task) && task.run != end.run.run && !stepSpecOfTask(job, flat).longRunning ? &task : nullptr;
+}
+
+/// Returns the task about which the end decides, or null.
+Task *decidedTask(const OwnerState &state, Job &job, const RunEnd &end, AgentIndex agent)
+{
+    Task *task = currentTask(job, end.run, agent);
+    return task != nullptr ? task : taskDoneByOtherRun(state, job, end);
+}
+
 /// Handles the end of a run that was done.
 void handleTaskDone(Context &context, Job &job, Task &task, AgentIndex agent, const EndAck &endAck)
 {
@@ -268,7 +287,7 @@
         end.outcome = RunOutcome::Lapsed;
     }
     const bool open = job != nullptr && !job->finishing && ensureOccurrenceBegun(context, *job, end.run.task);
-    Task *task = open ? currentTask(*job, end.run, index) : nullptr;
+    Task *task = open ? decidedTask(context.state, *job, end, index) : nullptr;
     if (end.outcome != RunOutcome::Done) {
         logDecision(context,
                     "task.ended",
@@ -287,6 +306,9 @@
         return;
     }
     updateWorkerHealth(context, agent, *job, end);
+    if (end.outcome == RunOutcome::Done) {
+        stopOtherRuns(context.state, *job, end.run);
+    }
     if (step.gang) {
         handleGangEnd(context, *job, index, end, endAck);
         return;
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -129,7 +129,13 @@
 /// Handles the end of a task's run. The task becomes ready, or in doubt if another run of it by a former owner may still be running.
 void releaseTask(Context &context, Job &job, Task &task);
 
-/// Makes a listed run the active run of its task, or stops it if the task needs none.
+/// Returns whether the task's active run was started by a former owner. It may be a cancelled start that agents still list, and no run at all.
+bool isAdopted(const OwnerState &state, const Task &task);
+
+/// Orders the stop of other active runs of the run's task, or of all members of its gang.
+void stopOtherRuns(OwnerState &state, const Job &job, const RunRef &run);
+
+/// Makes a listed run the active run of its task, also in place of an earlier run that was adopted, or stops it if the task needs none.
 void adoptRun(Context &context, Job &job, AgentIndex index, const RunRef &run);
 
 /// Adopts the orphans of the job.
--- a/src/libs/jobs/ownertakeover.cpp
+++ b/src/libs/jobs/ownertakeover.cpp
@@ -6,6 +6,16 @@
 
 namespace LaburnumFlow::Jobs::Internal {
 
+namespace {
+
+/// Returns whether the run was started after the one that this owner has adopted, which a former owner then had taken for ended or cancelled.
+bool replacesAdoptedRun(const OwnerState &state, const Job &job, const Task &task, const RunRef &run)
+{
+    return isAdopted(state, task) && task.run < run.run && !stepSpecOfTask(job, flatIndex(job, run.task)).gang;
+}
+
+} // namespace
+
 void leavePhase(OwnerState &state, Job &job, const Task &task)
 {
     if (task.phase == Task::Phase::InDoubt) {
@@ -30,16 +40,39 @@
     ++context.state.tasksInDoubt;
 }
 
+bool isAdopted(const OwnerState &state, const Task &task)
+{
+    return task.phase == Task::Phase::Active && task.run / runsPerEpoch + 1 < state.epoch;
+}
+
+void stopOtherRuns(OwnerState &state, const Job &job, const RunRef &run)
+{
+    const StepIndex step = findStepIndex(job, run.task);
+    const bool gang = stepSpec(job, step).gang;
+    const std::uint32_t first = gang ? job.firstTask[step] : flatIndex(job, run.task);
+    const std::uint32_t last = gang ? job.firstTask[step + 1U] : first + 1;
+    for (std::uint32_t flat = first; flat < last; ++flat) {
+        const Task &task = job.tasks[flat];
+        if (task.phase == Task::Phase::Active && task.run != run.run) {
+            orderStop(state.agents[task.agent], {taskRef(job, flat), task.run});
+        }
+    }
+}
+
 void adoptRun(Context &context, Job &job, AgentIndex index, const RunRef &run)
 {
     OwnerState &state = context.state;
     Agent &agent = state.agents[index];
     Task &task = job.tasks[flatIndex(job, run.task)];
     const bool open = task.phase == Task::Phase::InDoubt || task.phase == Task::Phase::Ready || task.phase == Task::Phase::Blocked;
-    if (job.finishing || !open || !mayJoinGang(job, run) || needsStoreProof(state, job, run)) {
+    const bool replaces = replacesAdoptedRun(state, job, task, run);
+    if (job.finishing || !(open || replaces) || !mayJoinGang(job, run) || needsStoreProof(state, job, run)) {
         orderStop(agent, run);
         return;
     }
+    if (replaces) {
+        stopOtherRuns(state, job, run);
+    }
     leavePhase(state, job, task);
     task.phase = Task::Phase::Active;
     task.agent = index;
