Count each failed run once across owners

Seen: after an owner change a stored task started once more than its queue allows (BUDGET); by a unit test, also the opposite: an end that was recorded already counted again, which would fail a job too early, as each member of a failed gang did.

Cause: the record of a job held the number of failures, not which runs they were. An owner starts a task again before it has recorded the failure. For a task without a known run each listed end counted, recorded or not.

Change: a job keeps the runs that its failures count. A failed end of any run of an unfinished stored task counts once, also if the task's active run goes on. The runs are stored beside the job's record as a record of their own in the same pack, only if there are any.

Evidence: jobs.formerruns, four new tests; all fail without the change (a start too many; no stop; 2 failures for 1; the gang's job has ended).

--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -181,10 +181,11 @@
     }
 }
 
-Job restoreJob(JobRecord record, Base::MonoTime now, std::size_t &tasksInDoubt)
+Job restoreJob(JobRecord record, const FailedRunsRecord &failedRuns, Base::MonoTime now, std::size_t &tasksInDoubt)
 {
     Job job = makeJob(record.id, std::move(record.rules), std::move(record.spec), now);
     job.stored = true;
+    job.failedRuns.insert(failedRuns.runs.begin(), failedRuns.runs.end());
     while (job.tasks.size() < record.done.size() && nextOccurrenceAt(job)) {
         beginOccurrence(job);
     }
@@ -213,13 +214,19 @@
     std::sort(packs.begin(), packs.end(), [](const auto &left, const auto &right) { return left.key > right.key; });
     for (StoredJobs::Pack &pack : packs) {
         std::vector<JobId> live;
+        FailedRunsRecord failedRuns;
         std::reverse(pack.content.records.begin(), pack.content.records.end());
         for (const std::string &text : pack.content.records) {
+            if (std::optional<FailedRunsRecord> runs = decodeFailedRunsRecord(text)) {
+                failedRuns = std::move(*runs);
+                continue;
+            }
             std::optional<JobRecord> record = decodeJobRecord(text);
+            const FailedRunsRecord runsOfJob = std::exchange(failedRuns, {});
             if (!record || state.finished.contains(record->id) || state.jobs.contains(record->id)) {
                 continue;
             }
-            Job job = restoreJob(std::move(*record), state.now, state.tasksInDoubt);
+            Job job = restoreJob(std::move(*record), runsOfJob, state.now, state.tasksInDoubt);
             ++state.unstarted[job.rules.name];
             live.push_back(job.id);
             Job &kept = state.jobs.emplace(job.id, std::move(job)).first->second;
--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -154,7 +154,7 @@
         beginBestEffortJob(context, std::move(job), call);
         return;
     }
-    state.recorder.add({PutJob{job.id, encodeRecord(makeJobRecord(job))}, {}});
+    state.recorder.add({makePutJob(job), {}});
     state.jobs.emplace(job.id, std::move(job));
 }
 
--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -86,10 +86,11 @@
     handleProgress(context, job, agent, endAck);
 }
 
-void handleTaskFailed(Context &context, Job &job, Task &task, AgentIndex agent, const EndAck &endAck)
+void handleTaskFailed(Context &context, Job &job, const RunRef &run, AgentIndex agent, const EndAck &endAck)
 {
+    Task &task = job.tasks[flatIndex(job, run.task)];
     leavePhase(context.state, job, task);
-    ++task.failures;
+    countFailedRun(job, run);
     task.avoidedAgent = agent;
     if (task.failures >= job.rules.maxAttempts) {
         // finishJob() stops active tasks, but the run of this one has ended.
@@ -184,7 +185,7 @@
         handleGangDone(context, job, findStepIndex(job, end.run.task), index, endAck);
         return;
     case RunOutcome::Failed:
-        handleGangFailure(context, job, end.run.task, index, endAck);
+        handleGangFailure(context, job, end.run, index, endAck);
         return;
     case RunOutcome::Stopped:
     case RunOutcome::Lapsed:
@@ -294,6 +295,10 @@
                     {{"run", formatRun(end.run)}, {"agent", agent.name}, {"how", std::string(toString(end.outcome))}, {"ms", std::to_string(end.runTimeMs)}});
     }
     handleCheckpoint(context, {end.run, end.checkpoint});
+    if (task == nullptr && open && isOtherAttempt(*job, end)) {
+        handleOtherAttempt(context, *job, index, end, endAck);
+        return;
+    }
     if (task == nullptr) {
         acknowledgeOutdatedEnd(context, job, index, end, endAck);
         return;
@@ -318,7 +323,7 @@
         handleTaskDone(context, *job, *task, index, endAck);
         return;
     case RunOutcome::Failed:
-        handleTaskFailed(context, *job, *task, index, endAck);
+        handleTaskFailed(context, *job, end.run, index, endAck);
         return;
     case RunOutcome::Stopped:
     case RunOutcome::Lapsed:
--- a/src/libs/jobs/ownergangs.cpp
+++ b/src/libs/jobs/ownergangs.cpp
@@ -55,23 +55,18 @@
     handleProgress(context, job, agent, endAck);
 }
 
-void handleGangFailure(Context &context, Job &job, const TaskRef &task, AgentIndex agent, const EndAck &endAck)
+void handleGangFailure(Context &context, Job &job, const RunRef &run, AgentIndex agent, const EndAck &endAck)
 {
-    Task &failed = job.tasks[flatIndex(job, task)];
-    StepProgress &progress = job.steps[findStepIndex(job, task)];
-    const std::span<Task> members = gangMembers(job, findStepIndex(job, task));
+    Task &failed = job.tasks[flatIndex(job, run.task)];
     failed.avoidedAgent = agent;
-    if (progress.failedRun != failed.run || failed.run == 0) {
-        progress.failedRun = failed.run;
-        std::for_each(members.begin(), members.end(), [](Task &member) { ++member.failures; });
-    }
+    countFailedRun(job, run);
     if (failed.failures >= job.rules.maxAttempts) {
         releaseMember(context, job, failed);
         finishJob(context, job, JobState::Failed, {endAck});
         return;
     }
     acknowledgeWithRecord(context, job, agent, endAck, context.state.now);
-    handleGangMemberLost(context, job, task);
+    handleGangMemberLost(context, job, run.task);
 }
 
 void handleGangMemberLost(Context &context, Job &job, const TaskRef &task)
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -155,6 +155,15 @@
     return record;
 }
 
+PutJob makePutJob(const Job &job)
+{
+    PutJob put{job.id, encodeRecord(makeJobRecord(job))};
+    if (!job.failedRuns.empty()) {
+        put.failedRuns = encodeRecord(FailedRunsRecord{job.id, {job.failedRuns.begin(), job.failedRuns.end()}});
+    }
+    return put;
+}
+
 Job *findJob(OwnerState &state, JobId id)
 {
     const auto found = state.jobs.find(id);
@@ -321,7 +330,7 @@
         dropProgress(context.state, *job);
         std::vector<EndAck> endAcks = std::move(job->unrecordedEnds);
         job->unrecordedEnds.clear();
-        context.state.recorder.add({PutJob{job->id, encodeRecord(makeJobRecord(*job))}, std::move(endAcks)});
+        context.state.recorder.add({makePutJob(*job), std::move(endAcks)});
     }
 }
 
@@ -335,7 +344,7 @@
     for (const JobId id : state.recorder.jobsToRewrite(state.wall)) {
         const Job *job = findJob(state, id);
         if (job != nullptr && !job->finishing) {
-            state.recorder.add({PutJob{id, encodeRecord(makeJobRecord(*job))}, {}});
+            state.recorder.add({makePutJob(*job), {}});
         }
     }
 }
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -53,7 +53,6 @@
 
 struct StepProgress {
     Base::MonoTime readySince{}; ///< When tasks of the step last became ready.
-    std::uint32_t failedRun = 0; ///< Of a gang: last run in which a member failed, so that several failing members count as one failure.
 };
 
 /// Whether a job can still end in time if it gets workers now.
@@ -78,6 +77,7 @@
     std::vector<Task> tasks; ///< Tasks of all occurrences that have begun, in the order of the steps.
     std::vector<std::uint32_t> firstTask; ///< Position in tasks of the first task of each StepIndex, followed by the number of tasks.
     std::vector<StepProgress> steps; ///< By StepIndex.
+    std::set<FailedRun> failedRuns; ///< Runs that the tasks' failures count. An agent reports an end again until it is acknowledged.
     std::optional<Base::WallTime> nextOccurrence; ///< When the next occurrence begins, if the owner waits for it.
     bool longRunning = false; ///< It has tasks that run until it is cancelled.
     std::uint32_t doneTasks = 0;
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -23,6 +23,9 @@
 
 // Jobs.
 JobRecord makeJobRecord(const Job &job);
+
+/// Returns the change that records the job's progress.
+PutJob makePutJob(const Job &job);
 Job *findJob(OwnerState &state, JobId id);
 
 /// Sets a stored queued job to running and removes it from the count of unstarted jobs. Called when a task starts or the job ends.
@@ -118,6 +121,18 @@
 /// Handles a run that is over although the worker has listed no end of it. Its task may start again.
 void handleTaskLost(Context &context, const RunRef &run, AgentIndex agent);
 
+// Attempts.
+
+/// Counts the run, which has failed, as an attempt of its task, or of all members of its gang, unless it is counted already.
+void countFailedRun(Job &job, const RunRef &run);
+
+/// Returns whether the end counts as an attempt although it doesn't decide about its task: a former owner has started the task again since, and may not have
+/// recorded the failure. Best-effort jobs aren't recorded.
+bool isOtherAttempt(const Job &job, const RunEnd &end);
+
+/// Counts such an end. The task's active run goes on unless its job has failed.
+void handleOtherAttempt(Context &context, Job &job, AgentIndex agent, const RunEnd &end, const EndAck &endAck);
+
 // Runs of former owners.
 
 /// Returns whether every run of a former owner is known or has ended.
@@ -165,7 +180,7 @@
 void handleGangDone(Context &context, Job &job, StepIndex step, AgentIndex agent, const EndAck &endAck);
 
 /// Handles a member's run that has failed.
-void handleGangFailure(Context &context, Job &job, const TaskRef &task, AgentIndex agent, const EndAck &endAck);
+void handleGangFailure(Context &context, Job &job, const RunRef &run, AgentIndex agent, const EndAck &endAck);
 
 /// Handles a member's run that has ended otherwise or has never started. Stops the other members; all restart together.
 void handleGangMemberLost(Context &context, Job &job, const TaskRef &task);
--- a/src/libs/jobs/recorder.cpp
+++ b/src/libs/jobs/recorder.cpp
@@ -13,7 +13,7 @@
 std::size_t recordSize(const Change &change)
 {
     const auto *put = std::get_if<PutJob>(&change.operation);
-    return put == nullptr ? 0 : put->record.size();
+    return put == nullptr ? 0 : put->record.size() + put->failedRuns.size();
 }
 
 } // namespace
@@ -101,6 +101,9 @@
 void Recorder::apply(const PutJob &put, Base::WallTime wall)
 {
     pack_.records.push_back(put.record);
+    if (!put.failedRuns.empty()) {
+        pack_.records.push_back(put.failedRuns);
+    }
     packs_.put(put.job, packKey(owner_.epoch, packNumber_), wall.count());
 }
 
--- a/src/libs/jobs/recorder.h
+++ b/src/libs/jobs/recorder.h
@@ -27,6 +27,7 @@
 struct PutJob {
     JobId job = 0;
     std::string record;
+    std::string failedRuns = {}; ///< Encoded FailedRunsRecord; empty if there are none.
 };
 
 /// Replaces the record of a job by its final state.
--- a/src/libs/jobs/records.cpp
+++ b/src/libs/jobs/records.cpp
@@ -62,6 +62,11 @@
     return encodeText(record);
 }
 
+std::string encodeRecord(const FailedRunsRecord &record)
+{
+    return encodeText(record);
+}
+
 std::string encodeRecord(const JobPack &record)
 {
     return encodeText(record);
@@ -92,6 +97,11 @@
     return decodeText<JobRecord>(bytes);
 }
 
+std::optional<FailedRunsRecord> decodeFailedRunsRecord(std::string_view bytes)
+{
+    return decodeText<FailedRunsRecord>(bytes);
+}
+
 std::optional<JobPack> decodeJobPack(std::string_view bytes)
 {
     return decodeText<JobPack>(bytes);
--- a/src/libs/jobs/records.h
+++ b/src/libs/jobs/records.h
@@ -76,10 +76,36 @@
     }
 };
 
+/// A run that ended failed and counts as an attempt.
+struct FailedRun {
+    std::uint32_t task = 0; ///< Position of the task in the order of the steps; of a gang, that of its first member.
+    std::uint32_t run = 0;
+
+    auto operator<=>(const FailedRun &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(task, run);
+    }
+};
+
+/// The runs that JobRecord::failures counts. It is a record of its own, as earlier versions can't read a longer JobRecord.
+struct FailedRunsRecord {
+    JobId id = 0;
+    std::vector<FailedRun> runs;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, runs);
+    }
+};
+
 /// The records of several jobs under one key.
 struct JobPack {
     std::int64_t writtenMs = 0; ///< Unix time in milliseconds.
-    std::vector<std::string> records; ///< Encoded as JobRecord.
+    std::vector<std::string> records; ///< Encoded as JobRecord, followed by the FailedRunsRecord if the job has any.
 
     template<class Archive>
     void serialize(Archive &archive)
@@ -141,6 +167,7 @@
 std::string encodeRecord(const OwnerRecord &record);
 std::string encodeRecord(const ConfirmerRecord &record);
 std::string encodeRecord(const JobRecord &record);
+std::string encodeRecord(const FailedRunsRecord &record);
 std::string encodeRecord(const JobPack &record);
 std::string encodeRecord(const FinishedSegment &record);
 std::string encodeRecord(const EntryRecord &record);
@@ -149,6 +176,7 @@
 std::optional<OwnerRecord> decodeOwnerRecord(std::string_view bytes);
 std::optional<ConfirmerRecord> decodeConfirmerRecord(std::string_view bytes);
 std::optional<JobRecord> decodeJobRecord(std::string_view bytes);
+std::optional<FailedRunsRecord> decodeFailedRunsRecord(std::string_view bytes);
 std::optional<JobPack> decodeJobPack(std::string_view bytes);
 std::optional<FinishedSegment> decodeFinishedSegment(std::string_view bytes);
 std::optional<EntryRecord> decodeEntryRecord(std::string_view bytes);
--- a/tests/auto/jobs/tst_formerruns.cpp
+++ b/tests/auto/jobs/tst_formerruns.cpp
@@ -14,6 +14,10 @@
     CPPUNIT_TEST(doneEndCountsBesideAnAdoptedCancelledStart);
     CPPUNIT_TEST(laterRunReplacesAnAdoptedCancelledStart);
     CPPUNIT_TEST(doneEndOfAGangCountsBesideAdoptedCancelledStarts);
+    CPPUNIT_TEST(failureOfAnEarlierRunCountsBesideAnAdoptedRun);
+    CPPUNIT_TEST(failureOfAnEarlierRunCanFailTheJob);
+    CPPUNIT_TEST(recordedFailureCountsOnce);
+    CPPUNIT_TEST(failuresOfOneGangRunCountOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -62,7 +66,84 @@
         CPPUNIT_ASSERT(owner.state.finished.at(7) == JobState::Completed);
     }
 
+    // Guards against more attempts than the queue allows: the former owner had started the task again before it recorded the failure.
+    void failureOfAnEarlierRunCountsBesideAnAdoptedRun()
+    {
+        JobRecord record = jobRecord(7, 1);
+        record.failures = {1};
+        OwnerHarness owner({"agent-1", "agent-2"}, 2, {record});
+        owner.join("agent-2");
+        owner.join("agent-1", 8000, {possibleRun(7, 0, 3)}, {{1, {{7, 0, 0}, 2}, RunOutcome::Failed, 10}});
+        CPPUNIT_ASSERT(owner.orderedStops("agent-1").empty());
+        owner.commitAll();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), owner.endsRecorded["agent-1"]);
+        owner.reportEnd("agent-1", {{7, 0, 0}, 3}, RunOutcome::Failed);
+        owner.commitAll();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
+        CPPUNIT_ASSERT(owner.state.finished.at(7) == JobState::Failed);
+    }
+
+    // Guards against a run that goes on after its task has failed as often as the queue allows.
+    void failureOfAnEarlierRunCanFailTheJob()
+    {
+        JobRecord record = jobRecord(7, 1);
+        record.failures = {2};
+        OwnerHarness owner({"agent-1"}, 2, {record});
+        owner.join("agent-1", 8000, {possibleRun(7, 0, 4)}, {{1, {{7, 0, 0}, 3}, RunOutcome::Failed, 10}});
+        owner.commitAll();
+        CPPUNIT_ASSERT((owner.orderedStops("agent-1") == std::vector<RunRef>{{{7, 0, 0}, 4}}));
+        CPPUNIT_ASSERT(owner.state.finished.at(7) == JobState::Failed);
+    }
+
+    // Guards against a job that is failed too early: the worker lists the end again, as the former owner's acknowledgement was lost.
+    void recordedFailureCountsOnce()
+    {
+        OwnerHarness former({"agent-1"});
+        former.join("agent-1");
+        former.submit(1, submission(7, 1));
+        former.commitAll();
+        former.reportEnd("agent-1", {{7, 0, 0}, 1}, RunOutcome::Failed);
+        former.commitAll();
+        OwnerHarness owner({"agent-1"}, 2);
+        owner.state = takeOver(storedJobs(former), owner.state.now, owner.state.wall);
+        CPPUNIT_ASSERT_EQUAL(1, static_cast<int>(owner.state.jobs.at(7).tasks[0].failures));
+        owner.join("agent-1", 8000, {}, {{1, {{7, 0, 0}, 1}, RunOutcome::Failed, 10}});
+        CPPUNIT_ASSERT_EQUAL(1, static_cast<int>(owner.state.jobs.at(7).tasks[0].failures));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+    }
+
+    // Guards against a gang that is failed too early after an owner change because each member's end counts for itself.
+    void failuresOfOneGangRunCountOnce()
+    {
+        JobRecord record = jobRecord(7, 3);
+        record.spec.steps.front().gang = true;
+        OwnerHarness owner({"agent-1", "agent-2"}, 2, {record});
+        owner.join("agent-1",
+                   8000,
+                   {},
+                   {{1, {{7, 0, 0}, 1}, RunOutcome::Failed, 10}, {2, {{7, 0, 1}, 1}, RunOutcome::Failed, 10}, {3, {{7, 0, 2}, 1}, RunOutcome::Failed, 10}});
+        owner.join("agent-2");
+        owner.commitAll();
+        CPPUNIT_ASSERT_EQUAL(1, static_cast<int>(owner.state.jobs.at(7).tasks[0].failures));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), owner.orderedStartCount());
+    }
+
 private:
+    /// Returns the jobs as the commits of the owner have stored them.
+    static StoredJobs storedJobs(const OwnerHarness &owner)
+    {
+        StoredJobs stored;
+        stored.owner = {2, 0, "entry-2", 1, {"agent-1"}};
+        for (const Commit &commit : owner.commits) {
+            for (const Commit::Write &write : commit.writes) {
+                if (write.key.starts_with(jobPrefix)) {
+                    stored.packs.push_back({write.key, decodeJobPack(write.value).value()});
+                }
+            }
+        }
+        return stored;
+    }
+
     static void refuse(OwnerHarness &owner, const std::string &agent, const RunRef &run)
     {
         AgentReport refused = owner.report(agent);
