Wait for all ends of a restarted agent after a takeover

Seen: a stored task that had ended done started again after an owner change, and its end was acknowledged later all the same.

Cause: a worker lists a limited number of ends at a time (500; 5 in the model) and further ones once these are acknowledged. The next owner also took the former one for having judged that end, as the agent named it as its former owner.

Change: a full report tells that further ends may follow, until the agent's process has seen a list with all of them; another full report follows then. The owner goes on waiting for such an agent, as long as for one that has not reported. An owner counts as having judged the ends only by a full report with all of them.

--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -131,6 +131,8 @@
     std::vector<RunRef> stalled; ///< Runs that make no progress.
     std::vector<RunCheckpoint> checkpoints;
     std::uint64_t formerEpoch = 0; ///< Epoch of the latest owner before this one that has answered a full report of the agent; 0 if there was none.
+    /// In a full report: runs that it doesn't list may have ended, as the worker lists further ends once these are acknowledged. Another full report follows.
+    bool endsIncomplete = false;
 
     template<class Archive>
     void serialize(Archive &archive)
@@ -148,7 +150,8 @@
                 refusals,
                 stalled,
                 checkpoints,
-                formerEpoch);
+                formerEpoch,
+                endsIncomplete);
     }
 };
 
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -237,8 +237,10 @@
         }
         state.schedulingDue = true;
         reconcile(context, index, report);
-        state.agentsChanged |= state.awaitedAgents.erase(name) > 0;
-        state.agentsChanged |= state.givenUpAgents.erase(name) > 0;
+        if (!report.endsIncomplete) {
+            state.agentsChanged |= state.awaitedAgents.erase(name) > 0;
+            state.agentsChanged |= state.givenUpAgents.erase(name) > 0;
+        }
     }
     handleAcknowledgedEnds(state.agents[index], report.endsAcknowledged);
     for (const RunEnd &end : report.ends) {
--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -291,6 +291,7 @@
     }
     report.refusals = state.nextReport.refusals;
     report.formerEpoch = state.formerEpoch;
+    report.endsIncomplete = state.worker && !state.endsComplete;
     return report;
 }
 
@@ -315,7 +316,8 @@
     report.workerSilent = state.silenceReported || Internal::isLapsing(state);
     report.endsAcknowledged = state.endsRecorded;
     report.token = std::chrono::duration_cast<std::chrono::milliseconds>(state.now).count();
-    state.fullReportToken = fullDue ? report.token : state.fullReportToken;
+    // The owner can't judge ends that it hasn't been shown.
+    state.fullReportToken = fullDue && !report.endsIncomplete ? report.token : state.fullReportToken;
     state.lastReportAt = state.now;
     context.effects.push_back(SendReport{state.ownerEntry, std::move(report)});
 }
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -96,6 +96,14 @@
     }
 }
 
+/// Handles a list of all ends. The owner waits for a full report with them if it has got one without.
+void completeEnds(AgentState &state)
+{
+    const bool reportedIncomplete = !state.endsComplete && state.runsListed;
+    state.endsComplete = true;
+    state.fullReportDue = state.fullReportDue || reportedIncomplete;
+}
+
 void recordSilence(AgentState &state, const HoldAnswered &event)
 {
     if (!state.silentSince) {
@@ -328,6 +336,7 @@
         // A run in neither list may have ended. Ends are acknowledged in the meantime, so later lists show the others.
         state.holdNotBefore = state.now + holdRetryDelay;
     } else {
+        completeEnds(state);
         dropCancelledStarts(context, event);
     }
     adjustBackgroundPace(context, event);
@@ -344,6 +353,7 @@
     state.leaving = false;
     state.ends.clear();
     state.firstEndListed.reset();
+    state.endsComplete = false;
     state.endsGapUnconfirmed = false;
     state.endsRecorded = 0;
     state.endsAckedToWorker = 0;
@@ -401,6 +411,7 @@
     state.silentSince.reset();
     state.ends.clear();
     state.firstEndListed.reset();
+    state.endsComplete = false;
     state.endsGapUnconfirmed = false;
     state.endsRecorded = 0;
     state.endsAckedToWorker = 0;
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -81,6 +81,7 @@
     // Ended runs, by the numbers that the worker has given them.
     std::map<std::uint64_t, Jobs::RunEnd> ends; ///< ends that the owner has not recorded yet
     std::optional<std::uint64_t> firstEndListed; ///< lowest number in the latest list of this incarnation, 0 if it had no ends; no value before
+    bool endsComplete = false; ///< a list has shown all ends of this incarnation of the worker; this process knows all runs since
     bool endsGapUnconfirmed = false; ///< the latest list lacks numbers above endsRecorded, and the list before doesn't show that they are missing
     std::uint64_t endsRecorded = 0; ///< the owner has recorded all ends up to this number
     std::uint64_t endsAckedToWorker = 0; ///< all ends up to this number are acknowledged to the worker
@@ -89,7 +90,7 @@
 
     // The owner.
     std::uint64_t epoch = 0;
-    std::int64_t fullReportToken = 0; ///< token of the latest full report to this owner; 0 if there was none
+    std::int64_t fullReportToken = 0; ///< token of the latest full report with all ends to this owner; 0 if there was none
     std::uint64_t judgedEpoch = 0; ///< epoch of the latest owner whose orders tell which ends of a full report need a lapse
     std::uint64_t formerEpoch = 0; ///< the same before this owner
     std::string ownerEntry; ///< link name of the entry that owns the jobs; empty if there is none
--- a/tests/auto/jobs/ownerharness.cpp
+++ b/tests/auto/jobs/ownerharness.cpp
@@ -114,7 +114,7 @@
     return report;
 }
 
-void OwnerHarness::join(const std::string &agent, std::uint32_t cpuMilli, std::vector<PossibleRun> running, std::vector<RunEnd> ends)
+void OwnerHarness::join(const std::string &agent, std::uint32_t cpuMilli, std::vector<PossibleRun> running, std::vector<RunEnd> ends, bool endsIncomplete)
 {
     feed(AgentLinked{agent});
     AgentReport full = report(agent);
@@ -122,6 +122,7 @@
     full.worker = WorkerInfo{"worker-" + agent, startTimeMs, service, "domain-1", "a", "rack-1", {"a", "rack-1"}, {cpuMilli, 65'536, 0}, false};
     full.running = std::move(running);
     full.ends = std::move(ends);
+    full.endsIncomplete = endsIncomplete;
     for (const RunEnd &end : full.ends) {
         lastEndNumber_[agent] = std::max(lastEndNumber_[agent], end.number);
     }
--- a/tests/auto/jobs/ownerharness.h
+++ b/tests/auto/jobs/ownerharness.h
@@ -41,7 +41,11 @@
     void submit(CallId call, const SubmitCall &submission);
 
     /// Links the agent and sends its full report of a worker, the active runs and the ends.
-    void join(const std::string &agent, std::uint32_t cpuMilli = 8000, std::vector<PossibleRun> running = {}, std::vector<RunEnd> ends = {});
+    void join(const std::string &agent,
+              std::uint32_t cpuMilli = 8000,
+              std::vector<PossibleRun> running = {},
+              std::vector<RunEnd> ends = {},
+              bool endsIncomplete = false);
     void joinOnRack(const std::string &agent, const std::string &rack, std::uint32_t cpuMilli = 8000);
     AgentReport report(const std::string &agent) const;
     void reportEnd(const std::string &agent, const RunRef &run, RunOutcome outcome, std::uint32_t runTimeMs = 100, const std::string &checkpoint = {});
--- a/tests/auto/jobs/tst_formerruns.cpp
+++ b/tests/auto/jobs/tst_formerruns.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(failureOfAnEarlierRunCanFailTheJob);
     CPPUNIT_TEST(recordedFailureCountsOnce);
     CPPUNIT_TEST(failuresOfOneGangRunCountOnce);
+    CPPUNIT_TEST(waitsForAllEndsOfAnAgent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -128,6 +129,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), owner.orderedStartCount());
     }
 
+    // Guards against a task that starts again although it is done: the agent's new process hasn't been shown the end by its worker yet.
+    void waitsForAllEndsOfAnAgent()
+    {
+        OwnerHarness owner({"agent-1"}, 2, {jobRecord(7, 1), jobRecord(8, 1)});
+        owner.join("agent-1", 8000, {}, {{1, {{8, 0, 0}, 1}, RunOutcome::Done, 10}}, true);
+        owner.commitAll();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), owner.endsRecorded["agent-1"]);
+        owner.join("agent-1", 8000, {}, {{2, {{7, 0, 0}, 1}, RunOutcome::Done, 10}});
+        owner.commitAll();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
+        CPPUNIT_ASSERT(owner.state.finished.at(7) == JobState::Completed);
+    }
+
 private:
     /// Returns the jobs as the commits of the owner have stored them.
     static StoredJobs storedJobs(const OwnerHarness &owner)
