tests: an end that is reported while the owner vacates the jobs

Change: the stand-in of the store keeps back the answer to the next transaction. The owner is stopped 50 ms before a task ends, the answer to the vacation is kept back for 400 ms, and the successor claims the jobs after that.

--- a/tests/auto/node/tst_storeresets.cpp
+++ b/tests/auto/node/tst_storeresets.cpp
@@ -7,11 +7,14 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <chrono>
+#include <csignal>
 #include <functional>
 #include <future>
 #include <map>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace LaburnumFlow;
@@ -94,6 +97,7 @@
     CPPUNIT_TEST(executedCommitsWhoseConnectionsAreReset);
     CPPUNIT_TEST(executedCommitsThatAreTurnedAwayWhenTheyComeAgain);
     CPPUNIT_TEST(pageOfAnEarlierLoadIsDropped);
+    CPPUNIT_TEST(endIsNotAcknowledgedAfterTheOwnershipWasVacated);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -137,6 +141,32 @@
         CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.jobState(0, job) == "completed"; }));
     }
 
+    /// Guards against a second run of a task that ended while its owner was stopping and waited for the answer to the vacation of its ownership: the end
+    /// was acknowledged to the worker, but not stored.
+    void endIsNotAcknowledgedAfterTheOwnershipWasVacated()
+    {
+        constexpr int workMs = 1500;
+        constexpr std::chrono::milliseconds stopBeforeEnd{50};
+        constexpr unsigned vacationMs = 400; // Longer than the store's timeout
+        const std::string job = jobName(0, 0);
+        Site site(2);
+        site.waitUntilReady(0);
+        site.waitUntilReady(1);
+        const int owner = site.waitForOwner();
+        const int successor = 1 - owner;
+        CPPUNIT_ASSERT_EQUAL(200L, site.submit(owner, job, 1, workMs, false).status);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.allRuns().size() == 1; }));
+        std::this_thread::sleep_until(site.allRuns()[0].end - stopBeforeEnd);
+        // The successor claims the jobs only after the end.
+        site.turnAway(successor, true);
+        site.platform.delaysNextMs = vacationMs;
+        site.entry(owner).signal(SIGTERM);
+        std::this_thread::sleep_for(std::chrono::milliseconds(vacationMs));
+        site.turnAway(successor, false);
+        CPPUNIT_ASSERT(waitFor(generousSeconds, [&] { return site.jobState(successor, job) == "completed"; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), site.allRuns().size());
+    }
+
 private:
     /// Submits jobs to two entries while each third transaction is executed and its connection reset. Returns how many second sendings were turned away.
     static unsigned submitWhileTheStoreResets(bool turnsAwaySecondSendings = false)
--- a/tests/standins/platformsite/platformstandin.cpp
+++ b/tests/standins/platformsite/platformstandin.cpp
@@ -2,6 +2,7 @@
 
 #include "store/base64.h"
 
+#include <thread>
 #include <vector>
 
 namespace PlatformSite {
@@ -86,7 +87,7 @@
         return reply;
     }
     if (request.path == "/kv-txn") {
-        return faultyTransaction(request.body);
+        return faultyTransaction(request.body, lock);
     }
     if (request.path == "/kv-lease") {
         return grant(request.body);
@@ -177,13 +178,18 @@
     return {200, json{{"Revision", revision_}}.dump()};
 }
 
-StandInReply PlatformStandIn::faultyTransaction(const std::string &body)
+StandInReply PlatformStandIn::faultyTransaction(const std::string &body, std::unique_lock<std::mutex> &lock)
 {
     if (resetBodies_.erase(body) > 0 && turnsAwaySecondSendings) {
         ++turnedAway_;
         return {503, {}};
     }
     StandInReply reply = transaction(body);
+    if (const std::chrono::milliseconds delay(delaysNextMs.exchange(0)); delay.count() > 0) {
+        lock.unlock();
+        std::this_thread::sleep_for(delay);
+        lock.lock();
+    }
     ++transactions_;
     if (resetsEach > 0 && transactions_ % resetsEach == 0) {
         resetBodies_.insert(body);
--- a/tests/standins/platformsite/platformstandin.h
+++ b/tests/standins/platformsite/platformstandin.h
@@ -48,6 +48,9 @@
     /// While set, a transaction that comes again after the reset of its connection is answered 503 without effect the first time.
     std::atomic<bool> turnsAwaySecondSendings = false;
 
+    /// How long the answer to the next transaction is kept back; 0 once it was.
+    std::atomic<unsigned> delaysNextMs = 0;
+
     /// Returns how many connections were reset, and how many transactions were turned away as second sendings.
     unsigned resets() const
     {
@@ -85,7 +88,7 @@
     StandInReply item(const std::string &key) const;
     StandInReply range(const std::string &prefix, const std::string &after) const;
     StandInReply transaction(const std::string &body);
-    StandInReply faultyTransaction(const std::string &body);
+    StandInReply faultyTransaction(const std::string &body, std::unique_lock<std::mutex> &lock);
     void waitForRelease(const std::string &prefix, std::unique_lock<std::mutex> &lock);
     StandInReply grant(const std::string &body);
     StandInReply keep(std::int64_t lease);
