--- /dev/null
+++ b/tests/auto/entrynode/tst_storecalls.cpp
@@ -0,0 +1,97 @@
+#include "entryharness.h"
+
+#include "entrynode/entrynodeconstants.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::EntryNode;
+using namespace LaburnumFlow::EntryNode::Testing;
+using Mode = OwnershipState::Mode;
+using namespace std::chrono_literals;
+
+/// Tests an entry whose claims and reads of the cluster end at once without an answer, or cross each other.
+class TestStoreCalls : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestStoreCalls);
+    CPPUNIT_TEST(readFromBeforeAClaimDoesNotResolveIt);
+    CPPUNIT_TEST(ownClaimThatIsTakenForLostIsReplaced);
+    CPPUNIT_TEST(claimsThatFailAtOnceAreSpacedOut);
+    CPPUNIT_TEST(olderReadDoesNotBringBackAFormerOwner);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a second claim, and so a second takeover, by an entry that owns the jobs: the answer to its claim was lost at once, and the read in
+    /// progress was executed before the claim.
+    void readFromBeforeAClaimDoesNotResolveIt()
+    {
+        EntryHarness entry;
+        entry.read(std::nullopt, 0, {});
+        entry.advance(clusterReadInterval);
+        CPPUNIT_ASSERT(entry.state.readInProgress);
+        entry.feed(ClaimEnded{ClaimEnded::Outcome::Unknown, 0});
+        entry.read(std::nullopt, 0, {});
+        CPPUNIT_ASSERT(entry.state.mode == Mode::Confirming);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.effects<Claim>().size());
+        CPPUNIT_ASSERT(entry.state.readInProgress);
+        entry.read(makeOwner("entry-1", 1), 6, {});
+        CPPUNIT_ASSERT(entry.state.mode == Mode::Loading);
+    }
+
+    /// Guards against jobs without an owner after a claim was executed late and conflicted with the repeated claim, so that the store names this entry as
+    /// the owner while it follows.
+    void ownClaimThatIsTakenForLostIsReplaced()
+    {
+        EntryHarness entry;
+        entry.read(std::nullopt, 0, {});
+        entry.feed(ClaimEnded{ClaimEnded::Outcome::Unknown, 0});
+        entry.read(std::nullopt, 0, {});
+        entry.advance(claimRetryDelay);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.effects<Claim>().size());
+        entry.feed(ClaimEnded{ClaimEnded::Outcome::Lost, 0});
+        entry.read(makeOwner("entry-1", 1), 6, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), entry.effects<Claim>().size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), entry.effects<Claim>()[2].record.epoch);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(6), entry.effects<Claim>()[2].expectedRevision);
+    }
+
+    /// Guards against some hundred claims per second, each of which is priced, by an entry whose writes the store refuses, or whose connections it resets,
+    /// while it answers reads.
+    void claimsThatFailAtOnceAreSpacedOut()
+    {
+        for (const auto outcome : {ClaimEnded::Outcome::Refused, ClaimEnded::Outcome::Unknown}) {
+            EntryHarness entry;
+            entry.read(std::nullopt, 0, {});
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.effects<Claim>().size());
+            for (int i = 0; i < 5; ++i) {
+                entry.feed(ClaimEnded{outcome, 0});
+                entry.read(std::nullopt, 0, {});
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.effects<Claim>().size());
+            CPPUNIT_ASSERT(nextDue(entry.state) <= entry.now() + claimRetryDelay);
+            entry.advance(claimRetryDelay);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.effects<Claim>().size());
+        }
+    }
+
+    /// Guards against calls that are forwarded again from the owner to its predecessor, whose refusal would count although the owner has accepted
+    /// them: a read of the cluster ends after the first heartbeat of the owner but was executed before its claim.
+    void olderReadDoesNotBringBackAFormerOwner()
+    {
+        EntryHarness entry;
+        entry.followPeer(true);
+        entry.advance(clusterReadInterval);
+        CPPUNIT_ASSERT(entry.state.readInProgress);
+        entry.feed(PeerHeartbeat{"entry-3", {4, true, false}});
+        CPPUNIT_ASSERT_EQUAL(std::string("entry-3"), entry.effects<OwnerChanged>().back().name);
+        entry.read(makeOwner("entry-2", 3), 10, {makeEntry("entry-1"), makeEntry("entry-2"), makeEntry("entry-3")});
+        CPPUNIT_ASSERT_EQUAL(std::string("entry-3"), entry.effects<OwnerChanged>().back().name);
+        CPPUNIT_ASSERT(entry.state.readInProgress);
+        entry.read(makeOwner("entry-3", 4), 11, {makeEntry("entry-1"), makeEntry("entry-2"), makeEntry("entry-3")});
+        CPPUNIT_ASSERT_EQUAL(std::string("entry-3"), entry.effects<OwnerChanged>().back().name);
+        CPPUNIT_ASSERT(entry.state.ownerRecordCurrent);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(11), entry.state.ownerRevision);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestStoreCalls);
