Number relays across the processes of an entry

A caller of an entry that has restarted could get the state of another job: the entry numbered its relays to owners from 1 in each process, and an answer to a relay of a status request or of a cancellation names nothing else. An owner that answers late, after the new process has linked to it, answers that one. An owner also keeps the highest number of a job's relays that it has refused, to drop older ones, so it dropped relays of a later process until their deadlines.

The numbers begin at the incarnation of the process, which grows with the time of its start.

--- a/src/libs/dispatch/dispatch.cpp
+++ b/src/libs/dispatch/dispatch.cpp
@@ -206,6 +206,7 @@
     state.self = config.self;
     state.placement = config.placement;
     state.random.seed(config.seed);
+    state.lastRelayId = config.incarnation;
     return state;
 }
 
--- a/src/libs/dispatch/dispatch.h
+++ b/src/libs/dispatch/dispatch.h
@@ -16,6 +16,7 @@
     std::string self; ///< Name of this entry
     std::uint64_t seed = 0;
     PlacementPolicy placement = ExpectedWait{};
+    std::uint64_t incarnation = 0; ///< of this process, as in Base::ProcessId
 };
 
 DispatchState initialState(const DispatchConfig &config);
--- a/src/libs/dispatch/dispatchstate.h
+++ b/src/libs/dispatch/dispatchstate.h
@@ -269,7 +269,7 @@
     std::map<Protocol::Partition, std::set<Events::RequestId>> requestsByPartition;
     std::unordered_map<std::uint64_t, Events::RequestId> requestsByRelay;
     std::unordered_map<std::uint64_t, StatusRelay> statusRelays;
-    std::uint64_t lastRelayId = 0;
+    std::uint64_t lastRelayId = 0; ///< begins above those of former processes of this entry
     std::map<Protocol::Partition, std::vector<DeferredRelay>> deferredRelays;
     std::size_t deferredRelayCount = 0;
     /// Newest refused relay id and its deadline, for each peer and submission that was relayed more than once.
--- a/src/libs/entryruntime/entryruntime.cpp
+++ b/src/libs/entryruntime/entryruntime.cpp
@@ -141,6 +141,7 @@
     dispatch.self = settings.name;
     dispatch.seed = seed + 1; // not the same sequence as cluster's
     dispatch.placement = placementOf(settings.placement);
+    dispatch.incarnation = self.incarnation;
     return {Cluster::initialState(cluster), Dispatch::initialState(dispatch)};
 }
 
--- a/tests/auto/dispatch/tst_relay.cpp
+++ b/tests/auto/dispatch/tst_relay.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Protocol::Partition partition = 7;
+constexpr std::uint64_t formerIncarnation = std::uint64_t(1'000) << 20U;
+constexpr std::uint64_t laterIncarnation = std::uint64_t(2'000) << 20U;
 const std::vector<Protocol::Partition> partitions{partition};
 
 void prepare(Harness &harness, const std::string &owner)
@@ -56,6 +58,7 @@
 {
     CPPUNIT_TEST_SUITE(TestRelay);
     CPPUNIT_TEST(relaysToOwner);
+    CPPUNIT_TEST(answersToAFormerProcessDoNotCount);
     CPPUNIT_TEST(relaysAgainToNewOwner);
     CPPUNIT_TEST(answersAtDeadline);
     CPPUNIT_TEST(servesRelays);
@@ -90,6 +93,25 @@
         CPPUNIT_ASSERT(harness.failure(request).reason == Reason::None);
     }
 
+    /// Guards against callers that get the state of another job: an answer to a former process of this entry, which the owner gave late.
+    void answersToAFormerProcessDoNotCount()
+    {
+        std::vector<std::uint64_t> numbers;
+        for (const std::uint64_t incarnation : {formerIncarnation, laterIncarnation}) {
+            Harness harness;
+            harness.state = Dispatch::initialState({"self", 1, Dispatch::ExpectedWait{}, incarnation});
+            prepare(harness, "other");
+            harness.send(Events::JobStatusRequested{70, "t", harness.idIn(partition), {}});
+            if (!numbers.empty()) {
+                receive(harness, Protocol::RelayStatusAnswer{numbers.front(), {Protocol::JobPhase::Running, 1, 1, 0, {}}});
+                CPPUNIT_ASSERT(harness.statuses.empty());
+            }
+            numbers.push_back(harness.peerMessages<Protocol::RelayStatus>().at(0).request);
+        }
+        // The owner drops relays of a job with a lower number than one that it has refused.
+        CPPUNIT_ASSERT(numbers.front() < numbers.back());
+    }
+
     /// Guards against a caller that gets no answer after the owner was lost, and against accepting a late answer of the former owner.
     void relaysAgainToNewOwner()
     {
