Echo no token of an agent's former link

Callers would see two runs of a task. An agent may renew its worker's leases while the owner echoes a token that the agent took from its steady clock less than 2 s ago. The owner kept the highest token over all processes of an agent. After the agent's machine has started again its clock begins anew, so the owner echoed a token of the former process, which lies in the new one's future: it never grows old, so the agent would renew without its owner, which starts the tasks elsewhere after 3.2 s, execute late orders, and take its full report for judged before it is.

The token begins anew with each link. Orders of before the first report echo none, and such orders start nothing.

jobs.owner: tokensOfAFormerLinkAreNotEchoed failed before (the former token was echoed), 28 tests pass now.

--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -46,6 +46,8 @@
     agent.linked = true;
     context.state.agentsChanged = true;
     agent.reported = false;
+    // Another process of the agent may have linked, on a machine whose clock has begun anew.
+    agent.token = 0;
     const std::vector<std::string> &recorded = context.state.recorder.recordedAgents();
     agent.recorded = std::binary_search(recorded.begin(), recorded.end(), agent.name);
     agent.ordersAt = {};
--- a/tests/auto/jobs/ownerharness.cpp
+++ b/tests/auto/jobs/ownerharness.cpp
@@ -87,6 +87,7 @@
             runRequirements.insert(runRequirements.end(), orders->orders.runRequirements.begin(), orders->orders.runRequirements.end());
             endsRecorded[orders->agent] = orders->orders.endsRecorded;
             endsToLapse[orders->agent] = orders->orders.endsToLapse;
+            echoes[orders->agent] = orders->orders.echo;
             ordersSeen_[orders->agent] = orders->orders.number;
         } else if (auto *commit = std::get_if<StartCommit>(&effect)) {
             commits.push_back(std::move(commit->commit));
--- a/tests/auto/jobs/ownerharness.h
+++ b/tests/auto/jobs/ownerharness.h
@@ -80,6 +80,7 @@
     std::vector<AskAdvice> adviceRequests;
     std::map<std::string, std::uint64_t> endsRecorded; ///< Number of the last acknowledged end, by agent
     std::map<std::string, std::uint64_t> endsToLapse; ///< As in the last orders, by agent
+    std::map<std::string, std::int64_t> echoes; ///< As in the last orders, by agent
 
 private:
     void recordEffects(OwnerEffects effects);
--- a/tests/auto/jobs/tst_owner.cpp
+++ b/tests/auto/jobs/tst_owner.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(usesOnlyRecordedAgents);
     CPPUNIT_TEST(forgetsAgentsThatLeft);
     CPPUNIT_TEST(silentAgentsTasksRestartAfterTheirLease);
+    CPPUNIT_TEST(tokensOfAFormerLinkAreNotEchoed);
     CPPUNIT_TEST(startInFlightIsNotRepeated);
     CPPUNIT_TEST(startInDoubtAtARestartOfItsWorkerIsNotRepeated);
     CPPUNIT_TEST(lostStartIsOrderedAgainOnceItIsStopped);
@@ -329,6 +330,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStarts("agent-2").size());
     }
 
+    /// Guards against an agent that goes on renewing leases without its owner, which starts the tasks elsewhere: after its machine has started again, the
+    /// clock from which it takes its tokens begins anew, and a token of the former process never grows old.
+    void tokensOfAFormerLinkAreNotEchoed()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        const std::int64_t former = owner.report("agent-1").token;
+        owner.feed(AgentUnlinked{"agent-1"});
+        owner.feed(AgentLinked{"agent-1"});
+        CPPUNIT_ASSERT(owner.echoes.at("agent-1") == 0);
+        AgentReport first = owner.report("agent-1");
+        first.token = former / 2;
+        owner.feed(AgentReported{"agent-1", first});
+        owner.advanceTime(ordersKeepAliveInterval);
+        CPPUNIT_ASSERT_EQUAL(first.token, owner.echoes.at("agent-1"));
+    }
+
     /// Guards against a second run of a task elsewhere while the restarted worker may still execute the first start call late.
     void startInDoubtAtARestartOfItsWorkerIsNotRepeated()
     {
