--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -110,7 +110,7 @@
     void carryOut(EntryNode::EntryEndpointsChanged &changed);
     void carryOut(EntryNode::OwnerChanged &changed);
     void carryOut(EntryNode::OwnershipDecision &decision);
-    void loadPage(std::uint64_t epoch, std::string prefix, const std::string &after);
+    void loadPage(std::string prefix, const std::string &after);
     void loaded();
 
     // The owner's reducer.
--- a/src/app/laburnumnode/entrystore.cpp
+++ b/src/app/laburnumnode/entrystore.cpp
@@ -97,22 +97,22 @@
     });
 }
 
-void EntryProcess::carryOut(EntryNode::LoadJobs &load)
+void EntryProcess::carryOut(EntryNode::LoadJobs & /*load*/)
 {
     loadedJobs_ = {};
-    loadPage(load.epoch, std::string(Jobs::jobPrefix), {});
+    loadPage(std::string(Jobs::jobPrefix), {});
 }
 
-void EntryProcess::loadPage(std::uint64_t epoch, std::string prefix, const std::string &after)
+void EntryProcess::loadPage(std::string prefix, const std::string &after)
 {
     HttpIo::ClientRequest request = Platform::rangeRequest(storeAddress_, prefix, after, false);
-    callStore("load-jobs", std::move(request), jobsPageTimeout, [this, epoch, prefix = std::move(prefix)](const HttpIo::ClientResponse &response) {
-        if (ownership_.mode != EntryNode::OwnershipState::Mode::Loading || ownership_.claim.epoch != epoch) {
+    callStore("load-jobs", std::move(request), jobsPageTimeout, [this, prefix = std::move(prefix)](const HttpIo::ClientResponse &response) {
+        if (ownership_.mode != EntryNode::OwnershipState::Mode::Loading) {
             return;
         }
         const auto page = Platform::parsePageResponse(response);
         if (!page) {
-            loop_.callAfter(std::chrono::milliseconds(50), [this, epoch] { feedOwnership(EntryNode::JobsLoaded{epoch, false}); });
+            loop_.callAfter(std::chrono::milliseconds(50), [this] { feedOwnership(EntryNode::JobsLoaded{false}); });
             return;
         }
         for (const Platform::StoreItem &item : page->items) {
@@ -125,11 +125,11 @@
             }
         }
         if (page->more && !page->items.empty()) {
-            loadPage(epoch, prefix, page->items.back().key);
+            loadPage(prefix, page->items.back().key);
         } else if (prefix == Jobs::jobPrefix) {
-            loadPage(epoch, std::string(Jobs::finishedPrefix), {});
+            loadPage(std::string(Jobs::finishedPrefix), {});
         } else {
-            feedOwnership(EntryNode::JobsLoaded{epoch, true});
+            feedOwnership(EntryNode::JobsLoaded{true});
         }
     });
 }
--- a/src/libs/entrynode/claims.cpp
+++ b/src/libs/entrynode/claims.cpp
@@ -106,7 +106,7 @@
     adoptConfirmers(context.state, context.state.confirmers.claimed, revision);
     recordEpoch(context.state, context.state.claim.epoch);
     confirmClaim(context.state, claimHeldAt);
-    context.effects.push_back(LoadJobs{context.state.claim.epoch});
+    context.effects.push_back(LoadJobs{});
 }
 
 } // namespace
--- a/src/libs/entrynode/ownership.cpp
+++ b/src/libs/entrynode/ownership.cpp
@@ -110,11 +110,11 @@
 void handle(Context &context, const JobsLoaded &event)
 {
     OwnershipState &state = context.state;
-    if (state.mode != Mode::Loading || event.epoch != state.claim.epoch) {
+    if (state.mode != Mode::Loading) {
         return;
     }
     if (!event.complete) {
-        context.effects.push_back(LoadJobs{state.claim.epoch});
+        context.effects.push_back(LoadJobs{});
         return;
     }
     state.mode = Mode::Owning;
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -159,7 +159,6 @@
 };
 
 struct JobsLoaded {
-    std::uint64_t epoch = 0; ///< of the claim for which they were read
     bool complete = false;
 };
 
@@ -243,7 +242,6 @@
 };
 
 struct LoadJobs {
-    std::uint64_t epoch = 0; ///< of the claim
 };
 
 /// All jobs have been read and this entry owns them from now on.
--- a/tests/auto/entrynode/entryharness.h
+++ b/tests/auto/entrynode/entryharness.h
@@ -80,7 +80,7 @@
     {
         read(std::nullopt, 0, {});
         feed(ClaimEnded{ClaimEnded::Outcome::Won, 5});
-        feed(JobsLoaded{state.claim.epoch, true});
+        feed(JobsLoaded{true});
     }
 
     /// Lets 100 ms pass, after which a read of the cluster that is in progress fails.
--- a/tests/auto/entrynode/ownerchangemodel.cpp
+++ b/tests/auto/entrynode/ownerchangemodel.cpp
@@ -302,10 +302,10 @@
         callStore(index, ConfirmersWritten{ConfirmersWritten::Outcome::Refused, 0}, [this, write = *confirmers] { return executeWrite(write); });
     } else if (std::holds_alternative<FormerOwnersFenced>(effect)) {
         feedOwner(index, Jobs::FormerOwnersFenced{});
-    } else if (const auto *load = std::get_if<LoadJobs>(&effect)) {
-        callStore(index, JobsLoaded{load->epoch, false}, [this, index, epoch = load->epoch] {
+    } else if (std::holds_alternative<LoadJobs>(effect)) {
+        callStore(index, JobsLoaded{false}, [this, index] {
             entries_[index].loaded = store_.jobs;
-            return JobsLoaded{epoch, true};
+            return JobsLoaded{true};
         });
     } else if (const auto *begin = std::get_if<BeginOwning>(&effect)) {
         beginOwning(index, *begin);
--- a/tests/auto/entrynode/tst_authority.cpp
+++ b/tests/auto/entrynode/tst_authority.cpp
@@ -357,7 +357,7 @@
         entry.followPeer(true);
         entry.feed(PeerUnlinked{"entry-2", true});
         entry.feed(ClaimEnded{ClaimEnded::Outcome::Won, 12});
-        entry.feed(JobsLoaded{entry.state.claim.epoch, true});
+        entry.feed(JobsLoaded{true});
         entry.feed(PeerHeartbeat{"entry-3", {5, true, false}});
         entry.feed(SteppedDown{});
         entry.heartbeat();
--- a/tests/auto/entrynode/tst_confirmers.cpp
+++ b/tests/auto/entrynode/tst_confirmers.cpp
@@ -62,7 +62,7 @@
     void win()
     {
         feed(ClaimEnded{ClaimEnded::Outcome::Won, claimRevision});
-        feed(JobsLoaded{state.claim.epoch, true});
+        feed(JobsLoaded{true});
     }
 
     /// Ends a read of the cluster that shows entry-1 and entry-3 as present.
@@ -263,7 +263,7 @@
         CPPUNIT_ASSERT(first != claims.back().confirmers.record);
         entry.feed(ClaimEnded{ClaimEnded::Outcome::Unknown, 0});
         entry.feed(ClusterRead{ClusterRead::Content{makeOwner("entry-1", formerEpoch + 1), claimRevision, {self}, first, claimRevision}});
-        entry.feed(JobsLoaded{entry.state.claim.epoch, true});
+        entry.feed(JobsLoaded{true});
         CPPUNIT_ASSERT(entry.state.mode == OwnershipState::Mode::Owning);
         CPPUNIT_ASSERT(first == entry.state.confirmers.recorded);
         CPPUNIT_ASSERT(!entry.confirmedWithoutStore());
--- a/tests/auto/entrynode/tst_ownership.cpp
+++ b/tests/auto/entrynode/tst_ownership.cpp
@@ -32,7 +32,6 @@
     CPPUNIT_TEST(replacesItsOwnFormerIncarnation);
     CPPUNIT_TEST(learnsOwnerFromHeartbeat);
     CPPUNIT_TEST(higherEpochEndsOwnership);
-    CPPUNIT_TEST(jobsReadForAFormerClaimDoNotCount);
     CPPUNIT_TEST(takesOverAgentsOfTheFormerOwner);
     CPPUNIT_TEST(renewsItsPresence);
     CPPUNIT_TEST(vanishedPresenceIsWrittenAgain);
@@ -297,26 +296,6 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), other.effects<OwnershipLost>().size());
     }
 
-    /// Guards against an owner that lacks jobs which another owner has accepted in between: its pages of jobs were read before its claim.
-    void jobsReadForAFormerClaimDoNotCount()
-    {
-        EntryHarness entry;
-        entry.read(std::nullopt, 0, {});
-        entry.feed(ClaimEnded{ClaimEnded::Outcome::Won, 5});
-        entry.feed(PeerHeartbeat{"entry-2", {2, true, false}});
-        entry.feed(SteppedDown{});
-        entry.read(makeOwner("", 2), 20, {});
-        entry.feed(ClaimEnded{ClaimEnded::Outcome::Won, 21});
-        const std::vector<LoadJobs> loads = entry.effects<LoadJobs>();
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), loads.size());
-        entry.feed(JobsLoaded{loads.front().epoch, false});
-        CPPUNIT_ASSERT_EQUAL(loads.size(), entry.effects<LoadJobs>().size());
-        entry.feed(JobsLoaded{loads.front().epoch, true});
-        CPPUNIT_ASSERT(entry.state.mode == Mode::Loading);
-        entry.feed(JobsLoaded{loads.back().epoch, true});
-        CPPUNIT_ASSERT(entry.state.mode == Mode::Owning);
-    }
-
     /// Guards against a new owner that doesn't wait for the agents of the former one: its claim must keep their names.
     void takesOverAgentsOfTheFormerOwner()
     {
@@ -402,7 +381,7 @@
         entry.read(std::nullopt, 0, {});
         entry.feed(StopRequested{});
         entry.feed(ClaimEnded{ClaimEnded::Outcome::Won, 5});
-        entry.feed(JobsLoaded{entry.state.claim.epoch, true});
+        entry.feed(JobsLoaded{true});
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.effects<BeginOwning>().size());
     }
 };
