--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -71,6 +71,7 @@
     std::optional<Base::MonoTime> claimableSince; ///< since when there has been a reason to replace the owner
     Jobs::OwnerRecord claim; ///< record of the latest claim
     Base::MonoTime claimedAt{}; ///< when the latest claim was sent
+    Base::MonoTime claimNotBefore{}; ///< of the next claim
     Base::MonoTime claimWonAt{}; ///< when this entry learned that the store held the latest claim
     Base::MonoTime claimConfirmedAt{}; ///< latest time at which the store is known to have held the claim
     Base::MonoTime authorityUntil{}; ///< end of this entry's authority as the owner unless it is confirmed again
@@ -87,6 +88,7 @@
     bool lastReadSucceeded = false; ///< of the latest read that has ended
     Base::MonoTime lastReadStartedAt{}; ///< of the latest read that has ended
     bool readInProgress = false;
+    bool readOutdated = false; ///< the read in progress may show an older owner record than this entry knows of
     Base::MonoTime readStartedAt{}; ///< start of the latest read
     Base::MonoTime readNotBefore{};
     Base::MonoTime heartbeatNotBefore{};
--- a/src/libs/jobs/recorder.cpp
+++ b/src/libs/jobs/recorder.cpp
@@ -13,7 +13,14 @@
 std::size_t recordSize(const Change &change)
 {
     const auto *put = std::get_if<PutJob>(&change.operation);
-    return put == nullptr ? 0 : put->record.size();
+    return put == nullptr ? 0 : put->record.size() + put->failedRuns.size();
+}
+
+/// Returns whether the commit that leaves the owner record like this is the one in progress. An owner that vacates the ownership writes the next sequence
+/// number too, but without its name.
+bool isWrittenBy(const OwnerRecord &record, const OwnerRecord &owner)
+{
+    return record.epoch == owner.epoch && record.sequence == owner.sequence && record.owner == owner.owner && record.incarnation == owner.incarnation;
 }
 
 } // namespace
@@ -101,6 +108,9 @@
 void Recorder::apply(const PutJob &put, Base::WallTime wall)
 {
     pack_.records.push_back(put.record);
+    if (!put.failedRuns.empty()) {
+        pack_.records.push_back(put.failedRuns);
+    }
     packs_.put(put.job, packKey(owner_.epoch, packNumber_), wall.count());
 }
 
@@ -152,8 +162,7 @@
     sent_ = false;
     const auto *committed = std::get_if<Committed>(&result);
     const auto *conflict = std::get_if<CommitConflict>(&result);
-    // An entry that stops resigns under this epoch and, while a commit is on its way, under the same sequence number.
-    if (conflict != nullptr && conflict->current != owner_) {
+    if (conflict != nullptr && (!conflict->current || !isWrittenBy(*conflict->current, owner_))) {
         return Verdict::OwnershipLost;
     }
     mayBeRecorded_ |= std::holds_alternative<CommitUnknown>(result);
@@ -165,8 +174,9 @@
     // A conflict with the record that this very commit writes means that an earlier try was executed.
     revision_ = committed != nullptr ? committed->revision : conflict->revision;
     backoff_ = Base::Duration::zero();
-    confirmedAgents_ = owner_.agents;
-    recordedAgents_ = owner_.agents;
+    // The try that was executed may have listed other agents than the latest one.
+    confirmedAgents_ = committed != nullptr ? owner_.agents : conflict->current->agents;
+    recordedAgents_ = confirmedAgents_;
     commit_.reset();
     recorded_ = std::exchange(inFlight_, {});
     return Verdict::Recorded;
--- a/tests/auto/jobs/tst_recorder.cpp
+++ b/tests/auto/jobs/tst_recorder.cpp
@@ -39,7 +39,7 @@
     CPPUNIT_TEST(repeatsUnknownCommitUnchanged);
     CPPUNIT_TEST(recognizesOwnLateCommit);
     CPPUNIT_TEST(anotherOwnerEndsTheOwnership);
-    CPPUNIT_TEST(ownResignationIsNotTheCommit);
+    CPPUNIT_TEST(vacatedRecordIsNoOwnCommit);
     CPPUNIT_TEST(keyIsRemovedLater);
     CPPUNIT_TEST(keyStaysWhileAJobNeedsIt);
     CPPUNIT_TEST(keyStaysIfItIsUsedAgain);
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(recordsAgents);
     CPPUNIT_TEST(leavingAgentsAreNotRecorded);
     CPPUNIT_TEST(refusedCommitIsRepeatedWithNewAgents);
+    CPPUNIT_TEST(agentsOfAnExecutedCommitAreThoseInTheStore);
     CPPUNIT_TEST(removesOldSegments);
     CPPUNIT_TEST(finalStatesOutliveOlderRecords);
     CPPUNIT_TEST(finalStatesOfFormerOwnersOutliveTheirRecords);
@@ -126,16 +127,16 @@
         CPPUNIT_ASSERT(recorder.takeRecorded().empty());
     }
 
-    /// Guards against changes that count as stored although the store holds this owner's resignation in place of their commit: callers get answers and workers
-    /// acknowledgements for them, and the next owner starts the tasks again.
-    void ownResignationIsNotTheCommit()
+    /// Guards against acknowledging changes that aren't stored: the entry has vacated the ownership, and the commit that it sent before it learned of
+    /// that meets a record with its own epoch and the next sequence number.
+    void vacatedRecordIsNoOwnCommit()
     {
         Recorder recorder = makeRecorder();
-        // An entry that stops resigns under the next sequence number while the owner goes on until the response.
-        const OwnerRecord resigned{recorder.owner().epoch, recorder.owner().sequence + 1, {}, 0, {}};
-        recorder.add(finishJob(1));
+        const OwnerRecord &owner = recorder.owner();
+        const OwnerRecord vacant{owner.epoch, owner.sequence + 1, {}, 0, {}};
+        recorder.add(putJob(1));
         recorder.next(1s, wall);
-        CPPUNIT_ASSERT(recorder.finish(CommitConflict{resigned, 8}, 1s) == Recorder::Verdict::OwnershipLost);
+        CPPUNIT_ASSERT(recorder.finish(CommitConflict{vacant, 8}, 1s) == Recorder::Verdict::OwnershipLost);
         CPPUNIT_ASSERT(recorder.takeRecorded().empty());
     }
 
@@ -271,6 +272,24 @@
         CPPUNIT_ASSERT(third->writes.at(0).value == second->writes.at(0).value);
     }
 
+    /// Guards against a successor that doesn't wait for an agent: a try of the commit was executed although it was reported as refused, so that the
+    /// store lists the agents of that try and not those of the later one.
+    void agentsOfAnExecutedCommitAreThoseInTheStore()
+    {
+        Recorder recorder = makeRecorder();
+        recorder.setAgents({"a"});
+        const auto executed = recorder.next(1s, wall);
+        recorder.finish(CommitRefused{}, 1s);
+        recorder.setAgents({"a", "b"});
+        recorder.next(2s, wall);
+        const CommitConflict conflict{decodeOwnerRecord(executed->writes[0].value), 9};
+        CPPUNIT_ASSERT(recorder.finish(conflict, 2s) == Recorder::Verdict::Recorded);
+        CPPUNIT_ASSERT(recorder.recordedAgents() == std::vector<std::string>{"a"});
+        const auto next = recorder.next(3s, wall);
+        CPPUNIT_ASSERT(next.has_value());
+        CPPUNIT_ASSERT(decodeOwnerRecord(next->writes[0].value)->agents == (std::vector<std::string>{"a", "b"}));
+    }
+
     /// Guards against removing the records of accepted jobs because the first job of their commit ended within it, as when that
     /// job is cancelled while it waits to be stored.
     void keyStaysIfItIsUsedAgain()
