--- a/tests/auto/jobs/ownerharness.cpp
+++ b/tests/auto/jobs/ownerharness.cpp
@@ -87,6 +87,7 @@
             runRequirements.insert(runRequirements.end(), orders->orders.runRequirements.begin(), orders->orders.runRequirements.end());
             endsRecorded[orders->agent] = orders->orders.endsRecorded;
             endsToLapse[orders->agent] = orders->orders.endsToLapse;
+            echoes[orders->agent] = orders->orders.echo;
             ordersSeen_[orders->agent] = orders->orders.number;
         } else if (auto *commit = std::get_if<StartCommit>(&effect)) {
             commits.push_back(std::move(commit->commit));
@@ -114,7 +115,7 @@
     return report;
 }
 
-void OwnerHarness::join(const std::string &agent, std::uint32_t cpuMilli, std::vector<PossibleRun> running, std::vector<RunEnd> ends)
+void OwnerHarness::join(const std::string &agent, std::uint32_t cpuMilli, std::vector<PossibleRun> running, std::vector<RunEnd> ends, bool endsIncomplete)
 {
     feed(AgentLinked{agent});
     AgentReport full = report(agent);
@@ -122,6 +123,7 @@
     full.worker = WorkerInfo{"worker-" + agent, startTimeMs, service, "domain-1", "a", "rack-1", {"a", "rack-1"}, {cpuMilli, 65'536, 0}, false};
     full.running = std::move(running);
     full.ends = std::move(ends);
+    full.endsIncomplete = endsIncomplete;
     for (const RunEnd &end : full.ends) {
         lastEndNumber_[agent] = std::max(lastEndNumber_[agent], end.number);
     }
