tests: stored jobs keep their rules when answers of workers are lost

Plays stored jobs of two steps, runs that fail, cancellations, late commits, short lists of ends and restarting workers beside calls whose connection is reset after the worker has executed them, also in a partition.

--- a/tests/auto/entrynode/tst_ownerchangeresets.cpp
+++ b/tests/auto/entrynode/tst_ownerchangeresets.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(runsEachTaskOnceWhenWorkersRestartAndAnswersAreLost);
     CPPUNIT_TEST(runsEachTaskOnceWhenAnswersAreLostInAPartition);
     CPPUNIT_TEST(runsEachTaskOnceWhenAgentsRestartAndAnswersAreLost);
+    CPPUNIT_TEST(keepsTheRulesOfStoredJobsWhenAnswersAreLost);
+    CPPUNIT_TEST(keepsTheRulesOfStoredJobsWhenAnswersAreLostInAPartition);
     CPPUNIT_TEST(seesASecondSendingThatIsRefused);
     CPPUNIT_TEST(seesASecondSendingThatCannotConnect);
     CPPUNIT_TEST(seesASecondSendingThatItsFenceBars);
@@ -63,6 +65,20 @@
         checkSeeds(options, seeds, simulatedTime);
     }
 
+    // Guards against an end that is acknowledged, repeated or counted wrongly because the connection of a hold call was reset.
+    void keepsTheRulesOfStoredJobsWhenAnswersAreLost()
+    {
+        checkSeeds(withStoredJobs(withRestarts(resets())), seeds, simulatedTime);
+    }
+
+    // Guards against the same while most entries lose the store.
+    void keepsTheRulesOfStoredJobsWhenAnswersAreLostInAPartition()
+    {
+        ModelOptions options = withStoredJobs(withRestarts(resets()));
+        options.witnesses = Witnesses::WithFormerOwner;
+        checkSeeds(options, seeds, simulatedTime);
+    }
+
     // Guards against a model that can't tell a client that sends calls twice from one that doesn't: the worker executes the first sending and refuses the second.
     void seesASecondSendingThatIsRefused()
     {
@@ -109,6 +125,17 @@
         options.longestWorkerDownTime = 200ms;
         return options;
     }
+
+    static ModelOptions withStoredJobs(ModelOptions options)
+    {
+        options.storedJobs = true;
+        options.twoStepShare = 0.5;
+        options.failingRunShare = 0.2;
+        options.cancelledShare = 0.2;
+        options.maxListedEnds = 5;
+        options.lateCommitShare = 0.05;
+        return options;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnerChangeResetsTest);
