--- a/src/libs/jobs/recorder.cpp
+++ b/src/libs/jobs/recorder.cpp
@@ -13,7 +13,7 @@
 std::size_t recordSize(const Change &change)
 {
     const auto *put = std::get_if<PutJob>(&change.operation);
-    return put == nullptr ? 0 : put->record.size();
+    return put == nullptr ? 0 : put->record.size() + put->failedRuns.size();
 }
 
 /// Returns whether the commit that leaves the owner record like this is the one in progress. An owner that vacates the ownership writes the next sequence
@@ -108,6 +108,9 @@
 void Recorder::apply(const PutJob &put, Base::WallTime wall)
 {
     pack_.records.push_back(put.record);
+    if (!put.failedRuns.empty()) {
+        pack_.records.push_back(put.failedRuns);
+    }
     packs_.put(put.job, packKey(owner_.epoch, packNumber_), wall.count());
 }
 
