--- a/src/libs/taskagent/agentsteps.h
+++ b/src/libs/taskagent/agentsteps.h
@@ -54,6 +54,12 @@
 void reportRefusal(AgentState &state, const Jobs::RunRef &run, Jobs::RunRefusal::Reason reason);
 void reportEnd(AgentState &state, const Jobs::RunEnd &end);
 
+/// Returns for how long the run has worked, in milliseconds; 0 if its start is unknown.
+std::uint32_t runTimeMs(const LocalRun &run, Base::MonoTime now);
+
+/// Forgets what the lists of an incarnation of the worker have shown. The numbers of ends and the clock of the next one begin anew.
+void forgetLists(AgentState &state);
+
 void handleStartAnswer(Context &context, const StartAnswered &event);
 void handleStopAnswer(Context &context, const StopAnswered &event);
 void handleHoldAnswer(Context &context, const HoldAnswered &event);
