Log runs of the worker that the agent doesn't expect

When a start counts as refused and the worker runs it, or executes it late, the agent adopted the run at the next list without a word, so the logs of two runs of a task showed the second one only. run.unexpected names a run that is listed and that neither this process nor an earlier list of the worker's incarnation knows; runs of a former process of the agent are in the first list and aren't logged.

--- a/src/libs/taskagent/agentlists.cpp
+++ b/src/libs/taskagent/agentlists.cpp
@@ -3,6 +3,7 @@
 #include "taskagentconstants.h"
 
 #include "jobs/jobsconstants.h"
+#include "jobs/jobtext.h"
 
 #include <algorithm>
 
@@ -32,10 +33,15 @@
     }
 }
 
-void updateListedRun(AgentState &state, const ListedRun &listed, bool ofKnownIncarnation)
+void updateListedRun(Context &context, const ListedRun &listed, bool ofKnownIncarnation)
 {
+    AgentState &state = context.state;
     const auto [found, added] = state.runs.try_emplace(listed.run);
     LocalRun &local = found->second;
+    if (added && state.firstEndListed) {
+        // No earlier list of this incarnation had the run: a late start, or one that counted as refused.
+        logDecision(context, "run.unexpected", {{"run", Jobs::formatRun(listed.run)}});
+    }
     if (added) {
         // Started by a previous incarnation of this process, which may have renewed the lease a moment ago.
         recordLeaseRenewal(state);
@@ -176,7 +182,7 @@
     updateClockOffset(state, event.workerClock);
     const bool ofKnownIncarnation = event.workerStartTimeMs != 0 && state.worker->startTimeMs == event.workerStartTimeMs;
     for (const ListedRun &run : event.running) {
-        updateListedRun(state, run, ofKnownIncarnation);
+        updateListedRun(context, run, ofKnownIncarnation);
     }
     adoptRecordedEnds(state, event.ends);
     for (const Jobs::RunEnd &end : event.ends) {
--- a/tests/auto/taskagent/agentharness.h
+++ b/tests/auto/taskagent/agentharness.h
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <string_view>
 #include <vector>
 
 /// Drives the agent's reducer in place of its process.
@@ -113,6 +114,13 @@
         return now_;
     }
 
+    /// Returns how many decisions with this event have been logged.
+    std::size_t countDecisions(std::string_view event) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(decisions_.begin(), decisions_.end(), [event](const Decision &decision) { return decision.event == event; }));
+    }
+
     std::vector<CallStart> starts;
     std::vector<CallStop> stops;
     std::vector<CallPace> paces;
@@ -133,12 +141,15 @@
                 holds.push_back(*holdCall);
             } else if (auto *report = std::get_if<SendReport>(&effect)) {
                 reports.push_back(std::move(*report));
+            } else if (auto *decision = std::get_if<Decision>(&effect)) {
+                decisions_.push_back(std::move(*decision));
             }
         }
     }
 
     Base::MonoTime now_;
     std::uint64_t number_ = 0;
+    std::vector<Decision> decisions_;
 
 public:
     AgentState state;
