--- a/tests/auto/entrynode/modelplays.cpp
+++ b/tests/auto/entrynode/modelplays.cpp
@@ -64,4 +64,20 @@
     return failed;
 }
 
+ModelOptions lostAnswers()
+{
+    ModelOptions options;
+    options.lostAnswerShare = 0.1;
+    options.refusedCallShare = 0.1;
+    options.fenceRefusalsUnanswered = true;
+    return options;
+}
+
+ModelOptions withWorkerRestarts(ModelOptions options)
+{
+    options.workersRestart = true;
+    options.longestWorkerDownTime = 200ms;
+    return options;
+}
+
 } // namespace LaburnumFlow::EntryNode::Testing
--- a/tests/auto/entrynode/modelplays.h
+++ b/tests/auto/entrynode/modelplays.h
@@ -22,4 +22,10 @@
 /// Plays the model with each of the given number of seeds from 1. Returns the number of those that violate a rule.
 std::size_t countFailedSeeds(const ModelOptions &options, std::uint64_t seeds, Base::Duration time);
 
+/// Returns the settings of workers that refuse calls and whose connections are reset after they have executed some.
+ModelOptions lostAnswers();
+
+/// Lets workers restart and refuse connections meanwhile.
+ModelOptions withWorkerRestarts(ModelOptions options);
+
 } // namespace LaburnumFlow::EntryNode::Testing
