taskagent: only answered calls count for the timeout of calls

Cause: a start call without a response counted into the average response time with its whole timeout, and the timeout is eight times that average. From one lost call in eight on, every timeout ran up to 300 ms. Two lost hold calls in a row also made a worker silent that had just answered a start or a stop.

Change: the timeout follows answered calls only (Karn's rule) and doubles from the second unanswered call in a row on. An answered start or stop call of the known incarnation ends the worker's silence.

--- a/src/libs/taskagent/agentcancellations.cpp
+++ b/src/libs/taskagent/agentcancellations.cpp
@@ -107,7 +107,7 @@
         return;
     }
     for (int i = 0; i < barringCalls; ++i) {
-        context.effects.push_back(CallStop{state.unansweredStarts.rbegin()->first, callFence(state), state.worker->startTimeMs, callTimeout(state)});
+        context.effects.push_back(CallStop{state.unansweredStarts.rbegin()->first, callFence(state), state.worker->startTimeMs, state.callTimeout.current()});
     }
 }
 
--- a/src/libs/taskagent/agentpace.cpp
+++ b/src/libs/taskagent/agentpace.cpp
@@ -61,7 +61,7 @@
         const bool differs = isBackground(local) && local.pacePercent != state.backgroundPercent;
         if (differs && local.phase == LocalRun::Phase::Running && !local.stopping && !local.paceCallInProgress) {
             local.paceCallInProgress = true;
-            context.effects.push_back(CallPace{run, state.backgroundPercent, callFence(state), callTimeout(state)});
+            context.effects.push_back(CallPace{run, state.backgroundPercent, callFence(state), state.callTimeout.current()});
         }
     }
 }
--- a/src/libs/taskagent/agentreducer.cpp
+++ b/src/libs/taskagent/agentreducer.cpp
@@ -270,7 +270,7 @@
     if (hold.until) {
         Internal::recordLeaseRenewal(state);
     }
-    hold.timeout = hold.wait + Internal::callTimeout(state);
+    hold.timeout = hold.wait + state.callTimeout.current();
     hold.calledAt = state.now;
     state.endsAckedToWorker = hold.endsAckedToWorker;
     state.holdInProgress = true;
--- a/src/libs/taskagent/agentruns.cpp
+++ b/src/libs/taskagent/agentruns.cpp
@@ -12,6 +12,26 @@
 using Jobs::RunRef;
 using Jobs::RunRefusal;
 
+namespace {
+
+void recordStartOutcome(AgentState &state, StartAnswered::Outcome outcome, Base::Duration waited)
+{
+    switch (outcome) {
+    case StartAnswered::Outcome::Started:
+    case StartAnswered::Outcome::Refused:
+        state.callTimeout.handleResponse(waited);
+        clearSilence(state);
+        return;
+    case StartAnswered::Outcome::NoAnswer:
+        state.callTimeout.handleNoResponse();
+        return;
+    case StartAnswered::Outcome::NotSent:
+        return;
+    }
+}
+
+} // namespace
+
 std::optional<std::chrono::milliseconds> renewableUntil(const AgentState &state)
 {
     const Base::Duration echoAge = state.now - std::chrono::milliseconds(state.echo);
@@ -22,11 +42,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(state.now + *state.clockOffset + Jobs::workerLease);
 }
 
-Base::Duration callTimeout(const AgentState &state)
-{
-    return std::clamp<Base::Duration>(state.averageResponseTime * callTimeoutFactor, minCallTimeout, maxCallTimeout);
-}
-
 void clearSilence(AgentState &state)
 {
     state.silentSince.reset();
@@ -71,8 +86,15 @@
     local.latencyTargetMs = order.latencyTargetMs;
     local.calledAt = state.now;
     recordLeaseRenewal(state);
-    context.effects.push_back(CallStart{
-        run, order.payload, order.checkpoint, order.ticket, *until, callFence(state), state.worker->id, state.worker->startTimeMs, callTimeout(state)});
+    context.effects.push_back(CallStart{run,
+                                        order.payload,
+                                        order.checkpoint,
+                                        order.ticket,
+                                        *until,
+                                        callFence(state),
+                                        state.worker->id,
+                                        state.worker->startTimeMs,
+                                        state.callTimeout.current()});
 }
 
 void stopRun(Context &context, const RunRef &run)
@@ -87,7 +109,7 @@
         return;
     }
     found->second.stopping = true;
-    context.effects.push_back(CallStop{run, callFence(state), workerStartTimeMs(state), callTimeout(state)});
+    context.effects.push_back(CallStop{run, callFence(state), workerStartTimeMs(state), state.callTimeout.current()});
 }
 
 void reportRefusal(AgentState &state, const RunRef &run, RunRefusal::Reason reason)
@@ -114,10 +136,7 @@
         return;
     }
     LocalRun &local = found->second;
-    // A call without a response counts with the time until its timeout, so that timeouts grow when a worker has become slow.
-    if (event.outcome != StartAnswered::Outcome::NotSent) {
-        state.averageResponseTime += (state.now - local.calledAt - state.averageResponseTime) / responseTimeWindow;
-    }
+    recordStartOutcome(state, event.outcome, state.now - local.calledAt);
     switch (event.outcome) {
     case StartAnswered::Outcome::Started:
         local.phase = LocalRun::Phase::Running;
@@ -154,6 +173,7 @@
         state.stopRetries[event.run] = state.now + stopRetryDelay;
         return;
     }
+    clearSilence(state);
     if (found->second.phase == LocalRun::Phase::CancellingStart) {
         found->second.phase = LocalRun::Phase::StartCancelled;
         // The worker can't start the run any more; its next list shows that the run has ended or was never started.
--- a/src/libs/taskagent/agentstate.h
+++ b/src/libs/taskagent/agentstate.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "calltimeout.h"
+
 #include "jobs/messages.h"
 
 #include "base/types.h"
@@ -56,7 +58,7 @@
     bool leaving = false; ///< a leave call arrived that may be a former incarnation's; the worker's answers and its next heartbeat decide
     std::optional<Base::MonoTime> silentSince; ///< start of the first of the hold calls that have failed in a row
     bool silenceReported = false;
-    Base::Duration averageResponseTime{}; ///< from a start call to its response
+    CallTimeout callTimeout; ///< from start calls
     std::optional<Base::Duration> clockOffset; ///< worker's clock minus this process's steady clock; lower than the true offset by the time a response takes
     std::unordered_map<Jobs::RunRef, LocalRun, Jobs::RunRefHash> runs;
     Base::MonoTime leaseEndsAt{}; ///< all runs of the worker have ended by then unless the lease is renewed
--- a/src/libs/taskagent/agentsteps.h
+++ b/src/libs/taskagent/agentsteps.h
@@ -20,10 +20,7 @@
 /// echoed token that is too old, with a silent worker or before its clock is known.
 std::optional<std::chrono::milliseconds> renewableUntil(const AgentState &state);
 
-/// Returns the timeout for a call to the worker.
-Base::Duration callTimeout(const AgentState &state);
-
-/// Ends the silence of the worker after a response and reports so if the silence was reported.
+/// Ends the silence of the worker after a response to any call, and reports so if the silence was reported.
 void clearSilence(AgentState &state);
 
 void updateClockOffset(AgentState &state, const std::optional<std::chrono::milliseconds> &workerClock);
--- a/src/libs/taskagent/taskagentconstants.h
+++ b/src/libs/taskagent/taskagentconstants.h
@@ -14,6 +14,7 @@
 constexpr Base::Duration minCallTimeout = 40ms; ///< a start call without a response is cancelled after this, so that its task can start elsewhere
 constexpr Base::Duration maxCallTimeout = 300ms;
 constexpr int callTimeoutFactor = 8; ///< timeout of a call, as a multiple of the average response time
+constexpr int maxTimeoutDoublings = 3; ///< of the timeout, one for each call without a response after the first in a row
 constexpr int responseTimeWindow = 16; ///< start calls over which the response time is averaged
 
 /// A worker that is silent for longer is reported and gets no new runs. Long enough that a single lost hold call doesn't count as silence.
