--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -168,7 +168,7 @@
     const std::uint64_t epoch = owner_->epoch;
     metrics_.countCommittedEntries(commit.commit.writes.size() + commit.commit.deletes.size());
     const Base::MonoTime sentAt = Base::monoNow();
-    callStore("commit", Platform::commitRequest(storeAddress_, commit.commit), std::nullopt, [this, epoch, sentAt](const HttpIo::ClientResponse &response) {
+    callStore("commit", Platform::commitRequest(storeAddress_, commit.commit), [this, epoch, sentAt](const HttpIo::ClientResponse &response) {
         if (!owner_ || owner_->epoch != epoch) {
             return;
         }
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -60,6 +60,7 @@
 EntryProcess::EntryProcess(const Settings::NodeSettings &settings, std::string settingsFile)
     : NodeProcess(settings, std::move(settingsFile))
     , storeCalls_(loop_, maxStoreConnections)
+    , rulesCalls_(loop_, 1)
     , adviceCalls_(loop_, 1)
     , callers_(loop_, {std::get<Settings::JobEntrySettings>(settings.role).callers}, [this](const HttpIo::ServerRequest &request) { handleRequest(request); })
     , ready_(loop_, {std::get<Settings::JobEntrySettings>(settings.role).ready}, [this](const HttpIo::ServerRequest &request) { handleReady(request); })
@@ -82,7 +83,7 @@
 
 void EntryProcess::begin()
 {
-    readRules();
+    feedRules(EntryNode::TimePassed{Base::monoNow()});
     feedOwnership(EntryNode::TimePassed{Base::monoNow()});
 }
 
@@ -199,6 +200,7 @@
 {
     Base::Earliest due;
     due.consider(EntryNode::nextDue(ownership_));
+    due.consider(EntryNode::nextDue(rulesFeed_));
     due.consider(router_.nextDue());
     if (owner_) {
         due.consider(Jobs::nextDue(*owner_));
@@ -209,6 +211,7 @@
 void EntryProcess::onTimer()
 {
     carryOut(router_.expire(loop_.now()));
+    feedRules(EntryNode::TimePassed{Base::monoNow()});
     feedOwnership(EntryNode::TimePassed{Base::monoNow()});
     if (owner_) {
         feedOwner(Jobs::TimePassed{Base::monoNow(), Base::wallNow()});
@@ -222,7 +225,7 @@
     callers_.closeConnectionsAfterAnswers();
     feedOwnership(EntryNode::StopRequested{});
     if (ownership_.lease != 0) {
-        callStore("lease-end", Platform::endLeaseRequest(storeAddress_, ownership_.lease), std::nullopt, [](const HttpIo::ClientResponse & /*response*/) {});
+        callStore("lease-end", Platform::endLeaseRequest(storeAddress_, ownership_.lease), [](const HttpIo::ClientResponse & /*response*/) {});
     }
     finishWhenIdle();
 }
@@ -241,13 +244,12 @@
     const Jobs::OwnerRecord &record = owner_->recorder.owner();
     const Jobs::OwnerRecord vacant{record.epoch, record.sequence + 1, {}, 0, record.agents};
     const Jobs::Commit vacate{owner_->recorder.revision(), {{std::string(Jobs::ownerKey), Jobs::encodeRecord(vacant)}}, {}};
-    callStore(
-        "vacate", Platform::commitRequest(storeAddress_, vacate), std::nullopt, [this, epoch = record.epoch](const HttpIo::ClientResponse & /*response*/) {
-            stepDown("stopping");
-            for (const auto &[name, link] : peerLinks_) {
-                links_.send(link, Jobs::encodeMessage(Jobs::EntryBeat{epoch, true, true}));
-            }
-        });
+    callStore("vacate", Platform::commitRequest(storeAddress_, vacate), [this, epoch = record.epoch](const HttpIo::ClientResponse & /*response*/) {
+        stepDown("stopping");
+        for (const auto &[name, link] : peerLinks_) {
+            links_.send(link, Jobs::encodeMessage(Jobs::EntryBeat{epoch, true, true}));
+        }
+    });
 }
 
 void EntryProcess::finishWhenIdle()
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -6,6 +6,7 @@
 
 #include "entrynode/callrouter.h"
 #include "entrynode/ownership.h"
+#include "entrynode/rulesfeed.h"
 #include "httpio/httpclient.h"
 #include "httpio/httpfront.h"
 #include "jobs/jobshape.h"
@@ -131,13 +132,21 @@
     void stepDown(const std::string &reason);
 
     // Rules and the store.
-    void readRules();
-    void adoptRules(const Platform::StoreItem &item);
-    /// Sends a request to the store; without a timeout, with the adaptive one. name is the call's name in the metrics.
-    void callStore(std::string_view name,
-                   HttpIo::ClientRequest request,
-                   std::optional<Base::Duration> timeout,
-                   std::function<void(const HttpIo::ClientResponse &)> handle);
+    void feedRules(const EntryNode::RulesFeedEvent &event);
+    void carryOut(EntryNode::ReadRules &read);
+    void carryOut(EntryNode::WatchRules &watch);
+    void carryOut(EntryNode::AdoptRules &adopt);
+    void adoptRules(const EntryNode::RulesText &text);
+    /// Sends a request with a short response to the store, with the adaptive timeout. name is the call's name in the metrics.
+    void callStore(std::string_view name, HttpIo::ClientRequest request, std::function<void(const HttpIo::ClientResponse &)> handle);
+    /// Sends a request whose response may be long or come late. It fails when nothing arrives for stallTimeout, however long the whole response takes, and
+    /// doesn't count for the adaptive timeout.
+    void readFromStore(HttpIo::HttpClient &client,
+                       std::string_view name,
+                       HttpIo::ClientRequest request,
+                       Base::Duration stallTimeout,
+                       std::function<void(const HttpIo::ClientResponse &)> handle);
+    std::int64_t maxRulesBytesPerSecond() const;
 
     void watchStore(std::string_view name, const HttpIo::ClientResponse &response);
 
@@ -148,6 +157,7 @@
     void finishWhenIdle();
 
     HttpIo::HttpClient storeCalls_;
+    HttpIo::HttpClient rulesCalls_; ///< to the store, on a connection that a waiting watch may occupy
     HttpIo::HttpClient adviceCalls_;
     HttpIo::HttpFront callers_;
     HttpIo::HttpFront ready_;
@@ -178,7 +188,7 @@
     std::vector<Base::Endpoint> entries_;
 
     std::optional<Platform::RulesDocument> rules_;
-    std::int64_t rulesRevision_ = 0;
+    EntryNode::RulesFeedState rulesFeed_;
     DueTimer timer_;
     bool steppingDown_ = false;
     Base::MonoTime stepDownBy_{};
--- a/src/app/laburnumnode/entrystore.cpp
+++ b/src/app/laburnumnode/entrystore.cpp
@@ -6,12 +6,9 @@
 
 namespace LaburnumFlow::Node {
 
-void EntryProcess::callStore(std::string_view name,
-                             HttpIo::ClientRequest request,
-                             std::optional<Base::Duration> timeout,
-                             std::function<void(const HttpIo::ClientResponse &)> handle)
+void EntryProcess::callStore(std::string_view name, HttpIo::ClientRequest request, std::function<void(const HttpIo::ClientResponse &)> handle)
 {
-    request.timeout = timeout.value_or(storeTimeout_.current());
+    request.timeout = storeTimeout_.current();
     const Base::MonoTime startedAt = Base::monoNow();
     const Base::Duration allowed = request.timeout;
     storeCalls_.send(std::move(request), [this, name, startedAt, allowed, handle = std::move(handle)](const HttpIo::ClientResponse &response) {
@@ -27,6 +24,28 @@
     });
 }
 
+void EntryProcess::readFromStore(HttpIo::HttpClient &client,
+                                 std::string_view name,
+                                 HttpIo::ClientRequest request,
+                                 Base::Duration stallTimeout,
+                                 std::function<void(const HttpIo::ClientResponse &)> handle)
+{
+    request.stallTimeout = stallTimeout;
+    const Base::MonoTime startedAt = Base::monoNow();
+    client.send(std::move(request), [this, name, startedAt, handle = std::move(handle)](const HttpIo::ClientResponse &response) {
+        recordCall(name, response, Base::monoNow() - startedAt);
+        watchStore(name, response);
+        handle(response);
+    });
+}
+
+/// Returns the rate at which the rules are read, so that they leave room on the link for callers; 0 for any. Without rules no caller is served.
+std::int64_t EntryProcess::maxRulesBytesPerSecond() const
+{
+    constexpr double bytesPerMegabit = 125'000;
+    return rules_ ? static_cast<std::int64_t>(settings_.linkMbps.value_or(0) * bytesPerMegabit * rulesLinkShare) : 0;
+}
+
 void EntryProcess::watchStore(std::string_view name, const HttpIo::ClientResponse &response)
 {
     const bool responded = response.outcome == HttpIo::ClientResponse::Outcome::Answered && response.status < 500;
@@ -56,23 +75,22 @@
 
 void EntryProcess::carryOut(EntryNode::ReadCluster & /*read*/)
 {
-    callStore(
-        "read-cluster", Platform::rangeRequest(storeAddress_, Jobs::clusterPrefix, {}, false), std::nullopt, [this](const HttpIo::ClientResponse &response) {
-            const auto page = Platform::parsePageResponse(response);
-            feedOwnership(page ? Platform::clusterFromItems(page->items) : EntryNode::ClusterRead{});
-        });
+    callStore("read-cluster", Platform::rangeRequest(storeAddress_, Jobs::clusterPrefix, {}, false), [this](const HttpIo::ClientResponse &response) {
+        const auto page = Platform::parsePageResponse(response);
+        feedOwnership(page ? Platform::clusterFromItems(page->items) : EntryNode::ClusterRead{});
+    });
 }
 
 void EntryProcess::carryOut(EntryNode::GrantLease &grant)
 {
-    callStore("lease-grant", Platform::grantLeaseRequest(storeAddress_, grant.ttl), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+    callStore("lease-grant", Platform::grantLeaseRequest(storeAddress_, grant.ttl), [this](const HttpIo::ClientResponse &response) {
         feedOwnership(Platform::grantLeaseResult(response));
     });
 }
 
 void EntryProcess::carryOut(EntryNode::RenewLease &renew)
 {
-    callStore("lease-keep", Platform::renewLeaseRequest(storeAddress_, renew.lease), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+    callStore("lease-keep", Platform::renewLeaseRequest(storeAddress_, renew.lease), [this](const HttpIo::ClientResponse &response) {
         feedOwnership(Platform::renewLeaseResult(response));
     });
 }
@@ -80,21 +98,21 @@
 void EntryProcess::carryOut(EntryNode::WritePresence &write)
 {
     const Platform::StoreWrite row{Jobs::entryKey(write.record.name), Jobs::encodeRecord(write.record), write.lease};
-    callStore("write-presence", Platform::writeRequest(storeAddress_, {row}), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+    callStore("write-presence", Platform::writeRequest(storeAddress_, {row}), [this](const HttpIo::ClientResponse &response) {
         feedOwnership(Platform::presenceResult(response));
     });
 }
 
 void EntryProcess::carryOut(EntryNode::Claim &claim)
 {
-    callStore("claim", Platform::claimRequest(storeAddress_, claim), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+    callStore("claim", Platform::claimRequest(storeAddress_, claim), [this](const HttpIo::ClientResponse &response) {
         feedOwnership(Platform::claimResult(response));
     });
 }
 
 void EntryProcess::carryOut(EntryNode::WriteConfirmers &write)
 {
-    callStore("write-confirmers", Platform::confirmersRequest(storeAddress_, write), std::nullopt, [this](const HttpIo::ClientResponse &response) {
+    callStore("write-confirmers", Platform::confirmersRequest(storeAddress_, write), [this](const HttpIo::ClientResponse &response) {
         feedOwnership(Platform::confirmersResult(response));
     });
 }
@@ -109,32 +127,36 @@
 void EntryProcess::loadPage(std::string prefix, const std::string &after)
 {
     HttpIo::ClientRequest request = Platform::rangeRequest(storeAddress_, prefix, after, false);
-    callStore("load-jobs", std::move(request), jobsPageTimeout, [this, prefix = std::move(prefix), load = loads_](const HttpIo::ClientResponse &response) {
-        if (!isLoading(load)) {
-            return;
-        }
-        const auto page = Platform::parsePageResponse(response);
-        if (!page) {
-            loop_.callAfter(jobsReadRetryDelay, [this, load] { retryLoad(load); });
-            return;
-        }
-        for (const Platform::StoreItem &item : page->items) {
-            if (prefix == Jobs::jobPrefix) {
-                if (auto pack = Jobs::decodeJobPack(item.value)) {
-                    loadedJobs_.packs.push_back({item.key, std::move(*pack)});
-                }
-            } else if (auto segment = Jobs::decodeFinishedSegment(item.value)) {
-                loadedJobs_.finished.push_back({item.key, std::move(*segment)});
-            }
-        }
-        if (page->more && !page->items.empty()) {
-            loadPage(prefix, page->items.back().key);
-        } else if (prefix == Jobs::jobPrefix) {
-            loadPage(std::string(Jobs::finishedPrefix), {});
-        } else {
-            feedOwnership(EntryNode::JobsLoaded{true});
-        }
-    });
+    readFromStore(storeCalls_,
+                  "load-jobs",
+                  std::move(request),
+                  jobsPageStallTimeout,
+                  [this, prefix = std::move(prefix), load = loads_](const HttpIo::ClientResponse &response) {
+                      if (!isLoading(load)) {
+                          return;
+                      }
+                      const auto page = Platform::parsePageResponse(response);
+                      if (!page) {
+                          loop_.callAfter(jobsReadRetryDelay, [this, load] { retryLoad(load); });
+                          return;
+                      }
+                      for (const Platform::StoreItem &item : page->items) {
+                          if (prefix == Jobs::jobPrefix) {
+                              if (auto pack = Jobs::decodeJobPack(item.value)) {
+                                  loadedJobs_.packs.push_back({item.key, std::move(*pack)});
+                              }
+                          } else if (auto segment = Jobs::decodeFinishedSegment(item.value)) {
+                              loadedJobs_.finished.push_back({item.key, std::move(*segment)});
+                          }
+                      }
+                      if (page->more && !page->items.empty()) {
+                          loadPage(prefix, page->items.back().key);
+                      } else if (prefix == Jobs::jobPrefix) {
+                          loadPage(std::string(Jobs::finishedPrefix), {});
+                      } else {
+                          feedOwnership(EntryNode::JobsLoaded{true});
+                      }
+                  });
 }
 
 /// Returns whether this is the load in progress. The ownership may have been lost and gained again since an earlier one.
@@ -150,25 +172,50 @@
     }
 }
 
-void EntryProcess::readRules()
+void EntryProcess::feedRules(const EntryNode::RulesFeedEvent &event)
 {
-    callStore("read-rules", Platform::itemRequest(storeAddress_, Platform::rulesKey), std::nullopt, [this](const HttpIo::ClientResponse &response) {
-        bool missing = false;
-        if (const auto item = Platform::parseItemResponse(response, missing); item && item->revision != rulesRevision_) {
-            adoptRules(*item);
-        }
-        loop_.callAfter(rulesReadInterval, [this] { readRules(); });
+    EntryNode::RulesFeedEffects effects = EntryNode::reduce(rulesFeed_, EntryNode::TimePassed{Base::monoNow()});
+    for (EntryNode::RulesFeedEffect &effect : effects) {
+        std::visit([this](auto &what) { carryOut(what); }, effect);
+    }
+    effects = EntryNode::reduce(rulesFeed_, event);
+    for (EntryNode::RulesFeedEffect &effect : effects) {
+        std::visit([this](auto &what) { carryOut(what); }, effect);
+    }
+    timer_.arm();
+}
+
+void EntryProcess::carryOut(EntryNode::ReadRules & /*read*/)
+{
+    HttpIo::ClientRequest request = Platform::readRulesRequest(storeAddress_);
+    request.maxReceiveBytesPerSecond = maxRulesBytesPerSecond();
+    readFromStore(rulesCalls_, "read-rules", std::move(request), maxStoreTimeout, [this](const HttpIo::ClientResponse &response) {
+        feedRules(Platform::rulesReadResult(response));
+    });
+}
+
+void EntryProcess::carryOut(EntryNode::WatchRules &watch)
+{
+    const Base::Duration stallTimeout = watch.wait + storeTimeout_.current();
+    HttpIo::ClientRequest request = Platform::watchRulesRequest(storeAddress_, watch);
+    request.maxReceiveBytesPerSecond = maxRulesBytesPerSecond();
+    readFromStore(rulesCalls_, "watch-rules", std::move(request), stallTimeout, [this](const HttpIo::ClientResponse &response) {
+        feedRules(Platform::rulesWatchedResult(response));
     });
 }
 
-void EntryProcess::adoptRules(const Platform::StoreItem &item)
+void EntryProcess::carryOut(EntryNode::AdoptRules &adopt)
+{
+    adoptRules(adopt.document);
+}
+
+void EntryProcess::adoptRules(const EntryNode::RulesText &text)
 {
-    auto document = Platform::parseRules(item.value);
+    auto document = Platform::parseRules(text.text);
     if (!document) {
-        logDecision("rules.unreadable", {{"revision", std::to_string(item.revision)}});
+        logDecision("rules.unreadable", {{"revision", std::to_string(text.revision)}});
         return;
     }
-    rulesRevision_ = item.revision;
     if (rules_ && document->version <= rules_->version) {
         return;
     }
--- a/src/libs/entrynode/entrynodeconstants.h
+++ b/src/libs/entrynode/entrynodeconstants.h
@@ -16,6 +16,12 @@
 constexpr Base::Duration maxReadAgeForConfirmation = 700ms;
 constexpr Base::Duration maxFailedReadAgeForConfirmation = 2500ms;
 
+constexpr Base::Duration watchWait = 1s; ///< longest wait of a watch; also bounds how long a silent connection to the store goes unnoticed
+/// Time after which a watch would have reported a change that the store withheld from an earlier one.
+constexpr Base::Duration watchSettleTime = 5s;
+constexpr Base::Duration rulesRetryDelay = 400ms; ///< delay after a failed call for the rules, and shortest interval between reads of the document
+constexpr Base::Duration minRulesCallInterval = 100ms; ///< if a watch ends before its time
+
 constexpr Base::Duration minAuthorityExtension = 50ms; ///< shorter extensions of the owner's authority aren't reported to the owner
 constexpr Base::Duration ownerSilenceTimeout = 700ms; ///< an owner without a presence key that is silent for longer is replaced
 
--- a/src/libs/httpio/httpclient.cpp
+++ b/src/libs/httpio/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "httpclient.h"
 
+#include "base/timerservice.h"
 #include "httptransfer/transfer.h"
 
 #include <curl/curl.h>
@@ -22,6 +23,7 @@
 
     HttpTransfer::Transfer transfer;
     HttpClient::Callback callback;
+    EventLoop::TimerId stallTimer = 0;
 };
 
 } // namespace
@@ -34,6 +36,8 @@
     void act(curl_socket_t socket, int action);
     void collect();
     void finish(CURL *easy, CURLcode code);
+    void scheduleStallCheck(CURL *easy, Call &call);
+    void checkForStall(CURL *easy);
     CURL *takeHandle();
 
     static int onSocket(CURL *easy, curl_socket_t socket, int what, void *self, void *known);
@@ -63,6 +67,7 @@
 {
     loop_.cancel(timer_);
     for (auto &[easy, call] : calls_) {
+        loop_.cancel(call->stallTimer);
         curl_multi_remove_handle(multi_, easy);
         curl_easy_cleanup(easy);
     }
@@ -86,10 +91,29 @@
 void HttpClient::Private::send(ClientRequest request, Callback callback)
 {
     CURL *easy = takeHandle();
-    calls_.emplace(easy, std::make_unique<Call>(easy, std::move(request), std::move(callback)));
+    const auto added = calls_.emplace(easy, std::make_unique<Call>(easy, std::move(request), std::move(callback)));
+    scheduleStallCheck(easy, *added.first->second);
     curl_multi_add_handle(multi_, easy);
 }
 
+void HttpClient::Private::scheduleStallCheck(CURL *easy, Call &call)
+{
+    if (call.transfer.stallTimeout() == Base::Duration{}) {
+        return;
+    }
+    call.stallTimer = loop_.callAt(call.transfer.lastReceivedAt() + call.transfer.stallTimeout(), [this, easy] { checkForStall(easy); });
+}
+
+void HttpClient::Private::checkForStall(CURL *easy)
+{
+    Call &call = *calls_.at(easy);
+    if (Base::monoNow() < call.transfer.lastReceivedAt() + call.transfer.stallTimeout()) {
+        scheduleStallCheck(easy, call);
+        return;
+    }
+    finish(easy, CURLE_OPERATION_TIMEDOUT);
+}
+
 void HttpClient::Private::act(curl_socket_t socket, int action)
 {
     int running = 0;
@@ -115,6 +139,7 @@
     }
     const std::unique_ptr<Call> call = std::move(found->second);
     calls_.erase(found);
+    loop_.cancel(call->stallTimer);
     ClientResponse response = call->transfer.takeResponse(code);
     curl_multi_remove_handle(multi_, easy);
     // After a broken connection the handle still wants to send the body again, also that of its next call, and a reset doesn't change that.
--- a/src/libs/httptransfer/httpmessages.h
+++ b/src/libs/httptransfer/httpmessages.h
@@ -2,6 +2,7 @@
 
 #include "base/types.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
     Base::Duration timeout{}; ///< 0 for none
     bool idempotent = false; ///< may be sent a second time if a reused connection breaks before the response
     std::string contentType = "application/json"; ///< sent unless the body is empty
+    Base::Duration stallTimeout{}; ///< HttpIo::HttpClient ends the request when nothing has been received for this long; 0 for no such limit
+    std::int64_t maxReceiveBytesPerSecond = 0; ///< 0 for no limit
 };
 
 /// What became of the second sending that libcurl begins by itself if a reused connection breaks before the response.
--- a/src/libs/httptransfer/transfer.cpp
+++ b/src/libs/httptransfer/transfer.cpp
@@ -1,5 +1,7 @@
 #include "transfer.h"
 
+#include "base/timerservice.h"
+
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -26,7 +28,7 @@
     curl_slist_free_all(list);
 }
 
-Transfer::Transfer(CURL *handle, Request request) : handle_(handle), request_(std::move(request)), headers_(makeHeaders())
+Transfer::Transfer(CURL *handle, Request request) : handle_(handle), request_(std::move(request)), headers_(makeHeaders()), lastReceivedAt_(Base::monoNow())
 {
     configure();
     if (hasBody()) {
@@ -97,6 +99,7 @@
     curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &Transfer::writeBody);
     curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS, static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(request_.timeout).count()));
+    curl_easy_setopt(handle_, CURLOPT_MAX_RECV_SPEED_LARGE, static_cast<curl_off_t>(request_.maxReceiveBytesPerSecond));
     curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
     // Servers are reached directly, whatever proxies the environment names.
     curl_easy_setopt(handle_, CURLOPT_PROXY, "");
@@ -186,6 +189,7 @@
 {
     auto *transfer = static_cast<Transfer *>(self);
     const std::string_view part(data, size * count);
+    transfer->lastReceivedAt_ = Base::monoNow();
     if (transfer->sink_) {
         return transfer->sink_(part) ? part.size() : 0;
     }
--- a/src/libs/httptransfer/transfer.h
+++ b/src/libs/httptransfer/transfer.h
@@ -41,6 +41,17 @@
     /// Returns the status of the response so far; 0 if there is none.
     int status() const;
 
+    Base::Duration stallTimeout() const
+    {
+        return request_.stallTimeout;
+    }
+
+    /// Returns when a part of the response's body was received last; the start of the request if there was none.
+    Base::MonoTime lastReceivedAt() const
+    {
+        return lastReceivedAt_;
+    }
+
     /// Returns the response once the transfer has ended with \a code. Moves the collected body.
     Response takeResponse(CURLcode code);
 
@@ -70,6 +81,7 @@
     BodySink sink_;
     std::function<bool()> sendCondition_;
     std::string responseBody_;
+    Base::MonoTime lastReceivedAt_;
     std::size_t bodyOffset_ = 0; ///< bytes of the request's body that libcurl has taken for the current sending
     std::size_t sendings_ = 0; ///< on connections that were made
     bool socketOpened_ = false; ///< at the latest try to connect
--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -75,6 +75,9 @@
     double share = 1.0;
     reader.real("processorShare", share, 0.01, 1024.0);
     settings.processorPercent = static_cast<std::uint32_t>(std::lround(share * 100.0));
+    if (double linkMbps = 0; reader.real("linkMbps", linkMbps, 0.001, 1'000'000.0)) {
+        settings.linkMbps = linkMbps;
+    }
     reader.number("logLinesPerSecond", settings.logLinesPerSecond, 1, 100'000);
     if (Base::Endpoint metrics; readEndpoint(reader, "metrics", EndpointUse::Listening, metrics)) {
         settings.metrics = metrics;
--- a/src/libs/settings/nodesettings.h
+++ b/src/libs/settings/nodesettings.h
@@ -40,6 +40,7 @@
     std::uint32_t processorPercent = 100; ///< Share of a core that the process may use, in percent
     Base::Endpoint peers; ///< Listening endpoint for links of other laburnumflow processes
     NodeStoreSettings store;
+    std::optional<double> linkMbps; ///< Bandwidth of the process's network link in Mbit/s; unlimited if absent
     std::optional<Base::Endpoint> metrics; ///< Listening endpoint that serves the metrics; none if absent
     std::uint32_t logLinesPerSecond = 1000; ///< Mean rate limit of log lines; lines above it are dropped and counted
     std::variant<JobEntrySettings, JobAgentSettings> role;
--- a/tests/auto/node/site.cpp
+++ b/tests/auto/node/site.cpp
@@ -4,6 +4,7 @@
 #include "../system/waiting.h"
 
 #include "jobs/records.h"
+#include "platform/rulesdocument.h"
 
 #include <cppunit/TestAssert.h>
 
@@ -22,8 +23,15 @@
 
 namespace {
 
-const std::string rules = R"({"Version":1,"Routes":[{"Name":"q","Host":"q.example","Prefix":"/q/","Service":"service","MaxAttempts":3,)"
-                          R"("Stretch":1.6,"TargetDurationMs":60}],"Services":[],"Limits":{}})";
+const std::string testRoute = R"({"Name":"q","Host":"q.example","Prefix":"/q/","Service":"service","MaxAttempts":3,)"
+                              R"("Stretch":1.6,"TargetDurationMs":60})";
+
+std::string otherRoute(int number)
+{
+    const std::string name = "other-" + std::to_string(number);
+    return R"({"Name":")" + name + R"(","Host":")" + name + R"(.example","Prefix":"/)" + name + R"(/","Service":"service","Priority":1,)"
+           + R"("MaxAttempts":3,"Stretch":1.6,"TargetDurationMs":60,"TimeoutMs":1500,"Kind":"non_idempotent"})";
+}
 
 std::string localEndpoint(std::uint16_t port)
 {
@@ -55,14 +63,17 @@
     return sum;
 }
 
-Site::Site(int entries)
+Site::Site(int entries, std::size_t storeBytesPerSecond)
 {
     std::string folder = "/tmp/laburnumnode-test-XXXXXX";
     CPPUNIT_ASSERT(mkdtemp(folder.data()) != nullptr);
     folder_ = folder;
-    platform.put("op/config", rules);
+    putRules(1, 0);
     for (int i = 0; i < entries; ++i) {
-        entries_.push_back({freeEndpoint(), freeEndpoint(), freeEndpoint(), freeEndpoint(), std::make_unique<PlatformSite::StoreAddress>(platform), {}});
+        entries_.push_back({freeEndpoint(), freeEndpoint(), freeEndpoint(), freeEndpoint(), std::make_unique<PlatformSite::StoreAddress>(platform), {}, {}});
+        if (storeBytesPerSecond > 0) {
+            limitStoreLink(entries_.back(), storeBytesPerSecond);
+        }
         startEntry(i);
     }
     agentAddresses_ = {freeEndpoint(), freeEndpoint(), freeEndpoint(), std::make_unique<PlatformSite::StoreAddress>(platform)};
@@ -85,7 +96,30 @@
     entry.process = startProcess(name,
                                  "role: entry\nname: " + name + "\ncallers: " + entry.callers + "\nready: " + entry.ready + "\npeers: " + entry.peers
                                      + "\nmetrics: " + entry.metrics + "\n",
-                                 entry.store->endpoint());
+                                 entry.storeLink ? "127.0.0.1:" + entry.storeLink->value("port") : entry.store->endpoint());
+}
+
+void Site::limitStoreLink(Entry &entry, std::size_t bytesPerSecond) const
+{
+    const std::string store = entry.store->endpoint();
+    entry.storeLink = std::make_unique<ChildProcess>("faultproxy", std::vector<std::string>{}, folder_ + "/proxies.log");
+    const nlohmann::json limits{{"targetPort", std::stoi(store.substr(store.find(':') + 1))}, {"bytesPerSecond", bytesPerSecond}};
+    CPPUNIT_ASSERT_EQUAL(200L, call("POST", "127.0.0.1:" + entry.storeLink->value("control"), "/control", limits.dump()).status);
+}
+
+void Site::putRules(int version, int otherRoutes)
+{
+    std::string routes = testRoute;
+    for (int i = 0; i < otherRoutes; ++i) {
+        routes += ',' + otherRoute(i);
+    }
+    platform.put(std::string(LaburnumFlow::Platform::rulesKey),
+                 R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)" + routes + R"(],"Services":[],"Limits":{}})");
+}
+
+int Site::rulesVersion(int index) const
+{
+    return static_cast<int>(metricSum(entryMetrics(index), "laburnumflow_rules_version"));
 }
 
 void Site::startAgent()
--- a/tests/auto/node/site.h
+++ b/tests/auto/node/site.h
@@ -6,6 +6,7 @@
 #include "standins/platformsite/platformstandin.h"
 #include "standins/platformsite/workerstandin.h"
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,12 +22,17 @@
 class Site
 {
 public:
-    /// Starts the agent and this number of entries.
-    explicit Site(int entries);
+    /// Starts the agent and this number of entries. If storeBytesPerSecond isn't 0, it limits each entry's link to the store.
+    explicit Site(int entries, std::size_t storeBytesPerSecond = 0);
     ~Site();
     Site(const Site &) = delete;
     Site &operator=(const Site &) = delete;
 
+    /// Writes rules of this version with the route of the tests and so many others.
+    void putRules(int version, int otherRoutes);
+    /// Returns the version of the rules that the entry applies; 0 if it has none.
+    int rulesVersion(int index) const;
+
     void startEntry(int index);
     void startAgent();
     /// Starts the second agent and waits until it has accepted a heartbeat of its worker.
@@ -75,6 +81,7 @@
         std::string peers;
         std::string metrics;
         std::unique_ptr<PlatformSite::StoreAddress> store;
+        std::unique_ptr<SystemTest::ChildProcess> storeLink; ///< proxy in front of store that limits the bandwidth; null for none
         std::unique_ptr<SystemTest::ChildProcess> process;
     };
 
@@ -86,6 +93,7 @@
         std::unique_ptr<PlatformSite::StoreAddress> store;
     };
 
+    void limitStoreLink(Entry &entry, std::size_t bytesPerSecond) const;
     std::unique_ptr<SystemTest::ChildProcess> startAgentProcess(const std::string &name, const Agent &addresses, const std::string &workerEndpoint) const;
     /// Starts laburnumnode with a settings file of its own.
     std::unique_ptr<SystemTest::ChildProcess> startProcess(const std::string &name, const std::string &settings, const std::string &store) const;
--- a/tests/auto/platform/tst_dialects.cpp
+++ b/tests/auto/platform/tst_dialects.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(commitOutcomes);
     CPPUNIT_TEST(clusterItems);
     CPPUNIT_TEST(claimReplacesBothRecords);
+    CPPUNIT_TEST(rulesResults);
     CPPUNIT_TEST(confirmersOutcomes);
     CPPUNIT_TEST(recordsOfOtherTypes);
     CPPUNIT_TEST(arbitraryBytes);
@@ -414,6 +415,29 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(8), cluster.content->confirmersRevision);
     }
 
+    /// Guards against a version of the rules that is missed, or an older one that is adopted, because of what else a watch reports.
+    void rulesResults()
+    {
+        using WatchOutcome = EntryNode::RulesWatched::Outcome;
+        const auto read = rulesReadResult(answer(200, R"({"Key":"op/config","Value":"dg==","Revision":3,"StoreRevision":9})"));
+        CPPUNIT_ASSERT_EQUAL(std::string("v"), read.document->text);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(3), read.document->revision);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9), read.storeRevision);
+        CPPUNIT_ASSERT(!rulesReadResult(answer(404, "{}")).document);
+        const auto watched = rulesWatchedResult(answer(200,
+                                                       R"({"events":[{"Key":"op/config","Value":"dg==","Revision":4},{"Key":"op/configs","Value":"eA==",)"
+                                                       R"("Revision":6},5,{"Key":"op/config","Value":"dw==","Revision":5}],"StoreRevision":9})"));
+        CPPUNIT_ASSERT(watched.outcome == WatchOutcome::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::string("w"), watched.document->text);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(6), watched.changedAt);
+        const auto deleted = rulesWatchedResult(answer(200, R"({"events":[{"Key":"op/config","Revision":7,"Tombstone":true}],"StoreRevision":9})"));
+        CPPUNIT_ASSERT(!deleted.document);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(7), deleted.changedAt);
+        CPPUNIT_ASSERT(rulesWatchedResult(answer(410, "{}")).outcome == WatchOutcome::HistoryLost);
+        CPPUNIT_ASSERT(rulesWatchedResult(answer(503, "{}")).outcome == WatchOutcome::Failed);
+        CPPUNIT_ASSERT(rulesWatchedResult(answer(200, R"({"StoreRevision":9})")).outcome == WatchOutcome::Failed);
+    }
+
     /// Guards against a write of the confirmer record that is given up although it may be executed late, or repeated after it was executed.
     void confirmersOutcomes()
     {
@@ -447,6 +471,8 @@
             parseHeartbeat("i-1", damaged(heartbeatText, random));
             holdAnswer({}, answer(200, damaged(lists, random)));
             parsePageResponse(answer(200, damaged(R"({"items":[{"Key":"k","Value":"dg==","Revision":3}],"HasMore":true})", random)));
+            rulesReadResult(answer(200, damaged(R"({"Key":"op/config","Value":"dg==","Revision":3,"StoreRevision":9})", random)));
+            rulesWatchedResult(answer(200, damaged(R"({"events":[{"Key":"op/config","Value":"dg==","Revision":4}],"StoreRevision":9})", random)));
             Jobs::decodeOwnerRecord(damaged(owner, random));
             const std::string message = damaged(owner, random);
             Jobs::decodeMessage(std::span(reinterpret_cast<const std::uint8_t *>(message.data()), message.size()));
--- a/tests/auto/settings/tst_nodesettings.cpp
+++ b/tests/auto/settings/tst_nodesettings.cpp
@@ -38,6 +38,7 @@
         CPPUNIT_ASSERT_EQUAL(std::uint16_t(8080), std::get<JobEntrySettings>(entry.role).callers.port);
         CPPUNIT_ASSERT_EQUAL(std::uint16_t(8082), entry.peers.port);
         CPPUNIT_ASSERT(entry.metrics && entry.metrics->port == 8083);
+        CPPUNIT_ASSERT(entry.linkMbps && *entry.linkMbps == 1000.0);
         const NodeSettings agent = parsed(readExample("node/agent.yaml"));
         CPPUNIT_ASSERT_EQUAL(std::uint16_t(8101), std::get<JobAgentSettings>(agent.role).worker.port);
         CPPUNIT_ASSERT_EQUAL(std::uint16_t(8090), agent.store.endpoint.port);
@@ -53,6 +54,7 @@
             {agentText + "metrics: 9100\n", "6:10 metrics", ""},
             {agentText + "extra: 1\n", "6:1 extra", ""},
             {agentText + "processorShare: 0\n", "6:17 processorShare", ""},
+            {agentText + "linkMbps: 0\n", "6:11 linkMbps", ""},
             {agentText + "logLinesPerSecond: 0\n", "6:20 logLinesPerSecond", ""},
             {"role: agent\nname: a\nregistration: 10.0.0.2:1\nworker: 0.0.0.0:2\n" + storeText, "4:9 worker", ""},
             {"role: entry\nname: a\ncallers: 10.0.0.2:1\nready: here\npeers: 10.0.0.2:3\n" + storeText, "4:8 ready", ""},
--- a/tests/fuzz/fuzz_store.cpp
+++ b/tests/fuzz/fuzz_store.cpp
@@ -9,12 +9,12 @@
 /// Guards against an answer of the store, or a value of another writer, that ends a process.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
-    constexpr int statuses[] = {200, 404, 412, 503};
+    constexpr int statuses[] = {200, 404, 410, 412, 503};
     const std::string text(reinterpret_cast<const char *>(data), size);
     for (const int status : statuses) {
         const HttpIo::ClientResponse response{HttpIo::ClientResponse::Outcome::Answered, status, text};
-        bool missing = false;
-        Platform::parseItemResponse(response, missing);
+        Platform::rulesReadResult(response);
+        Platform::rulesWatchedResult(response);
         if (const auto page = Platform::parsePageResponse(response)) {
             Platform::clusterFromItems(page->items);
         }
--- a/tests/standins/faultproxy/faults.cpp
+++ b/tests/standins/faultproxy/faults.cpp
@@ -19,6 +19,7 @@
     const std::lock_guard lock(mutex_);
     faults_.targetPort = json.value("targetPort", faults_.targetPort);
     faults_.delay = std::chrono::milliseconds(json.value("delayMs", faults_.delay.count()));
+    faults_.bytesPerSecond = json.value("bytesPerSecond", faults_.bytesPerSecond);
     faults_.dropDatagrams = json.value("dropDatagrams", faults_.dropDatagrams);
     faults_.duplicateDatagrams = json.value("duplicateDatagrams", faults_.duplicateDatagrams);
     faults_.blockForward = json.value("blockForward", faults_.blockForward);
--- a/tests/standins/faultproxy/faults.h
+++ b/tests/standins/faultproxy/faults.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -16,6 +17,7 @@
 struct Faults {
     std::uint16_t targetPort = 0; ///< loopback port to forward to; 0 forwards nothing
     std::chrono::milliseconds delay{0}; ///< in each direction
+    std::size_t bytesPerSecond = 0; ///< of all TCP connections together, in each direction; 0 for no limit
     double dropDatagrams = 0; ///< share of datagrams that are lost
     double duplicateDatagrams = 0; ///< share of datagrams that are sent twice
     bool blockForward = false; ///< nothing reaches the target
--- a/tests/standins/faultproxy/tcpforwarder.cpp
+++ b/tests/standins/faultproxy/tcpforwarder.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::size_t readBytes = 65'536;
 constexpr std::size_t maxQueuedPieces = 1'024;
+constexpr std::size_t limitedReadBytes = 4'096; ///< pieces of connections that share a limited link, which takes turns between them
+constexpr std::size_t limitedWindowBytes = 65'536; ///< that a connection may have under way on a limited link
 
 void setNonBlocking(int fd)
 {
@@ -41,7 +43,7 @@
     polled.push_back({listener_, POLLIN, 0});
     for (const Connection &connection : connections_) {
         for (const Direction *direction : {&connection.forward, &connection.backward}) {
-            if (!direction->ended && direction->queue.size() < maxQueuedPieces) {
+            if (!direction->ended && !isFull(*direction, bytesPerSecond_)) {
                 polled.push_back({direction->from, POLLIN, 0});
             }
         }
@@ -79,14 +81,34 @@
     }
 }
 
-void TcpForwarder::readAll(Connection &connection, Direction &direction, const Faults &faults, bool discard)
+bool TcpForwarder::isFull(const Direction &direction, std::size_t bytesPerSecond)
+{
+    return direction.queue.size() >= maxQueuedPieces || (bytesPerSecond > 0 && direction.queuedBytes >= limitedWindowBytes);
+}
+
+/// Returns when the bytes that were read now have crossed the link.
+Clock::time_point TcpForwarder::dueAt(Link &link, std::size_t bytes, const Faults &faults)
+{
+    const Clock::time_point now = Clock::now();
+    if (faults.bytesPerSecond == 0) {
+        return now + faults.delay;
+    }
+    const std::chrono::duration<double> transmission(static_cast<double>(bytes) / static_cast<double>(faults.bytesPerSecond));
+    link.freeAt = std::max(link.freeAt, now) + std::chrono::duration_cast<Clock::duration>(transmission);
+    return link.freeAt + faults.delay;
+}
+
+void TcpForwarder::readAll(Connection &connection, Direction &direction, Link &link, const Faults &faults, bool discard)
 {
     std::array<char, readBytes> buffer{};
-    while (!direction.ended && direction.queue.size() < maxQueuedPieces) {
-        const ssize_t size = recv(direction.from, buffer.data(), buffer.size(), 0);
+    const std::size_t wanted = faults.bytesPerSecond > 0 ? limitedReadBytes : buffer.size();
+    while (!direction.ended && !isFull(direction, faults.bytesPerSecond)) {
+        const ssize_t size = recv(direction.from, buffer.data(), wanted, 0);
         if (size > 0) {
+            const auto bytes = static_cast<std::size_t>(size);
             if (!discard) {
-                direction.queue.push_back({Clock::now() + faults.delay, std::string(buffer.data(), static_cast<std::size_t>(size))});
+                direction.queue.push_back({dueAt(link, bytes, faults), std::string(buffer.data(), bytes)});
+                direction.queuedBytes += bytes;
             }
             continue;
         }
@@ -108,6 +130,7 @@
             return;
         }
         bytes.erase(0, static_cast<std::size_t>(size));
+        direction.queuedBytes -= static_cast<std::size_t>(size);
         if (bytes.empty()) {
             direction.queue.pop_front();
         }
@@ -120,13 +143,14 @@
 
 void TcpForwarder::process(const Faults &faults)
 {
+    bytesPerSecond_ = faults.bytesPerSecond;
     acceptAll(faults);
     for (auto it = connections_.begin(); it != connections_.end();) {
         Connection &connection = *it;
         const bool silent = connection.silenceGeneration < faults.silenceGeneration;
         // A silent connection swallows what is sent, as a router does that has lost track of it.
-        readAll(connection, connection.forward, faults, silent || faults.blockForward);
-        readAll(connection, connection.backward, faults, silent || faults.blockBackward);
+        readAll(connection, connection.forward, forwardLink_, faults, silent || faults.blockForward);
+        readAll(connection, connection.backward, backwardLink_, faults, silent || faults.blockBackward);
         writeDue(connection, connection.forward, silent);
         writeDue(connection, connection.backward, silent);
         const bool over = connection.forward.shut && connection.backward.shut;
--- a/tests/standins/platformsite/platformstandin.cpp
+++ b/tests/standins/platformsite/platformstandin.cpp
@@ -2,6 +2,7 @@
 
 #include "store/base64.h"
 
+#include <iterator>
 #include <thread>
 #include <vector>
 
@@ -11,6 +12,8 @@
 
 namespace {
 
+constexpr std::ptrdiff_t maxHistory = 20'000; ///< changes
+
 std::int64_t numberAfter(const std::string &path, std::size_t prefix)
 {
     return std::strtoll(path.c_str() + prefix, nullptr, 10);
@@ -27,6 +30,7 @@
     Item &written = items_[key];
     written.value = LaburnumFlow::Store::encodeBase64(value);
     written.revision = revision_;
+    recordEvent(key);
 }
 
 void PlatformStandIn::remove(const std::string &key)
@@ -34,6 +38,20 @@
     const std::lock_guard lock(mutex_);
     ++revision_;
     items_.erase(key);
+    recordEvent(key);
+}
+
+unsigned PlatformStandIn::transfers(const std::string &key)
+{
+    const std::lock_guard lock(mutex_);
+    return transfers_[key];
+}
+
+void PlatformStandIn::dropHistory()
+{
+    const std::lock_guard lock(mutex_);
+    history_.clear();
+    historyStart_ = revision_;
 }
 
 std::map<std::string, std::string> PlatformStandIn::read(const std::string &prefix)
@@ -80,6 +98,9 @@
     if (request.path == "/kv-key") {
         return item(request.query.at("Key"));
     }
+    if (request.path == "/kv-watch") {
+        return watch(request, lock);
+    }
     if (request.path == "/kv-range") {
         const auto after = request.query.find("After");
         StandInReply reply = range(request.query.at("Prefix"), after == request.query.end() ? "" : after->second);
@@ -124,11 +145,59 @@
     return {{"Key", key}, {"Value", item.value}, {"Revision", item.revision}, {"Created", item.created}, {"Lease", item.lease}};
 }
 
-StandInReply PlatformStandIn::item(const std::string &key) const
+void PlatformStandIn::recordEvent(const std::string &key)
+{
+    json event = row(key);
+    if (!items_.contains(key)) {
+        event = {{"Key", key}, {"Revision", revision_}, {"Tombstone", true}};
+    }
+    history_.push_back({revision_, key, std::move(event)});
+    if (std::ssize(history_) > maxHistory) {
+        const auto kept = history_.begin() + maxHistory / 2;
+        historyStart_ = std::prev(kept)->revision;
+        history_.erase(history_.begin(), kept);
+    }
+    changed_.notify_all();
+}
+
+json PlatformStandIn::eventsAfter(const std::string &prefix, std::int64_t after)
+{
+    json events = json::array();
+    if (watchesHearNothing) {
+        return events;
+    }
+    for (const Event &event : history_) {
+        if (event.revision > after && event.key.starts_with(prefix)) {
+            events.push_back(event.row);
+            ++transfers_[event.key];
+        }
+    }
+    return events;
+}
+
+StandInReply PlatformStandIn::watch(const StandInRequest &request, std::unique_lock<std::mutex> &lock)
+{
+    const std::string prefix = request.query.at("Prefix");
+    const std::int64_t after = std::strtoll(request.query.at("After").c_str(), nullptr, 10);
+    const std::chrono::milliseconds wait(std::strtoll(request.query.at("WaitMs").c_str(), nullptr, 10));
+    const Clock::time_point end = Clock::now() + wait;
+    if (after < historyStart_) {
+        return {410, "{}"};
+    }
+    json events = eventsAfter(prefix, after);
+    while (events.empty() && Clock::now() < end) {
+        changed_.wait_until(lock, end);
+        events = eventsAfter(prefix, after);
+    }
+    return {200, json{{"events", events}, {"StoreRevision", revision_}}.dump()};
+}
+
+StandInReply PlatformStandIn::item(const std::string &key)
 {
     if (!items_.contains(key)) {
         return {404, "{}"};
     }
+    ++transfers_[key];
     json body = row(key);
     body["StoreRevision"] = revision_;
     return {200, body.dump()};
@@ -171,9 +240,11 @@
         item.value = write["Value"];
         item.revision = revision_;
         item.lease = write.value("Lease", std::int64_t(0));
+        recordEvent(write["Key"]);
     }
     for (const json &key : request["Deletes"]) {
         items_.erase(key.get<std::string>());
+        recordEvent(key);
     }
     return {200, json{{"Revision", revision_}}.dump()};
 }
@@ -249,8 +320,17 @@
 void PlatformStandIn::removeLease(std::int64_t lease)
 {
     leases_.erase(lease);
-    const auto removed = std::erase_if(items_, [lease](const auto &item) { return item.second.lease == lease; });
-    revision_ += removed > 0 ? 1 : 0;
+    std::vector<std::string> removed;
+    for (const auto &[key, item] : items_) {
+        if (item.lease == lease) {
+            removed.push_back(key);
+        }
+    }
+    revision_ += removed.empty() ? 0 : 1;
+    for (const std::string &key : removed) {
+        items_.erase(key);
+        recordEvent(key);
+    }
 }
 
 StoreAddress::StoreAddress(PlatformStandIn &store)
--- a/tests/standins/platformsite/platformstandin.h
+++ b/tests/standins/platformsite/platformstandin.h
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace PlatformSite {
 
@@ -62,6 +63,14 @@
         return turnedAway_;
     }
 
+    /// Returns how many responses have carried the value of this key.
+    unsigned transfers(const std::string &key);
+
+    /// While set, watches return no events, as if nothing had changed.
+    std::atomic<bool> watchesHearNothing = false;
+    /// Drops the history, so that watches from before end with 410.
+    void dropHistory();
+
     /// From now on, answers to range reads with this prefix are kept back until they are released. An empty prefix keeps back none.
     void holdReads(const std::string &prefix);
     /// Releases the first so many answers that were kept back.
@@ -79,13 +88,24 @@
         std::int64_t lease = 0;
     };
 
+    /// A change of a key.
+    struct Event {
+        std::int64_t revision = 0;
+        std::string key;
+        nlohmann::json row; ///< as watches return it
+    };
+
     struct Lease {
         std::chrono::milliseconds term{};
         Clock::time_point end;
     };
 
     StandInReply control(const std::string &body);
-    StandInReply item(const std::string &key) const;
+    StandInReply item(const std::string &key);
+    StandInReply watch(const StandInRequest &request, std::unique_lock<std::mutex> &lock);
+    nlohmann::json eventsAfter(const std::string &prefix, std::int64_t after);
+    /// Makes the change of the key to the current revision known to watches.
+    void recordEvent(const std::string &key);
     StandInReply range(const std::string &prefix, const std::string &after) const;
     StandInReply transaction(const std::string &body);
     StandInReply faultyTransaction(const std::string &body, std::unique_lock<std::mutex> &lock);
@@ -101,6 +121,10 @@
     std::map<std::string, Item> items_;
     std::map<std::int64_t, Lease> leases_;
     std::int64_t revision_ = 1;
+    std::vector<Event> history_;
+    std::int64_t historyStart_ = 0; ///< revision up to which changes are forgotten
+    std::condition_variable changed_;
+    std::map<std::string, unsigned> transfers_; ///< responses with the value of each key
     unsigned transactions_ = 0;
     std::set<std::string> resetBodies_; ///< of transactions that haven't come again
     std::atomic<unsigned> resets_ = 0;
