jobs: sort the recorded agents; figures of the deployment are settings

Cause: agents in the owner record are looked up by binary search, and takeOver() took them in any order. The model of load gave them unsorted, so that some of its workers never got a run, and the results were those of fewer workers. The comparison of the lists of agents' names took place at each event.

The slowdown away from the data's rack (1.5), the time for which final states are kept (130 s), the delay of resubmissions (2 s) and the time to stop (5.4 s) were constants, but they differ between deployments: the slowdown is 1.5, 2 or 3.

Change: takeOver() sorts. The recorder compares the lists only when one of them changes.

jobs.crest: everyWorkerGetsRuns fails without the sorting and passes with it.

--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -9,11 +9,22 @@
 
 namespace LaburnumFlow::Node {
 
+namespace {
+
+Jobs::OwnerSettings ownerSettings(const Settings::JobEntrySettings &entry)
+{
+    return {.remoteFactor = entry.remoteFactor,
+            .finalStateRetention = std::chrono::seconds(entry.finalStateSeconds) + finalStateSlack,
+            .resubmitDelayMax = std::chrono::milliseconds(entry.resubmitDelayMs) + resubmitSlack};
+}
+
+} // namespace
+
 void EntryProcess::carryOut(EntryNode::BeginOwning &begin)
 {
     loadedJobs_.owner = begin.record;
     loadedJobs_.ownerRevision = begin.revision;
-    owner_ = Jobs::takeOver(std::move(loadedJobs_), Base::monoNow(), Base::wallNow());
+    owner_ = Jobs::takeOver(std::move(loadedJobs_), Base::monoNow(), Base::wallNow(), ownerSettings(std::get<Settings::JobEntrySettings>(settings_.role)));
     loadedJobs_ = {};
     logDecision("owner.begin",
                 {{"epoch", std::to_string(begin.record.epoch)},
--- a/src/app/laburnumnode/nodeprocess.cpp
+++ b/src/app/laburnumnode/nodeprocess.cpp
@@ -53,7 +53,7 @@
         return;
     }
     stopping_ = true;
-    stopBy_ = Base::monoNow() + drainTimeout;
+    stopBy_ = Base::monoNow() + std::chrono::seconds(settings_.stopSeconds) - stopReserve;
     log_.writeAlways("process.stopping", {});
     beginStop();
 }
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -44,7 +44,7 @@
 constexpr Base::Duration orphanGracePeriod = 600ms;
 
 // The caller of a best-effort job that gets no answer within its timeout submits the job again after a delay.
-constexpr Base::Duration resubmitDelayMax = 2s; ///< Longest such delay, including network delays.
+constexpr Base::Duration defaultResubmitDelayMax = 2s; ///< Longest such delay, including network delays.
 constexpr Base::Duration maxResubmitWindow = 60s; ///< Bounds the memory for answers that are kept for callers with very long timeouts.
 constexpr std::chrono::milliseconds defaultCallerTimeout = 3s; ///< For callers that don't state a timeout, and the least that is assumed of any caller.
 
@@ -66,7 +66,7 @@
 constexpr Base::Duration commitRetryDelayInitial = 20ms;
 constexpr Base::Duration commitRetryDelayMax = 300ms;
 constexpr Base::Duration progressCommitDelay = 400ms; ///< Ends of tasks of an unfinished job are recorded after this time, by which most jobs have finished.
-constexpr Base::Duration finalStateRetention = 130s; ///< Callers may ask for final states for 120 s; the rest is slack.
+constexpr Base::Duration defaultFinalStateRetention = 130s; ///< Callers may ask for final states for 120 s; the rest is slack.
 constexpr Base::Duration commitStallTimeout = 700ms; ///< The owner refuses new stored jobs while a commit has been pending for longer.
 
 /// Number of runs that a task can have under one owner. It spaces the run numbers of successive owners so that they always rise, also for long-running tasks
@@ -83,7 +83,7 @@
 constexpr std::size_t maxUnplacedScanned = 64; ///< Jobs per scheduling round that may be skipped because they can't be placed.
 constexpr std::uint32_t defaultEstimateMs = 200; ///< Run time of a task whose caller gave no estimate.
 
-constexpr double remoteFactor = 1.5; ///< Slowdown of a task that runs away from the rack of its data or of the other tasks of its step.
+constexpr double defaultRemoteFactor = 1.5; ///< Slowdown of a task that runs away from the rack of its data or of the other tasks of its step.
 constexpr Base::Duration reservationDelay
     = 300ms; ///< Workers are reserved for a gang that waits for longer, as smaller tasks would otherwise always take them.
 constexpr Base::Duration preemptionDelay = 1500ms; ///< A long-running task that waits for longer preempts other work.
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -254,14 +254,17 @@
 
 } // namespace Internal
 
-OwnerState takeOver(StoredJobs stored, Base::MonoTime now, Base::WallTime wall)
+OwnerState takeOver(StoredJobs stored, Base::MonoTime now, Base::WallTime wall, const OwnerSettings &settings)
 {
     OwnerState state;
+    state.settings = settings;
     state.epoch = stored.owner.epoch;
     state.now = now;
     state.wall = wall;
     state.awaitedAgents.insert(stored.owner.agents.begin(), stored.owner.agents.end());
-    state.recorder = Recorder(std::move(stored.owner), stored.ownerRevision);
+    // Agents are looked up by binary search.
+    std::sort(stored.owner.agents.begin(), stored.owner.agents.end());
+    state.recorder = Recorder(std::move(stored.owner), stored.ownerRevision, settings.finalStateRetention);
     std::sort(
         stored.finished.begin(), stored.finished.end(), [](const auto &left, const auto &right) { return left.content.newestMs < right.content.newestMs; });
     for (const StoredJobs::Segment &segment : stored.finished) {
--- a/src/libs/jobs/owner.h
+++ b/src/libs/jobs/owner.h
@@ -25,7 +25,7 @@
 };
 
 /// Returns the initial state of a new owner. The agents in the owner record may run tasks that a former owner started.
-OwnerState takeOver(StoredJobs stored, Base::MonoTime now, Base::WallTime wall);
+OwnerState takeOver(StoredJobs stored, Base::MonoTime now, Base::WallTime wall, const OwnerSettings &settings = {});
 
 /// Handles an event and returns the resulting effects. Time advances only with TimePassed, which must precede the other events of each round.
 OwnerEffects reduce(OwnerState &state, const OwnerEvent &event);
--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -28,18 +28,18 @@
 }
 
 /// Returns the time within which the caller of a best-effort job submits it again after a lost answer or a lost owner.
-Base::Duration resubmitWindow(const SubmitCall &call)
+Base::Duration resubmitWindow(const OwnerState &state, const SubmitCall &call)
 {
     // The caller's timeout may have been longer in an earlier submission.
     const auto callerTimeout = std::max(std::chrono::milliseconds(call.callerTimeoutMs), defaultCallerTimeout);
-    return std::min<Base::Duration>(callerTimeout + resubmitDelayMax, maxResubmitWindow);
+    return std::min<Base::Duration>(callerTimeout + state.settings.resubmitDelayMax, maxResubmitWindow);
 }
 
 /// Returns whether a former owner may have run the job. Best-effort jobs aren't stored, so only the time since the takeover can tell.
 bool mayHaveRunUnderFormerOwner(const OwnerState &state, const SubmitCall &call)
 {
     const bool hadFormerOwner = state.epoch > 1;
-    return hadFormerOwner && state.now < state.tookOverAt + resubmitWindow(call);
+    return hadFormerOwner && state.now < state.tookOverAt + resubmitWindow(state, call);
 }
 
 /// Refuses a job that can't be stored or would wait for too long. Returns whether it did.
@@ -99,7 +99,7 @@
     Job &job = state.jobs.emplace(submitted.id, std::move(submitted)).first->second;
     job.bestEffort = true;
     job.stored = true;
-    job.resubmitWindow = resubmitWindow(call);
+    job.resubmitWindow = resubmitWindow(state, call);
     ++state.unstarted[job.rules.name];
     registerCaller(context, job, call);
     logDecision(context, "job.begun", {{"id", formatId(job.id)}, {"queue", job.rules.name}, {"tasks", std::to_string(job.tasks.size())}});
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -298,7 +298,7 @@
             abandonJob(context, *job);
         }
     }
-    while (!state.finishedOrder.empty() && state.now - state.finishedOrder.front().first > finalStateRetention) {
+    while (!state.finishedOrder.empty() && state.now - state.finishedOrder.front().first > state.settings.finalStateRetention) {
         state.finished.erase(state.finishedOrder.front().second);
         state.finishedOrder.pop_front();
     }
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -103,7 +103,8 @@
 bool maySplitRacks(Round &round, const Job &job, StepIndex step)
 {
     const StepSpec &spec = stepSpec(job, step);
-    const Base::Duration saving = std::chrono::microseconds(static_cast<std::int64_t>((remoteFactor - 1.0) * 1000.0 * effectiveEstimateMs(spec)));
+    const Base::Duration saving
+        = std::chrono::microseconds(static_cast<std::int64_t>((round.context.state.settings.remoteFactor - 1.0) * 1000.0 * effectiveEstimateMs(spec)));
     return !spec.sameRack || hasWaited(round, job.steps[step], saving) || !fitsOnOneRack(round.context.state, job, step);
 }
 
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -2,6 +2,7 @@
 
 #include "fleet.h"
 #include "messages.h"
+#include "ownersettings.h"
 #include "recorder.h"
 
 #include "base/types.h"
@@ -154,6 +155,7 @@
 
 /// The state of the owner's reducer.
 struct OwnerState {
+    OwnerSettings settings;
     std::uint64_t epoch = 0;
     Base::MonoTime now{};
     Base::WallTime wall{};
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -141,7 +141,7 @@
 double placementCost(const OwnerState &state, const StepSpec &step, const Agent &agent)
 {
     double cost = backgroundSlowdown(agent, step.need) / expectedSpeed(agent, state.kindSpeeds, state.now);
-    cost *= step.dataRack.empty() || step.dataRack == agent.worker->rack ? 1.0 : remoteFactor;
+    cost *= step.dataRack.empty() || step.dataRack == agent.worker->rack ? 1.0 : state.settings.remoteFactor;
     return cost * (1.0 + loadWeight * relativeLoad(agent));
 }
 
@@ -249,7 +249,7 @@
             continue;
         }
         double cost = placementCost(state, step, agent);
-        cost *= step.sameRack && hasTasksOnOtherRack(state, job, stepIndex, agent.worker->rack) ? remoteFactor : 1.0;
+        cost *= step.sameRack && hasTasksOnOtherRack(state, job, stepIndex, agent.worker->rack) ? state.settings.remoteFactor : 1.0;
         if (cost > maxCost) {
             continue;
         }
--- a/src/libs/jobs/recorder.cpp
+++ b/src/libs/jobs/recorder.cpp
@@ -25,19 +25,26 @@
 
 } // namespace
 
-Recorder::Recorder(OwnerRecord owner, std::int64_t revision)
-    : owner_(std::move(owner)), agents_(owner_.agents), confirmedAgents_(owner_.agents), recordedAgents_(owner_.agents), revision_(revision)
+Recorder::Recorder(OwnerRecord owner, std::int64_t revision, Base::Duration finalStateRetention)
+    : owner_(std::move(owner))
+    , agents_(owner_.agents)
+    , confirmedAgents_(owner_.agents)
+    , recordedAgents_(owner_.agents)
+    , finalStateRetention_(finalStateRetention)
+    , revision_(revision)
 {
 }
 
 void Recorder::setAgents(std::vector<std::string> agents)
 {
     agents_ = std::move(agents);
+    updateAgentsDue();
 }
 
-bool Recorder::agentsDue() const
+/// Compares the lists only when one of them has changed, as every event asks whether a commit is due.
+void Recorder::updateAgentsDue()
 {
-    return agents_ != confirmedAgents_;
+    agentsDue_ = agents_ != confirmedAgents_;
 }
 
 void Recorder::add(Change change)
@@ -51,7 +58,7 @@
         return std::nullopt;
     }
     if (!commit_) {
-        if (queued_.empty() && !agentsDue()) {
+        if (queued_.empty() && !agentsDue_) {
             return std::nullopt;
         }
         fillCommit(wall);
@@ -144,7 +151,7 @@
 {
     // With the other entries of a commit, this keeps the transaction within the store's limit of 32 entries.
     constexpr int maxRemoved = 2;
-    const std::int64_t oldest = wall.count() - std::chrono::duration_cast<std::chrono::milliseconds>(finalStateRetention).count();
+    const std::int64_t oldest = wall.count() - std::chrono::duration_cast<std::chrono::milliseconds>(finalStateRetention_).count();
     for (int i = 0; i < maxRemoved && !segments_.empty(); ++i) {
         // A later owner takes a job for unfinished if it finds its record but not its final state. The age alone can't tell that the record is gone: after an
         // outage of the store both are old.
@@ -177,6 +184,7 @@
     // The try that was executed may have listed other agents than the latest one.
     confirmedAgents_ = committed != nullptr ? owner_.agents : conflict->current->agents;
     recordedAgents_ = confirmedAgents_;
+    updateAgentsDue();
     commit_.reset();
     recorded_ = std::exchange(inFlight_, {});
     return Verdict::Recorded;
@@ -189,7 +197,7 @@
 
 std::optional<Base::MonoTime> Recorder::nextDue() const
 {
-    if (sent_ || (!commit_ && queued_.empty() && !agentsDue())) {
+    if (sent_ || (!commit_ && queued_.empty() && !agentsDue_)) {
         return std::nullopt;
     }
     return notBefore_;
--- a/src/libs/jobs/recorder.h
+++ b/src/libs/jobs/recorder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobpacks.h"
+#include "jobsconstants.h"
 #include "records.h"
 
 #include "base/types.h"
@@ -90,7 +91,7 @@
     Recorder() = default;
 
     /// \a owner is the owner record that the store holds at \a revision.
-    Recorder(OwnerRecord owner, std::int64_t revision);
+    explicit Recorder(OwnerRecord owner, std::int64_t revision, Base::Duration finalStateRetention = defaultFinalStateRetention);
 
     void add(Change change);
 
@@ -160,12 +161,14 @@
     void writeSegment();
     void removeOldSegments(Base::WallTime wall);
 
-    bool agentsDue() const;
+    void updateAgentsDue();
 
     OwnerRecord owner_;
     std::vector<std::string> agents_;
     std::vector<std::string> confirmedAgents_; ///< Agents listed by the last successful commit.
     std::vector<std::string> recordedAgents_; ///< See recordedAgents().
+    bool agentsDue_ = false; ///< The next commit must list other agents than the last successful one.
+    Base::Duration finalStateRetention_ = defaultFinalStateRetention; ///< Time after which final states may be removed.
     std::int64_t revision_ = 0;
     std::deque<Change> queued_;
     std::vector<Change> inFlight_; ///< Changes in commit_.
--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -44,6 +44,9 @@
     JobEntrySettings entry;
     requireEndpoint(reader, "callers", EndpointUse::Listening, entry.callers);
     requireEndpoint(reader, "ready", EndpointUse::Listening, entry.ready);
+    reader.real("remoteFactor", entry.remoteFactor, 1.0, 100.0);
+    reader.number("finalStateSeconds", entry.finalStateSeconds, 1, 86'400);
+    reader.number("resubmitDelayMs", entry.resubmitDelayMs, 1, 600'000);
     if (Base::Endpoint advice; readEndpoint(reader, "advice", EndpointUse::Connecting, advice)) {
         entry.advice = advice;
     }
@@ -75,6 +78,7 @@
     double share = 1.0;
     reader.real("processorShare", share, 0.01, 1024.0);
     settings.processorPercent = static_cast<std::uint32_t>(std::lround(share * 100.0));
+    reader.number("stopSeconds", settings.stopSeconds, 1, 3600);
     if (double linkMbps = 0; reader.real("linkMbps", linkMbps, 0.001, 1'000'000.0)) {
         settings.linkMbps = linkMbps;
     }
--- a/tests/auto/jobs/crestmodel.cpp
+++ b/tests/auto/jobs/crestmodel.cpp
@@ -64,6 +64,11 @@
     }
 }
 
+std::size_t LoadModel::idleWorkers() const
+{
+    return static_cast<std::size_t>(std::count_if(handledStarts_.begin(), handledStarts_.end(), [](const auto &starts) { return starts.second == 0; }));
+}
+
 void LoadModel::step()
 {
     owner_.advanceTime(timeStep);
--- a/tests/auto/jobs/crestmodel.h
+++ b/tests/auto/jobs/crestmodel.h
@@ -47,6 +47,9 @@
         return results_;
     }
 
+    /// Returns how many workers have got no run so far.
+    std::size_t idleWorkers() const;
+
     /// Returns the work of the jobs that were answered in time, in core milliseconds.
     double usefulWork() const
     {
--- a/tests/auto/jobs/tst_crest.cpp
+++ b/tests/auto/jobs/tst_crest.cpp
@@ -45,6 +45,7 @@
 class TestCrest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestCrest);
+    CPPUNIT_TEST(everyWorkerGetsRuns);
     CPPUNIT_TEST(halfLoad);
     CPPUNIT_TEST(goodputDoesNotFall);
     CPPUNIT_TEST(nothingAcceptedIsUseless);
@@ -53,6 +54,17 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Load: three times the capacity, so that each worker is needed. Guards against workers that stay idle for good, as their agents are among those of the
+    /// former owner and the owner takes them for new ones that it must not use yet.
+    void everyWorkerGetsRuns()
+    {
+        for (const std::uint32_t count : {workers, 10 * workers}) {
+            LoadModel model(1, count, 1);
+            model.run(jobMix, threeTimesCapacity, 1s);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), model.idleWorkers());
+        }
+    }
+
     /// Load: half of the capacity. Guards against refusals and late answers while there is free capacity.
     void halfLoad()
     {
--- a/tests/auto/jobs/tst_owner.cpp
+++ b/tests/auto/jobs/tst_owner.cpp
@@ -284,7 +284,7 @@
         owner.confirmStops();
         CPPUNIT_ASSERT(owner.state.ready.empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.orderedStartCount());
-        owner.advanceTime(defaultCallerTimeout + resubmitDelayMax);
+        owner.advanceTime(defaultCallerTimeout + defaultResubmitDelayMax);
         CPPUNIT_ASSERT(owner.state.jobs.empty());
     }
 
--- a/tests/auto/jobs/tst_recorder.cpp
+++ b/tests/auto/jobs/tst_recorder.cpp
@@ -319,7 +319,7 @@
         CPPUNIT_ASSERT(recorder.next(1s, wall)->deletes.empty());
         recorder.finish(Committed{8}, 1s);
         recorder.add(putJob(2));
-        const auto later = recorder.next(2s, wall + std::chrono::duration_cast<Base::WallTime>(finalStateRetention) + 1ms);
+        const auto later = recorder.next(2s, wall + std::chrono::duration_cast<Base::WallTime>(defaultFinalStateRetention) + 1ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), later->deletes.size());
         CPPUNIT_ASSERT_EQUAL(std::string("old"), later->deletes[0]);
     }
@@ -367,7 +367,7 @@
     }
 
 private:
-    static constexpr Base::WallTime muchLater = wall + std::chrono::duration_cast<Base::WallTime>(finalStateRetention) + 1ms;
+    static constexpr Base::WallTime muchLater = wall + std::chrono::duration_cast<Base::WallTime>(defaultFinalStateRetention) + 1ms;
 
     /// Lets the next commit succeed. Returns the keys that it removes.
     static std::vector<std::string> commit(Recorder &recorder, std::int64_t &revision, Base::MonoTime now, Base::WallTime time)
--- a/tests/auto/jobs/tst_repeatedstarts.cpp
+++ b/tests/auto/jobs/tst_repeatedstarts.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr Base::Duration longestResubmitWindow = defaultCallerTimeout + resubmitDelayMax + 100ms; ///< For callers with short timeouts.
+constexpr Base::Duration longestResubmitWindow = defaultCallerTimeout + defaultResubmitDelayMax + 100ms; ///< For callers with short timeouts.
 
 /// Returns the agent that was ordered first to start the task of the only job.
 std::string startedOn(const OwnerHarness &owner, std::uint32_t index)
@@ -241,7 +241,7 @@
         owner.commit();
         owner.reportEnd("agent-1", owner.orderedStarts("agent-1").at(0), RunOutcome::Done);
         owner.commitAll();
-        owner.advanceTimeWithReports(finalStateRetention - 10s);
+        owner.advanceTimeWithReports(defaultFinalStateRetention - 10s);
         owner.submit(2, submission(7, 1));
         owner.commitAll();
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
--- a/tests/auto/jobs/tst_resubmissions.cpp
+++ b/tests/auto/jobs/tst_resubmissions.cpp
@@ -116,7 +116,7 @@
         OwnerHarness owner({"agent-1"}, 2);
         constexpr JobId jobs = 12;
         std::vector<RunEnd> ends;
-        owner.advanceTime(defaultCallerTimeout + resubmitDelayMax);
+        owner.advanceTime(defaultCallerTimeout + defaultResubmitDelayMax);
         for (JobId job = 1; job <= jobs; ++job) {
             owner.submit(job, bestEffort(job, 2, 100));
             ends.push_back({job, {{job, 0, 0}, 1}, job % 2 == 0 ? RunOutcome::Done : RunOutcome::Failed, 100});
@@ -136,7 +136,7 @@
         submitMany(owner, 1, jobs, bestEffort(1, 1, 100));
         owner.advanceTimeWithReports(1s);
         CPPUNIT_ASSERT(noneAnswered(owner, jobs));
-        owner.advanceTimeWithReports(defaultCallerTimeout + resubmitDelayMax);
+        owner.advanceTimeWithReports(defaultCallerTimeout + defaultResubmitDelayMax);
         submitMany(owner, jobs + 1, 2 * jobs, bestEffort(1, 1, 100));
         owner.advanceTimeWithReports(1s);
         CPPUNIT_ASSERT(owner.answerTo(2 * jobs).has_value());
@@ -230,7 +230,7 @@
             owner.join("agent-1", 4000);
             owner.advanceTimeWithReports(400ms);
             owner.confirmStops();
-            owner.advanceTimeWithReports(defaultCallerTimeout + resubmitDelayMax + 100ms);
+            owner.advanceTimeWithReports(defaultCallerTimeout + defaultResubmitDelayMax + 100ms);
             CPPUNIT_ASSERT(owner.state.jobs.empty() && owner.state.ready.empty() && owner.state.expiring.empty());
             CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.state.tasksInDoubt);
             CPPUNIT_ASSERT_EQUAL(0U, owner.state.unstarted["queue"]);
--- a/tests/auto/settings/tst_nodesettings.cpp
+++ b/tests/auto/settings/tst_nodesettings.cpp
@@ -38,6 +38,11 @@
         CPPUNIT_ASSERT_EQUAL(std::uint16_t(8080), std::get<JobEntrySettings>(entry.role).callers.port);
         CPPUNIT_ASSERT_EQUAL(std::uint16_t(8082), entry.peers.port);
         CPPUNIT_ASSERT(entry.metrics && entry.metrics->port == 8083);
+        const auto &role = std::get<JobEntrySettings>(entry.role);
+        CPPUNIT_ASSERT_EQUAL(1.5, role.remoteFactor);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(120), role.finalStateSeconds);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(1300), role.resubmitDelayMs);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(6), entry.stopSeconds);
         CPPUNIT_ASSERT(entry.linkMbps && *entry.linkMbps == 1000.0);
         const NodeSettings agent = parsed(readExample("node/agent.yaml"));
         CPPUNIT_ASSERT_EQUAL(std::uint16_t(8101), std::get<JobAgentSettings>(agent.role).worker.port);
@@ -54,6 +59,9 @@
             {agentText + "metrics: 9100\n", "6:10 metrics", ""},
             {agentText + "extra: 1\n", "6:1 extra", ""},
             {agentText + "processorShare: 0\n", "6:17 processorShare", ""},
+            {agentText + "stopSeconds: 0\n", "6:14 stopSeconds", ""},
+            {agentText + "remoteFactor: 2\n", "6:1 remoteFactor", ""},
+            {"role: entry\nname: a\ncallers: 10.0.0.2:1\nready: 10.0.0.2:2\npeers: 10.0.0.2:3\nremoteFactor: 0.5\n" + storeText, "6:15 remoteFactor", ""},
             {agentText + "linkMbps: 0\n", "6:11 linkMbps", ""},
             {agentText + "logLinesPerSecond: 0\n", "6:20 logLinesPerSecond", ""},
             {"role: agent\nname: a\nregistration: 10.0.0.2:1\nworker: 0.0.0.0:2\n" + storeText, "4:9 worker", ""},
