entry: renew the presence lease in time when answers come late

Cause: after a renewal without an answer the next one waited for the call's timeout (up to 1 s) and 300 ms more, which is longer than the lease of 1 s. On a link that is full with a long read the store carries renewals out, but the answers are late; the lease then lapsed between two renewals, and the others took the entry for absent.

Change: a renewal takes half of the lease at most, and after one that failed the next comes 300 ms after its start at the latest.

--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -137,7 +137,7 @@
     void carryOut(EntryNode::WatchRules &watch);
     void carryOut(EntryNode::AdoptRules &adopt);
     void adoptRules(const EntryNode::RulesText &text);
-    /// Sends a request with a short response to the store, with the adaptive timeout. name is the call's name in the metrics.
+    /// Sends a request with a short response to the store, with the adaptive timeout or that of the request if it is shorter. name is the call's name in the metrics.
     void callStore(std::string_view name, HttpIo::ClientRequest request, std::function<void(const HttpIo::ClientResponse &)> handle);
     /// Sends a request whose response may be long or come late. It fails when nothing arrives for stallTimeout, however long the whole response takes, and
     /// doesn't count for the adaptive timeout.
--- a/src/app/laburnumnode/entrystore.cpp
+++ b/src/app/laburnumnode/entrystore.cpp
@@ -4,11 +4,14 @@
 
 #include "base/timerservice.h"
 
+#include <algorithm>
+
 namespace LaburnumFlow::Node {
 
 void EntryProcess::callStore(std::string_view name, HttpIo::ClientRequest request, std::function<void(const HttpIo::ClientResponse &)> handle)
 {
-    request.timeout = storeTimeout_.current();
+    const Base::Duration adaptive = storeTimeout_.current();
+    request.timeout = request.timeout == Base::Duration{} ? adaptive : std::min(request.timeout, adaptive);
     const Base::MonoTime startedAt = Base::monoNow();
     const Base::Duration allowed = request.timeout;
     storeCalls_.send(std::move(request), [this, name, startedAt, allowed, handle = std::move(handle)](const HttpIo::ClientResponse &response) {
@@ -90,9 +93,9 @@
 
 void EntryProcess::carryOut(EntryNode::RenewLease &renew)
 {
-    callStore("lease-keep", Platform::renewLeaseRequest(storeAddress_, renew.lease), [this](const HttpIo::ClientResponse &response) {
-        feedOwnership(Platform::renewLeaseResult(response));
-    });
+    HttpIo::ClientRequest request = Platform::renewLeaseRequest(storeAddress_, renew.lease);
+    request.timeout = renew.timeout;
+    callStore("lease-keep", std::move(request), [this](const HttpIo::ClientResponse &response) { feedOwnership(Platform::renewLeaseResult(response)); });
 }
 
 void EntryProcess::carryOut(EntryNode::WritePresence &write)
--- a/src/libs/entrynode/ownership.h
+++ b/src/libs/entrynode/ownership.h
@@ -84,6 +84,7 @@
     bool presenceWritten = false;
     bool presenceCallInProgress = false;
     Base::MonoTime presenceNotBefore{};
+    Base::MonoTime renewalStartedAt{}; ///< of the latest renewal of the lease
     bool clusterRead = false; ///< a read of the cluster has succeeded
     bool lastReadSucceeded = false; ///< of the latest read that has ended
     Base::MonoTime lastReadStartedAt{}; ///< of the latest read that has ended
@@ -223,6 +224,7 @@
 
 struct RenewLease {
     std::int64_t lease = 0;
+    Base::Duration timeout{}; ///< the longest that the call may take, so that the next renewal comes before the lease ends
 };
 
 struct WritePresence {
--- a/src/libs/entrynode/presence.cpp
+++ b/src/libs/entrynode/presence.cpp
@@ -21,7 +21,9 @@
 {
     OwnershipState &state = context.state;
     state.presenceCallInProgress = false;
-    state.presenceNotBefore = state.now + presenceRenewalInterval;
+    // The store may have renewed the lease without an answer in time, or not; the next renewal must not wait for longer than after an answer.
+    const bool failed = event.outcome == LeaseRenewed::Outcome::Failed;
+    state.presenceNotBefore = failed ? std::max(state.now, state.renewalStartedAt + presenceRenewalInterval) : state.now + presenceRenewalInterval;
     if (event.outcome == LeaseRenewed::Outcome::Renewed) {
         recordStoreResponse(state);
     }
@@ -67,7 +69,8 @@
     } else if (!state.presenceWritten) {
         context.effects.push_back(WritePresence{state.lease, state.self});
     } else {
-        context.effects.push_back(RenewLease{state.lease});
+        state.renewalStartedAt = state.now;
+        context.effects.push_back(RenewLease{state.lease, state.presenceTtl / 2});
     }
 }
 
--- a/tests/auto/entrynode/tst_storecalls.cpp
+++ b/tests/auto/entrynode/tst_storecalls.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(ownClaimThatIsTakenForLostIsReplaced);
     CPPUNIT_TEST(claimsThatFailAtOnceAreSpacedOut);
     CPPUNIT_TEST(olderReadDoesNotBringBackAFormerOwner);
+    CPPUNIT_TEST(unansweredRenewalsKeepThePresence);
+    CPPUNIT_TEST(renewalsThatFailAtOnceAreSpacedOut);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -55,6 +57,41 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(6), entry.effects<Claim>()[2].expectedRevision);
     }
 
+    /// Guards against an owner that is replaced because its presence lapses while the store carries out its renewals and the answers come too late.
+    void unansweredRenewalsKeepThePresence()
+    {
+        constexpr Base::Duration presenceTtl = 1s;
+        EntryHarness entry;
+        renewPresence(entry);
+        Base::MonoTime renewedAt = entry.state.now;
+        for (int i = 0; i < 20; ++i) {
+            const std::size_t renewals = entry.effects<RenewLease>().size();
+            const Base::Duration timeout = entry.effects<RenewLease>().back().timeout;
+            entry.advance(timeout);
+            entry.feed(LeaseRenewed{LeaseRenewed::Outcome::Failed});
+            while (entry.effects<RenewLease>().size() == renewals) {
+                entry.advance(1ms);
+            }
+            CPPUNIT_ASSERT(entry.state.now - renewedAt < presenceTtl);
+            renewedAt = entry.state.now;
+        }
+    }
+
+    /// Guards against some hundred renewals per second while the store refuses connections.
+    void renewalsThatFailAtOnceAreSpacedOut()
+    {
+        EntryHarness entry;
+        renewPresence(entry);
+        const std::size_t before = entry.effects<RenewLease>().size();
+        for (int i = 0; i < 1500; ++i) {
+            if (entry.state.presenceCallInProgress) {
+                entry.feed(LeaseRenewed{LeaseRenewed::Outcome::Failed});
+            }
+            entry.advance(1ms);
+        }
+        CPPUNIT_ASSERT(entry.effects<RenewLease>().size() - before <= 1500ms / presenceRenewalInterval + 1);
+    }
+
     /// Guards against some hundred claims per second, each of which is priced, by an entry whose writes the store refuses, or whose connections it resets,
     /// while it answers reads.
     void claimsThatFailAtOnceAreSpacedOut()
@@ -92,6 +129,17 @@
         CPPUNIT_ASSERT(entry.state.ownerRecordCurrent);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(11), entry.state.ownerRevision);
     }
+
+private:
+    /// Lets the entry obtain its lease, write its presence and begin the first renewal.
+    static void renewPresence(EntryHarness &entry)
+    {
+        entry.read(std::nullopt, 0, {});
+        entry.feed(LeaseGranted{7});
+        entry.feed(PresenceWritten{PresenceWritten::Outcome::Written});
+        entry.advance(presenceRenewalInterval);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.effects<RenewLease>().size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestStoreCalls);
