--- a/src/libs/entrynode/callrouter.cpp
+++ b/src/libs/entrynode/callrouter.cpp
@@ -15,7 +15,7 @@
 bool isRefusal(const Jobs::CallAnswer &answer)
 {
     using Kind = Jobs::CallAnswer::Kind;
-    return answer.kind == Kind::Overloaded || answer.kind == Kind::Unavailable || answer.kind == Kind::Unsupported;
+    return answer.kind == Kind::Overloaded || answer.kind == Kind::Unavailable || answer.kind == Kind::Unsupported || answer.kind == Kind::UnknownQueue;
 }
 
 /// Turns an owner's refusal into an unknown outcome if an earlier owner may have run the job. That concerns only best-effort jobs: an owner
--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -309,6 +309,7 @@
         Unavailable, ///< Not accepted and never run; the owner can't store it at present.
         Unsupported, ///< Not accepted and never run; there is no worker or no implementation for it.
         OutcomeUnknown, ///< The job may have been accepted.
+        UnknownQueue, ///< Not accepted and never run; the owner's rules have no such queue any more.
     };
 
     Kind kind = Kind::Unavailable;
--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -17,6 +17,13 @@
     context.effects.push_back(Reply{call, answer});
 }
 
+/// Returns whether the owner's rules are newer than those of the call and no longer have its queue. The entry that forwarded the call may be cut off from
+/// the store.
+bool isQueueWithdrawn(const OwnerState &state, const SubmitCall &call)
+{
+    return call.rulesVersion < state.rulesVersion && !state.rules.contains(call.rules.name);
+}
+
 /// Returns the newer of the rules that the call carries and those of this owner.
 const QueueRules &activeRules(const OwnerState &state, const SubmitCall &call)
 {
@@ -145,6 +152,11 @@
     }
     job.mayHaveRun = call.mayHaveRun || mayHaveRunUnderFormerOwner(state, call) || state.orphans.contains(job.id);
     const bool canRefuse = !call.bestEffort || !job.mayHaveRun;
+    if (canRefuse && isQueueWithdrawn(state, call)) {
+        logDecision(context, "job.refused", {{"id", formatId(job.id)}, {"reason", "queue-withdrawn"}, {"queue", job.rules.name}});
+        reply(context, id, {.kind = CallAnswer::Kind::UnknownQueue});
+        return;
+    }
     if (canRefuse && refuseIfOverloaded(context, id, job, call.bestEffort)) {
         return;
     }
