--- a/tests/auto/entrynode/tst_callrouter.cpp
+++ b/tests/auto/entrynode/tst_callrouter.cpp
@@ -170,7 +170,7 @@
             Jobs::SubmitCall call;
             call.job = 7;
             call.bestEffort = bestEffort;
-            for (const Kind refusal : {Kind::Overloaded, Kind::Unavailable}) {
+            for (const Kind refusal : {Kind::Overloaded, Kind::Unavailable, Kind::Unsupported, Kind::UnknownQueue}) {
                 CallRouter router;
                 router.route(PeerRoute{"entry-2"});
                 router.accept(1, call, 2s, 100s);
--- a/tests/auto/platform/tst_dialects.cpp
+++ b/tests/auto/platform/tst_dialects.cpp
@@ -213,6 +213,7 @@
         const CallerRequest cancel = cancelRequest(route, sent.job);
         CPPUNIT_ASSERT(std::holds_alternative<Jobs::CancelCall>(std::get<Jobs::Call>(decodeCall(request(cancel.method, cancel.path), &*document))));
         for (const Jobs::JobState state : {Jobs::JobState::Queued, Jobs::JobState::Running, Jobs::JobState::Completed, Jobs::JobState::Failed}) {
+            CPPUNIT_ASSERT_EQUAL(404, encodeAnswer({.kind = Jobs::CallAnswer::Kind::UnknownQueue}).status);
             CPPUNIT_ASSERT(parseJobState(encodeAnswer({.kind = Jobs::CallAnswer::Kind::State, .state = state}).body) == state);
         }
         CPPUNIT_ASSERT(!parseJobState("{}") && !parseJobState("?") && !parseJobState(R"({"State":"other"})"));
--- a/tests/auto/taskagent/tst_latecalls.cpp
+++ b/tests/auto/taskagent/tst_latecalls.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(missingRunMayHaveEndedBeyondATruncatedList);
     CPPUNIT_TEST(returningWorkerIsKnownAtItsFirstHeartbeat);
     CPPUNIT_TEST(lateHeartbeatDoesNotBringAWorkerBack);
+    CPPUNIT_TEST(lateHeartbeatAtARestartedAgentBringsAWorkerBackForAMoment);
     CPPUNIT_TEST(ignoresLateHeartbeatOfFormerIncarnation);
     CPPUNIT_TEST(restartedWorkerRunsNothing);
     CPPUNIT_TEST(lateLeaveCallEndsNoRuns);
@@ -100,6 +101,24 @@
         CPPUNIT_ASSERT(agent.state.runs.empty());
     }
 
+    /// Guards against a worker that has left and is in use again for long, because its agent has restarted, knows nothing of the leave call, and a heartbeat
+    /// arrives late.
+    void lateHeartbeatAtARestartedAgentBringsAWorkerBackForAMoment()
+    {
+        AgentHarness agent;
+        agent.heartbeat();
+        agent.orders(1);
+        const Base::MonoTime begun = agent.now();
+        const auto silent = [](const Jobs::AgentReport &report) { return report.workerSilent; };
+        while (!agent.reported(silent)) {
+            agent.refuseHold();
+            agent.advance(holdRetryDelay);
+            CPPUNIT_ASSERT(agent.now() - begun < 2 * silenceReportTimeout);
+        }
+        agent.advance(workerSilenceTimeout);
+        CPPUNIT_ASSERT(!agent.state.worker);
+    }
+
     /// Guards against two runs of a task: a start call without a response was cancelled and the task started elsewhere, then the worker
     /// restarts, forgets the cancellation, and the call reaches it late.
     void lateStartIsCancelledAtARestartedWorker()
