tests: count a rare planted fault over 100 seeds

seesASecondSendingThatItsFenceBars asked for one failed seed of ten. It failed on with none: the schedules of the model follow the renewals of the presence, which have changed. The test now asks for the same share, ten of a hundred.

--- a/tests/auto/entrynode/tst_ownerchangesecondsendings.cpp
+++ b/tests/auto/entrynode/tst_ownerchangesecondsendings.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::uint64_t seeds = 10;
+constexpr std::uint64_t seedsOfRareFault = 100; ///< for a fault that shows in about one seed of eight
 constexpr Base::Duration simulatedTime = 30s;
 
 } // namespace
@@ -47,7 +48,7 @@
         ModelOptions options;
         options.secondSendingShare = 0.05;
         options.lostAnswerShare = 0.05;
-        CPPUNIT_ASSERT_GREATER(std::size_t(0), countFailedSeeds(options, seeds, simulatedTime));
+        CPPUNIT_ASSERT_GREATEREQUAL(seedsOfRareFault / seeds, countFailedSeeds(options, seedsOfRareFault, simulatedTime));
     }
 };
 
