--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -30,12 +30,8 @@
                 {{"epoch", std::to_string(begin.record.epoch)},
                  {"jobs", std::to_string(owner_->jobs.size())},
                  {"former_agents", std::to_string(begin.record.agents.size())}});
-    if (rules_) {
-        Jobs::RulesChanged changed{rules_->version, {}};
-        for (const Platform::QueueRoute &route : rules_->routes) {
-            changed.queues.push_back(route.rules);
-        }
-        feedOwner(changed);
+    if (rules_.table() != nullptr) {
+        feedOwner(ownerRules());
     }
     feedOwner(Jobs::EntriesChanged{entries_});
     for (const auto &[name, link] : agentLinks_) {
@@ -92,10 +88,8 @@
 
 void EntryProcess::carryOut(EntryNode::SendHeartbeatReply &reply)
 {
-    // The heartbeat arrived on the peer's newest link.
-    const auto link = std::find_if(entryNames_.rbegin(), entryNames_.rend(), [&reply](const auto &entry) { return entry.second == reply.name; });
-    if (link != entryNames_.rend()) {
-        links_.send(link->first, Jobs::encodeMessage(reply.reply));
+    if (const auto link = linkFrom(reply.name)) {
+        links_.send(*link, Jobs::encodeMessage(reply.reply));
     }
 }
 
@@ -317,7 +311,14 @@
         }
     }
     dialedAgents_.erase(link);
-    entryNames_.erase(link);
+    if (const auto entry = entryNames_.find(link); entry != entryNames_.end()) {
+        const std::string name = entry->second;
+        entryNames_.erase(entry);
+        if (!linkFrom(name)) {
+            feedRulesExchange(EntryNode::RulesSourceLost{name});
+            connectRulesFeedAndExchange();
+        }
+    }
     const auto peer = peerNames_.find(link);
     if (peer == peerNames_.end()) {
         return;
@@ -329,6 +330,12 @@
     updateRoute();
 }
 
+std::optional<Net::LinkId> EntryProcess::linkFrom(const std::string &entry) const
+{
+    const auto link = std::find_if(entryNames_.rbegin(), entryNames_.rend(), [&entry](const auto &named) { return named.second == entry; });
+    return link == entryNames_.rend() ? std::nullopt : std::optional(link->first);
+}
+
 void EntryProcess::handle(Net::LinkId link, Jobs::AgentHello &hello)
 {
     const auto former = agentLinks_.find(hello.name);
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -9,18 +9,26 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
+#include <limits>
 #include <random>
 
 namespace LaburnumFlow::Node {
 
 namespace {
 
+std::uint32_t linkKbps(const Settings::NodeSettings &settings)
+{
+    constexpr double kilobitsPerMegabit = 1000.0;
+    return settings.linkMbps ? static_cast<std::uint32_t>(std::lround(*settings.linkMbps * kilobitsPerMegabit)) : std::numeric_limits<std::uint32_t>::max();
+}
+
 Jobs::EntryRecord makeEntryRecord(const Settings::NodeSettings &settings)
 {
     std::random_device random;
     const std::uint64_t incarnation = (static_cast<std::uint64_t>(random()) << 32U) | random();
-    return {settings.name, incarnation, settings.peers, settings.processorPercent};
+    return {settings.name, incarnation, settings.peers, settings.processorPercent, linkKbps(settings)};
 }
 
 std::string formatEndpoint(const Base::Endpoint &endpoint)
@@ -89,7 +97,7 @@
 
 std::string EntryProcess::status() const
 {
-    const NodeStatus::EntryInfo entry{processInfo(), rules_ ? rules_->version : 0, ownerName_, requests_.size()};
+    const NodeStatus::EntryInfo entry{processInfo(), rules_.id().version, ownerName_, requests_.size()};
     return NodeStatus::entryStatus(entry, ownership_, owner_ ? &*owner_ : nullptr).dump();
 }
 
@@ -102,7 +110,7 @@
 {
     OpenRequest &open = requests_[request.id];
     open = {Base::monoNow(), "unreadable"};
-    Platform::Decoded decoded = Platform::decodeCall(request, rules_ ? &*rules_ : nullptr);
+    Platform::Decoded decoded = Platform::decodeCall(request, rules_.table());
     if (auto *response = std::get_if<HttpIo::ServerResponse>(&decoded)) {
         answerCaller(request.id, std::move(*response));
         return;
@@ -139,7 +147,7 @@
 
 void EntryProcess::handleReady(const HttpIo::ServerRequest &request)
 {
-    const bool ready = rules_ && hasRoute() && !stopping_;
+    const bool ready = rules_.table() != nullptr && hasRoute() && !stopping_;
     ready_.answer(request.id, {ready ? 200 : 503, {}, {}});
 }
 
@@ -201,6 +209,7 @@
     Base::Earliest due;
     due.consider(EntryNode::nextDue(ownership_));
     due.consider(EntryNode::nextDue(rulesFeed_));
+    due.consider(EntryNode::nextDue(rulesExchange_));
     due.consider(router_.nextDue());
     if (owner_) {
         due.consider(Jobs::nextDue(*owner_));
@@ -213,6 +222,7 @@
     carryOut(router_.expire(loop_.now()));
     feedRules(EntryNode::TimePassed{Base::monoNow()});
     feedOwnership(EntryNode::TimePassed{Base::monoNow()});
+    connectRulesFeedAndExchange();
     if (owner_) {
         feedOwner(Jobs::TimePassed{Base::monoNow(), Base::wallNow()});
     }
@@ -283,7 +293,10 @@
     metrics_.set(Metrics::Gauge::LinkedAgents, static_cast<double>(agentLinks_.size()));
     metrics_.set(Metrics::Gauge::LinkedEntries, static_cast<double>(peerLinks_.size()));
     metrics_.set(Metrics::Gauge::OpenRequests, static_cast<double>(requests_.size()));
-    metrics_.set(Metrics::Gauge::RulesVersion, rules_ ? static_cast<double>(rules_->version) : 0);
+    metrics_.set(Metrics::Gauge::RulesVersion, static_cast<double>(rules_.id().version));
+    metrics_.set(Metrics::Gauge::RulesNewestVersion, static_cast<double>(EntryNode::newestVersion(rulesExchange_)));
+    const Base::Duration behind = rulesExchange_.behindSince ? Base::monoNow() - *rulesExchange_.behindSince : Base::Duration{};
+    metrics_.set(Metrics::Gauge::RulesBehindSeconds, std::chrono::duration<double>(behind).count());
 }
 
 int runEntry(const Settings::NodeSettings &settings, const std::string &settingsFile)
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -6,13 +6,14 @@
 
 #include "entrynode/callrouter.h"
 #include "entrynode/ownership.h"
+#include "entrynode/rulesexchange.h"
 #include "entrynode/rulesfeed.h"
 #include "httpio/httpclient.h"
 #include "httpio/httpfront.h"
 #include "jobs/jobshape.h"
 #include "jobs/owner.h"
-#include "platform/rulesdocument.h"
 #include "platform/storedialect.h"
+#include "rules/replica.h"
 #include "runtime/dependencywatch.h"
 
 #include <functional>
@@ -78,6 +79,11 @@
     void handle(Net::LinkId link, Jobs::RelayedCall &call);
     void handle(Net::LinkId link, Jobs::RelayedAnswer &answer);
     void handle(Net::LinkId link, Jobs::OwnerOrders &orders);
+    void handle(Net::LinkId link, Jobs::RulesAnnouncement &announcement);
+    void handle(Net::LinkId link, Jobs::RulesRequest &request);
+    void handle(Net::LinkId link, Jobs::RulesUpdate &update);
+    /// Returns the newest link that the entry has dialed.
+    std::optional<Net::LinkId> linkFrom(const std::string &entry) const;
 
     // Callers.
     void handleRequest(const HttpIo::ServerRequest &request);
@@ -131,12 +137,21 @@
     void sendSuccessorToAgents(const Base::Endpoint &successor);
     void stepDown(const std::string &reason);
 
-    // Rules and the store.
+    // Rules.
     void feedRules(const EntryNode::RulesFeedEvent &event);
+    void feedRulesExchange(const EntryNode::RulesExchangeEvent &event);
+    void connectRulesFeedAndExchange();
     void carryOut(EntryNode::ReadRules &read);
     void carryOut(EntryNode::WatchRules &watch);
     void carryOut(EntryNode::AdoptRules &adopt);
-    void adoptRules(const EntryNode::RulesText &text);
+    void carryOut(EntryNode::AnnounceRules &announce);
+    void carryOut(EntryNode::RequestRulesUpdate &request);
+    void carryOut(EntryNode::RulesConfirmed &confirmed);
+    void carryOut(EntryNode::RulesBehind &behind);
+    void rulesAdopted(std::int64_t revision, const std::string &source);
+    Jobs::RulesChanged ownerRules() const;
+
+    // The store.
     /// Sends a request with a short response to the store, with the adaptive timeout or that of the request if it is shorter. name is the call's name in the metrics.
     void callStore(std::string_view name, HttpIo::ClientRequest request, std::function<void(const HttpIo::ClientResponse &)> handle);
     /// Sends a request whose response may be long or come late. It fails when nothing arrives for stallTimeout, however long the whole response takes, and
@@ -146,8 +161,6 @@
                        HttpIo::ClientRequest request,
                        Base::Duration stallTimeout,
                        std::function<void(const HttpIo::ClientResponse &)> handle);
-    std::int64_t maxRulesBytesPerSecond() const;
-
     void watchStore(std::string_view name, const HttpIo::ClientResponse &response);
 
     // Timer and shutdown.
@@ -187,8 +200,9 @@
     std::map<Net::LinkId, std::string> entryNames_; ///< of links that other entries dialed
     std::vector<Base::Endpoint> entries_;
 
-    std::optional<Platform::RulesDocument> rules_;
+    Rules::Replica rules_;
     EntryNode::RulesFeedState rulesFeed_;
+    EntryNode::RulesExchangeState rulesExchange_;
     DueTimer timer_;
     bool steppingDown_ = false;
     Base::MonoTime stepDownBy_{};
--- a/src/app/laburnumnode/entrystore.cpp
+++ b/src/app/laburnumnode/entrystore.cpp
@@ -42,13 +42,6 @@
     });
 }
 
-/// Returns the rate at which the rules are read, so that they leave room on the link for callers; 0 for any. Without rules no caller is served.
-std::int64_t EntryProcess::maxRulesBytesPerSecond() const
-{
-    constexpr double bytesPerMegabit = 125'000;
-    return rules_ ? static_cast<std::int64_t>(settings_.linkMbps.value_or(0) * bytesPerMegabit * rulesLinkShare) : 0;
-}
-
 void EntryProcess::watchStore(std::string_view name, const HttpIo::ClientResponse &response)
 {
     const bool responded = response.outcome == HttpIo::ClientResponse::Outcome::Answered && response.status < 500;
@@ -175,66 +168,4 @@
     }
 }
 
-void EntryProcess::feedRules(const EntryNode::RulesFeedEvent &event)
-{
-    EntryNode::RulesFeedEffects effects = EntryNode::reduce(rulesFeed_, EntryNode::TimePassed{Base::monoNow()});
-    for (EntryNode::RulesFeedEffect &effect : effects) {
-        std::visit([this](auto &what) { carryOut(what); }, effect);
-    }
-    effects = EntryNode::reduce(rulesFeed_, event);
-    for (EntryNode::RulesFeedEffect &effect : effects) {
-        std::visit([this](auto &what) { carryOut(what); }, effect);
-    }
-    timer_.arm();
-}
-
-void EntryProcess::carryOut(EntryNode::ReadRules & /*read*/)
-{
-    HttpIo::ClientRequest request = Platform::readRulesRequest(storeAddress_);
-    request.maxReceiveBytesPerSecond = maxRulesBytesPerSecond();
-    readFromStore(rulesCalls_, "read-rules", std::move(request), maxStoreTimeout, [this](const HttpIo::ClientResponse &response) {
-        feedRules(Platform::rulesReadResult(response));
-    });
-}
-
-void EntryProcess::carryOut(EntryNode::WatchRules &watch)
-{
-    const Base::Duration stallTimeout = watch.wait + storeTimeout_.current();
-    HttpIo::ClientRequest request = Platform::watchRulesRequest(storeAddress_, watch);
-    request.maxReceiveBytesPerSecond = maxRulesBytesPerSecond();
-    readFromStore(rulesCalls_, "watch-rules", std::move(request), stallTimeout, [this](const HttpIo::ClientResponse &response) {
-        feedRules(Platform::rulesWatchedResult(response));
-    });
-}
-
-void EntryProcess::carryOut(EntryNode::AdoptRules &adopt)
-{
-    adoptRules(adopt.document);
-}
-
-void EntryProcess::adoptRules(const EntryNode::RulesText &text)
-{
-    auto document = Platform::parseRules(text.text);
-    if (!document) {
-        logDecision("rules.unreadable", {{"revision", std::to_string(text.revision)}});
-        return;
-    }
-    if (rules_ && document->version <= rules_->version) {
-        return;
-    }
-    logDecision("rules.adopted",
-                {{"version", std::to_string(document->version)},
-                 {"routes", std::to_string(document->routes.size())},
-                 {"skipped", std::to_string(document->skippedRows)}});
-    rules_ = std::move(document);
-    if (!owner_) {
-        return;
-    }
-    Jobs::RulesChanged changed{rules_->version, {}};
-    for (const Platform::QueueRoute &route : rules_->routes) {
-        changed.queues.push_back(route.rules);
-    }
-    feedOwner(changed);
-}
-
 } // namespace LaburnumFlow::Node
--- a/src/app/laburnumnode/nodeconstants.h
+++ b/src/app/laburnumnode/nodeconstants.h
@@ -9,7 +9,6 @@
 using namespace std::chrono_literals;
 
 constexpr Base::Duration jobsPageStallTimeout = 1s; ///< a read of a page of jobs fails when nothing has arrived for this long
-constexpr double rulesLinkShare = 0.5; ///< share of the link that a new version of the rules may use
 constexpr Base::Duration jobsReadRetryDelay = 50ms; ///< delay before the jobs are read again from the first page, after a page could not be read
 constexpr Base::Duration minStoreTimeout = 120ms;
 constexpr Base::Duration maxStoreTimeout = 1s;
--- a/src/libs/entrynode/entrynodeconstants.h
+++ b/src/libs/entrynode/entrynodeconstants.h
@@ -3,6 +3,7 @@
 #include "base/types.h"
 
 #include <chrono>
+#include <cstddef>
 
 namespace LaburnumFlow::EntryNode {
 
@@ -17,11 +18,19 @@
 constexpr Base::Duration maxFailedReadAgeForConfirmation = 2500ms;
 
 constexpr Base::Duration watchWait = 1s; ///< longest wait of a watch; also bounds how long a silent connection to the store goes unnoticed
+constexpr Base::Duration readersWatchWait = 500ms; ///< the same for rules readers, whose silence all others have to notice in time
 /// Time after which a watch would have reported a change that the store withheld from an earlier one.
 constexpr Base::Duration watchSettleTime = 5s;
-constexpr Base::Duration rulesRetryDelay = 400ms; ///< delay after a failed call for the rules, and shortest interval between reads of the document
+constexpr Base::Duration rulesRetryDelay = 400ms; ///< shortest interval between reads of the document, and between a failed call for the rules and the next
 constexpr Base::Duration minRulesCallInterval = 100ms; ///< if a watch ends before its time
 
+constexpr std::size_t rulesReaders = 2; ///< entries that watch the rules in the store and pass changes on to the others
+constexpr Base::Duration rulesAnnouncementInterval = 500ms; ///< interval between announcements of unchanged rules
+constexpr Base::Duration rulesSourceTimeout = 1200ms; ///< an entry that hasn't announced its rules for longer is no source of them
+constexpr Base::Duration rulesRequestTimeout = 600ms; ///< after which another source is asked for an update
+constexpr Base::Duration rulesBehindLimit = 1200ms; ///< an entry that is behind a source for longer reads the store itself
+constexpr Base::Duration rulesBehindReportDelay = 1s;
+
 constexpr Base::Duration minAuthorityExtension = 50ms; ///< shorter extensions of the owner's authority aren't reported to the owner
 constexpr Base::Duration ownerSilenceTimeout = 700ms; ///< an owner without a presence key that is silent for longer is replaced
 
--- a/src/libs/entrynode/rulesfeed.cpp
+++ b/src/libs/entrynode/rulesfeed.cpp
@@ -22,10 +22,11 @@
     state.callNotBefore = std::max(state.now, state.callStartedAt + minRulesCallInterval);
 }
 
-void retryLater(RulesFeedState &state)
+/// Calls that fail at once are spaced out; one that has waited for an answer in vain is repeated at once.
+void retry(RulesFeedState &state)
 {
     state.phase = Phase::Waiting;
-    state.callNotBefore = state.now + rulesRetryDelay;
+    state.callNotBefore = std::max(state.now, state.callStartedAt + rulesRetryDelay);
 }
 
 void watchFrom(RulesFeedState &state, std::int64_t revision)
@@ -52,8 +53,9 @@
 void handle(Context &context, const RulesRead &event)
 {
     RulesFeedState &state = context.state;
+    state.storeAnswers = event.document.has_value();
     if (!event.document) {
-        retryLater(state);
+        retry(state);
         return;
     }
     beginNextCall(state);
@@ -79,8 +81,9 @@
 void handle(Context &context, const RulesWatched &event)
 {
     RulesFeedState &state = context.state;
-    if (event.outcome == RulesWatched::Outcome::Failed) {
-        retryLater(state);
+    state.storeAnswers = event.outcome != RulesWatched::Outcome::Failed;
+    if (!state.storeAnswers) {
+        retry(state);
         return;
     }
     beginNextCall(state);
@@ -104,6 +107,27 @@
     }
 }
 
+void handle(Context &context, const RulesRole &event)
+{
+    context.state.followsPeers = event.followsPeers;
+    context.state.readsForOthers = event.readsForOthers;
+}
+
+void handle(Context &context, const RulesLearned &event)
+{
+    RulesFeedState &state = context.state;
+    state.adoptedRevision = std::max(state.adoptedRevision, event.revision);
+    // A lost history is made up for by a read only.
+    if (state.watchAfter != 0 && event.watchAfter > state.watchAfter) {
+        watchFrom(state, event.watchAfter);
+    }
+}
+
+bool needsStore(const RulesFeedState &state)
+{
+    return !state.followsPeers || state.adoptedRevision == 0;
+}
+
 Base::MonoTime callDue(const RulesFeedState &state)
 {
     if (state.watchAfter != 0 || state.readStartedAt == Base::MonoTime{}) {
@@ -115,7 +139,7 @@
 void call(Context &context)
 {
     RulesFeedState &state = context.state;
-    if (state.phase != Phase::Waiting || state.now < callDue(state)) {
+    if (state.phase != Phase::Waiting || !needsStore(state) || state.now < callDue(state)) {
         return;
     }
     state.callStartedAt = state.now;
@@ -126,7 +150,7 @@
         return;
     }
     state.phase = Phase::Watching;
-    context.effects.push_back(WatchRules{state.watchAfter, watchWait});
+    context.effects.push_back(WatchRules{state.watchAfter, state.readsForOthers ? readersWatchWait : watchWait});
 }
 
 } // namespace
@@ -142,7 +166,7 @@
 
 std::optional<Base::MonoTime> nextDue(const RulesFeedState &state)
 {
-    return state.phase == Phase::Waiting ? std::optional(callDue(state)) : std::nullopt;
+    return state.phase == Phase::Waiting && needsStore(state) ? std::optional(callDue(state)) : std::nullopt;
 }
 
 } // namespace LaburnumFlow::EntryNode
--- a/src/libs/entrynode/rulesfeed.h
+++ b/src/libs/entrynode/rulesfeed.h
@@ -40,6 +40,9 @@
     std::int64_t watchAfter = 0; ///< changes of the document up to this revision are known; 0 if the document must be read
     std::optional<WatchStart> nextWatchAfter; ///< from an answer without changes; replaces watchAfter once a later answer confirms it
     std::int64_t adoptedRevision = 0; ///< of the latest document
+    bool storeAnswers = false; ///< the latest call that has ended got an answer
+    bool followsPeers = false; ///< other entries keep this one up to date, so that it makes no calls once it has a document
+    bool readsForOthers = false; ///< other entries rely on this one's calls
 };
 
 // Events. TimePassed is shared with the ownership.
@@ -64,14 +67,26 @@
     std::int64_t storeRevision = 0; ///< with Answered
 };
 
-using RulesFeedEvent = std::variant<TimePassed, RulesRead, RulesWatched>;
+/// Who relies on whom for the rules.
+struct RulesRole {
+    bool followsPeers = false; ///< other entries keep this one up to date
+    bool readsForOthers = false; ///< this entry keeps others up to date
+};
+
+/// Another entry has passed on the document of the revision, or the knowledge that it is still the newest.
+struct RulesLearned {
+    std::int64_t revision = 0;
+    std::int64_t watchAfter = 0; ///< the other entry knows all changes of the document up to this revision of the store
+};
+
+using RulesFeedEvent = std::variant<TimePassed, RulesRead, RulesWatched, RulesRole, RulesLearned>;
 
 // Effects.
 
 struct ReadRules {
 };
 
-/// Waits for a change after the revision, for watchWait at most.
+/// Waits for a change after the revision, for the given time at most.
 struct WatchRules {
     std::int64_t after = 0;
     Base::Duration wait{};
@@ -88,7 +103,7 @@
 /// Applies an event to the state and returns the effects to execute. Time advances only with TimePassed.
 RulesFeedEffects reduce(RulesFeedState &state, const RulesFeedEvent &event);
 
-/// Returns when the next TimePassed is due, or no value while a call is in progress.
+/// Returns when the next TimePassed is due, or no value while a call is in progress or none is needed.
 std::optional<Base::MonoTime> nextDue(const RulesFeedState &state);
 
 } // namespace LaburnumFlow::EntryNode
--- a/src/libs/jobs/messages.h
+++ b/src/libs/jobs/messages.h
@@ -349,7 +349,58 @@
     }
 };
 
-using LinkMessage = std::variant<AgentHello, AgentReport, OwnerOrders, EntryHello, EntryBeat, RelayedCall, RelayedAnswer, EntryBeatReply>;
+/// The rules that an entry has. Rules readers send it to all entries, at intervals and when the rules change.
+struct RulesAnnouncement {
+    std::uint64_t version = 0; ///< 0 if the entry has no rules.
+    std::uint64_t digest = 0; ///< Of the routes.
+    std::int64_t revision = 0; ///< Of the document in the store.
+    std::int64_t watchAfter = 0; ///< The entry knows all changes of the document up to this revision of the store.
+    bool current = false; ///< The store answers the entry's calls, so that it would know a newer document.
+
+    bool operator==(const RulesAnnouncement &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(version, digest, revision, watchAfter, current);
+    }
+};
+
+/// Asks for the changes from the sender's rules to the receiver's.
+struct RulesRequest {
+    std::uint64_t version = 0; ///< Of the sender's rules; 0 to get all routes.
+    std::uint64_t digest = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(version, digest);
+    }
+};
+
+/// The answer to RulesRequest.
+struct RulesUpdate {
+    RulesAnnouncement result; ///< The rules to which the changes lead.
+    std::vector<std::uint8_t> changes; ///< Result of Rules::encodeUpdate().
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(result, changes);
+    }
+};
+
+using LinkMessage = std::variant<AgentHello,
+                                 AgentReport,
+                                 OwnerOrders,
+                                 EntryHello,
+                                 EntryBeat,
+                                 RelayedCall,
+                                 RelayedAnswer,
+                                 EntryBeatReply,
+                                 RulesAnnouncement,
+                                 RulesRequest,
+                                 RulesUpdate>;
 
 std::vector<std::uint8_t> encodeMessage(const LinkMessage &message);
 
--- a/src/libs/jobs/records.h
+++ b/src/libs/jobs/records.h
@@ -143,13 +143,14 @@
     std::uint64_t incarnation = 0;
     Base::Endpoint peers; ///< Address to which entries and agents connect.
     std::uint32_t processorPercent = 0; ///< Processor time that the entry may use, in percent of a core.
+    std::uint32_t linkKbps = 0; ///< Bandwidth of the entry's network link in kbit/s; 0 if unknown.
 
     bool operator==(const EntryRecord &) const = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(name, incarnation, peers, processorPercent);
+        archive(name, incarnation, peers, processorPercent, linkKbps);
     }
 };
 
--- a/src/libs/metrics/processmetrics.cpp
+++ b/src/libs/metrics/processmetrics.cpp
@@ -36,6 +36,10 @@
     GaugeDescription{Gauge::OpenRequests, "laburnumflow_open_requests", "Requests of callers without an answer yet"},
     GaugeDescription{Gauge::RunningTasks, "laburnumflow_running_tasks", "Tasks that run, or may run, on the worker"},
     GaugeDescription{Gauge::RulesVersion, "laburnumflow_rules_version", "Version of the rules in force; 0 before the first"},
+    GaugeDescription{Gauge::RulesNewestVersion,
+                     "laburnumflow_rules_newest_version",
+                     "Newest version of the rules that another entry has announced or this one has"},
+    GaugeDescription{Gauge::RulesBehindSeconds, "laburnumflow_rules_behind_seconds", "Time for which newer rules have been known and not in force"},
 };
 
 std::string_view outcomeName(CallOutcome outcome)
--- a/src/libs/metrics/processmetrics.h
+++ b/src/libs/metrics/processmetrics.h
@@ -20,6 +20,8 @@
     OpenRequests, ///< Requests of callers without an answer yet
     RunningTasks, ///< Tasks that run, or may run, on the worker of this agent
     RulesVersion, ///< Version of the active rules; 0 while there are none
+    RulesNewestVersion, ///< Newest version that this entry knows of, active or not
+    RulesBehindSeconds, ///< Time since this entry has known of a newer version than the active one; 0 if there is none
 };
 
 /// The outcome of a call to another process.
--- a/tests/auto/entrynode/tst_rulesspread.cpp
+++ b/tests/auto/entrynode/tst_rulesspread.cpp
@@ -51,6 +51,9 @@
     CPPUNIT_TEST_SUITE(TestRulesSpread);
     CPPUNIT_TEST(changesOfAGrowingDocumentReachThinLinksInTime);
     CPPUNIT_TEST(bytesOfAChangeDontGrowWithTheDocument);
+    CPPUNIT_TEST(entriesThatAreCutOffFromTheOthersReadTheStore);
+    CPPUNIT_TEST(restartsOfTheReadersDelayNoChange);
+    CPPUNIT_TEST(readersWithoutTheStoreDelayNoChange);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -85,6 +88,65 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(small) + " and " + std::to_string(large) + " bytes", large <= 2 * small);
     }
 
+    /// Guards against an entry that reaches the store but none of the entries that pass changes on, and waits for these.
+    void entriesThatAreCutOffFromTheOthersReadTheStore()
+    {
+        for (std::size_t cutOff = 2; cutOff < 6; ++cutOff) {
+            RulesFleet fleet(mixedLinks(), 1400, 1);
+            for (int second = 0; second < 30; ++second) {
+                fleet.setCutOff(cutOff, second >= 5 && second < 20);
+                fleet.change();
+                fleet.run(1s);
+            }
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(cutOff), fleet.longestDelay() <= changeBound);
+        }
+    }
+
+    /// Guards against a change that is lost with the readers: both restart, in turn or at once, around each change.
+    void restartsOfTheReadersDelayNoChange()
+    {
+        constexpr unsigned seeds = 10;
+        for (unsigned seed = 1; seed <= seeds; ++seed) {
+            RulesFleet fleet(mixedLinks(), 400, seed);
+            const std::size_t readers[] = {4, 5};
+            for (int second = 0; second < 20; ++second) {
+                fleet.change();
+                fleet.run(std::chrono::milliseconds(fleet.random() % 100));
+                fleet.restart(readers[fleet.random() % 2]);
+                if (fleet.random() % 3 == 0) {
+                    fleet.restart(readers[0]);
+                    fleet.restart(readers[1]);
+                }
+                fleet.run(2s);
+            }
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), fleet.longestDelay() <= changeBound);
+        }
+    }
+
+    /// Guards against entries that reach the store and follow readers which don't: all calls of the readers get no answer for seconds, and their silence is
+    /// noticed only at the end of a call.
+    void readersWithoutTheStoreDelayNoChange()
+    {
+        constexpr unsigned seeds = 10;
+        for (unsigned seed = 1; seed <= seeds; ++seed) {
+            RulesFleet fleet({2 * bytesPerMegabit, 20 * bytesPerMegabit, 20 * bytesPerMegabit, 200 * bytesPerMegabit, 200 * bytesPerMegabit}, 400, seed);
+            for (int round = 0; round < 5; ++round) {
+                fleet.run(std::chrono::milliseconds(5000 + fleet.random() % 1000));
+                for (int tick = 0; tick < 400; ++tick) {
+                    fleet.silenceStoreCall(3);
+                    fleet.silenceStoreCall(4);
+                    if (tick % 100 == 0) {
+                        fleet.change();
+                    }
+                    fleet.run(10ms);
+                    for (std::size_t i = 0; i < 3; ++i) {
+                        CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), fleet.delay(i) <= changeBound);
+                    }
+                }
+            }
+        }
+    }
+
 private:
     /// Loses answers of the store and its history at random, once in minSilenceInterval for each entry.
     static void disturb(RulesFleet &fleet, std::vector<Base::Duration> &silentFor)
