entry: let a request without a route wait for newer rules that are on their way

An entry that knew of newer rules answered 404 for a path that its own rules lack, although the newer ones may have it. It now keeps such a request until they arrive, for 1 s at most, and then answers 503 with a Retry-After.

--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -108,8 +108,13 @@
 
 void EntryProcess::handleRequest(const HttpIo::ServerRequest &request)
 {
-    OpenRequest &open = requests_[request.id];
-    open = {Base::monoNow(), "unreadable"};
+    // A request that has waited for newer rules comes here again.
+    OpenRequest &open = requests_.try_emplace(request.id, OpenRequest{Base::monoNow(), "unreadable"}).first->second;
+    if (mayGetRoute(request)) {
+        awaitingRules_.add(request, open.startedAt);
+        timer_.arm();
+        return;
+    }
     Platform::Decoded decoded = Platform::decodeCall(request, rules_.table());
     if (auto *response = std::get_if<HttpIo::ServerResponse>(&decoded)) {
         answerCaller(request.id, std::move(*response));
@@ -211,6 +216,7 @@
     due.consider(EntryNode::nextDue(rulesFeed_));
     due.consider(EntryNode::nextDue(rulesExchange_));
     due.consider(router_.nextDue());
+    due.consider(awaitingRules_.nextDue());
     if (owner_) {
         due.consider(Jobs::nextDue(*owner_));
     }
@@ -220,6 +226,7 @@
 void EntryProcess::onTimer()
 {
     carryOut(router_.expire(loop_.now()));
+    answerExpiredRequests();
     feedRules(EntryNode::TimePassed{Base::monoNow()});
     feedOwnership(EntryNode::TimePassed{Base::monoNow()});
     connectRulesFeedAndExchange();
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "awaitingrequests.h"
 #include "duetimer.h"
 #include "nodeprocess.h"
 #include "storetimeout.h"
@@ -150,6 +151,8 @@
     void carryOut(EntryNode::RulesBehind &behind);
     void rulesAdopted(std::int64_t revision, const std::string &source);
     Jobs::RulesChanged ownerRules() const;
+    bool mayGetRoute(const HttpIo::ServerRequest &request) const;
+    void answerExpiredRequests();
 
     // The store.
     /// Sends a request with a short response to the store, with the adaptive timeout or that of the request if it is shorter. name is the call's name in the metrics.
@@ -203,6 +206,7 @@
     Rules::Replica rules_;
     EntryNode::RulesFeedState rulesFeed_;
     EntryNode::RulesExchangeState rulesExchange_;
+    AwaitingRequests awaitingRules_;
     DueTimer timer_;
     bool steppingDown_ = false;
     Base::MonoTime stepDownBy_{};
--- a/src/app/laburnumnode/entryrules.cpp
+++ b/src/app/laburnumnode/entryrules.cpp
@@ -152,6 +152,9 @@
     if (owner_) {
         feedOwner(ownerRules());
     }
+    for (const HttpIo::ServerRequest &request : awaitingRules_.takeAll()) {
+        handleRequest(request);
+    }
 }
 
 Jobs::RulesChanged EntryProcess::ownerRules() const
@@ -163,4 +166,17 @@
     return changed;
 }
 
+/// Returns whether newer rules, which are on their way, may have a route for the request.
+bool EntryProcess::mayGetRoute(const HttpIo::ServerRequest &request) const
+{
+    return rulesExchange_.behindSince && rules_.table() != nullptr && rules_.table()->find(request.host, request.path) == nullptr;
+}
+
+void EntryProcess::answerExpiredRequests()
+{
+    for (const HttpIo::RequestId id : awaitingRules_.takeExpired(Base::monoNow())) {
+        answerCaller(id, {503, {}, retryAfterNewerRulesS});
+    }
+}
+
 } // namespace LaburnumFlow::Node
--- a/src/app/laburnumnode/nodeconstants.h
+++ b/src/app/laburnumnode/nodeconstants.h
@@ -9,6 +9,8 @@
 using namespace std::chrono_literals;
 
 constexpr Base::Duration jobsPageStallTimeout = 1s; ///< a read of a page of jobs fails when nothing has arrived for this long
+constexpr Base::Duration newerRulesTimeout = 1s; ///< how long a request without a route waits for newer rules that are on their way
+constexpr int retryAfterNewerRulesS = 1;
 constexpr Base::Duration jobsReadRetryDelay = 50ms; ///< delay before the jobs are read again from the first page, after a page could not be read
 constexpr Base::Duration minStoreTimeout = 120ms;
 constexpr Base::Duration maxStoreTimeout = 1s;
