net: send the frames of a link that were queued before it was connected

Callers saw answers that never came (504 after the deadline) through an entry whose link to the owner looked sound. A frame sent on a link that is still being dialed left the mark of a pending flush set, so that this link never sent anything, its hello included, until it was closed.

It was there before: an owner that steps down tells all entries, also those it is just dialing.

net.looplinks framesThatWereSentTooEarlyArrive failed before (no frame arrived in 10 s).

--- a/src/libs/net/looplinks.cpp
+++ b/src/libs/net/looplinks.cpp
@@ -122,6 +122,8 @@
         link->connecting = false;
         loop_.change(link->socket.get(), EPOLLIN);
         handler_.linkConnected(id);
+        // Frames may have been queued before.
+        flush(id);
         return;
     }
     if ((events & EPOLLOUT) != 0) {
@@ -179,10 +181,13 @@
 void LoopLinks::flush(LinkId id)
 {
     Link *link = find(id);
-    if (link == nullptr || link->connecting) {
+    if (link == nullptr) {
         return;
     }
     link->flushPending = false;
+    if (link->connecting) {
+        return;
+    }
     switch (link->sendQueue.writeTo(link->socket.get())) {
     case Internal::SendQueue::Result::Empty:
         loop_.change(link->socket.get(), EPOLLIN);
--- a/tests/auto/net/tst_looplinks.cpp
+++ b/tests/auto/net/tst_looplinks.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr Base::Duration generousTime = 10s; ///< after which a frame doesn't arrive any more
+
 std::vector<std::uint8_t> toBytes(const std::string &text)
 {
     return {text.begin(), text.end()};
@@ -111,6 +113,7 @@
     CPPUNIT_TEST(reportsRefusedConnection);
     CPPUNIT_TEST(reportsPeersEnd);
     CPPUNIT_TEST(closedLinkIsSilent);
+    CPPUNIT_TEST(framesThatWereSentTooEarlyArrive);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -126,6 +129,23 @@
         CPPUNIT_ASSERT(ends.recorder.frames == sent);
     }
 
+    /// Guards against a link on which nothing is ever sent because a frame was sent before it was connected.
+    void framesThatWereSentTooEarlyArrive()
+    {
+        EventLoop::Loop loop;
+        Recorder recorder(loop);
+        LoopLinks links(loop, recorder);
+        const Base::Endpoint endpoint{"127.0.0.1", Testing::freePort()};
+        CPPUNIT_ASSERT(links.listen(endpoint));
+        const LinkId dialed = links.dial(endpoint);
+        links.send(dialed, toBytes("early"));
+        recorder.runUntil([&] { return recorder.accepted.size() == 1 && recorder.connected.size() == 1; });
+        links.send(dialed, toBytes("late"));
+        loop.callAfter(generousTime, [&loop] { loop.stop(); });
+        recorder.runUntil([&] { return recorder.frames.size() == 2; });
+        CPPUNIT_ASSERT((std::vector<std::string>{"early", "late"} == recorder.frames));
+    }
+
     /// Guards against a refused connection that is not reported as refused, so that its caller keeps trying an address without a listener.
     void reportsRefusedConnection()
     {
