--- a/src/app/laburnumnode/entryrules.cpp
+++ b/src/app/laburnumnode/entryrules.cpp
@@ -85,8 +85,10 @@
 void EntryProcess::carryOut(EntryNode::AnnounceRules &announce)
 {
     const std::vector<std::uint8_t> frame = Jobs::encodeMessage(announce.announcement);
-    for (const auto &[name, link] : peerLinks_) {
-        links_.send(link, frame);
+    for (const auto &[name, peer] : ownership_.peers) {
+        if (const auto link = peerLinks_.find(name); peer.linked && link != peerLinks_.end()) {
+            links_.send(link->second, frame);
+        }
     }
 }
 
