--- a/tests/auto/rules/tst_routetable.cpp
+++ b/tests/auto/rules/tst_routetable.cpp
@@ -71,7 +71,8 @@
             for (int i = 0; i < 200; ++i) {
                 const std::string host = "h" + std::to_string(random() % 4);
                 const std::string path = randomPath(random);
-                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + " " + host + path, table.find(host + ":80", path) == scan(table, host, path));
+                const std::string message = "seed " + std::to_string(seed) + ", path " + path;
+                CPPUNIT_ASSERT_MESSAGE(message, table.find(host + ":80", path) == scan(table, host, path));
             }
         }
     }
