--- a/tests/auto/entrynode/tst_rulesfeed.cpp
+++ b/tests/auto/entrynode/tst_rulesfeed.cpp
@@ -127,6 +127,13 @@
         checkBound();
     }
 
+    void feed(const RulesFeedEvent &event)
+    {
+        for (const RulesFeedEffect &effect : reduce(state, event)) {
+            std::visit([this](const auto &what) { carryOut(what); }, effect);
+        }
+    }
+
     /// Ends the call in progress without an answer, as a store does that drops its history.
     void cutWatch()
     {
@@ -156,13 +163,6 @@
         return std::uniform_real_distribution<double>(0, 1)(random_) < lostShare;
     }
 
-    void feed(const RulesFeedEvent &event)
-    {
-        for (const RulesFeedEffect &effect : reduce(state, event)) {
-            std::visit([this](const auto &what) { carryOut(what); }, effect);
-        }
-    }
-
     void carryOut(const ReadRules & /*read*/)
     {
         ++calls;
@@ -229,6 +229,9 @@
     CPPUNIT_TEST(deletedDocumentIsKept);
     CPPUNIT_TEST(restoredStoreIsReadAgain);
     CPPUNIT_TEST(callsThatFailAtOnceAreSpacedOut);
+    CPPUNIT_TEST(watchThatWaitedInVainIsRepeatedAtOnce);
+    CPPUNIT_TEST(entryThatFollowsOthersMakesNoCalls);
+    CPPUNIT_TEST(lostHistoryIsMadeUpForByARead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -372,6 +375,52 @@
         }
     }
 
+    /// Guards against a change that waits for the retry delay after a silent connection has used up most of the time for it.
+    void watchThatWaitedInVainIsRepeatedAtOnce()
+    {
+        RulesFeedState state;
+        reduce(state, TimePassed{Base::MonoTime(1s)});
+        reduce(state, RulesRead{RulesText{"text", 9}, 9});
+        reduce(state, TimePassed{Base::MonoTime(2s)});
+        reduce(state, TimePassed{Base::MonoTime(2s) + lostCallTime});
+        const RulesFeedEffects effects = reduce(state, RulesWatched{});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), effects.size());
+        CPPUNIT_ASSERT(std::holds_alternative<WatchRules>(effects[0]));
+    }
+
+    /// Guards against calls to the store by each entry for a change that others pass on, and against an entry that makes none when it has to.
+    void entryThatFollowsOthersMakesNoCalls()
+    {
+        FeedHarness entry;
+        entry.run(3s);
+        entry.feed(RulesRole{true, false});
+        entry.run(2s);
+        const int calls = entry.calls;
+        entry.run(10min);
+        CPPUNIT_ASSERT_EQUAL(calls, entry.calls);
+        CPPUNIT_ASSERT(!nextDue(entry.state));
+        entry.store.change();
+        entry.feed(RulesLearned{entry.store.documentRevision(), entry.store.documentRevision()});
+        entry.store.change();
+        entry.feed(RulesRole{false, false});
+        entry.run(100ms);
+        CPPUNIT_ASSERT_EQUAL(entry.store.documentRevision(), entry.state.adoptedRevision);
+        CPPUNIT_ASSERT_EQUAL(1, entry.store.reads);
+    }
+
+    /// Guards against an entry that takes up the watch of another one instead of reading what it has missed, and so loses the history again and again.
+    void lostHistoryIsMadeUpForByARead()
+    {
+        RulesFeedState state;
+        reduce(state, TimePassed{Base::MonoTime(1s)});
+        reduce(state, RulesRead{RulesText{"text", 9}, 9});
+        reduce(state, TimePassed{Base::MonoTime(2s)});
+        reduce(state, RulesWatched{RulesWatched::Outcome::HistoryLost, 0, {}, 0});
+        reduce(state, RulesLearned{9, 12});
+        const RulesFeedEffects effects = reduce(state, TimePassed{Base::MonoTime(3s)});
+        CPPUNIT_ASSERT(state.phase == RulesFeedState::Phase::Reading || std::holds_alternative<ReadRules>(effects.at(0)));
+    }
+
 private:
     /// Makes a change that watches don't report, drops the history after the given time and ends the watch.
     static void withholdAChange(FeedHarness &feed, Base::Duration time)
