--- a/tests/fuzz/fuzz_calls.cpp
+++ b/tests/fuzz/fuzz_calls.cpp
@@ -11,7 +11,7 @@
 {
     static const auto rules = Platform::parseRules(R"({"Version":1,"Routes":[{"Name":"r","Host":"h","Prefix":"/p/","Service":"s"}]})");
     const std::string text(reinterpret_cast<const char *>(data), size);
-    Platform::decodeCall({1, "POST", "/p/5c0e7a21d94b36f8", "h", text, {}}, &*rules);
-    Platform::decodeCall({1, "GET", "/p/" + text, "h", {}, {}}, &*rules);
+    Platform::decodeCall({1, "POST", "/p/5c0e7a21d94b36f8", "h", text, {}}, &rules->table);
+    Platform::decodeCall({1, "GET", "/p/" + text, "h", {}, {}}, &rules->table);
     return 0;
 }
