--- a/tests/auto/node/site.cpp
+++ b/tests/auto/node/site.cpp
@@ -191,10 +191,16 @@
 }
 
 HttpResult Site::submit(int index, const std::string &id, int tasks, int workMs, bool bestEffort, long timeoutMs) const
+{
+    return submitTo("q", index, id, tasks, workMs, bestEffort, timeoutMs);
+}
+
+HttpResult Site::submitTo(const std::string &queue, int index, const std::string &id, int tasks, int workMs, bool bestEffort, long timeoutMs) const
 {
     const std::string body = R"({"Spec":")" + std::to_string(workMs) + R"(","Steps":[{"Count":)" + std::to_string(tasks) + R"(,"Cpu":1000,"EstimateMs":)"
                              + std::to_string(workMs) + "}]" + (bestEffort ? R"(,"BestEffort":true})" : "}");
-    return call("POST", entries_.at(static_cast<std::size_t>(index)).callers, "/q/" + id, body, {"Host: q.example", "X-Deadline-Ms: 50000"}, timeoutMs);
+    const std::string &callers = entries_.at(static_cast<std::size_t>(index)).callers;
+    return call("POST", callers, "/" + queue + "/" + id, body, {"Host: " + queue + ".example", "X-Deadline-Ms: 50000"}, timeoutMs);
 }
 
 std::string Site::jobState(int index, const std::string &id) const
@@ -208,6 +214,12 @@
     return call("GET", entries_.at(static_cast<std::size_t>(index)).metrics, "/metrics").body;
 }
 
+std::uint16_t Site::peersPort(int index) const
+{
+    const std::string &peers = entries_.at(static_cast<std::size_t>(index)).peers;
+    return static_cast<std::uint16_t>(std::stoi(peers.substr(peers.find(':') + 1)));
+}
+
 nlohmann::json Site::entryStatus(int index) const
 {
     return call("GET", entries_.at(static_cast<std::size_t>(index)).metrics, "/status").json();
--- a/tests/auto/node/site.h
+++ b/tests/auto/node/site.h
@@ -7,6 +7,7 @@
 #include "standins/platformsite/workerstandin.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -61,9 +62,14 @@
     SystemTest::ChildProcess &entry(int index);
     /// Submits a job to the entry and waits for its response. workMs is the run time of each task.
     SystemTest::HttpResult submit(int index, const std::string &id, int tasks, int workMs, bool bestEffort, long timeoutMs = 60'000) const;
+    /// The same to the queue of this name.
+    SystemTest::HttpResult
+    submitTo(const std::string &queue, int index, const std::string &id, int tasks, int workMs, bool bestEffort, long timeoutMs = 60'000) const;
     /// Returns the state of the job in the entry's response; empty if it has none.
     std::string jobState(int index, const std::string &id) const;
     std::string entryMetrics(int index) const;
+    /// Returns the port at which the entry accepts links.
+    std::uint16_t peersPort(int index) const;
     nlohmann::json entryStatus(int index) const;
     std::string agentMetrics() const;
 
