--- /dev/null
+++ b/review/standins/caseworker.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "record.h"
+
+#include "standins/platformsite/standinserver.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace Review {
+
+/// What a task needs. The client writes it into the Spec, which the worker reads: "ms=400 cpu=3100 mem=64", with "lasts=1" for a
+/// task that runs until it is stopped.
+struct TaskNeeds {
+    std::int64_t runMs = 100;
+    std::int64_t cpu = 0; ///< thousandths of a core
+    std::int64_t memMb = 0;
+    bool lasts = false;
+    bool fails = false; ///< the task can never be done: each run ends failed
+};
+
+TaskNeeds parseNeeds(const std::string &spec);
+
+struct WorkerShape {
+    std::string id;
+    std::string service;
+    std::vector<std::string> labels; ///< the kind and the rack
+    std::int64_t cpu = 32'000;
+    std::int64_t memMb = 65'536;
+};
+
+/// A worker as PROTOCOL.md describes it: it guards its capacity, keeps the highest fence, runs tasks under a lease of at most 1 s,
+/// lists what runs and what has ended, and reports itself to the agent on its machine.
+class CaseWorker
+{
+public:
+    CaseWorker(WorkerShape shape, Record &record);
+    ~CaseWorker();
+    CaseWorker(const CaseWorker &) = delete;
+    CaseWorker &operator=(const CaseWorker &) = delete;
+
+    /// The address that the agent calls.
+    std::string endpoint() const;
+
+    /// Begins to send heartbeats to the agent's address.
+    void reportTo(const std::string &agent);
+
+    /// While set, each task that is started ends failed soon, and the worker looks healthy.
+    void failAll(bool fails);
+
+    /// The worker process dies: it answers nothing more and what runs is gone.
+    void crash();
+
+    const WorkerShape &shape() const
+    {
+        return shape_;
+    }
+
+    bool isUp();
+
+    struct Use {
+        std::int64_t cpu = 0;
+        std::int64_t memMb = 0;
+        std::set<std::string> jobs; ///< IDs of the jobs that have a task here
+        std::set<std::string> tasks;
+    };
+
+    /// What is at work now.
+    Use use();
+
+private:
+    using Clock = std::chrono::steady_clock;
+
+    struct Run {
+        std::string task;
+        std::uint32_t run = 0;
+        TaskNeeds needs;
+        Clock::time_point begin;
+        Clock::time_point end; ///< when its work is done, if it doesn't last
+        std::string result; ///< how it ends then
+    };
+
+    struct End {
+        std::uint64_t number = 0;
+        std::string task;
+        std::uint32_t run = 0;
+        std::string how;
+    };
+
+    PlatformSite::StandInReply answer(const PlatformSite::StandInRequest &request);
+    PlatformSite::StandInReply start(const std::string &body);
+    PlatformSite::StandInReply stop(const std::string &body);
+    PlatformSite::StandInReply hold(const std::string &body, std::unique_lock<std::mutex> &lock);
+    std::int64_t clockMs() const;
+    void renew(std::int64_t untilMs);
+    void settle();
+    void finish(std::size_t position, const std::string &how);
+    Use useLocked() const;
+    std::string heartbeat();
+    void sendHeartbeats(const std::string &agent);
+
+    WorkerShape shape_;
+    Record &record_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    Clock::time_point born_ = Clock::now();
+    std::int64_t bornMs_ = 0;
+    std::vector<Run> running_;
+    std::vector<End> ended_; ///< not acknowledged yet
+    std::map<std::string, std::uint32_t> highestRun_; ///< by task: of the runs that were stopped or have ended here
+    std::uint64_t lastEnd_ = 0;
+    std::uint64_t fence_ = 0;
+    std::uint64_t beats_ = 0;
+    Clock::time_point leaseEnd_{};
+    bool failsAll_ = false;
+    bool up_ = true;
+    std::unique_ptr<PlatformSite::StandInServer> server_;
+    std::thread reporter_;
+};
+
+} // namespace Review
