--- a/review/standins/casesite.cpp
+++ b/review/standins/casesite.cpp
@@ -203,7 +203,7 @@
 {
     shape.service = service;
     const std::string control = loopback + ":" + freePort();
-    workers_.push_back(std::make_unique<CaseWorker>(std::move(shape), record_));
+    workers_.push_back(std::make_unique<CaseWorker>(std::move(shape), gangs, record_));
     CaseWorker &worker = *workers_.back();
     agentPids_.push_back(start("agent",
                                "side-" + worker.shape().id,
--- a/review/standins/casesite.h
+++ b/review/standins/casesite.h
@@ -62,6 +62,7 @@
     static constexpr const char *service = "huvo11a";
 
     PlatformSite::PlatformStandIn store;
+    GangBoard gangs;
 
 private:
     using Fields = std::map<std::string, std::string>;
--- a/review/standins/caseworker.cpp
+++ b/review/standins/caseworker.cpp
@@ -18,6 +18,8 @@
 constexpr std::int64_t holdMaxMs = 1000; // HoldMaxMs of the site
 constexpr std::chrono::milliseconds heartbeatInterval(1500); // HeartbeatMs of the settings
 constexpr std::chrono::milliseconds failureDelay(20);
+constexpr std::chrono::milliseconds settleInterval(50); // in which ends become known also without calls
+constexpr std::chrono::milliseconds gangWait(3000); // GangMs of the site
 constexpr std::size_t maxListedEnds = 500;
 constexpr int fullPercent = 100;
 
@@ -44,13 +46,37 @@
             needs.lasts = value != 0;
         } else if (name == "fails") {
             needs.fails = value != 0;
+        } else if (name == "gang") {
+            needs.gang = static_cast<int>(value);
         }
     }
     return needs;
 }
 
-CaseWorker::CaseWorker(WorkerShape shape, Record &record)
+void GangBoard::join(const std::string &key, const std::string &task, int members)
+{
+    const std::lock_guard lock(mutex_);
+    Gang &gang = gangs_[key];
+    gang.present.insert(task);
+    gang.complete = static_cast<int>(gang.present.size()) == members;
+}
+
+void GangBoard::leave(const std::string &key)
+{
+    const std::lock_guard lock(mutex_);
+    gangs_[key].broken = true;
+}
+
+GangBoard::State GangBoard::state(const std::string &key)
+{
+    const std::lock_guard lock(mutex_);
+    const Gang &gang = gangs_[key];
+    return gang.broken ? State::Broken : gang.complete ? State::Complete : State::Waiting;
+}
+
+CaseWorker::CaseWorker(WorkerShape shape, GangBoard &gangs, Record &record)
     : shape_(std::move(shape))
+    , gangs_(gangs)
     , record_(record)
     , bornMs_(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
     , server_(std::make_unique<PlatformSite::StandInServer>([this](const StandInRequest &request) { return answer(request); }))
@@ -84,6 +110,11 @@
         const std::lock_guard lock(mutex_);
         if (up_) {
             up_ = false;
+            for (const Run &run : running_) {
+                if (!run.gangKey.empty()) {
+                    gangs_.leave(run.gangKey);
+                }
+            }
             running_.clear();
         }
         changed_.notify_all();
@@ -145,8 +176,11 @@
         const long status = SystemTest::call("PUT", agent, "/instances/" + shape_.id, heartbeat(), {"Content-Type: application/json"}, 1000).status;
         lock.lock();
         // The agent may just be starting; a worker tries again soon then.
-        const auto pause = status == 200 ? heartbeatInterval : std::chrono::milliseconds(200);
-        changed_.wait_for(lock, pause, [this] { return !up_; });
+        const Clock::time_point next = Clock::now() + (status == 200 ? heartbeatInterval : std::chrono::milliseconds(200));
+        while (up_ && Clock::now() < next) {
+            changed_.wait_until(lock, std::min(next, Clock::now() + settleInterval));
+            settle();
+        }
     }
 }
 
@@ -166,6 +200,9 @@
     running_.erase(running_.begin() + static_cast<std::ptrdiff_t>(position));
     highestRun_[run.task] = std::max(highestRun_[run.task], run.run);
     ended_.push_back({++lastEnd_, run.task, run.run, how});
+    if (!run.gangKey.empty() && how != "done") {
+        gangs_.leave(run.gangKey);
+    }
     record_.write("worker " + shape_.id + ": run " + run.task + "/" + std::to_string(run.run) + " ended " + how);
     changed_.notify_all();
 }
@@ -177,7 +214,14 @@
     for (std::size_t i = running_.size(); i-- > 0;) {
         const Run &run = running_[i];
         const bool ends = !run.needs.lasts || run.result == "failed";
-        if (ends && run.end <= now && run.end <= leaseEnd_) {
+        const GangBoard::State gang = run.gangKey.empty() ? GangBoard::State::Complete : gangs_.state(run.gangKey);
+        if (gang == GangBoard::State::Broken && leaseEnd_ > now) {
+            finish(i, "broken");
+        } else if (gang == GangBoard::State::Waiting && leaseEnd_ > now) {
+            if (now - run.begin > gangWait) {
+                finish(i, "alone");
+            }
+        } else if (ends && run.end <= now && run.end <= leaseEnd_) {
             finish(i, run.result);
         } else if (leaseEnd_ <= now) {
             finish(i, "lapsed");
@@ -238,7 +282,11 @@
     if (use.cpu + needs.cpu > shape_.cpu || use.memMb + needs.memMb > shape_.memMb) {
         return refuse("room");
     }
-    Run run{task, number, needs, Clock::now(), Clock::now() + std::chrono::milliseconds(needs.runMs), "done"};
+    Run run{task, number, needs, Clock::now(), Clock::now() + std::chrono::milliseconds(needs.runMs), "done", {}};
+    if (needs.gang > 0) {
+        run.gangKey = task.substr(0, task.rfind('.')) + "/" + std::to_string(number);
+        gangs_.join(run.gangKey, task, needs.gang);
+    }
     if (failsAll_ || needs.fails) {
         run.end = run.begin + failureDelay;
         run.result = "failed";
--- a/review/standins/caseworker.h
+++ b/review/standins/caseworker.h
@@ -20,13 +20,43 @@
 namespace Review {
 
 /// What a task needs. The client writes it into the Spec, which the worker reads: "ms=400 cpu=3100 mem=64", with "lasts=1" for a
-/// task that runs until it is stopped.
+/// task that runs until it is stopped, and "gang=3" for a member of a gang of three.
 struct TaskNeeds {
     std::int64_t runMs = 100;
     std::int64_t cpu = 0; ///< thousandths of a core
     std::int64_t memMb = 0;
     bool lasts = false;
     bool fails = false; ///< the task can never be done: each run ends failed
+    int gang = 0; ///< number of members of the task's gang; 0 for none
+};
+
+/// Tells the workers which members of a gang are present, and whether one of them has ended.
+class GangBoard
+{
+public:
+    using Clock = std::chrono::steady_clock;
+
+    /// \a key names the step, the occurrence and the run.
+    void join(const std::string &key, const std::string &task, int members);
+    void leave(const std::string &key);
+
+    enum class State {
+        Waiting,
+        Complete, ///< all members of the run are present
+        Broken, ///< a member has ended
+    };
+
+    State state(const std::string &key);
+
+private:
+    struct Gang {
+        std::set<std::string> present;
+        bool complete = false;
+        bool broken = false;
+    };
+
+    std::mutex mutex_;
+    std::map<std::string, Gang> gangs_;
 };
 
 TaskNeeds parseNeeds(const std::string &spec);
@@ -44,7 +74,7 @@
 class CaseWorker
 {
 public:
-    CaseWorker(WorkerShape shape, Record &record);
+    CaseWorker(WorkerShape shape, GangBoard &gangs, Record &record);
     ~CaseWorker();
     CaseWorker(const CaseWorker &) = delete;
     CaseWorker &operator=(const CaseWorker &) = delete;
@@ -88,6 +118,7 @@
         Clock::time_point begin;
         Clock::time_point end; ///< when its work is done, if it doesn't last
         std::string result; ///< how it ends then
+        std::string gangKey; ///< empty if the task isn't in a gang
     };
 
     struct End {
@@ -110,6 +141,7 @@
     void sendHeartbeats(const std::string &agent);
 
     WorkerShape shape_;
+    GangBoard &gangs_;
     Record &record_;
     std::mutex mutex_;
     std::condition_variable changed_;
