--- a/review/standins/casemain.h
+++ b/review/standins/casemain.h
@@ -48,10 +48,9 @@
     }
 }
 
-/// Adds the workers of a small deployment like adire-fold: 11 workers, 3 a rack, all of kind "a" but the last one, which is of kind "b".
-inline void addWorkers(CaseSite &site)
+/// Adds the workers of a small deployment like adire-fold: 3 a rack, all of kind "a" but the last one, which is of kind "b".
+inline void addWorkers(CaseSite &site, int workers = 11)
 {
-    constexpr int workers = 11;
     constexpr int workersPerRack = 3;
     for (int i = 0; i < workers; ++i) {
         const std::string kind = i + 1 == workers ? "b" : "a";
--- a/review/standins/caseworker.cpp
+++ b/review/standins/caseworker.cpp
@@ -104,6 +104,12 @@
     failsAll_ = fails;
 }
 
+void CaseWorker::shedAll(bool sheds)
+{
+    const std::lock_guard lock(mutex_);
+    shedsAll_ = sheds;
+}
+
 void CaseWorker::crash()
 {
     {
@@ -260,6 +266,10 @@
         record_.write("worker " + shape_.id + ": start of " + task + "/" + std::to_string(number) + " refused: " + reason);
         return StandInReply{409, json{{"ClockMs", clockMs()}, {"Reason", reason}}.dump()};
     };
+    if (shedsAll_) {
+        record_.write("worker " + shape_.id + ": start of " + task + "/" + std::to_string(number) + " answered 503");
+        return {503, {}};
+    }
     if (order["Fence"].get<std::uint64_t>() < fence_) {
         return refuse("fence");
     }
--- a/review/standins/caseworker.h
+++ b/review/standins/caseworker.h
@@ -88,6 +88,9 @@
     /// While set, each task that is started ends failed soon, and the worker looks healthy.
     void failAll(bool fails);
 
+    /// While set, each start is answered 503 and not carried out, as an unhealthy worker does.
+    void shedAll(bool sheds);
+
     /// The worker process dies: it answers nothing more and what runs is gone.
     void crash();
 
@@ -155,6 +158,7 @@
     std::uint64_t beats_ = 0;
     Clock::time_point leaseEnd_{};
     bool failsAll_ = false;
+    bool shedsAll_ = false;
     bool up_ = true;
     std::unique_ptr<PlatformSite::StandInServer> server_;
     std::thread reporter_;
--- a/review/standins/jobclient.cpp
+++ b/review/standins/jobclient.cpp
@@ -54,6 +54,9 @@
     if (!step.requires_.empty()) {
         row["Requires"] = step.requires_;
     }
+    if (!step.dataRack.empty()) {
+        row["DataRack"] = step.dataRack;
+    }
     if (step.maxPerServer > 0) {
         row["MaxPerServer"] = step.maxPerServer;
     }
--- a/review/standins/jobclient.h
+++ b/review/standins/jobclient.h
@@ -32,6 +32,7 @@
     std::int64_t memMb = 64;
     int estimateMs = 100;
     std::string requires_ = {};
+    std::string dataRack = {};
     int maxPerServer = 0;
     bool gang = false;
     bool lasts = false;
