--- a/review/standins/casesite.cpp
+++ b/review/standins/casesite.cpp
@@ -96,10 +96,18 @@
         arguments.push_back(const_cast<char *>(word.c_str()));
     }
     arguments.push_back(nullptr);
-    const std::string path = "PATH=/usr/bin:/bin";
-    const std::string file = "LABURNUMFLOW_NODE_FILE=" + settings;
-    char *environment[] = {const_cast<char *>(path.c_str()), const_cast<char *>(file.c_str()), nullptr};
-    execve(arguments[0], arguments.data(), environment);
+    std::vector<std::string> settingsOfProcess{"LABURNUMFLOW_NODE_FILE=" + settings};
+    for (const char *name : {"PATH", "HOME", "LANG"}) {
+        if (const char *value = std::getenv(name)) {
+            settingsOfProcess.push_back(std::string(name) + '=' + value);
+        }
+    }
+    std::vector<char *> environment;
+    for (std::string &variable : settingsOfProcess) {
+        environment.push_back(variable.data());
+    }
+    environment.push_back(nullptr);
+    execve(arguments[0], arguments.data(), environment.data());
     _exit(127);
 }
 
