--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 out=target/review
 mkdir -p "$out"
-flags=(-std=c++20 -O1 -Wall -Wextra -I. -Itests -Isrc/libs -Ireview)
+flags=(-std=c++20 -O1 -Wall -Wextra -I. -Itests -Isrc/libs -Ireview/1)
 objects=()
 compile()
 {
@@ -12,7 +12,7 @@
     g++ "${flags[@]}" -c "$1" -o "$object" &
     objects+=("$object")
 }
-for source in review/standins/*.cpp tests/standins/platformsite/{platformstandin,standinserver}.cpp tests/auto/system/httpcall.cpp src/libs/store/base64.cpp; do
+for source in review/1/standins/*.cpp tests/standins/platformsite/{platformstandin,standinserver}.cpp tests/auto/system/httpcall.cpp src/libs/store/base64.cpp; do
     compile "$source"
 done
 for job in $(jobs -p); do
