jobs: steps that can't be placed don't end the scheduling round

Cause: a round ended after maxUnplacedScanned = 64 jobs that could not be placed and began at the front of the queue again. Stored jobs that have waited for 5 s go before all others, so 64 of them hid all jobs behind them, whatever they waited for: a label, another service, more room than any worker has, a gang that is too wide, a ticket.

Change: ready steps wait in groups of equal requirements (service, label, rack of the data, resources; a group of its own for steps whose workers depend on their own tasks or tickets). A round takes the groups' first steps in the order of the queue, as before. Once no worker has room for a step, the rest of its group is left out of the round, as it has none for them either; other groups go on. A step that only its own limits keep from a worker (avoidance, a cost that is too high in time) does not end its group. There is no limit on skipped jobs any more, and a round looks at one unplaceable step a group in place of 64 jobs.

Tests: TestWaiting (new).

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -24,7 +24,7 @@
     std::uint32_t gpus = 0;
     std::uint32_t backgroundMilli = 0; ///< Thousandths of a core used only while other tasks leave them idle; not counted against the worker's capacity.
 
-    bool operator==(const Resources &) const = default;
+    auto operator<=>(const Resources &) const = default;
 
     Resources &operator+=(const Resources &other)
     {
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -80,7 +80,6 @@
 constexpr Base::Duration demandTimeConstant
     = 1500ms; ///< Of the decaying average of demand; long enough that the burst after an outage doesn't count as overload.
 constexpr double minLateWorkShare = 0.1; ///< Least share of the capacity that late work is expected to get.
-constexpr std::size_t maxUnplacedScanned = 64; ///< Jobs per scheduling round that may be skipped because they can't be placed.
 constexpr std::uint32_t defaultEstimateMs = 200; ///< Run time of a task whose caller gave no estimate.
 
 constexpr double defaultRemoteFactor = 1.5; ///< Slowdown of a task that runs away from the rack of its data or of the other tasks of its step.
--- a/src/libs/jobs/jobshape.cpp
+++ b/src/libs/jobs/jobshape.cpp
@@ -79,6 +79,11 @@
     return static_cast<StepIndex>(std::distance(job.firstTask.begin(), next) - 1);
 }
 
+StepIndex stepOfTask(const Job &job, const Task &task)
+{
+    return findStepIndex(job, static_cast<std::uint32_t>(&task - job.tasks.data()));
+}
+
 const StepSpec &stepSpecOfTask(const Job &job, std::uint32_t flat)
 {
     return stepSpec(job, findStepIndex(job, flat));
--- a/src/libs/jobs/jobshape.h
+++ b/src/libs/jobs/jobshape.h
@@ -29,6 +29,9 @@
 /// Conversions from and to positions in Job::tasks. The task must exist.
 std::uint32_t flatIndex(const Job &job, const TaskRef &task);
 StepIndex findStepIndex(const Job &job, std::uint32_t flat);
+/// Returns the step of one of the job's tasks.
+StepIndex stepOfTask(const Job &job, const Task &task);
+
 const StepSpec &stepSpecOfTask(const Job &job, std::uint32_t flat);
 TaskRef taskRef(const Job &job, std::uint32_t flat);
 
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -2,6 +2,7 @@
 
 #include "jobsconstants.h"
 #include "ownersteps.h"
+#include "waitingsteps.h"
 
 #include "base/earliest.h"
 
@@ -99,8 +100,8 @@
         if (found == state.rules.end()) {
             continue;
         }
-        // The job's place in the queue depends on its rules.
-        state.ready.erase(queuePlace(job));
+        // The job's place in the queue and the workers that may run its steps depend on its rules.
+        leaveQueue(state, job);
         job.rules = found->second;
         Internal::requeue(context, job);
     }
--- a/src/libs/jobs/ownergain.cpp
+++ b/src/libs/jobs/ownergain.cpp
@@ -2,6 +2,7 @@
 
 #include "admission.h"
 #include "jobsconstants.h"
+#include "waitingsteps.h"
 
 #include <algorithm>
 
@@ -74,7 +75,7 @@
     OwnerState &state = context.state;
     while (!state.timelinessChanges.empty() && state.timelinessChanges.begin()->first <= state.now) {
         Job &job = state.jobs.at(state.timelinessChanges.begin()->second);
-        state.ready.erase(queuePlace(job));
+        leaveQueue(state, job);
         if (job.timeliness == Timeliness::TooLate) {
             job.starved = true;
             job.timeliness = Timeliness::InTime;
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -1,6 +1,7 @@
 #include "ownersteps.h"
 
 #include "jobsconstants.h"
+#include "waitingsteps.h"
 
 #include <algorithm>
 
@@ -94,7 +95,7 @@
 
 void removeJob(OwnerState &state, Job &job)
 {
-    state.ready.erase(queuePlace(job));
+    leaveQueue(state, job);
     scheduleTimelinessChange(state, job, false);
     updateNextOccurrence(state, job, false);
     dropAdvice(state, job.id);
@@ -220,6 +221,7 @@
     task.phase = Task::Phase::Ready;
     task.agent = noAgent;
     ++job.readyTasks;
+    ++job.steps[stepOfTask(job, task)].readyTasks;
     context.state.schedulingDue = true;
 }
 
@@ -227,12 +229,11 @@
 {
     OwnerState &state = context.state;
     const bool waitsForWorkers = job.readyTasks > 0 && job.stored && !job.finishing && !job.abandoned;
-    const QueuePlace place = queuePlace(job);
     if (waitsForWorkers) {
-        state.ready.insert(place);
+        enterQueue(state, job);
         state.schedulingDue = true;
     } else {
-        state.ready.erase(place);
+        leaveQueue(state, job);
     }
     scheduleTimelinessChange(state, job, waitsForWorkers);
 }
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -2,8 +2,11 @@
 
 #include "jobsconstants.h"
 #include "placement.h"
+#include "waitingsteps.h"
 
 #include <algorithm>
+#include <limits>
+#include <set>
 #include <span>
 #include <tuple>
 
@@ -11,7 +14,7 @@
 
 namespace {
 
-/// A scheduling round: one pass over the jobs with ready tasks.
+/// A scheduling round: one pass over the steps with ready tasks.
 struct Round {
     Context &context;
     std::uint32_t largestFreeMilli = 0; ///< Most processor capacity that is free on one worker, in thousandths of a core.
@@ -19,6 +22,18 @@
     std::vector<AdvisedStep> stepsNeedingAdvice = {}; ///< Steps with unplaced tasks in queues that need advice.
 };
 
+/// The next step of a placement group in a round.
+struct GroupHead {
+    WaitingStep next;
+    const PlacementRequirements *requirements = nullptr;
+    double leastCost = 0.0; ///< No worker with room has a lower cost for steps of the group.
+
+    bool operator<(const GroupHead &other) const
+    {
+        return next < other.next;
+    }
+};
+
 /// Returns the most processor capacity that is free on one worker. Tasks that need more are skipped without a check of each worker.
 std::uint32_t largestFreeMilli(const OwnerState &state)
 {
@@ -50,11 +65,11 @@
     OwnerState &state = round.context.state;
     Agent &agent = state.agents[index];
     Task &task = job.tasks[flat];
+    leavePhase(state, job, task);
     task.phase = Task::Phase::Active;
     task.agent = index;
     task.starts = starts;
     task.run = static_cast<std::uint32_t>((state.epoch - 1) * runsPerEpoch) + starts;
-    --job.readyTasks;
     const RunRef run{taskRef(job, flat), task.run};
     addRunOfTask(state, agent, run, stepSpecOfTask(job, flat).need, agent.ordersSent + 1);
     addToOrders(state, index, job, run);
@@ -200,31 +215,46 @@
     return true;
 }
 
-void placeTasksSingly(Round &round, Job &job, StepIndex step)
+/// Returns whether the task can't start yet, whatever workers there are.
+bool mustWait(Round &round, const Job &job, std::uint32_t flat)
 {
+    const OwnerState &state = round.context.state;
+    return isRestartDelayed(round, job.tasks[flat]) || hasFormerRun(state, job, flat) || mayHaveRecordedEnd(state, job, flat);
+}
+
+/// Places the ready tasks of the step one by one. Returns whether workers may have room for another step of its group.
+bool placeTasksSingly(Round &round, Job &job, GroupHead &head)
+{
+    const StepIndex step = head.next.step;
     const StepSpec &spec = stepSpec(job, step);
+    const double maxCost = maxCostInTime(round.context.state, job, spec);
+    if (maxCost < head.leastCost) {
+        return true;
+    }
+    bool hasRoom = true;
     bool allPlaced = true;
-    for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U] && job.readyTasks > 0; ++flat) {
-        if (job.tasks[flat].phase != Task::Phase::Ready || isRestartDelayed(round, job.tasks[flat]) || hasFormerRun(round.context.state, job, flat)
-            || mayHaveRecordedEnd(round.context.state, job, flat)) {
+    for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U] && hasRoom; ++flat) {
+        if (job.tasks[flat].phase != Task::Phase::Ready || mustWait(round, job, flat)) {
             continue;
         }
-        const AgentIndex index = spec.need.cpuMilli > round.largestFreeMilli ? noAgent : chooseWorker(round.context.state, job, flat, round.reservedWorkers);
-        allPlaced &= index != noAgent;
-        if (index != noAgent) {
-            start(round, job, flat, index, static_cast<std::uint16_t>(job.tasks[flat].starts + 1));
+        if (spec.need.cpuMilli > round.largestFreeMilli) {
+            hasRoom = false;
+            allPlaced = false;
+            continue;
+        }
+        const WorkerChoice choice = chooseWorker(round.context.state, job, flat, maxCost, round.reservedWorkers);
+        if (choice.agent != noAgent) {
+            start(round, job, flat, choice.agent, static_cast<std::uint16_t>(job.tasks[flat].starts + 1));
+            continue;
         }
+        allPlaced = false;
+        hasRoom = choice.othersMayFit;
+        head.leastCost = choice.leastCost;
     }
     if (spec.longRunning && !allPlaced) {
         reserveAndPreempt(round, job, step);
     }
-}
-
-bool hasReadyTasks(const Job &job, StepIndex step)
-{
-    const auto first = job.tasks.begin() + job.firstTask[step];
-    const auto last = job.tasks.begin() + job.firstTask[step + 1U];
-    return std::any_of(first, last, [](const Task &task) { return task.phase == Task::Phase::Ready; });
+    return hasRoom;
 }
 
 /// Returns whether the job waits for runs that a former owner may have started on agents that haven't reported. If so, requests another round for the end.
@@ -246,23 +276,62 @@
     return true;
 }
 
-/// Returns whether all ready tasks of the job were placed.
-bool placeTasks(Round &round, Job &job)
+/// Places ready tasks of the step. Returns whether workers may have room for another step of its group.
+bool placeStep(Round &round, GroupHead &head)
 {
-    if (awaitsFormerRuns(round, job)) {
-        return false;
+    OwnerState &state = round.context.state;
+    Job &job = state.jobs.at(head.next.place.job);
+    const StepIndex step = head.next.step;
+    const bool needsStore = !job.bestEffort && state.now >= state.storedWorkUntil;
+    if (needsStore || awaitsFormerRuns(round, job)) {
+        return true;
     }
-    for (StepIndex step = 0; step < job.steps.size() && job.readyTasks > 0; ++step) {
-        if (stepSpec(job, step).gang) {
-            placeGang(round, job, step);
-        } else {
-            placeTasksSingly(round, job, step);
+    const std::uint32_t readyBefore = job.readyTasks;
+    bool hasRoom = true;
+    if (stepSpec(job, step).gang) {
+        placeGang(round, job, step);
+    } else {
+        hasRoom = placeTasksSingly(round, job, head);
+    }
+    if (job.rules.advice && job.steps[step].readyTasks > 0) {
+        round.stepsNeedingAdvice.emplace_back(job.id, step);
+    }
+    if (job.readyTasks != readyBefore) {
+        requeue(round.context, job);
+    }
+    return hasRoom;
+}
+
+/// Returns the first step of each placement group.
+std::set<GroupHead> firstSteps(const OwnerState &state)
+{
+    std::set<GroupHead> heads;
+    for (const auto &[requirements, steps] : state.waitingSteps) {
+        if (!steps.empty()) {
+            heads.insert({*steps.begin(), &requirements});
         }
-        if (job.rules.advice && hasReadyTasks(job, step)) {
-            round.stepsNeedingAdvice.emplace_back(job.id, step);
+    }
+    return heads;
+}
+
+/// Places steps in the order of the queue. Once no worker has room for a step, the others of its group are left out: they can't start either, and there may be
+/// many of them. They don't keep other groups from starting.
+void placeSteps(Round &round)
+{
+    const OwnerState &state = round.context.state;
+    std::set<GroupHead> heads = firstSteps(state);
+    while (!heads.empty()) {
+        GroupHead head = heads.extract(heads.begin()).value();
+        if (!placeStep(round, head)) {
+            continue;
+        }
+        const std::set<WaitingStep> &steps = state.waitingSteps.at(*head.requirements);
+        const auto next = steps.upper_bound(head.next);
+        if (next != steps.end()) {
+            head.next = *next;
+            heads.insert(head);
         }
     }
-    return job.readyTasks == 0;
 }
 
 } // namespace
@@ -284,23 +353,8 @@
         return;
     }
     Round round{context, largestFreeMilli(state), {}};
-    std::size_t skipped = 0;
-    auto next = state.ready.begin();
-    while (next != state.ready.end() && skipped < maxUnplacedScanned) {
-        Job &job = state.jobs.at(next->job);
-        // Long-running jobs come first in the queue and may preempt others, so they are considered even without free capacity.
-        if (round.largestFreeMilli == 0 && !job.longRunning) {
-            break;
-        }
-        ++next;
-        if (!job.bestEffort && state.now >= state.storedWorkUntil) {
-            continue;
-        }
-        if (!placeTasks(round, job)) {
-            ++skipped;
-        }
-        requeue(context, job);
-    }
+    placeSteps(round);
+    dropEmptyGroups(state);
     askAdvice(context, round.stepsNeedingAdvice);
     state.schedulingDue = false;
 }
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -54,6 +54,8 @@
 
 struct StepProgress {
     Base::MonoTime readySince{}; ///< When tasks of the step last became ready.
+    std::uint32_t readyTasks = 0;
+    bool waiting = false; ///< It is among OwnerState::waitingSteps.
 };
 
 /// Whether a job can still end in time if it gets workers now.
@@ -63,6 +65,17 @@
     TooLate, ///< It can't end within maxLatenessFactor times its objective any more.
 };
 
+/// Sorts jobs by the order in which they get workers. Late jobs come after those that can be in time. Otherwise each job would delay the next under overload,
+/// and all of them would be late.
+struct QueuePlace {
+    Timeliness timeliness = Timeliness::InTime;
+    std::uint32_t priority = 0; ///< 0 is the highest.
+    Base::MonoTime dueAt{}; ///< End of the job's objective.
+    JobId job = 0;
+
+    auto operator<=>(const QueuePlace &) const = default;
+};
+
 struct Job {
     JobId id = 0;
     QueueRules rules;
@@ -88,6 +101,7 @@
     std::uint32_t chainMs = 0; ///< Estimated run time of the longest chain of steps.
     Timeliness timeliness = Timeliness::InTime; ///< As of the last update.
     bool starved = false; ///< It has waited for so long that it goes before jobs that can be in time.
+    std::optional<QueuePlace> queuedAt; ///< Its place among the jobs with ready tasks; set while it waits for workers.
     std::optional<Base::MonoTime> timelinessChangesAt; ///< When its timeliness must be updated next; set while it waits for workers.
     std::optional<Base::MonoTime> progressDue; ///< When its progress must be recorded.
     std::vector<EndAck> unrecordedEnds; ///< Ends to acknowledge once the next progress record or the final state is stored.
@@ -99,17 +113,6 @@
     std::vector<CallId> waitingForState; ///< Queries that are held until the job is final, or for queryHoldDuration.
 };
 
-/// Sorts jobs by the order in which they get workers. Late jobs come after those that can be in time. Otherwise each job would delay the next under overload,
-/// and all of them would be late.
-struct QueuePlace {
-    Timeliness timeliness = Timeliness::InTime;
-    std::uint32_t priority = 0; ///< 0 is the highest.
-    Base::MonoTime dueAt{}; ///< End of the job's objective.
-    JobId job = 0;
-
-    auto operator<=>(const QueuePlace &) const = default;
-};
-
 /// Returns the job's place in the queue. Long-running jobs come first, as their users notice at once when a task is down.
 inline QueuePlace queuePlace(const Job &job)
 {
@@ -117,6 +120,26 @@
                            : QueuePlace{job.timeliness, job.rules.priority, job.arrivedAt + job.objective, job.id};
 }
 
+/// All that decides which workers may run a step, except for the limits of single tasks. If no worker has room for one of two steps with equal requirements,
+/// none has room for the other.
+struct PlacementRequirements {
+    std::string service;
+    std::string requiredLabel; ///< As in StepSpec.
+    std::string dataRack; ///< As in StepSpec.
+    Resources need;
+    std::optional<std::pair<JobId, StepIndex>> onlyStep; ///< Set if they depend on the step's own tasks, tickets or reservations.
+
+    auto operator<=>(const PlacementRequirements &) const = default;
+};
+
+/// A step with ready tasks, in the order in which steps get workers.
+struct WaitingStep {
+    QueuePlace place; ///< Of its job.
+    StepIndex step = 0;
+
+    auto operator<=>(const WaitingStep &) const = default;
+};
+
 /// A run that a former owner started for a best-effort job that hasn't been submitted to this owner yet.
 struct Orphan {
     AgentIndex agent = noAgent;
@@ -171,6 +194,7 @@
     Base::MonoTime orphansUntil{}; ///< Orphans are stopped from then on.
     Base::MonoTime tookOverAt{};
     std::set<QueuePlace> ready; ///< Jobs with ready tasks.
+    std::map<PlacementRequirements, std::set<WaitingStep>> waitingSteps; ///< The steps of these jobs that have ready tasks, in placement groups.
     std::set<std::pair<Base::MonoTime, JobId>> timelinessChanges; ///< Ready jobs by timelinessChangesAt.
     std::set<std::pair<Base::WallTime, JobId>> occurrences; ///< Repeated jobs by nextOccurrence.
     std::set<std::pair<Base::MonoTime, JobId>> progressDue; ///< Jobs by the time at which their progress must be recorded.
--- a/src/libs/jobs/ownertakeover.cpp
+++ b/src/libs/jobs/ownertakeover.cpp
@@ -23,14 +23,14 @@
     }
     if (task.phase == Task::Phase::Ready) {
         --job.readyTasks;
+        --job.steps[stepOfTask(job, task)].readyTasks;
     }
 }
 
 void releaseTask(Context &context, Job &job, Task &task)
 {
     if (formerRunsResolved(context.state)) {
-        const auto flat = static_cast<std::uint32_t>(std::distance(job.tasks.data(), &task));
-        job.steps[findStepIndex(job, flat)].readySince = context.state.now;
+        job.steps[stepOfTask(job, task)].readySince = context.state.now;
         setReady(context, job, task);
         requeue(context, job);
         return;
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -145,17 +145,6 @@
     return cost * (1.0 + loadWeight * relativeLoad(agent));
 }
 
-/// Returns the highest cost at which the job still ends in time. It is infinite for a job that has started or is late, and for a background task, as the idle
-/// capacity that it uses changes all the time.
-double maxCostInTime(const OwnerState &state, const Job &job, const StepSpec &step)
-{
-    if (step.need.backgroundMilli > 0 || job.longRunning || job.starved || job.timeliness != Timeliness::InTime || job.state != JobState::Queued) {
-        return std::numeric_limits<double>::infinity();
-    }
-    const auto left = std::chrono::duration<double, std::milli>(job.arrivedAt + job.objective - state.now);
-    return left.count() / std::max(1U, job.chainMs);
-}
-
 struct GangPlacement {
     std::vector<AgentIndex> agents; ///< Empty if the workers can't take all tasks.
     double slowest = 0.0; ///< Cost of the slowest member, which decides when all end.
@@ -233,32 +222,43 @@
 
 } // namespace
 
-AgentIndex chooseWorker(const OwnerState &state, const Job &job, std::uint32_t flat, const ReservedWorkers &reservedWorkers)
+double maxCostInTime(const OwnerState &state, const Job &job, const StepSpec &step)
+{
+    if (step.need.backgroundMilli > 0 || job.longRunning || job.starved || job.timeliness != Timeliness::InTime || job.state != JobState::Queued) {
+        return std::numeric_limits<double>::infinity();
+    }
+    const auto left = std::chrono::duration<double, std::milli>(job.arrivedAt + job.objective - state.now);
+    return left.count() / std::max(1U, job.chainMs);
+}
+
+WorkerChoice chooseWorker(const OwnerState &state, const Job &job, std::uint32_t flat, double maxCost, const ReservedWorkers &reservedWorkers)
 {
     const StepIndex stepIndex = findStepIndex(job, flat);
     const StepSpec &step = stepSpec(job, stepIndex);
-    const double maxCost = maxCostInTime(state, job, step);
-    AgentIndex best = noAgent;
+    WorkerChoice choice;
     double bestCost = 0.0;
     for (AgentIndex index = 0; index < state.agents.size(); ++index) {
         const Agent &agent = state.agents[index];
         if (index < reservedWorkers.size() && reservedWorkers[index]) {
             continue;
         }
-        if (!acceptsWork(agent, state.now) || !canPlace(state, job, stepIndex, index) || mustAvoid(state, job, flat, index)) {
+        if (!acceptsWork(agent, state.now) || !canPlace(state, job, stepIndex, index)) {
             continue;
         }
-        double cost = placementCost(state, step, agent);
-        cost *= step.sameRack && hasTasksOnOtherRack(state, job, stepIndex, agent.worker->rack) ? state.settings.remoteFactor : 1.0;
-        if (cost > maxCost) {
+        const double groupCost = placementCost(state, step, agent);
+        choice.leastCost = choice.othersMayFit ? std::min(choice.leastCost, groupCost) : groupCost;
+        choice.othersMayFit = true;
+        const bool otherRack = step.sameRack && hasTasksOnOtherRack(state, job, stepIndex, agent.worker->rack);
+        const double cost = groupCost * (otherRack ? state.settings.remoteFactor : 1.0);
+        if (cost > maxCost || mustAvoid(state, job, flat, index)) {
             continue;
         }
-        if (best == noAgent || cost < bestCost) {
-            best = index;
+        if (choice.agent == noAgent || cost < bestCost) {
+            choice.agent = index;
             bestCost = cost;
         }
     }
-    return best;
+    return choice;
 }
 
 std::vector<AgentIndex> chooseGangWorkers(const OwnerState &state, const Job &job, StepIndex step, bool allowsRackSplit, const ReservedWorkers &reservedWorkers)
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -9,8 +9,20 @@
 /// For each agent, whether its worker is reserved in this scheduling round for a gang or a long-running task that can't be placed yet.
 using ReservedWorkers = std::vector<bool>;
 
-/// Returns the worker on which the task is expected to end first, or noAgent if none can take it now. \a flat is the task's position in Job::tasks.
-AgentIndex chooseWorker(const OwnerState &state, const Job &job, std::uint32_t flat, const ReservedWorkers &reservedWorkers);
+/// The worker for a task, or why there is none.
+struct WorkerChoice {
+    AgentIndex agent = noAgent; ///< The worker on which the task is expected to end first; noAgent if none can take it now.
+    /// A worker has room for tasks like this one. If none is chosen, this task has failed there or would end too late.
+    bool othersMayFit = false;
+    double leastCost = 0.0; ///< If othersMayFit: no worker with room has a lower cost, as for maxCostInTime().
+};
+
+/// Chooses a worker for the task. \a flat is the task's position in Job::tasks. A cost above \a maxCost is too high.
+WorkerChoice chooseWorker(const OwnerState &state, const Job &job, std::uint32_t flat, double maxCost, const ReservedWorkers &reservedWorkers);
+
+/// Returns the highest cost at which the job still ends in time. It is infinite for a job that has started or is late, and for a background task, as the idle
+/// capacity that it uses changes all the time. A cost is the expected run time relative to that on an idle worker of speed 1 on the rack of the data.
+double maxCostInTime(const OwnerState &state, const Job &job, const StepSpec &step);
 
 /// Returns a worker for each task of the step, so that all can start now; empty if the workers can't take all of them.
 /// \a allowsRackSplit permits several racks for a step that runs fastest on one.
--- /dev/null
+++ b/tests/auto/jobs/tst_waiting.cpp
@@ -0,0 +1,151 @@
+#include "ownerharness.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace LaburnumFlow;
+using namespace LaburnumFlow::Jobs;
+using namespace LaburnumFlow::Jobs::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *commonLabel = "a";
+constexpr const char *rareLabel = "b";
+constexpr std::uint32_t workerMilli = 32'000;
+constexpr JobId firstBlockedJob = 1000;
+constexpr std::uint32_t blockedJobs = 100;
+
+/// Stored jobs that can't start, one of each ID from firstBlockedJob on.
+void submitBlocked(OwnerHarness &owner, const SubmitCall &blocked)
+{
+    for (JobId job = firstBlockedJob; job < firstBlockedJob + blockedJobs; ++job) {
+        SubmitCall call = blocked;
+        call.job = job;
+        owner.submit(job, call);
+    }
+    owner.commitAll();
+}
+
+SubmitCall requiring(SubmitCall call, const std::string &label)
+{
+    call.spec.steps.front().requiredLabel = label;
+    return call;
+}
+
+std::size_t startsOf(const OwnerHarness &owner, JobId job)
+{
+    std::size_t count = 0;
+    for (const Agent &agent : owner.state.agents) {
+        const std::vector<RunRef> runs = owner.orderedStarts(agent.name);
+        count += static_cast<std::size_t>(std::count_if(runs.begin(), runs.end(), [job](const RunRef &run) { return run.task.job == job; }));
+    }
+    return count;
+}
+
+} // namespace
+
+/// Jobs that can't start must not keep others from starting, and each accepted job starts once there is room for it.
+class TestWaiting : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestWaiting);
+    CPPUNIT_TEST(jobsWithoutAWorkerOfTheirKindLetOthersStart);
+    CPPUNIT_TEST(jobsOfAServiceWithoutWorkersLetOthersStart);
+    CPPUNIT_TEST(jobsThatAreTooLargeLetOthersStart);
+    CPPUNIT_TEST(gangsThatCanNotBePlacedLetOthersStart);
+    CPPUNIT_TEST(jobsWithoutTicketsLetOthersStart);
+    CPPUNIT_TEST(jobsThatWaitStartOnceAWorkerOfTheirKindComes);
+    CPPUNIT_TEST(slowWorkersAreLeftToJobsThatAreNotInAHurry);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against idle workers once many stored jobs wait for a kind of worker that is lost: they are older, so they come first in the queue.
+    void jobsWithoutAWorkerOfTheirKindLetOthersStart()
+    {
+        checkOthersStart(requiring(submission(0, 1), rareLabel));
+    }
+
+    /// Guards against the same with jobs of another service, all of whose workers are lost.
+    void jobsOfAServiceWithoutWorkersLetOthersStart()
+    {
+        SubmitCall blocked = submission(0, 1);
+        blocked.rules.service = "other-service";
+        checkOthersStart(blocked);
+    }
+
+    /// Guards against the same with tasks that need more memory than any worker has.
+    void jobsThatAreTooLargeLetOthersStart()
+    {
+        SubmitCall blocked = submission(0, 1);
+        blocked.spec.steps.front().need.memoryMb = 1'000'000;
+        checkOthersStart(blocked);
+    }
+
+    /// Guards against the same with gangs that need more workers than there are.
+    void gangsThatCanNotBePlacedLetOthersStart()
+    {
+        SubmitCall blocked = submission(0, 3);
+        blocked.spec.steps.front().gang = true;
+        blocked.spec.steps.front().maxPerWorker = 1;
+        checkOthersStart(blocked);
+    }
+
+    /// Guards against the same with jobs that the advice service allows on no worker.
+    void jobsWithoutTicketsLetOthersStart()
+    {
+        SubmitCall blocked = submission(0, 1);
+        blocked.rules.advice = AdviceRules{20, 5, 3000};
+        checkOthersStart(blocked);
+    }
+
+    /// Guards against jobs that are left out for good because others of their kind found no worker.
+    void jobsThatWaitStartOnceAWorkerOfTheirKindComes()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.join("agent-1", workerMilli);
+        submitBlocked(owner, requiring(submission(0, 1), rareLabel));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
+        owner.joinOnRack("agent-2", rareLabel, workerMilli);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(workerMilli / 1000), owner.orderedStartCount());
+    }
+
+    /// Guards against leaving out jobs that may run on a slow worker because an earlier job of their kind would end too late there.
+    void slowWorkersAreLeftToJobsThatAreNotInAHurry()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", workerMilli);
+        SubmitCall hurried = submission(1, 1, 1000);
+        hurried.rules.targetMs = 900;
+        SubmitCall patient = submission(2, 1, 1000);
+        patient.rules.targetMs = 5000;
+        for (SubmitCall *call : {&hurried, &patient}) {
+            call->spec.steps.front().dataRack = "rack-of-no-worker";
+            call->rules.stretch = 1.0;
+        }
+        owner.state.settings.remoteFactor = 2.5;
+        owner.submit(1, hurried);
+        owner.submit(2, patient);
+        owner.commit();
+        owner.advanceTime(commitInterval);
+        owner.commit();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOf(owner, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsOf(owner, 2));
+    }
+
+private:
+    /// Lets jobs like the given one wait until they go before all others, and checks that another job starts at once.
+    static void checkOthersStart(const SubmitCall &blocked)
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.join("agent-1", workerMilli);
+        owner.join("agent-2", workerMilli);
+        submitBlocked(owner, blocked);
+        owner.advanceTimeWithReports(starvationTimeout + 1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), owner.orderedStartCount());
+        owner.submit(1, requiring(bestEffort(1, 2), commonLabel));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), startsOf(owner, 1));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestWaiting);
