jobs: a failed task waits for other workers only if they may run it, and not for long

The worker becomes sound and does newer tasks, but the failed one never starts again: its job stays running for ever with one of four attempts used.

Cause: a task doesn't go back to the worker on which it failed while another one "could run" it. That looked at the service and the size only, not at the label, the tickets, MaxPerServer or the room, and the avoidance had no end: it waited for workers that may never run it. It was the same after a stalled run, a refused start and a start without an answer, for tasks that last, and for a gang whose earlier members take all other workers.

Change: another worker counts only if it has the label and the advice service doesn't deny it the step. Whatever is left that can keep it from taking the task (no room, as many tasks of the step as it may have, workers that come and go) ends after avoidanceTimeout, 1 s, for which a round is scheduled. So each task has a worker again as soon as one that may run it has room, 1 s later at most.

--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -102,6 +102,7 @@
 constexpr Base::Duration adviceRetryDelayMax = 1s;
 
 // Worker health.
+constexpr Base::Duration avoidanceTimeout = 1s; ///< A task that failed on a worker waits for room on another one for this long.
 constexpr std::uint32_t runFailureWeight = 2; ///< Of a run that failed or stalled.
 constexpr std::uint32_t unansweredStartWeight = 1; ///< Of a start call without an answer; lower, as single calls to healthy workers get lost too.
 constexpr std::uint32_t suspensionThreshold = 4; ///< Summed weight of consecutive failures of different jobs at which the worker is suspended.
--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -91,7 +91,7 @@
     Task &task = job.tasks[flatIndex(job, run.task)];
     leavePhase(context.state, job, task);
     countFailedRun(job, run);
-    task.avoidedAgent = agent;
+    avoidAgent(context.state, task, agent);
     if (task.failures >= job.rules.maxAttempts) {
         // finishJob() stops active tasks, but the run of this one has ended.
         task.phase = Task::Phase::Blocked;
@@ -225,7 +225,7 @@
 {
     markEndRecorded(context.state.agents[index], end.number);
     if (end.outcome == RunOutcome::Failed) {
-        task.avoidedAgent = index;
+        avoidAgent(context.state, task, index);
     }
     delayRestartAfterQuickEnd(context.state, task, end);
     if (task.phase == Task::Phase::Active) {
@@ -257,6 +257,12 @@
     }
 }
 
+void avoidAgent(const OwnerState &state, Task &task, AgentIndex agent)
+{
+    task.avoidedAgent = agent;
+    task.avoidedUntil = state.now + avoidanceTimeout;
+}
+
 void handleTaskLost(Context &context, const RunRef &run, AgentIndex agent)
 {
     Job *job = findJob(context.state, run.task.job);
@@ -346,7 +352,7 @@
         if (refusal.reason == RunRefusal::Reason::NoTicket) {
             dropTicket(context.state, {job->id, findStepIndex(*job, refusal.run.task)}, index);
         } else if (task.phase == Task::Phase::Active && task.agent == index && task.run == refusal.run.run) {
-            task.avoidedAgent = index;
+            avoidAgent(context.state, task, index);
         }
         if (refusal.reason == RunRefusal::Reason::Unhealthy || refusal.reason == RunRefusal::Reason::NoAnswer) {
             recordFailure(agent.health, job->id, unansweredStartWeight, context.state.now);
@@ -366,7 +372,7 @@
     recordFailure(agent.health, run.task.job, runFailureWeight, context.state.now);
     Job *job = findJob(context.state, run.task.job);
     if (job != nullptr && hasTask(*job, run.task)) {
-        job->tasks[flatIndex(*job, run.task)].avoidedAgent = index;
+        avoidAgent(context.state, job->tasks[flatIndex(*job, run.task)], index);
     }
     orderStop(agent, run);
 }
--- a/src/libs/jobs/ownergangs.cpp
+++ b/src/libs/jobs/ownergangs.cpp
@@ -58,7 +58,7 @@
 void handleGangFailure(Context &context, Job &job, const RunRef &run, AgentIndex agent, const EndAck &endAck)
 {
     Task &failed = job.tasks[flatIndex(job, run.task)];
-    failed.avoidedAgent = agent;
+    avoidAgent(context.state, failed, agent);
     countFailedRun(job, run);
     if (failed.failures >= job.rules.maxAttempts) {
         releaseMember(context, job, failed);
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -106,6 +106,15 @@
     return false;
 }
 
+/// Requests another round for the time at which the task may return to the worker that it avoids.
+void awaitEndOfAvoidance(Round &round, const Task &task)
+{
+    OwnerState &state = round.context.state;
+    if (task.avoidedAgent != noAgent && state.now < task.avoidedUntil) {
+        requestRescheduleAt(state, task.avoidedUntil);
+    }
+}
+
 void reserveWorkers(Round &round, const std::vector<AgentIndex> &agents)
 {
     round.reservedWorkers.resize(round.context.state.agents.size());
@@ -139,6 +148,9 @@
         agents = chooseGangWorkers(round.context.state, job, step, maySplitRacks(round, job, step), round.reservedWorkers);
     }
     if (agents.empty()) {
+        for (std::uint32_t flat = first; flat < job.firstTask[step + 1U]; ++flat) {
+            awaitEndOfAvoidance(round, job.tasks[flat]);
+        }
         if (hasWaited(round, job.steps[step], reservationDelay)) {
             reserveWorkers(round, workersToReserve(round.context.state, job, step));
         }
@@ -247,6 +259,7 @@
             start(round, job, flat, choice.agent, static_cast<std::uint16_t>(job.tasks[flat].starts + 1));
             continue;
         }
+        awaitEndOfAvoidance(round, job.tasks[flat]);
         allPlaced = false;
         hasRoom = choice.othersMayFit;
         head.leastCost = choice.leastCost;
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -41,6 +41,7 @@
     std::uint32_t run = 0;
     AgentIndex agent = noAgent; ///< Agent of the active run.
     AgentIndex avoidedAgent = noAgent; ///< Agent on which the last run failed or stalled.
+    Base::MonoTime avoidedUntil{}; ///< From then on the task may return to avoidedAgent although other workers could run it.
     std::string checkpoint; ///< From the latest run that had one; the next run resumes from it.
     std::uint8_t consecutiveQuickEnds = 0; ///< Of a long-running task: consecutive ends by itself soon after a start.
     Base::MonoTime notBefore{}; ///< Earliest time of the next start.
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -118,6 +118,9 @@
 void handleStalled(Context &context, AgentIndex index, const RunRef &run);
 void handleCheckpoint(Context &context, const RunCheckpoint &checkpoint);
 
+/// Lets the task start on other workers if one of them may run it and has room within avoidanceTimeout.
+void avoidAgent(const OwnerState &state, Task &task, AgentIndex agent);
+
 /// Handles a run that is over although the worker has listed no end of it. Its task may start again.
 void handleTaskLost(Context &context, const RunRef &run, AgentIndex agent);
 
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -88,20 +88,30 @@
     return step.maxPerWorker == 0 || running + planned.tasks[index] < step.maxPerWorker;
 }
 
-bool couldRun(const Agent &agent, const Job &job, const StepSpec &step, Base::MonoTime now)
+/// Returns whether the worker may run the step once it has room for it.
+bool couldRun(const OwnerState &state, const Job &job, StepIndex stepIndex, AgentIndex index)
 {
-    return acceptsWork(agent, now) && agent.worker->service == job.rules.service && isWithin(step.need, agent.worker->capacity);
+    const StepSpec &step = stepSpec(job, stepIndex);
+    const Agent &agent = state.agents[index];
+    if (!acceptsWork(agent, state.now) || !meetsRequirements(*agent.worker, job, step) || !isWithin(step.need, agent.worker->capacity)) {
+        return false;
+    }
+    const WorkerAdvice *advice = job.rules.advice ? findAdvice(state, job, stepIndex, index) : nullptr;
+    const bool denied = advice != nullptr && advice->ticket.empty();
+    return !denied;
 }
 
-/// Returns whether the task must not go to the worker because it failed there. As attempts are few, it waits for another worker if there is one.
+/// Returns whether the task must not go to the worker because it failed there. As attempts are few, it waits for another worker if there is one, but not for
+/// long: that one may be full for good, or have as many tasks of the step as it may have.
 bool mustAvoid(const OwnerState &state, const Job &job, std::uint32_t flat, AgentIndex index)
 {
-    if (job.tasks[flat].avoidedAgent != index) {
+    const Task &task = job.tasks[flat];
+    if (task.avoidedAgent != index || state.now >= task.avoidedUntil) {
         return false;
     }
-    const StepSpec &step = stepSpecOfTask(job, flat);
+    const StepIndex step = findStepIndex(job, flat);
     for (AgentIndex other = 0; other < state.agents.size(); ++other) {
-        if (other != index && couldRun(state.agents[other], job, step, state.now)) {
+        if (other != index && couldRun(state, job, step, other)) {
             return true;
         }
     }
