jobs: work that can't start is no backlog for other jobs

What callers saw: once enough accepted jobs wait for workers that are lost, new jobs that need none of them are refused with 429 while workers are idle, and best-effort jobs that wait are given up.

Cause: admission summed the work of all ready jobs, whatever service or label they need, and compared it with the capacity of the job's service. Stored jobs that have waited for 5 s count as work before every newer job. The demand also counted arrivals that no worker may run.

Change: a job is admitted if workers have room for it now: a round has just placed all it could, so what still waits can't use that room. Otherwise only steps of the job's service that some worker may run count as work before it, and as demand.

--- a/src/libs/jobs/admission.cpp
+++ b/src/libs/jobs/admission.cpp
@@ -3,6 +3,7 @@
 #include "jobsconstants.h"
 #include "jobshape.h"
 #include "placement.h"
+#include "waitingsteps.h"
 
 #include <algorithm>
 #include <cmath>
@@ -11,22 +12,46 @@
 
 namespace {
 
-double estimatedWork(const JobSpec &spec)
+/// Returns the estimated work of the job's steps that workers may run, in thousandths of a core times milliseconds.
+double estimatedWork(const OwnerState &state, const Job &job)
 {
     double work = 0.0;
-    for (const StepSpec &step : spec.steps) {
-        work += static_cast<double>(step.count) * step.need.cpuMilli * effectiveEstimateMs(step);
+    for (StepIndex step = 0; step < job.spec.steps.size(); ++step) {
+        const StepSpec &spec = job.spec.steps[step];
+        work += isServed(state, placementRequirements(job, step)) ? static_cast<double>(spec.count) * spec.need.cpuMilli * effectiveEstimateMs(spec) : 0.0;
     }
     return work;
 }
 
-/// Returns the estimated work of the job's ready tasks, in thousandths of a core times milliseconds.
-double readyWork(const Job &job)
+/// Returns the estimated work of the step's ready tasks, in thousandths of a core times milliseconds.
+double readyWork(const Job &job, StepIndex step)
 {
-    if (job.tasks.empty()) {
-        return 0.0;
+    const StepSpec &spec = stepSpec(job, step);
+    return static_cast<double>(job.steps[step].readyTasks) * spec.need.cpuMilli * effectiveEstimateMs(spec);
+}
+
+/// Estimated work that waits for workers of a service, in thousandths of a core times milliseconds.
+struct Backlog {
+    double before = 0.0; ///< Of jobs that go before the one in question.
+    double all = 0.0;
+};
+
+/// Returns the work that waits for the same workers as the job. Steps that no worker may run don't take any capacity.
+Backlog backlogOfService(const OwnerState &state, const Job &job)
+{
+    const QueuePlace place = queuePlace(job);
+    Backlog backlog;
+    for (const auto &[requirements, steps] : state.waitingSteps) {
+        if (requirements.service != job.rules.service || !isServed(state, requirements)) {
+            continue;
+        }
+        for (const WaitingStep &waiting : steps) {
+            const double work = readyWork(state.jobs.at(waiting.place.job), waiting.step);
+            backlog.all += work;
+            backlog.before += waiting.place <= place ? work : 0.0;
+        }
     }
-    return estimatedWork(job.spec) * job.readyTasks / static_cast<double>(job.tasks.size());
+    return backlog;
 }
 
 double capacityMilli(const OwnerState &state, const std::string &service)
@@ -75,7 +100,7 @@
 {
     Demand &demand = state.demands[job.rules.service];
     const double timeConstantMs = std::chrono::duration<double, std::milli>(demandTimeConstant).count();
-    demand = {decayed(demand, state.now) + estimatedWork(job.spec) / timeConstantMs, state.now};
+    demand = {decayed(demand, state.now) + estimatedWork(state, job) / timeConstantMs, state.now};
 }
 
 Admission admit(const OwnerState &state, const Job &job)
@@ -83,33 +108,25 @@
     if (job.longRunning) {
         return admitLongRunning(state, job);
     }
-    if (state.ready.empty()) {
+    // Whatever waits has no room now, so the job doesn't wait for it.
+    if (state.ready.empty() || hasRoomNow(state, job)) {
         return {};
     }
     const double capacity = capacityMilli(state, job.rules.service);
     if (capacity <= 0.0) {
         return {};
     }
-    const QueuePlace place = queuePlace(job);
-    double workBefore = 0.0;
-    double allWork = 0.0;
-    for (const QueuePlace &queued : state.ready) {
-        const double work = readyWork(state.jobs.at(queued.job));
-        allWork += work;
-        if (queued <= place) {
-            workBefore += work;
-        }
-    }
+    const Backlog backlog = backlogOfService(state, job);
     const double demand = job.timeliness == Timeliness::InTime ? 0.0 : currentDemand(state, job.rules.service);
     const double available = std::max(capacity - demand, minLateWorkShare * capacity);
     const auto waitMs = [available](double work) { return std::chrono::milliseconds(std::llround(work / available)); };
-    const Base::Duration wait = waitMs(workBefore);
+    const Base::Duration wait = waitMs(backlog.before);
     // An answer that is too late for its caller is still better than none, as long as the wait for it is short.
     const Base::Duration limit = latestStart(job, maxLatenessFactor) - (job.timeliness == Timeliness::TooLate ? job.arrivedAt : state.now);
     if (wait <= limit) {
         return {true, wait, 0};
     }
-    const Base::Duration backlogClearsIn = std::max<Base::Duration>(wait - job.objective, waitMs(allWork) / 2);
+    const Base::Duration backlogClearsIn = std::max<Base::Duration>(wait - job.objective, waitMs(backlog.all) / 2);
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(backlogClearsIn).count() + 1;
     return {false, wait, static_cast<std::uint32_t>(seconds)};
 }
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -38,12 +38,14 @@
         agent.runs.begin(), agent.runs.end(), [&](const auto &run) { return run.first.task.job == job.id && findStepIndex(job, run.first.task) == step; }));
 }
 
+bool hasLabel(const WorkerInfo &worker, const std::string &label)
+{
+    return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+}
+
 bool meetsRequirements(const WorkerInfo &worker, const Job &job, const StepSpec &step)
 {
-    if (worker.service != job.rules.service) {
-        return false;
-    }
-    return step.requiredLabel.empty() || std::find(worker.labels.begin(), worker.labels.end(), step.requiredLabel) != worker.labels.end();
+    return worker.service == job.rules.service && hasLabel(worker, step.requiredLabel);
 }
 
 /// Returns the advice service's decision on the agent's current worker incarnation; null if there is none.
@@ -155,6 +157,27 @@
     return cost * (1.0 + loadWeight * relativeLoad(agent));
 }
 
+/// Returns whether workers have room now for all tasks of a gang, or for one task of another step. Tickets are left out of account.
+bool hasRoomForStep(const OwnerState &state, const Job &job, StepIndex stepIndex)
+{
+    const StepSpec &step = stepSpec(job, stepIndex);
+    const double maxCost = maxCostInTime(state, job, step);
+    std::uint32_t missing = step.gang ? step.count : 1;
+    for (const Agent &agent : state.agents) {
+        if (!acceptsWork(agent, state.now) || !meetsRequirements(*agent.worker, job, step) || placementCost(state, step, agent) > maxCost) {
+            continue;
+        }
+        Resources planned = step.need;
+        for (std::uint32_t tasks = 0; hasCapacityFor(agent, planned) && (step.maxPerWorker == 0 || tasks < step.maxPerWorker); ++tasks) {
+            if (--missing == 0) {
+                return true;
+            }
+            planned += step.need;
+        }
+    }
+    return false;
+}
+
 struct GangPlacement {
     std::vector<AgentIndex> agents; ///< Empty if the workers can't take all tasks.
     double slowest = 0.0; ///< Cost of the slowest member, which decides when all end.
@@ -271,6 +294,24 @@
     return choice;
 }
 
+bool hasRoomNow(const OwnerState &state, const Job &job)
+{
+    for (StepIndex step = 0; step < job.steps.size(); ++step) {
+        if (stepSpec(job, step).after.empty() && hasRoomForStep(state, job, step)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool isServed(const OwnerState &state, const PlacementRequirements &requirements)
+{
+    return std::any_of(state.agents.begin(), state.agents.end(), [&](const Agent &agent) {
+        return acceptsWork(agent, state.now) && agent.worker->service == requirements.service && hasLabel(*agent.worker, requirements.requiredLabel)
+               && isWithin(requirements.need, agent.worker->capacity);
+    });
+}
+
 std::vector<AgentIndex> chooseGangWorkers(const OwnerState &state, const Job &job, StepIndex step, bool allowsRackSplit, const ReservedWorkers &reservedWorkers)
 {
     const PlannedLoad planned(state.agents.size());
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -20,6 +20,12 @@
 /// Chooses a worker for the task. \a flat is the task's position in Job::tasks. A cost above \a maxCost is too high.
 WorkerChoice chooseWorker(const OwnerState &state, const Job &job, std::uint32_t flat, double maxCost, const ReservedWorkers &reservedWorkers);
 
+/// Returns whether workers have room for tasks of the job now, as far as its first steps are concerned.
+bool hasRoomNow(const OwnerState &state, const Job &job);
+
+/// Returns whether a worker may run steps with these requirements once it has room for one of their tasks.
+bool isServed(const OwnerState &state, const PlacementRequirements &requirements);
+
 /// Returns the highest cost at which the job still ends in time. It is infinite for a job that has started or is late, and for a background task, as the idle
 /// capacity that it uses changes all the time. A cost is the expected run time relative to that on an idle worker of speed 1 on the rack of the data.
 double maxCostInTime(const OwnerState &state, const Job &job, const StepSpec &step);
--- a/tests/auto/jobs/tst_waiting.cpp
+++ b/tests/auto/jobs/tst_waiting.cpp
@@ -66,6 +66,9 @@
     CPPUNIT_TEST(jobsWithoutTicketsLetOthersStart);
     CPPUNIT_TEST(jobsThatWaitStartOnceAWorkerOfTheirKindComes);
     CPPUNIT_TEST(slowWorkersAreLeftToJobsThatAreNotInAHurry);
+    CPPUNIT_TEST(jobsWithoutAWorkerOfTheirKindAreNoBacklog);
+    CPPUNIT_TEST(jobsOfAnotherServiceAreNoBacklog);
+    CPPUNIT_TEST(gangsThatCanNotBePlacedAreNoBacklogWhileThereIsRoom);
     CPPUNIT_TEST(failedTaskReturnsToTheOnlyWorkerOfItsKind);
     CPPUNIT_TEST(failedTaskReturnsToTheOnlyWorkerWithATicket);
     CPPUNIT_TEST(failedTaskReturnsWhileOtherWorkersRunItsStep);
@@ -149,6 +152,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsOf(owner, 2));
     }
 
+    /// Guards against refusing jobs because of a backlog that no worker may run: it needs none of the capacity.
+    void jobsWithoutAWorkerOfTheirKindAreNoBacklog()
+    {
+        checkNoBacklog(requiring(submission(0, 1, 100, 20'000), rareLabel), true);
+    }
+
+    /// Guards against refusing jobs because of the backlog of another service, which has workers of its own.
+    void jobsOfAnotherServiceAreNoBacklog()
+    {
+        SubmitCall blocked = submission(0, 1, 100, 20'000);
+        blocked.rules.service = "other-service";
+        checkNoBacklog(blocked, true);
+    }
+
+    /// Guards against refusing jobs that can start at once because of gangs that wait for more workers than there are.
+    void gangsThatCanNotBePlacedAreNoBacklogWhileThereIsRoom()
+    {
+        SubmitCall blocked = submission(0, 3, 100, 20'000);
+        blocked.spec.steps.front().gang = true;
+        blocked.spec.steps.front().maxPerWorker = 1;
+        checkNoBacklog(blocked, false);
+    }
+
     /// Guards against a task that failed on the only worker that has its label and waits for ever for others, which lack it.
     void failedTaskReturnsToTheOnlyWorkerOfItsKind()
     {
@@ -253,6 +279,25 @@
     }
 
 private:
+    /// Checks that a job isn't refused because jobs like the given one wait, also while the workers are full for a moment if \a whileFull is set.
+    static void checkNoBacklog(const SubmitCall &blocked, bool whileFull)
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.join("agent-1", workerMilli);
+        owner.join("agent-2", workerMilli);
+        submitBlocked(owner, blocked);
+        owner.advanceTimeWithReports(starvationTimeout + 1s);
+        owner.submit(1, bestEffort(1, 2, 100, workerMilli));
+        CPPUNIT_ASSERT(!owner.answerTo(1).has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), startsOf(owner, 1));
+        if (whileFull) {
+            owner.submit(2, bestEffort(2, 1));
+            CPPUNIT_ASSERT(!owner.answerTo(2).has_value());
+            owner.reportEnd("agent-1", owner.orderedStarts("agent-1").at(0), RunOutcome::Done);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsOf(owner, 2));
+        }
+    }
+
     /// Lets jobs like the given one wait until they go before all others, and checks that another job starts at once.
     static void checkOthersStart(const SubmitCall &blocked)
     {
