jobs: reservations leave out room that tasks which last hold for good

A job that can't start must not keep others from starting.

Cause: workers were reserved as if they were empty. A reservation for a gang ends when the gang is placed, and tasks that last never make the room that the plan counted on. A step that lasts reserved and preempted in the same way, for all its tasks in place of those that have no worker, and not at all if one of them had no place.

Change: a reservation counts on the room of runs that end by themselves or are being stopped, not on that of steps that last, and is made for ready tasks only. Tasks that last reserve one by one. Preemption takes finite steps of a job that also has steps that last.

--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -181,7 +181,7 @@
         const Job *other = findJob(state, ref.task.job);
         if (run.stopping || other == nullptr) {
             missing -= run.need.cpuMilli;
-        } else if (!other->longRunning) {
+        } else if (!other->spec.steps[ref.task.step].longRunning) {
             victims.push_back({!other->spec.steps[ref.task.step].checkpointing, run.since, ref});
         }
     }
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -17,25 +17,57 @@
 constexpr double fullWorkerCost = 100.0; ///< Sorts workers without free capacity last.
 constexpr double minLeftoverShare = 0.02; ///< Share of a full worker's processor that background tasks are expected to get.
 
-/// Tasks that a placement in progress has assigned to workers, in addition to what runs there.
-struct PlannedLoad {
-    std::vector<Resources> taken; ///< By agent.
-    std::vector<std::uint32_t> tasks; ///< Number of assigned tasks of the step, by agent.
-    bool emptyWorkers = false; ///< Ignores what runs on the workers.
+std::uint32_t countRunsOfStep(const Agent &agent, const Job &job, StepIndex step)
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        agent.runs.begin(), agent.runs.end(), [&](const auto &run) { return run.first.task.job == job.id && findStepIndex(job, run.first.task) == step; }));
+}
 
-    explicit PlannedLoad(std::size_t agents) : taken(agents), tasks(agents) { }
+/// Returns whether the run goes on until its job is cancelled.
+bool isLongRunning(const OwnerState &state, const RunRef &run, const ActiveRun &active)
+{
+    const auto found = state.jobs.find(run.task.job);
+    return !active.stopping && found != state.jobs.end() && run.task.step < found->second.spec.steps.size()
+           && found->second.spec.steps[run.task.step].longRunning;
+}
+
+/// What a placement in progress counts on the workers: the load there and the tasks that it has assigned to them.
+struct PlannedLoad {
+    std::vector<Resources> used; ///< By agent.
+    std::vector<std::uint32_t> tasks; ///< Number of tasks of the step, by agent.
+    bool forReservation = false; ///< Only counts runs that don't end by themselves.
 
     void add(AgentIndex index, const Resources &need)
     {
-        taken[index] += need;
+        used[index] += need;
         ++tasks[index];
     }
 };
 
-std::uint32_t countRunsOfStep(const Agent &agent, const Job &job, StepIndex step)
+PlannedLoad currentLoad(const OwnerState &state, const Job &job, StepIndex step)
 {
-    return static_cast<std::uint32_t>(std::count_if(
-        agent.runs.begin(), agent.runs.end(), [&](const auto &run) { return run.first.task.job == job.id && findStepIndex(job, run.first.task) == step; }));
+    PlannedLoad load;
+    for (const Agent &agent : state.agents) {
+        load.used.push_back(agent.used);
+        load.tasks.push_back(stepSpec(job, step).maxPerWorker > 0 ? countRunsOfStep(agent, job, step) : 0);
+    }
+    return load;
+}
+
+/// Returns the load that is left once all runs have ended that end by themselves or are being stopped.
+PlannedLoad lastingLoad(const OwnerState &state, const Job &job, StepIndex step)
+{
+    PlannedLoad load{std::vector<Resources>(state.agents.size()), std::vector<std::uint32_t>(state.agents.size()), true};
+    for (AgentIndex index = 0; index < state.agents.size(); ++index) {
+        for (const auto &[run, active] : state.agents[index].runs) {
+            if (!isLongRunning(state, run, active)) {
+                continue;
+            }
+            load.used[index] += active.need;
+            load.tasks[index] += run.task.job == job.id && findStepIndex(job, run.task) == step ? 1 : 0;
+        }
+    }
+    return load;
 }
 
 bool hasLabel(const WorkerInfo &worker, const std::string &label)
@@ -82,12 +114,10 @@
     if (!meetsRequirements(*agent.worker, job, step) || !isAdvised(state, job, stepIndex, index)) {
         return false;
     }
-    const Resources used = planned.emptyWorkers ? planned.taken[index] : agent.used + planned.taken[index];
-    if (!isWithin(used + step.need, agent.worker->capacity)) {
+    if (!isWithin(planned.used[index] + step.need, agent.worker->capacity)) {
         return false;
     }
-    const std::uint32_t running = planned.emptyWorkers ? 0 : countRunsOfStep(agent, job, stepIndex);
-    return step.maxPerWorker == 0 || running + planned.tasks[index] < step.maxPerWorker;
+    return step.maxPerWorker == 0 || planned.tasks[index] < step.maxPerWorker;
 }
 
 /// Returns whether the worker may run the step once it has room for it.
@@ -183,41 +213,56 @@
     double slowest = 0.0; ///< Cost of the slowest member, which decides when all end.
 };
 
-/// Finds workers for all tasks of the step on one rack, or on any if \a rack is empty.
-GangPlacement findGangPlacement(const OwnerState &state,
-                                const Job &job,
-                                StepIndex stepIndex,
-                                std::string_view rack,
-                                PlannedLoad planned,
-                                const ReservedWorkers &reservedWorkers)
+/// Returns the worker with the lowest cost for the task on one rack, or on any if \a rack is empty; noAgent if there is none.
+std::pair<AgentIndex, double> cheapestWorker(const OwnerState &state,
+                                             const Job &job,
+                                             std::uint32_t flat,
+                                             std::string_view rack,
+                                             const PlannedLoad &planned,
+                                             const ReservedWorkers &reservedWorkers)
+{
+    const StepIndex stepIndex = findStepIndex(job, flat);
+    AgentIndex best = noAgent;
+    double bestCost = 0.0;
+    for (AgentIndex index = 0; index < state.agents.size(); ++index) {
+        const Agent &agent = state.agents[index];
+        const bool reserved = index < reservedWorkers.size() && reservedWorkers[index];
+        if (reserved || !acceptsWork(agent, state.now) || (!rack.empty() && agent.worker->rack != rack)) {
+            continue;
+        }
+        if (!canPlace(state, job, stepIndex, index, planned) || mustAvoid(state, job, flat, index)) {
+            continue;
+        }
+        // When workers are chosen for a reservation, those with the lowest load become free first.
+        const double cost = planned.forReservation ? relativeLoad(agent) : placementCost(state, stepSpec(job, stepIndex), agent);
+        if (best == noAgent || cost < bestCost) {
+            best = index;
+            bestCost = cost;
+        }
+    }
+    return {best, bestCost};
+}
+
+/// Finds workers for all ready tasks of the step on one rack, or on any if \a rack is empty.
+GangPlacement
+findGangPlacement(const OwnerState &state, const Job &job, StepIndex step, std::string_view rack, PlannedLoad planned, const ReservedWorkers &reservedWorkers)
 {
-    const StepSpec &step = stepSpec(job, stepIndex);
     GangPlacement choice;
-    for (std::uint32_t flat = job.firstTask[stepIndex]; flat < job.firstTask[stepIndex + 1U]; ++flat) {
-        AgentIndex best = noAgent;
-        double bestCost = 0.0;
-        for (AgentIndex index = 0; index < state.agents.size(); ++index) {
-            const Agent &agent = state.agents[index];
-            const bool reserved = index < reservedWorkers.size() && reservedWorkers[index];
-            if (reserved || !acceptsWork(agent, state.now) || (!rack.empty() && agent.worker->rack != rack)) {
-                continue;
-            }
-            if (!canPlace(state, job, stepIndex, index, planned) || mustAvoid(state, job, flat, index)) {
-                continue;
-            }
-            // When workers are chosen for a reservation, those with the lowest load become free first.
-            const double cost = planned.emptyWorkers ? relativeLoad(agent) : placementCost(state, step, agent);
-            if (best == noAgent || cost < bestCost) {
-                best = index;
-                bestCost = cost;
-            }
+    for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U]; ++flat) {
+        if (job.tasks[flat].phase != Task::Phase::Ready) {
+            continue;
+        }
+        const auto [agent, cost] = cheapestWorker(state, job, flat, rack, planned, reservedWorkers);
+        // Long-running tasks don't wait for each other unless they are a gang.
+        if (agent == noAgent && planned.forReservation && !stepSpec(job, step).gang) {
+            continue;
         }
-        if (best == noAgent) {
+        if (agent == noAgent) {
             return {};
         }
-        planned.add(best, step.need);
-        choice.agents.push_back(best);
-        choice.slowest = std::max(choice.slowest, bestCost);
+        planned.add(agent, stepSpec(job, step).need);
+        choice.agents.push_back(agent);
+        choice.slowest = std::max(choice.slowest, cost);
     }
     return choice;
 }
@@ -246,13 +291,6 @@
     return best;
 }
 
-PlannedLoad planOnEmptyWorkers(const OwnerState &state)
-{
-    PlannedLoad planned(state.agents.size());
-    planned.emptyWorkers = true;
-    return planned;
-}
-
 } // namespace
 
 double maxCostInTime(const OwnerState &state, const Job &job, const StepSpec &step)
@@ -314,7 +352,7 @@
 
 std::vector<AgentIndex> chooseGangWorkers(const OwnerState &state, const Job &job, StepIndex step, bool allowsRackSplit, const ReservedWorkers &reservedWorkers)
 {
-    const PlannedLoad planned(state.agents.size());
+    const PlannedLoad planned = currentLoad(state, job, step);
     if (!stepSpec(job, step).sameRack) {
         return findGangPlacement(state, job, step, {}, planned, reservedWorkers).agents;
     }
@@ -327,13 +365,14 @@
 
 std::vector<AgentIndex> workersToReserve(const OwnerState &state, const Job &job, StepIndex step)
 {
+    const PlannedLoad planned = lastingLoad(state, job, step);
     if (stepSpec(job, step).sameRack) {
-        GangPlacement onOneRack = bestSingleRackPlacement(state, job, step, planOnEmptyWorkers(state), {});
+        GangPlacement onOneRack = bestSingleRackPlacement(state, job, step, planned, {});
         if (!onOneRack.agents.empty()) {
             return onOneRack.agents;
         }
     }
-    return findGangPlacement(state, job, step, {}, planOnEmptyWorkers(state), {}).agents;
+    return findGangPlacement(state, job, step, {}, planned, {}).agents;
 }
 
 std::string validTicket(const OwnerState &state, const Job &job, StepIndex step, AgentIndex index)
@@ -365,7 +404,7 @@
 
 bool fitsOnOneRack(const OwnerState &state, const Job &job, StepIndex step)
 {
-    return !bestSingleRackPlacement(state, job, step, planOnEmptyWorkers(state), {}).agents.empty();
+    return !bestSingleRackPlacement(state, job, step, lastingLoad(state, job, step), {}).agents.empty();
 }
 
 double longRunningFreeMilli(const OwnerState &state, const std::string &service)
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -35,10 +35,11 @@
 std::vector<AgentIndex>
 chooseGangWorkers(const OwnerState &state, const Job &job, StepIndex step, bool allowsRackSplit, const ReservedWorkers &reservedWorkers);
 
-/// Returns workers that could run all tasks of the step if nothing else ran there, preferring those with the lowest load; empty if there are none.
+/// Returns workers that can run all ready tasks of the step once the runs there have ended that end by themselves, preferring those with the lowest load; empty
+/// if there are none. For a long-running step that is no gang, returns workers for as many tasks as possible.
 std::vector<AgentIndex> workersToReserve(const OwnerState &state, const Job &job, StepIndex step);
 
-/// Returns whether one rack could run all tasks of the step if nothing else ran there.
+/// Returns whether one rack can run all ready tasks of the step once the runs there have ended that end by themselves.
 bool fitsOnOneRack(const OwnerState &state, const Job &job, StepIndex step);
 
 /// Returns the capacity that is left for further long-running tasks of the service, in thousandths of a core.
--- a/tests/auto/jobs/tst_waiting.cpp
+++ b/tests/auto/jobs/tst_waiting.cpp
@@ -43,6 +43,19 @@
     return call;
 }
 
+SubmitCall longRunning(SubmitCall call)
+{
+    call.spec.steps.front().longRunning = true;
+    call.spec.steps.front().maxPerWorker = 1;
+    return call;
+}
+
+SubmitCall gang(SubmitCall call)
+{
+    call.spec.steps.front().gang = true;
+    return call;
+}
+
 std::size_t startsOf(const OwnerHarness &owner, JobId job)
 {
     std::size_t count = 0;
@@ -76,6 +89,10 @@
     CPPUNIT_TEST(failedGangMemberReturnsWhileOtherWorkersAreTaken);
     CPPUNIT_TEST(refusedTaskReturnsToTheOnlyWorkerOfItsKind);
     CPPUNIT_TEST(failedTaskPrefersAnotherWorker);
+    CPPUNIT_TEST(gangBesideLongRunningTasksReservesNothingInVain);
+    CPPUNIT_TEST(gangBesideLongRunningTasksReservesWhatComesFree);
+    CPPUNIT_TEST(longRunningTaskReservesNothingInVain);
+    CPPUNIT_TEST(longRunningTaskReservesOnlyForItself);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -278,6 +295,81 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), owner.orderedStarts("agent-1").size());
     }
 
+    /// Guards against workers that are reserved for ever for a gang which needs the room of tasks that never end.
+    void gangBesideLongRunningTasksReservesNothingInVain()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.join("agent-1", workerMilli);
+        owner.join("agent-2", workerMilli);
+        submitAndCommit(owner, longRunning(submission(1, 2, 100, 13'000)));
+        submitAndCommit(owner, gang(submission(2, 2, 100, 22'000)));
+        owner.advanceTimeWithReports(starvationTimeout + 1s);
+        owner.submit(3, bestEffort(3, 2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOf(owner, 2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), startsOf(owner, 3));
+    }
+
+    /// Guards against a gang that never starts beside tasks that never end because others take all room that comes free.
+    void gangBesideLongRunningTasksReservesWhatComesFree()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.join("agent-1", workerMilli);
+        owner.join("agent-2", workerMilli);
+        submitAndCommit(owner, longRunning(submission(1, 2, 100, 13'000)));
+        submitAndCommit(owner, submission(2, 2, 60'000, 15'000));
+        submitAndCommit(owner, gang(submission(3, 2, 100, 18'000)));
+        owner.advanceTimeWithReports(starvationTimeout + 1s);
+        submitAndCommit(owner, submission(4, 2, 400, 15'000));
+        for (const std::string agent : {"agent-1", "agent-2"}) {
+            for (const RunRef &run : owner.orderedStarts(agent)) {
+                if (run.task.job == 2) {
+                    owner.reportEnd(agent, run, RunOutcome::Done);
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), startsOf(owner, 3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOf(owner, 4));
+    }
+
+    /// Guards against workers that are reserved for ever, and runs that are stopped, for a task whose room other tasks hold that never end.
+    void longRunningTaskReservesNothingInVain()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", workerMilli);
+        SubmitCall first = longRunning(submission(1, 1));
+        SubmitCall second = longRunning(submission(2, 1));
+        for (SubmitCall *call : {&first, &second}) {
+            call->spec.steps.front().need.memoryMb = 40'000;
+        }
+        submitAndCommit(owner, first);
+        submitAndCommit(owner, second);
+        submitAndCommit(owner, submission(3, 1, 60'000));
+        owner.advanceTimeWithReports(preemptionDelay + 1s);
+        owner.submit(4, bestEffort(4, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOf(owner, 2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsOf(owner, 3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsOf(owner, 4));
+        CPPUNIT_ASSERT(owner.orderedStops("agent-1").empty());
+    }
+
+    /// Guards against reserving the room of a whole step of which all tasks but one run already.
+    void longRunningTaskReservesOnlyForItself()
+    {
+        OwnerHarness owner({"agent-1", "agent-2", "agent-3"});
+        for (const std::string agent : {"agent-1", "agent-2", "agent-3"}) {
+            owner.join(agent, 2000);
+        }
+        submitAndCommit(owner, longRunning(submission(1, 3)));
+        submitAndCommit(owner, submission(2, 4, 60'000));
+        // The task must not start again at once where it has failed, so one that waits takes its room.
+        owner.reportEnd("agent-1", owner.orderedStarts("agent-1").at(0), RunOutcome::Failed);
+        owner.advanceTimeWithReports(avoidanceTimeout + 200ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), startsOf(owner, 2));
+        owner.reportEnd("agent-2", owner.orderedStarts("agent-2").back(), RunOutcome::Done);
+        owner.submit(3, bestEffort(3, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsOf(owner, 3));
+    }
+
 private:
     /// Checks that a job isn't refused because jobs like the given one wait, also while the workers are full for a moment if \a whileFull is set.
     static void checkNoBacklog(const SubmitCall &blocked, bool whileFull)
