jobs: a probed worker gets work beside runs that go on

It never gets a task again; jobs that need its kind, accepted with 200 after it was sound again, stay queued for ever while it has 31 of 32 cores free.

Cause: a worker that is probed took a run only while it had none. A task that lasts never ends, so no probe could start and nothing could end the probing. Any other run from before counted as a probe, too, for as long as it ran.

Change: the probe is the latest run that was started since probing began, and is forgotten with that run, however it ends (done, failed, stopped, cancelled, lost with its link or its worker). Runs from before keep no probe out. A probe that lasts keeps others out for probeTimeout, 2 s.

--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -30,7 +30,8 @@
     if (now - agent.tokenAt > agentSilenceTimeout || now < agent.health.suspendedUntil) {
         return false;
     }
-    return !agent.health.probing || agent.runs.empty();
+    const std::optional<Base::MonoTime> due = probeDue(agent.health);
+    return !due || now >= *due;
 }
 
 bool hasCapacityFor(const Agent &agent, const Resources &need)
@@ -55,9 +56,25 @@
     }
     agent.used -= found->second.need;
     agent.runs.erase(found);
+    if (agent.health.probe == run) {
+        agent.health.probe.reset();
+    }
     return true;
 }
 
+void beginProbe(WorkerHealth &health, const RunRef &run, Base::MonoTime now)
+{
+    if (health.probing) {
+        health.probe = run;
+        health.probeAt = now;
+    }
+}
+
+std::optional<Base::MonoTime> probeDue(const WorkerHealth &health)
+{
+    return health.probing && health.probe ? std::optional(health.probeAt + probeTimeout) : std::nullopt;
+}
+
 void updateNeed(Agent &agent, const RunRef &run, const Resources &need)
 {
     const auto found = agent.runs.find(run);
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -31,7 +31,9 @@
     JobId lastFailedJob = 0;
     Base::MonoTime suspendedUntil{};
     Base::Duration suspension{};
-    bool probing = false; ///< The worker gets one run at a time until one is done.
+    bool probing = false; ///< The worker gets one run at a time, the probe, until a run is done there.
+    std::optional<RunRef> probe = {}; ///< Latest run that has started since probing began; not set if it has ended.
+    Base::MonoTime probeAt = {}; ///< When the probe started.
 };
 
 struct Agent {
@@ -72,6 +74,12 @@
 /// Adds a run unless it is known. \a orders is the number of the orders with its start, or 0 for a run that the agent listed. Returns whether it was added.
 bool addRun(Agent &agent, const RunRef &run, const Resources &need, std::uint64_t orders, Base::MonoTime since);
 
+/// Makes the run, which starts now, the probe of a worker that needs one.
+void beginProbe(WorkerHealth &health, const RunRef &run, Base::MonoTime now);
+
+/// Returns when the worker may get another run although its probe still runs; null if it doesn't wait for a probe.
+std::optional<Base::MonoTime> probeDue(const WorkerHealth &health);
+
 /// Replaces the need of a known run, as a restarted agent may not have reported it.
 void updateNeed(Agent &agent, const RunRef &run, const Resources &need);
 
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -108,5 +108,6 @@
 constexpr std::uint32_t suspensionThreshold = 4; ///< Summed weight of consecutive failures of different jobs at which the worker is suspended.
 constexpr Base::Duration suspensionInitial = 1s;
 constexpr Base::Duration suspensionMax = 8s;
+constexpr Base::Duration probeTimeout = 2s; ///< A worker gets another run if its probe takes longer, as that may run for hours.
 
 } // namespace LaburnumFlow::Jobs
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -72,6 +72,7 @@
     task.run = static_cast<std::uint32_t>((state.epoch - 1) * runsPerEpoch) + starts;
     const RunRef run{taskRef(job, flat), task.run};
     addRunOfTask(state, agent, run, stepSpecOfTask(job, flat).need, agent.ordersSent + 1);
+    beginProbe(agent.health, run, state.now);
     addToOrders(state, index, job, run);
     markStarted(state, job);
     logDecision(
@@ -315,6 +316,20 @@
     return hasRoom;
 }
 
+/// Requests another round for the time at which workers may get a run although their probe still runs.
+void awaitProbes(OwnerState &state)
+{
+    if (state.ready.empty()) {
+        return;
+    }
+    for (const Agent &agent : state.agents) {
+        const std::optional<Base::MonoTime> due = probeDue(agent.health);
+        if (due && *due > state.now) {
+            requestRescheduleAt(state, *due);
+        }
+    }
+}
+
 /// Returns the first step of each placement group.
 std::set<GroupHead> firstSteps(const OwnerState &state)
 {
@@ -367,6 +382,7 @@
     }
     Round round{context, largestFreeMilli(state), {}};
     placeSteps(round);
+    awaitProbes(state);
     dropEmptyGroups(state);
     askAdvice(context, round.stepsNeedingAdvice);
     state.schedulingDue = false;
