jobs: a gang that lasts restarts whole, however a member ends

With another member than the first refused, the owner answered 429 to all later submissions of the service.

Cause: the end of a member of a step that lasts made this member ready by itself, as if it were no gang, while the refused one was blocked. If the first member was ready, the whole gang was placed, also members that were not ready, and the count of ready tasks went below 0; the wrapped count was the backlog of all later submissions. A gang that lasts did not preempt either, so long tasks kept it down.

Change: an end of a member of a gang that lasts stops the other members, and all start again together, after the delay that quick ends ask for. A gang is placed only if all of its members are ready. It preempts like other steps that last; preemption makes room for all tasks that are planned on a worker, of memory and GPUs, too.

--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -228,9 +228,14 @@
         avoidAgent(context.state, task, index);
     }
     delayRestartAfterQuickEnd(context.state, task, end);
-    if (task.phase == Task::Phase::Active) {
-        releaseTask(context, job, task);
+    if (task.phase != Task::Phase::Active) {
+        return;
     }
+    if (stepSpecOfTask(job, flatIndex(job, end.run.task)).gang) {
+        handleGangMemberLost(context, job, end.run.task);
+        return;
+    }
+    releaseTask(context, job, task);
 }
 
 } // namespace
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -5,7 +5,7 @@
 #include "waitingsteps.h"
 
 #include <algorithm>
-#include <limits>
+#include <map>
 #include <set>
 #include <span>
 #include <tuple>
@@ -133,55 +133,22 @@
     return !spec.sameRack || hasWaited(round, job.steps[step], saving) || !fitsOnOneRack(round.context.state, job, step);
 }
 
-void placeGang(Round &round, Job &job, StepIndex step)
-{
-    const std::uint32_t first = job.firstTask[step];
-    if (job.tasks[first].phase != Task::Phase::Ready) {
-        return;
-    }
-    for (std::uint32_t flat = first; flat < job.firstTask[step + 1U]; ++flat) {
-        if (hasFormerRun(round.context.state, job, flat) || mayHaveRecordedEnd(round.context.state, job, flat)) {
-            return;
-        }
-    }
-    std::vector<AgentIndex> agents;
-    if (stepSpec(job, step).need.cpuMilli <= round.largestFreeMilli) {
-        agents = chooseGangWorkers(round.context.state, job, step, maySplitRacks(round, job, step), round.reservedWorkers);
-    }
-    if (agents.empty()) {
-        for (std::uint32_t flat = first; flat < job.firstTask[step + 1U]; ++flat) {
-            awaitEndOfAvoidance(round, job.tasks[flat]);
-        }
-        if (hasWaited(round, job.steps[step], reservationDelay)) {
-            reserveWorkers(round, workersToReserve(round.context.state, job, step));
-        }
-        return;
-    }
-    const auto members = std::span(job.tasks).subspan(first, agents.size());
-    const auto hasFewerStarts = [](const Task &left, const Task &right) { return left.starts < right.starts; };
-    const auto starts = static_cast<std::uint16_t>(std::max_element(members.begin(), members.end(), hasFewerStarts)->starts + 1);
-    for (std::uint32_t member = 0; member < agents.size(); ++member) {
-        start(round, job, first + member, agents[member], starts);
-    }
-}
-
-/// Stops runs on the worker until the task has enough capacity there, those first whose stop loses the least work.
-void preempt(Round &round, const Job &job, StepIndex step, AgentIndex index)
+/// Stops runs on the worker until there is room for \a need, those first whose stop loses the least work.
+void preempt(Round &round, const Job &job, const Resources &need, AgentIndex index)
 {
     OwnerState &state = round.context.state;
     Agent &agent = state.agents[index];
-    const StepSpec &spec = stepSpec(job, step);
     struct Victim {
         bool losesWork = false; ///< The run saves no checkpoints.
         Base::MonoTime since{};
         RunRef run;
     };
     std::vector<Victim> victims;
-    std::int64_t missing = static_cast<std::int64_t>(agent.used.cpuMilli) + spec.need.cpuMilli - agent.worker->capacity.cpuMilli;
+    Resources used = agent.used;
     for (const auto &[ref, run] : agent.runs) {
         const Job *other = findJob(state, ref.task.job);
         if (run.stopping || other == nullptr) {
-            missing -= run.need.cpuMilli;
+            used -= run.need;
         } else if (!other->spec.steps[ref.task.step].longRunning) {
             victims.push_back({!other->spec.steps[ref.task.step].checkpointing, run.since, ref});
         }
@@ -191,16 +158,16 @@
         return std::tie(left.losesWork, right.since, left.run) < std::tie(right.losesWork, left.since, right.run);
     });
     for (const Victim &victim : victims) {
-        if (missing <= 0) {
+        if (isWithin(used + need, agent.worker->capacity)) {
             return;
         }
-        missing -= agent.runs.at(victim.run).need.cpuMilli;
+        used -= agent.runs.at(victim.run).need;
         logDecision(round.context, "task.preempted", {{"run", formatRun(victim.run)}, {"agent", agent.name}, {"for", formatId(job.id)}});
         orderStop(agent, victim.run);
     }
 }
 
-/// Reserves workers for the unplaced tasks of a long-running step and, after a delay, preempts other work there.
+/// Reserves workers for the ready tasks of a long-running step and, after a delay, preempts other work there.
 void reserveAndPreempt(Round &round, Job &job, StepIndex step)
 {
     const std::vector<AgentIndex> agents = workersToReserve(round.context.state, job, step);
@@ -208,12 +175,12 @@
     if (!hasWaited(round, job.steps[step], preemptionDelay)) {
         return;
     }
-    std::uint32_t unplacedTasks = 0;
-    for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U]; ++flat) {
-        unplacedTasks += job.tasks[flat].phase == Task::Phase::Ready ? 1 : 0;
+    std::map<AgentIndex, Resources> needs;
+    for (const AgentIndex index : agents) {
+        needs[index] += stepSpec(job, step).need;
     }
-    for (std::uint32_t i = 0; i < std::min<std::size_t>(unplacedTasks, agents.size()); ++i) {
-        preempt(round, job, step, agents[i]);
+    for (const auto &[index, need] : needs) {
+        preempt(round, job, need, index);
     }
 }
 
@@ -235,6 +202,52 @@
     return isRestartDelayed(round, job.tasks[flat]) || hasFormerRun(state, job, flat) || mayHaveRecordedEnd(state, job, flat);
 }
 
+/// Returns whether all members of the gang may start.
+bool isGangReady(Round &round, const Job &job, StepIndex step)
+{
+    for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U]; ++flat) {
+        if (job.tasks[flat].phase != Task::Phase::Ready || mustWait(round, job, flat)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// Reserves workers for a gang that has found none.
+void reserveForGang(Round &round, Job &job, StepIndex step)
+{
+    for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U]; ++flat) {
+        awaitEndOfAvoidance(round, job.tasks[flat]);
+    }
+    if (stepSpec(job, step).longRunning) {
+        reserveAndPreempt(round, job, step);
+    } else if (hasWaited(round, job.steps[step], reservationDelay)) {
+        reserveWorkers(round, workersToReserve(round.context.state, job, step));
+    }
+}
+
+void placeGang(Round &round, Job &job, StepIndex step)
+{
+    if (!isGangReady(round, job, step)) {
+        return;
+    }
+    std::vector<AgentIndex> agents;
+    if (stepSpec(job, step).need.cpuMilli <= round.largestFreeMilli) {
+        agents = chooseGangWorkers(round.context.state, job, step, maySplitRacks(round, job, step), round.reservedWorkers);
+    }
+    if (agents.empty()) {
+        reserveForGang(round, job, step);
+        return;
+    }
+    const std::uint32_t first = job.firstTask[step];
+    const auto members = std::span(job.tasks).subspan(first, agents.size());
+    const auto hasFewerStarts = [](const Task &left, const Task &right) { return left.starts < right.starts; };
+    const auto starts = static_cast<std::uint16_t>(std::max_element(members.begin(), members.end(), hasFewerStarts)->starts + 1);
+    for (std::uint32_t member = 0; member < agents.size(); ++member) {
+        start(round, job, first + member, agents[member], starts);
+    }
+}
+
 /// Places the ready tasks of the step one by one. Returns whether workers may have room for another step of its group.
 bool placeTasksSingly(Round &round, Job &job, GroupHead &head)
 {
