jobs: a round follows when a job that waits leaves the queue

What callers saw: jobs that wait only because room is reserved for a gang go on waiting after the gang was cancelled, until another job comes or ends; on an idle service for ever.

Cause: a reservation exists for one scheduling round and is made anew by the next. A job that left the queue outside a round (cancelled, given up, abandoned, adopted) asked for no round.

Change: leaving the queue asks for a round if other jobs wait.

--- a/src/libs/jobs/waitingsteps.cpp
+++ b/src/libs/jobs/waitingsteps.cpp
@@ -61,6 +61,8 @@
     }
     state.ready.erase(*job.queuedAt);
     job.queuedAt.reset();
+    // Room may have been reserved for the job.
+    state.schedulingDue |= !state.ready.empty();
 }
 
 void dropEmptyGroups(OwnerState &state)
--- a/tests/auto/jobs/tst_waiting.cpp
+++ b/tests/auto/jobs/tst_waiting.cpp
@@ -106,6 +106,7 @@
     CPPUNIT_TEST(longRunningGangRestartsHoweverAMemberEnds);
     CPPUNIT_TEST(longRunningGangIsDelayedAfterQuickEnds);
     CPPUNIT_TEST(longRunningGangPreemptsOtherWork);
+    CPPUNIT_TEST(cancelledGangLetsOthersStartAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -511,6 +512,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), startsOf(owner, 2));
     }
 
+    /// Guards against jobs that go on waiting for workers which were reserved for a gang that has been cancelled since, until something else happens.
+    void cancelledGangLetsOthersStartAtOnce()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", workerMilli);
+        submitAndCommit(owner, submission(1, 1, 60'000, 20'000));
+        submitAndCommit(owner, gang(submission(2, 2, 100, 15'000)));
+        owner.advanceTimeWithReports(starvationTimeout + 1s);
+        submitAndCommit(owner, submission(3, 1, 120'000));
+        owner.advanceTimeWithReports(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startsOf(owner, 3));
+        owner.feed(CallArrived{9, CancelCall{2}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsOf(owner, 3));
+    }
+
 private:
     /// Lets an agent refuse the start of the member with this index.
     static void refuseMember(OwnerHarness &owner, std::uint32_t index)
