jobs: steps take turns at the advice service

What callers saw: accepted jobs of a queue with advice never start, with free workers, while the calls for an older job fail, or while older jobs' tickets expire before they find room.

Cause: one call is open at a time, and it was always for the first step in the queue that had workers without a valid decision. A step whose calls fail, or whose tickets expire faster than calls are answered, stays the first.

Change: steps for which there was no call come first, in the order of the queue, then the one whose last call is longest ago.

--- a/src/libs/jobs/owneradvice.cpp
+++ b/src/libs/jobs/owneradvice.cpp
@@ -39,15 +39,27 @@
     }
     const AdviceRules &rules = *job.rules.advice;
     call.timeout = std::chrono::milliseconds(rules.decideMs) + agents.size() * std::chrono::milliseconds(rules.eachMs) + adviceTimeoutSlack;
+    state.adviceAskedLast[pending.step] = pending.number;
     state.pendingAdvice = std::move(pending);
     logDecision(
         context, "advice.asked", {{"id", formatId(job.id)}, {"step", std::to_string(call.step.step)}, {"workers", std::to_string(call.workers.size())}});
     context.effects.push_back(std::move(call));
 }
 
+/// Sorts the steps for which there was no call yet first, then those for which the last call is longest ago. A step for which calls fail, or whose tickets
+/// expire before it finds room, must not keep the service from deciding on the others.
+void sortByLastCall(const OwnerState &state, std::vector<AdvisedStep> &steps)
+{
+    const auto lastCall = [&state](const AdvisedStep &step) {
+        const auto found = state.adviceAskedLast.find(step);
+        return found == state.adviceAskedLast.end() ? 0 : found->second;
+    };
+    std::stable_sort(steps.begin(), steps.end(), [&lastCall](const AdvisedStep &left, const AdvisedStep &right) { return lastCall(left) < lastCall(right); });
+}
+
 } // namespace
 
-void askAdvice(Context &context, const std::vector<AdvisedStep> &steps)
+void askAdvice(Context &context, std::vector<AdvisedStep> steps)
 {
     OwnerState &state = context.state;
     if (state.pendingAdvice || steps.empty()) {
@@ -57,6 +69,7 @@
         requestRescheduleAt(state, state.adviceNotBefore);
         return;
     }
+    sortByLastCall(state, steps);
     for (const auto &[id, step] : steps) {
         const Job *job = findJob(state, id);
         if (job == nullptr || job->finishing || !job->rules.advice) {
@@ -108,8 +121,11 @@
 
 void dropAdvice(OwnerState &state, JobId job)
 {
+    const auto ofOtherJob = [job](const auto &entry) { return entry.first.first != job; };
     const auto first = state.advice.lower_bound({job, 0});
-    state.advice.erase(first, std::find_if(first, state.advice.end(), [job](const auto &entry) { return entry.first.first != job; }));
+    state.advice.erase(first, std::find_if(first, state.advice.end(), ofOtherJob));
+    const auto firstCall = state.adviceAskedLast.lower_bound({job, 0});
+    state.adviceAskedLast.erase(firstCall, std::find_if(firstCall, state.adviceAskedLast.end(), ofOtherJob));
 }
 
 } // namespace LaburnumFlow::Jobs::Internal
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -397,7 +397,7 @@
     placeSteps(round);
     awaitProbes(state);
     dropEmptyGroups(state);
-    askAdvice(context, round.stepsNeedingAdvice);
+    askAdvice(context, std::move(round.stepsNeedingAdvice));
     state.schedulingDue = false;
 }
 
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -227,6 +227,7 @@
     std::unordered_map<std::string, QueueRules> rules; ///< By queue.
     std::uint64_t rulesVersion = 0;
     std::map<AdvisedStep, std::map<AgentIndex, WorkerAdvice>> advice;
+    std::map<AdvisedStep, std::uint64_t> adviceAskedLast; ///< Number of the last call for each step.
     std::optional<PendingAdvice> pendingAdvice; ///< At most one, as the service handles the calls of a process one after the other.
     std::uint64_t adviceCalls = 0;
     Base::MonoTime adviceNotBefore{}; ///< No call before then, as an earlier one failed.
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -196,8 +196,9 @@
 
 // Advice on workers.
 
-/// Asks the advice service about workers for the first of the steps that has suitable workers without a valid decision.
-void askAdvice(Context &context, const std::vector<AdvisedStep> &steps);
+/// Asks the advice service about workers for one of the steps that have suitable workers without a valid decision. \a steps are in the order of the queue; the
+/// steps take turns.
+void askAdvice(Context &context, std::vector<AdvisedStep> steps);
 
 void handleAdvice(Context &context, const AdviceGiven &given);
 
--- a/tests/auto/jobs/tst_waiting.cpp
+++ b/tests/auto/jobs/tst_waiting.cpp
@@ -61,6 +61,12 @@
     return call;
 }
 
+SubmitCall advised(SubmitCall call)
+{
+    call.rules.advice = AdviceRules{20, 5, 3000};
+    return call;
+}
+
 std::size_t startsOf(const OwnerHarness &owner, JobId job)
 {
     std::size_t count = 0;
@@ -107,6 +113,8 @@
     CPPUNIT_TEST(longRunningGangIsDelayedAfterQuickEnds);
     CPPUNIT_TEST(longRunningGangPreemptsOtherWork);
     CPPUNIT_TEST(cancelledGangLetsOthersStartAtOnce);
+    CPPUNIT_TEST(stepWhoseCallsFailLetsOthersBeAskedAbout);
+    CPPUNIT_TEST(stepWithoutRoomLetsOthersBeAskedAbout);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -144,9 +152,7 @@
     /// Guards against the same with jobs that the advice service allows on no worker.
     void jobsWithoutTicketsLetOthersStart()
     {
-        SubmitCall blocked = submission(0, 1);
-        blocked.rules.advice = AdviceRules{20, 5, 3000};
-        checkOthersStart(blocked);
+        checkOthersStart(advised(submission(0, 1)));
     }
 
     /// Guards against jobs that are left out for good because others of their kind found no worker.
@@ -224,9 +230,7 @@
         OwnerHarness owner({"agent-1", "agent-2"});
         owner.join("agent-1", workerMilli);
         owner.join("agent-2", workerMilli);
-        SubmitCall call = submission(1, 1);
-        call.rules.advice = AdviceRules{20, 5, 3000};
-        owner.submit(1, call);
+        owner.submit(1, advised(submission(1, 1)));
         owner.commit();
         owner.feed(AdviceGiven{owner.adviceRequests.back().number, true, {{"worker-agent-2", "ticket"}}, std::nullopt});
         owner.reportEnd("agent-2", owner.orderedStarts("agent-2").at(0), RunOutcome::Failed);
@@ -527,6 +531,41 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsOf(owner, 3));
     }
 
+    /// Guards against an advice service that is asked about one step again and again while its calls for that step fail.
+    void stepWhoseCallsFailLetsOthersBeAskedAbout()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", workerMilli);
+        submitAndCommit(owner, advised(submission(1, 1)));
+        submitAndCommit(owner, advised(submission(2, 1)));
+        for (int i = 0; i < 5; ++i) {
+            const AskAdvice asked = owner.adviceRequests.back();
+            const bool answered = asked.step.job == 2;
+            owner.feed(AdviceGiven{asked.number, answered, {{"worker-agent-1", "ticket"}}, std::nullopt});
+            owner.advanceTimeWithReports(adviceRetryDelayMax);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsOf(owner, 2));
+    }
+
+    /// Guards against the same with steps whose tickets expire before they find room.
+    void stepWithoutRoomLetsOthersBeAskedAbout()
+    {
+        constexpr auto answerTime = 40ms;
+        constexpr std::uint32_t validMs = 350;
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", workerMilli);
+        submitAndCommit(owner, submission(1, 1, 60'000, 2000));
+        for (const JobId job : {JobId(2), JobId(3)}) {
+            submitAndCommit(owner, advised(submission(job, 1, 100, workerMilli - 1000)));
+        }
+        submitAndCommit(owner, advised(submission(4, 1)));
+        for (int i = 0; i < 6; ++i) {
+            owner.feed(AdviceGiven{owner.adviceRequests.back().number, true, {{"worker-agent-1", "ticket"}}, validMs});
+            owner.advanceTime(answerTime);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsOf(owner, 4));
+    }
+
 private:
     /// Lets an agent refuse the start of the member with this index.
     static void refuseMember(OwnerHarness &owner, std::uint32_t index)
