jobs: a job waits 2 s at most for a faster worker or for one rack

What callers saw: a long job stays queued for many seconds, with all workers idle, because its data is on a rack without workers or only slower ones are free; a gang waits for half of its run time for one rack.

Cause: a queued job leaves workers alone on which it would miss its objective, until it can't be in time any more; for a job of 60 s that is 9 s and more. A gang that runs fastest on one rack waited for as long as that saves. Neither looked at how long the wait is.

Change: both waits end after maxPlacementWait, 2 s, and a round is scheduled for that. Jobs of a second or less wait as before.

Tests: TestWaiting 34 of 34, TestGangs 16 of 16, TestLoad 15 of 15.

--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -83,6 +83,7 @@
 constexpr std::uint32_t defaultEstimateMs = 200; ///< Run time of a task whose caller gave no estimate.
 
 constexpr double defaultRemoteFactor = 1.5; ///< Slowdown of a task that runs away from the rack of its data or of the other tasks of its step.
+constexpr Base::Duration maxPlacementWait = 2s; ///< A job waits no longer for a faster worker, or for one rack, while slower workers have room.
 constexpr Base::Duration reservationDelay
     = 300ms; ///< Workers are reserved for a gang that waits for longer, as smaller tasks would otherwise always take them.
 constexpr Base::Duration preemptionDelay = 1500ms; ///< A long-running task that waits for longer preempts other work.
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -116,6 +116,16 @@
     }
 }
 
+/// Requests another round for the time from which the job may start on workers that are too slow for it to end in time.
+void awaitSlowerWorkers(Round &round, const Job &job)
+{
+    OwnerState &state = round.context.state;
+    const Base::MonoTime due = job.arrivedAt + maxPlacementWait;
+    if (job.state == JobState::Queued && state.now < due) {
+        requestRescheduleAt(state, due);
+    }
+}
+
 void reserveWorkers(Round &round, const std::vector<AgentIndex> &agents)
 {
     round.reservedWorkers.resize(round.context.state.agents.size());
@@ -130,7 +140,8 @@
     const StepSpec &spec = stepSpec(job, step);
     const Base::Duration saving
         = std::chrono::microseconds(static_cast<std::int64_t>((round.context.state.settings.remoteFactor - 1.0) * 1000.0 * effectiveEstimateMs(spec)));
-    return !spec.sameRack || hasWaited(round, job.steps[step], saving) || !fitsOnOneRack(round.context.state, job, step);
+    const Base::Duration wait = std::min<Base::Duration>(saving, maxPlacementWait);
+    return !spec.sameRack || hasWaited(round, job.steps[step], wait) || !fitsOnOneRack(round.context.state, job, step);
 }
 
 /// Stops runs on the worker until there is room for \a need, those first whose stop loses the least work.
@@ -255,6 +266,7 @@
     const StepSpec &spec = stepSpec(job, step);
     const double maxCost = maxCostInTime(round.context.state, job, spec);
     if (maxCost < head.leastCost) {
+        awaitSlowerWorkers(round, job);
         return true;
     }
     bool hasRoom = true;
@@ -274,6 +286,7 @@
             continue;
         }
         awaitEndOfAvoidance(round, job.tasks[flat]);
+        awaitSlowerWorkers(round, job);
         allPlaced = false;
         hasRoom = choice.othersMayFit;
         head.leastCost = choice.leastCost;
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -295,7 +295,9 @@
 
 double maxCostInTime(const OwnerState &state, const Job &job, const StepSpec &step)
 {
-    if (step.need.backgroundMilli > 0 || job.longRunning || job.starved || job.timeliness != Timeliness::InTime || job.state != JobState::Queued) {
+    const bool hasWaited = state.now >= job.arrivedAt + maxPlacementWait;
+    const bool mayBeSlow = job.longRunning || job.starved || job.timeliness != Timeliness::InTime || job.state != JobState::Queued;
+    if (step.need.backgroundMilli > 0 || mayBeSlow || hasWaited) {
         return std::numeric_limits<double>::infinity();
     }
     const auto left = std::chrono::duration<double, std::milli>(job.arrivedAt + job.objective - state.now);
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -26,8 +26,8 @@
 /// Returns whether a worker may run steps with these requirements once it has room for one of their tasks.
 bool isServed(const OwnerState &state, const PlacementRequirements &requirements);
 
-/// Returns the highest cost at which the job still ends in time. It is infinite for a job that has started or is late, and for a background task, as the idle
-/// capacity that it uses changes all the time. A cost is the expected run time relative to that on an idle worker of speed 1 on the rack of the data.
+/// Returns the highest cost at which the job still ends in time. It is infinite for a job that has started, is late or has waited for maxPlacementWait, and for a
+/// background task, as the idle capacity that it uses changes all the time. A cost is the expected run time relative to that on an idle worker of speed 1 on the rack of the data.
 double maxCostInTime(const OwnerState &state, const Job &job, const StepSpec &step);
 
 /// Returns a worker for each task of the step, so that all can start now; empty if the workers can't take all of them.
--- a/tests/auto/jobs/tst_waiting.cpp
+++ b/tests/auto/jobs/tst_waiting.cpp
@@ -115,6 +115,8 @@
     CPPUNIT_TEST(cancelledGangLetsOthersStartAtOnce);
     CPPUNIT_TEST(stepWhoseCallsFailLetsOthersBeAskedAbout);
     CPPUNIT_TEST(stepWithoutRoomLetsOthersBeAskedAbout);
+    CPPUNIT_TEST(longJobDoesNotWaitLongForAFasterWorker);
+    CPPUNIT_TEST(longGangDoesNotWaitLongForOneRack);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -566,6 +568,35 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsOf(owner, 4));
     }
 
+    /// Guards against idle workers while long jobs wait to run near their data, where no worker is left.
+    void longJobDoesNotWaitLongForAFasterWorker()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1", workerMilli);
+        SubmitCall call = submission(1, 1, 60'000);
+        call.spec.steps.front().dataRack = "rack-of-no-worker";
+        owner.state.settings.remoteFactor = 2.0;
+        submitAndCommit(owner, call);
+        owner.advanceTimeWithReports(maxPlacementWait + 100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), startsOf(owner, 1));
+    }
+
+    /// Guards against idle workers while a long gang waits for one rack that long tasks occupy.
+    void longGangDoesNotWaitLongForOneRack()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.joinOnRack("agent-1", "rack-1", 2000);
+        submitAndCommit(owner, submission(1, 1, 60'000));
+        owner.joinOnRack("agent-2", "rack-2", 2000);
+        submitAndCommit(owner, submission(2, 1, 60'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStarts("agent-2").size());
+        SubmitCall call = gang(submission(3, 2, 60'000));
+        call.spec.steps.front().sameRack = true;
+        submitAndCommit(owner, call);
+        owner.advanceTimeWithReports(maxPlacementWait + 100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), startsOf(owner, 3));
+    }
+
 private:
     /// Lets an agent refuse the start of the member with this index.
     static void refuseMember(OwnerHarness &owner, std::uint32_t index)
