jobs: a reservation keeps its room free, not its workers

What callers saw: while a gang waits for long runs to end, no other job starts on the workers that are reserved for it, also a job of 100 ms that would be over a minute before the gang can start, and one that fits beside the gang.

Cause: a reservation took whole workers, from the time it was made until the gang was placed.

Evidence: on the parent commit 3 of the 5 new tests failed (short work: expected 12 starts, actual 0; work beside the gang's room: 2, actual 0; a run that takes 6 s in place of 100 ms: 1, actual 0). longWorkDoesNotDelayAGang and gangStartsBesideWorkThatAlwaysTakesLonger held before, and keep the fix from starving gangs.

Change: reservations.h holds the room that is reserved on each worker and when the runs there are expected to have made it. A task starts there if it leaves the room free for good, or ends before it is needed. Runs that take longer than estimated keep others out for reservationHold in each reservationCycle, 2 s of 3; in the rest a run is expected to take as long again as it has taken.

Tests: TestWaiting 39 of 39; jobs, entrynode, taskagent, nodestatus 42 of 42.

--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -86,6 +86,8 @@
 constexpr Base::Duration maxPlacementWait = 2s; ///< A job waits no longer for a faster worker, or for one rack, while slower workers have room.
 constexpr Base::Duration reservationDelay
     = 300ms; ///< Workers are reserved for a gang that waits for longer, as smaller tasks would otherwise always take them.
+constexpr Base::Duration reservationHold = 2s; ///< Of each reservationCycle: time in which other work is kept out although a run takes longer than estimated.
+constexpr Base::Duration reservationCycle = 3s;
 constexpr Base::Duration preemptionDelay = 1500ms; ///< A long-running task that waits for longer preempts other work.
 constexpr std::uint32_t longRunningRetryAfterS = 10; ///< Capacity for long-running tasks only comes from a cancelled job or new workers, which takes time.
 constexpr Base::Duration longRunningHealthyRunTime = 5s; ///< A long-running task that ends earlier by itself has a quick end.
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -5,6 +5,7 @@
 #include "waitingsteps.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <set>
 #include <span>
@@ -18,7 +19,7 @@
 struct Round {
     Context &context;
     std::uint32_t largestFreeMilli = 0; ///< Most processor capacity that is free on one worker, in thousandths of a core.
-    ReservedWorkers reservedWorkers;
+    Reservations reservations = {};
     std::vector<AdvisedStep> stepsNeedingAdvice = {}; ///< Steps with unplaced tasks in queues that need advice.
 };
 
@@ -27,6 +28,7 @@
     WaitingStep next;
     const PlacementRequirements *requirements = nullptr;
     double leastCost = 0.0; ///< No worker with room has a lower cost for steps of the group.
+    std::uint32_t leastKeptOutMs = std::numeric_limits<std::uint32_t>::max(); ///< Reservations keep out steps of the group with this estimate.
 
     bool operator<(const GroupHead &other) const
     {
@@ -73,6 +75,7 @@
     const RunRef run{taskRef(job, flat), task.run};
     addRunOfTask(state, agent, run, stepSpecOfTask(job, flat).need, agent.ordersSent + 1);
     beginProbe(agent.health, run, state.now);
+    round.reservations.noteStart(index, stepSpecOfTask(job, flat).need);
     addToOrders(state, index, job, run);
     markStarted(state, job);
     logDecision(
@@ -126,14 +129,6 @@
     }
 }
 
-void reserveWorkers(Round &round, const std::vector<AgentIndex> &agents)
-{
-    round.reservedWorkers.resize(round.context.state.agents.size());
-    for (const AgentIndex index : agents) {
-        round.reservedWorkers[index] = true;
-    }
-}
-
 /// Returns whether the step may be spread over racks. One that runs fastest on one rack waits for that as long as the wait may save time.
 bool maySplitRacks(Round &round, const Job &job, StepIndex step)
 {
@@ -181,8 +176,8 @@
 /// Reserves workers for the ready tasks of a long-running step and, after a delay, preempts other work there.
 void reserveAndPreempt(Round &round, Job &job, StepIndex step)
 {
-    const std::vector<AgentIndex> agents = workersToReserve(round.context.state, job, step);
-    reserveWorkers(round, agents);
+    const std::vector<AgentIndex> agents = workersToReserve(round.context.state, job, step, round.reservations);
+    round.reservations.add(round.context.state, stepSpec(job, step), agents, RoomSource::Preemption);
     if (!hasWaited(round, job.steps[step], preemptionDelay)) {
         return;
     }
@@ -224,6 +219,17 @@
     return true;
 }
 
+/// Returns which runs make room for a gang. Work is kept out for the sake of runs that take longer than estimated only for a time, again and again: they may take
+/// very long, but without that time the gang would never start beside work that always takes longer.
+RoomSource roomSource(Round &round, const StepProgress &progress)
+{
+    OwnerState &state = round.context.state;
+    const Base::Duration intoCycle = (state.now - progress.readySince - reservationDelay) % reservationCycle;
+    const bool holds = intoCycle < reservationHold;
+    requestRescheduleAt(state, state.now - intoCycle + (holds ? reservationHold : reservationCycle));
+    return holds ? RoomSource::Ends : RoomSource::LateEnds;
+}
+
 /// Reserves workers for a gang that has found none.
 void reserveForGang(Round &round, Job &job, StepIndex step)
 {
@@ -233,7 +239,8 @@
     if (stepSpec(job, step).longRunning) {
         reserveAndPreempt(round, job, step);
     } else if (hasWaited(round, job.steps[step], reservationDelay)) {
-        reserveWorkers(round, workersToReserve(round.context.state, job, step));
+        const std::vector<AgentIndex> agents = workersToReserve(round.context.state, job, step, round.reservations);
+        round.reservations.add(round.context.state, stepSpec(job, step), agents, roomSource(round, job.steps[step]));
     }
 }
 
@@ -244,7 +251,7 @@
     }
     std::vector<AgentIndex> agents;
     if (stepSpec(job, step).need.cpuMilli <= round.largestFreeMilli) {
-        agents = chooseGangWorkers(round.context.state, job, step, maySplitRacks(round, job, step), round.reservedWorkers);
+        agents = chooseGangWorkers(round.context.state, job, step, maySplitRacks(round, job, step), round.reservations);
     }
     if (agents.empty()) {
         reserveForGang(round, job, step);
@@ -265,7 +272,8 @@
     const StepIndex step = head.next.step;
     const StepSpec &spec = stepSpec(job, step);
     const double maxCost = maxCostInTime(round.context.state, job, spec);
-    if (maxCost < head.leastCost) {
+    const std::uint32_t estimateMs = effectiveEstimateMs(spec);
+    if (maxCost < head.leastCost || estimateMs >= head.leastKeptOutMs) {
         awaitSlowerWorkers(round, job);
         return true;
     }
@@ -280,7 +288,7 @@
             allPlaced = false;
             continue;
         }
-        const WorkerChoice choice = chooseWorker(round.context.state, job, flat, maxCost, round.reservedWorkers);
+        const WorkerChoice choice = chooseWorker(round.context.state, job, flat, maxCost, round.reservations);
         if (choice.agent != noAgent) {
             start(round, job, flat, choice.agent, static_cast<std::uint16_t>(job.tasks[flat].starts + 1));
             continue;
@@ -288,8 +296,9 @@
         awaitEndOfAvoidance(round, job.tasks[flat]);
         awaitSlowerWorkers(round, job);
         allPlaced = false;
-        hasRoom = choice.othersMayFit;
+        hasRoom = choice.othersMayFit || choice.keptOut;
         head.leastCost = choice.leastCost;
+        head.leastKeptOutMs = choice.keptOut ? std::min(head.leastKeptOutMs, estimateMs) : head.leastKeptOutMs;
     }
     if (spec.longRunning && !allPlaced) {
         reserveAndPreempt(round, job, step);
@@ -406,7 +415,7 @@
     if (!hasAuthority(state)) {
         return;
     }
-    Round round{context, largestFreeMilli(state), {}};
+    Round round{context, largestFreeMilli(state)};
     placeSteps(round);
     awaitProbes(state);
     dropEmptyGroups(state);
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -23,23 +23,17 @@
         agent.runs.begin(), agent.runs.end(), [&](const auto &run) { return run.first.task.job == job.id && findStepIndex(job, run.first.task) == step; }));
 }
 
-/// Returns whether the run goes on until its job is cancelled.
-bool isLongRunning(const OwnerState &state, const RunRef &run, const ActiveRun &active)
-{
-    const auto found = state.jobs.find(run.task.job);
-    return !active.stopping && found != state.jobs.end() && run.task.step < found->second.spec.steps.size()
-           && found->second.spec.steps[run.task.step].longRunning;
-}
-
 /// What a placement in progress counts on the workers: the load there and the tasks that it has assigned to them.
 struct PlannedLoad {
-    std::vector<Resources> used; ///< By agent.
+    std::vector<Resources> used; ///< By agent, with what is assigned.
+    std::vector<Resources> assigned; ///< By agent.
     std::vector<std::uint32_t> tasks; ///< Number of tasks of the step, by agent.
     bool forReservation = false; ///< Only counts runs that don't end by themselves.
 
     void add(AgentIndex index, const Resources &need)
     {
         used[index] += need;
+        assigned[index] += need;
         ++tasks[index];
     }
 };
@@ -47,6 +41,7 @@
 PlannedLoad currentLoad(const OwnerState &state, const Job &job, StepIndex step)
 {
     PlannedLoad load;
+    load.assigned.resize(state.agents.size());
     for (const Agent &agent : state.agents) {
         load.used.push_back(agent.used);
         load.tasks.push_back(stepSpec(job, step).maxPerWorker > 0 ? countRunsOfStep(agent, job, step) : 0);
@@ -54,11 +49,16 @@
     return load;
 }
 
-/// Returns the load that is left once all runs have ended that end by themselves or are being stopped.
-PlannedLoad lastingLoad(const OwnerState &state, const Job &job, StepIndex step)
+/// Returns the load that is left once all runs have ended that end by themselves or are being stopped, and reserved room is taken.
+PlannedLoad lastingLoad(const OwnerState &state, const Job &job, StepIndex step, const Reservations &reservations)
 {
-    PlannedLoad load{std::vector<Resources>(state.agents.size()), std::vector<std::uint32_t>(state.agents.size()), true};
+    PlannedLoad load;
+    load.forReservation = true;
+    load.used.resize(state.agents.size());
+    load.assigned.resize(state.agents.size());
+    load.tasks.resize(state.agents.size());
     for (AgentIndex index = 0; index < state.agents.size(); ++index) {
+        load.used[index] += reservations.room(index);
         for (const auto &[run, active] : state.agents[index].runs) {
             if (!isLongRunning(state, run, active)) {
                 continue;
@@ -214,25 +214,23 @@
 };
 
 /// Returns the worker with the lowest cost for the task on one rack, or on any if \a rack is empty; noAgent if there is none.
-std::pair<AgentIndex, double> cheapestWorker(const OwnerState &state,
-                                             const Job &job,
-                                             std::uint32_t flat,
-                                             std::string_view rack,
-                                             const PlannedLoad &planned,
-                                             const ReservedWorkers &reservedWorkers)
+std::pair<AgentIndex, double>
+cheapestWorker(const OwnerState &state, const Job &job, std::uint32_t flat, std::string_view rack, const PlannedLoad &planned, const Reservations &reservations)
 {
     const StepIndex stepIndex = findStepIndex(job, flat);
     AgentIndex best = noAgent;
     double bestCost = 0.0;
     for (AgentIndex index = 0; index < state.agents.size(); ++index) {
         const Agent &agent = state.agents[index];
-        const bool reserved = index < reservedWorkers.size() && reservedWorkers[index];
-        if (reserved || !acceptsWork(agent, state.now) || (!rack.empty() && agent.worker->rack != rack)) {
+        if (!acceptsWork(agent, state.now) || (!rack.empty() && agent.worker->rack != rack)) {
             continue;
         }
         if (!canPlace(state, job, stepIndex, index, planned) || mustAvoid(state, job, flat, index)) {
             continue;
         }
+        if (!planned.forReservation && !reservations.allow(state, stepSpec(job, stepIndex), index, planned.assigned[index])) {
+            continue;
+        }
         // When workers are chosen for a reservation, those with the lowest load become free first.
         const double cost = planned.forReservation ? relativeLoad(agent) : placementCost(state, stepSpec(job, stepIndex), agent);
         if (best == noAgent || cost < bestCost) {
@@ -245,14 +243,14 @@
 
 /// Finds workers for all ready tasks of the step on one rack, or on any if \a rack is empty.
 GangPlacement
-findGangPlacement(const OwnerState &state, const Job &job, StepIndex step, std::string_view rack, PlannedLoad planned, const ReservedWorkers &reservedWorkers)
+findGangPlacement(const OwnerState &state, const Job &job, StepIndex step, std::string_view rack, PlannedLoad planned, const Reservations &reservations)
 {
     GangPlacement choice;
     for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U]; ++flat) {
         if (job.tasks[flat].phase != Task::Phase::Ready) {
             continue;
         }
-        const auto [agent, cost] = cheapestWorker(state, job, flat, rack, planned, reservedWorkers);
+        const auto [agent, cost] = cheapestWorker(state, job, flat, rack, planned, reservations);
         // Long-running tasks don't wait for each other unless they are a gang.
         if (agent == noAgent && planned.forReservation && !stepSpec(job, step).gang) {
             continue;
@@ -278,12 +276,11 @@
     return racks;
 }
 
-GangPlacement
-bestSingleRackPlacement(const OwnerState &state, const Job &job, StepIndex step, const PlannedLoad &planned, const ReservedWorkers &reservedWorkers)
+GangPlacement bestSingleRackPlacement(const OwnerState &state, const Job &job, StepIndex step, const PlannedLoad &planned, const Reservations &reservations)
 {
     GangPlacement best;
     for (const std::string &rack : racksOfService(state, job.rules.service)) {
-        GangPlacement choice = findGangPlacement(state, job, step, rack, planned, reservedWorkers);
+        GangPlacement choice = findGangPlacement(state, job, step, rack, planned, reservations);
         if (!choice.agents.empty() && (best.agents.empty() || choice.slowest < best.slowest)) {
             best = std::move(choice);
         }
@@ -293,6 +290,19 @@
 
 } // namespace
 
+bool isLongRunning(const OwnerState &state, const RunRef &run, const ActiveRun &active)
+{
+    const auto found = state.jobs.find(run.task.job);
+    return !active.stopping && found != state.jobs.end() && run.task.step < found->second.spec.steps.size()
+           && found->second.spec.steps[run.task.step].longRunning;
+}
+
+Base::Duration expectedRunTime(const OwnerState &state, const StepSpec &step, const Agent &agent)
+{
+    const std::chrono::duration<double, std::milli> expected(placementCost(state, step, agent) * effectiveEstimateMs(step));
+    return std::chrono::duration_cast<Base::Duration>(expected);
+}
+
 double maxCostInTime(const OwnerState &state, const Job &job, const StepSpec &step)
 {
     const bool hasWaited = state.now >= job.arrivedAt + maxPlacementWait;
@@ -304,7 +314,7 @@
     return left.count() / std::max(1U, job.chainMs);
 }
 
-WorkerChoice chooseWorker(const OwnerState &state, const Job &job, std::uint32_t flat, double maxCost, const ReservedWorkers &reservedWorkers)
+WorkerChoice chooseWorker(const OwnerState &state, const Job &job, std::uint32_t flat, double maxCost, const Reservations &reservations)
 {
     const StepIndex stepIndex = findStepIndex(job, flat);
     const StepSpec &step = stepSpec(job, stepIndex);
@@ -312,10 +322,11 @@
     double bestCost = 0.0;
     for (AgentIndex index = 0; index < state.agents.size(); ++index) {
         const Agent &agent = state.agents[index];
-        if (index < reservedWorkers.size() && reservedWorkers[index]) {
+        if (!acceptsWork(agent, state.now) || !canPlace(state, job, stepIndex, index)) {
             continue;
         }
-        if (!acceptsWork(agent, state.now) || !canPlace(state, job, stepIndex, index)) {
+        if (!reservations.allow(state, step, index, {})) {
+            choice.keptOut = true;
             continue;
         }
         const double groupCost = placementCost(state, step, agent);
@@ -331,6 +342,7 @@
             bestCost = cost;
         }
     }
+    choice.keptOut &= !choice.othersMayFit;
     return choice;
 }
 
@@ -352,22 +364,22 @@
     });
 }
 
-std::vector<AgentIndex> chooseGangWorkers(const OwnerState &state, const Job &job, StepIndex step, bool allowsRackSplit, const ReservedWorkers &reservedWorkers)
+std::vector<AgentIndex> chooseGangWorkers(const OwnerState &state, const Job &job, StepIndex step, bool allowsRackSplit, const Reservations &reservations)
 {
     const PlannedLoad planned = currentLoad(state, job, step);
     if (!stepSpec(job, step).sameRack) {
-        return findGangPlacement(state, job, step, {}, planned, reservedWorkers).agents;
+        return findGangPlacement(state, job, step, {}, planned, reservations).agents;
     }
-    GangPlacement onOneRack = bestSingleRackPlacement(state, job, step, planned, reservedWorkers);
+    GangPlacement onOneRack = bestSingleRackPlacement(state, job, step, planned, reservations);
     if (!onOneRack.agents.empty() || !allowsRackSplit) {
         return onOneRack.agents;
     }
-    return findGangPlacement(state, job, step, {}, planned, reservedWorkers).agents;
+    return findGangPlacement(state, job, step, {}, planned, reservations).agents;
 }
 
-std::vector<AgentIndex> workersToReserve(const OwnerState &state, const Job &job, StepIndex step)
+std::vector<AgentIndex> workersToReserve(const OwnerState &state, const Job &job, StepIndex step, const Reservations &reservations)
 {
-    const PlannedLoad planned = lastingLoad(state, job, step);
+    const PlannedLoad planned = lastingLoad(state, job, step, reservations);
     if (stepSpec(job, step).sameRack) {
         GangPlacement onOneRack = bestSingleRackPlacement(state, job, step, planned, {});
         if (!onOneRack.agents.empty()) {
@@ -406,7 +418,7 @@
 
 bool fitsOnOneRack(const OwnerState &state, const Job &job, StepIndex step)
 {
-    return !bestSingleRackPlacement(state, job, step, lastingLoad(state, job, step), {}).agents.empty();
+    return !bestSingleRackPlacement(state, job, step, lastingLoad(state, job, step, {}), {}).agents.empty();
 }
 
 double longRunningFreeMilli(const OwnerState &state, const std::string &service)
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -1,24 +1,23 @@
 #pragma once
 
 #include "ownerstate.h"
+#include "reservations.h"
 
 #include <vector>
 
 namespace LaburnumFlow::Jobs {
 
-/// For each agent, whether its worker is reserved in this scheduling round for a gang or a long-running task that can't be placed yet.
-using ReservedWorkers = std::vector<bool>;
-
 /// The worker for a task, or why there is none.
 struct WorkerChoice {
     AgentIndex agent = noAgent; ///< The worker on which the task is expected to end first; noAgent if none can take it now.
     /// A worker has room for tasks like this one. If none is chosen, this task has failed there or would end too late.
     bool othersMayFit = false;
+    bool keptOut = false; ///< No worker is chosen as all room is reserved until the task would have ended. A shorter one may run there.
     double leastCost = 0.0; ///< If othersMayFit: no worker with room has a lower cost, as for maxCostInTime().
 };
 
 /// Chooses a worker for the task. \a flat is the task's position in Job::tasks. A cost above \a maxCost is too high.
-WorkerChoice chooseWorker(const OwnerState &state, const Job &job, std::uint32_t flat, double maxCost, const ReservedWorkers &reservedWorkers);
+WorkerChoice chooseWorker(const OwnerState &state, const Job &job, std::uint32_t flat, double maxCost, const Reservations &reservations);
 
 /// Returns whether workers have room for tasks of the job now, as far as its first steps are concerned.
 bool hasRoomNow(const OwnerState &state, const Job &job);
@@ -32,12 +31,17 @@
 
 /// Returns a worker for each task of the step, so that all can start now; empty if the workers can't take all of them.
 /// \a allowsRackSplit permits several racks for a step that runs fastest on one.
-std::vector<AgentIndex>
-chooseGangWorkers(const OwnerState &state, const Job &job, StepIndex step, bool allowsRackSplit, const ReservedWorkers &reservedWorkers);
+std::vector<AgentIndex> chooseGangWorkers(const OwnerState &state, const Job &job, StepIndex step, bool allowsRackSplit, const Reservations &reservations);
 
 /// Returns workers that can run all ready tasks of the step once the runs there have ended that end by themselves, preferring those with the lowest load; empty
-/// if there are none. For a long-running step that is no gang, returns workers for as many tasks as possible.
-std::vector<AgentIndex> workersToReserve(const OwnerState &state, const Job &job, StepIndex step);
+/// if there are none. Room that is reserved already is left out of account. For a long-running step that is no gang, returns workers for as many tasks as possible.
+std::vector<AgentIndex> workersToReserve(const OwnerState &state, const Job &job, StepIndex step, const Reservations &reservations);
+
+/// Returns whether the run goes on until its job is cancelled.
+bool isLongRunning(const OwnerState &state, const RunRef &run, const ActiveRun &active);
+
+/// Returns the expected run time of a task of the step on the worker.
+Base::Duration expectedRunTime(const OwnerState &state, const StepSpec &step, const Agent &agent);
 
 /// Returns whether one rack can run all ready tasks of the step once the runs there have ended that end by themselves.
 bool fitsOnOneRack(const OwnerState &state, const Job &job, StepIndex step);
