jobs: long waits are logged with their reason

Nothing in the log or the metrics tells a round that ends early from a job without a worker, without room or held back; it took a trial with another limit to tell.

--- a/src/libs/jobs/admission.cpp
+++ b/src/libs/jobs/admission.cpp
@@ -30,6 +30,17 @@
     return static_cast<double>(job.steps[step].readyTasks) * spec.need.cpuMilli * effectiveEstimateMs(spec);
 }
 
+/// Returns whether the job's turn has come already: whatever waits has no room now, so a job that has needn't wait for it.
+bool canStartNow(const OwnerState &state, const Job &job)
+{
+    for (StepIndex step = 0; step < job.steps.size(); ++step) {
+        if (stepSpec(job, step).after.empty() && hasRoomNow(state, job, step)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /// Estimated work that waits for workers of a service, in thousandths of a core times milliseconds.
 struct Backlog {
     double before = 0.0; ///< Of jobs that go before the one in question.
@@ -108,8 +119,7 @@
     if (job.longRunning) {
         return admitLongRunning(state, job);
     }
-    // Whatever waits has no room now, so the job doesn't wait for it.
-    if (state.ready.empty() || hasRoomNow(state, job)) {
+    if (state.ready.empty() || canStartNow(state, job)) {
         return {};
     }
     const double capacity = capacityMilli(state, job.rules.service);
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -3,6 +3,7 @@
 #include "jobsconstants.h"
 #include "placement.h"
 #include "waitingsteps.h"
+#include "waitreasons.h"
 
 #include <algorithm>
 #include <limits>
@@ -331,6 +332,27 @@
     return true;
 }
 
+/// Logs why tasks of the step have waited for long. The other steps of its group, which wait for the same, are left out.
+void logLongWait(Round &round, Job &job, StepIndex step)
+{
+    const OwnerState &state = round.context.state;
+    StepProgress &progress = job.steps[step];
+    const Base::Duration waited = state.now - progress.readySince;
+    if (progress.readyTasks == 0 || waited < waitLogDelay || state.now - progress.waitLoggedAt < waitLogInterval) {
+        return;
+    }
+    progress.waitLoggedAt = state.now;
+    const auto waitedMs = std::chrono::duration_cast<std::chrono::milliseconds>(waited).count();
+    logDecision(round.context,
+                "job.waits",
+                {{"id", formatId(job.id)},
+                 {"step", std::to_string(step)},
+                 {"tasks", std::to_string(progress.readyTasks)},
+                 {"reason", std::string(toString(waitReason(state, job, step)))},
+                 {"waited_ms", std::to_string(waitedMs)},
+                 {"group", std::to_string(state.waitingSteps.at(placementRequirements(job, step)).size())}});
+}
+
 /// Places ready tasks of the step. Returns whether workers may have room for another step of its group.
 bool placeStep(Round &round, GroupHead &head)
 {
@@ -348,6 +370,7 @@
     } else {
         hasRoom = placeTasksSingly(round, job, head);
     }
+    logLongWait(round, job, step);
     if (job.rules.advice && job.steps[step].readyTasks > 0) {
         round.stepsNeedingAdvice.emplace_back(job.id, step);
     }
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -57,6 +57,7 @@
     Base::MonoTime readySince{}; ///< When tasks of the step last became ready.
     std::uint32_t readyTasks = 0;
     bool waiting = false; ///< It is among OwnerState::waitingSteps.
+    Base::MonoTime waitLoggedAt{}; ///< When a long wait of its tasks was last logged.
 };
 
 /// Whether a job can still end in time if it gets workers now.
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -187,30 +187,6 @@
     return cost * (1.0 + loadWeight * relativeLoad(agent));
 }
 
-/// Returns whether workers have room now for all tasks of a gang, or for one task of another step. Tickets are left out of account.
-bool hasRoomForStep(const OwnerState &state, const Job &job, StepIndex stepIndex)
-{
-    const StepSpec &step = stepSpec(job, stepIndex);
-    const double maxCost = maxCostInTime(state, job, step);
-    std::uint32_t missing = step.gang ? step.count : 1;
-    for (const Agent &agent : state.agents) {
-        if (!acceptsWork(agent, state.now) || !hasCapacityFor(agent, step.need) || !meetsRequirements(*agent.worker, job, step)) {
-            continue;
-        }
-        if (placementCost(state, step, agent) > maxCost) {
-            continue;
-        }
-        Resources planned = step.need;
-        for (std::uint32_t tasks = 0; hasCapacityFor(agent, planned) && (step.maxPerWorker == 0 || tasks < step.maxPerWorker); ++tasks) {
-            if (--missing == 0) {
-                return true;
-            }
-            planned += step.need;
-        }
-    }
-    return false;
-}
-
 struct GangPlacement {
     std::vector<AgentIndex> agents; ///< Empty if the workers can't take all tasks.
     double slowest = 0.0; ///< Cost of the slowest member, which decides when all end.
@@ -349,11 +325,24 @@
     return choice;
 }
 
-bool hasRoomNow(const OwnerState &state, const Job &job)
+bool hasRoomNow(const OwnerState &state, const Job &job, StepIndex stepIndex)
 {
-    for (StepIndex step = 0; step < job.steps.size(); ++step) {
-        if (stepSpec(job, step).after.empty() && hasRoomForStep(state, job, step)) {
-            return true;
+    const StepSpec &step = stepSpec(job, stepIndex);
+    const double maxCost = maxCostInTime(state, job, step);
+    std::uint32_t missing = step.gang ? step.count : 1;
+    for (const Agent &agent : state.agents) {
+        if (!acceptsWork(agent, state.now) || !hasCapacityFor(agent, step.need) || !meetsRequirements(*agent.worker, job, step)) {
+            continue;
+        }
+        if (placementCost(state, step, agent) > maxCost) {
+            continue;
+        }
+        Resources planned = step.need;
+        for (std::uint32_t tasks = 0; hasCapacityFor(agent, planned) && (step.maxPerWorker == 0 || tasks < step.maxPerWorker); ++tasks) {
+            if (--missing == 0) {
+                return true;
+            }
+            planned += step.need;
         }
     }
     return false;
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -19,8 +19,8 @@
 /// Chooses a worker for the task. \a flat is the task's position in Job::tasks. A cost above \a maxCost is too high.
 WorkerChoice chooseWorker(const OwnerState &state, const Job &job, std::uint32_t flat, double maxCost, const Reservations &reservations);
 
-/// Returns whether workers have room for tasks of the job now, as far as its first steps are concerned.
-bool hasRoomNow(const OwnerState &state, const Job &job);
+/// Returns whether workers have room now for all tasks of a gang, or for one task of another step. Tickets and reservations are left out of account.
+bool hasRoomNow(const OwnerState &state, const Job &job, StepIndex step);
 
 /// Returns whether a worker may run steps with these requirements once it has room for one of their tasks.
 bool isServed(const OwnerState &state, const PlacementRequirements &requirements);
--- a/tests/auto/jobs/ownerharness.cpp
+++ b/tests/auto/jobs/ownerharness.cpp
@@ -94,6 +94,8 @@
             isCommitPending_ = true;
         } else if (auto *ask = std::get_if<AskAdvice>(&effect)) {
             adviceRequests.push_back(std::move(*ask));
+        } else if (auto *decision = std::get_if<Decision>(&effect)) {
+            decisions.push_back(std::move(*decision));
         } else if (auto *stepDown = std::get_if<StepDown>(&effect)) {
             steppedDown = *stepDown;
         }
--- a/tests/auto/jobs/ownerharness.h
+++ b/tests/auto/jobs/ownerharness.h
@@ -82,6 +82,7 @@
     std::optional<StepDown> steppedDown;
     std::vector<RunRequirements> runRequirements; ///< As sent to the agents
     std::vector<AskAdvice> adviceRequests;
+    std::vector<Decision> decisions;
     std::map<std::string, std::uint64_t> endsRecorded; ///< Number of the last acknowledged end, by agent
     std::map<std::string, std::uint64_t> endsToLapse; ///< As in the last orders, by agent
     std::map<std::string, std::int64_t> echoes; ///< As in the last orders, by agent
--- a/tests/auto/jobs/tst_waiting.cpp
+++ b/tests/auto/jobs/tst_waiting.cpp
@@ -122,6 +122,7 @@
     CPPUNIT_TEST(longWorkDoesNotDelayAGang);
     CPPUNIT_TEST(runsThatTakeLongerKeepOthersOutForAShortTime);
     CPPUNIT_TEST(gangStartsBesideWorkThatAlwaysTakesLonger);
+    CPPUNIT_TEST(longWaitsAreLoggedWithTheirReason);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -681,6 +682,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), startsOf(owner, 2));
     }
 
+    /// Guards against jobs that wait without a word in the log on what they wait for.
+    void longWaitsAreLoggedWithTheirReason()
+    {
+        SubmitCall tooLarge = submission(0, 1);
+        tooLarge.spec.steps.front().need.memoryMb = 1'000'000;
+        const std::vector<std::pair<std::string, SubmitCall>> cases{
+            {"no-worker", requiring(submission(0, 1), rareLabel)},
+            {"too-large", tooLarge},
+            {"no-ticket", advised(submission(0, 1))},
+            {"no-room", gang(submission(0, 3, 100, 20'000))},
+        };
+        for (const auto &[reason, call] : cases) {
+            OwnerHarness owner({"agent-1", "agent-2"});
+            owner.join("agent-1", workerMilli);
+            owner.join("agent-2", workerMilli);
+            submitBlocked(owner, call);
+            owner.advanceTimeWithReports(waitLogDelay);
+            owner.submit(1, bestEffort(1, 1));
+            const auto logged
+                = std::find_if(owner.decisions.begin(), owner.decisions.end(), [](const Decision &decision) { return decision.event == "job.waits"; });
+            CPPUNIT_ASSERT(logged != owner.decisions.end());
+            CPPUNIT_ASSERT_EQUAL(reason, logged->fields.at(3).second);
+        }
+    }
+
 private:
     /// Lets an agent refuse the start of the member with this index.
     static void refuseMember(OwnerHarness &owner, std::uint32_t index)
