--- a/tests/auto/jobs/waitingmodel.cpp
+++ b/tests/auto/jobs/waitingmodel.cpp
@@ -344,7 +344,7 @@
         running += countRuns(worker, job.id, spec.longRunning ? &spec : nullptr, stepNumber);
     }
     const bool waits = spec.longRunning ? running < spec.count : running == 0;
-    return waits && roomFor(job, spec, stepNumber) >= 2 * (spec.gang ? spec.count : 1U) && isHalfIdle();
+    return waits && roomFor(job, spec, stepNumber) >= 2ULL * (spec.gang ? spec.count : 1U) && isHalfIdle();
 }
 
 void WaitingModel::noteWaiting()
