jobs: a round leaves out jobs for which no worker has room

Callers saw: with many jobs waiting, answers of all classes came late, the shortest jobs first.

Where each job needs another amount of processor, each waiting job is a group of its own, and each round looked at all of them and searched a worker for each that could only run on slow workers. Rounds follow each report, so the owner's cost rose with the backlog.

Change: groups are sorted by the needed processor capacity after all else, and a round takes only those that the worker with most room could take. What a search finds out holds for all larger needs in the round (KnownRoom). Room that is reserved counts for the least cost, so a short job that may use it is no longer left out. Once a second a round looks at all steps, for the log of long waits.

--- a/src/libs/jobs/admission.cpp
+++ b/src/libs/jobs/admission.cpp
@@ -53,7 +53,7 @@
     const QueuePlace place = queuePlace(job);
     Backlog backlog;
     for (const auto &[requirements, steps] : state.waitingSteps) {
-        if (requirements.service != job.rules.service || !isServed(state, requirements)) {
+        if (requirements.worker.service != job.rules.service || !isServed(state, requirements)) {
             continue;
         }
         for (const WaitingStep &waiting : steps) {
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -85,6 +85,7 @@
 constexpr double defaultRemoteFactor = 1.5; ///< Slowdown of a task that runs away from the rack of its data or of the other tasks of its step.
 constexpr Base::Duration maxPlacementWait = 2s; ///< A job waits no longer for a faster worker, or for one rack, while slower workers have room.
 constexpr Base::Duration waitLogDelay = 3s; ///< A step that has waited for longer is logged with the reason.
+constexpr Base::Duration waitCheckInterval = 1s; ///< Between rounds that look at all waiting steps; the others leave out steps for which no worker has room.
 constexpr Base::Duration waitLogInterval = 10s; ///< Time between two such lines for a step.
 constexpr Base::Duration reservationDelay
     = 300ms; ///< Workers are reserved for a gang that waits for longer, as smaller tasks would otherwise always take them.
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -1,11 +1,13 @@
 #include "ownersteps.h"
 
 #include "jobsconstants.h"
+#include "knownroom.h"
 #include "placement.h"
 #include "waitingsteps.h"
 #include "waitreasons.h"
 
 #include <algorithm>
+#include <deque>
 #include <limits>
 #include <map>
 #include <set>
@@ -28,16 +30,17 @@
 /// The next step of a placement group in a round.
 struct GroupHead {
     WaitingStep next;
-    const PlacementRequirements *requirements = nullptr;
-    double leastCost = 0.0; ///< No worker with room has a lower cost for steps of the group.
+    const std::set<WaitingStep> *steps = nullptr; ///< All steps of the group.
+    KnownRoom *knownRoom = nullptr; ///< Shared by the groups with equal worker requirements.
     std::uint32_t leastKeptOutMs = std::numeric_limits<std::uint32_t>::max(); ///< Reservations keep out steps of the group with this estimate.
-
-    bool operator<(const GroupHead &other) const
-    {
-        return next < other.next;
-    }
 };
 
+/// Sorts a heap so that the step that comes first in the queue is at its front.
+bool comesLater(const GroupHead &left, const GroupHead &right)
+{
+    return right.next < left.next;
+}
+
 /// Updates the round's view of the workers. Requests another round for the time at which workers whose probe still runs may get another run.
 void surveyWorkers(Round &round)
 {
@@ -280,7 +283,10 @@
     const StepSpec &spec = stepSpec(job, step);
     const double maxCost = maxCostInTime(round.context.state, job, spec);
     const std::uint32_t estimateMs = effectiveEstimateMs(spec);
-    if (maxCost < head.leastCost || estimateMs >= head.leastKeptOutMs) {
+    if (head.knownRoom->isMissingFor(spec.need)) {
+        return false;
+    }
+    if (maxCost < head.knownRoom->leastCost(spec.need) || estimateMs >= head.leastKeptOutMs) {
         awaitSlowerWorkers(round, job);
         return true;
     }
@@ -295,6 +301,7 @@
             allPlaced = false;
             continue;
         }
+        ++round.context.state.roundCounts.workerSearches;
         const WorkerChoice choice = chooseWorker(round.context.state, job, flat, maxCost, round.reservations);
         if (choice.agent != noAgent) {
             start(round, job, flat, choice.agent, static_cast<std::uint16_t>(job.tasks[flat].starts + 1));
@@ -304,7 +311,11 @@
         awaitSlowerWorkers(round, job);
         allPlaced = false;
         hasRoom = choice.othersMayFit || choice.keptOut;
-        head.leastCost = choice.leastCost;
+        if (hasRoom) {
+            head.knownRoom->noteLeastCost(spec.need, choice.leastCost);
+        } else {
+            head.knownRoom->noteMissing(spec.need);
+        }
         head.leastKeptOutMs = choice.keptOut ? std::min(head.leastKeptOutMs, estimateMs) : head.leastKeptOutMs;
     }
     if (spec.longRunning && !allPlaced) {
@@ -380,15 +391,32 @@
     return hasRoom;
 }
 
-/// Returns the first step of each placement group.
-std::set<GroupHead> firstSteps(const OwnerState &state)
+/// Returns the first steps of the placement groups for which a worker may have room, as a heap. The groups of steps that may reserve room are among them in any
+/// case, and all others if \a all is set. \a knownRoom keeps what the round learns of the workers.
+std::vector<GroupHead> firstSteps(const Round &round, bool all, std::deque<KnownRoom> &knownRoom)
 {
-    std::set<GroupHead> heads;
-    for (const auto &[requirements, steps] : state.waitingSteps) {
-        if (!steps.empty()) {
-            heads.insert({*steps.begin(), &requirements});
+    const auto &groups = round.context.state.waitingSteps;
+    std::vector<GroupHead> heads;
+    const WorkerRequirements *known = nullptr;
+    for (auto group = groups.begin(); group != groups.end();) {
+        const PlacementRequirements &requirements = group->first;
+        const bool reserves = requirements.worker.onlyStep.has_value();
+        if (!all && !reserves && requirements.need.cpuMilli > round.largestFreeMilli) {
+            // The groups that follow with equal worker requirements need even more.
+            constexpr std::uint32_t most = std::numeric_limits<std::uint32_t>::max();
+            group = groups.upper_bound({requirements.worker, {most, most, most, most}});
+            continue;
+        }
+        if (known == nullptr || *known != requirements.worker) {
+            known = &requirements.worker;
+            knownRoom.emplace_back();
+        }
+        if (!group->second.empty()) {
+            heads.push_back({*group->second.begin(), &group->second, &knownRoom.back()});
         }
+        ++group;
     }
+    std::make_heap(heads.begin(), heads.end(), comesLater);
     return heads;
 }
 
@@ -396,19 +424,23 @@
 /// many of them. They don't keep other groups from starting.
 void placeSteps(Round &round)
 {
-    const OwnerState &state = round.context.state;
-    std::set<GroupHead> heads = firstSteps(state);
+    OwnerState &state = round.context.state;
+    const bool all = state.now - state.waitsCheckedAt >= waitCheckInterval;
+    state.waitsCheckedAt = all ? state.now : state.waitsCheckedAt;
+    std::deque<KnownRoom> knownRoom;
+    std::vector<GroupHead> heads = firstSteps(round, all, knownRoom);
     while (!heads.empty()) {
-        GroupHead head = heads.extract(heads.begin()).value();
-        if (!placeStep(round, head)) {
+        std::pop_heap(heads.begin(), heads.end(), comesLater);
+        GroupHead &head = heads.back();
+        ++state.roundCounts.steps;
+        const bool mayHaveRoom = placeStep(round, head);
+        const auto next = mayHaveRoom ? head.steps->upper_bound(head.next) : head.steps->end();
+        if (next == head.steps->end()) {
+            heads.pop_back();
             continue;
         }
-        const std::set<WaitingStep> &steps = state.waitingSteps.at(*head.requirements);
-        const auto next = steps.upper_bound(head.next);
-        if (next != steps.end()) {
-            head.next = *next;
-            heads.insert(head);
-        }
+        head.next = *next;
+        std::push_heap(heads.begin(), heads.end(), comesLater);
     }
 }
 
@@ -431,6 +463,7 @@
         return;
     }
     Round round{context};
+    ++state.roundCounts.rounds;
     surveyWorkers(round);
     placeSteps(round);
     dropEmptyGroups(state);
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -122,14 +122,21 @@
                            : QueuePlace{job.timeliness, job.rules.priority, job.arrivedAt + job.objective, job.id};
 }
 
-/// All that decides which workers may run a step, except for the limits of single tasks. If no worker has room for one of two steps with equal requirements,
-/// none has room for the other.
-struct PlacementRequirements {
+/// What makes a worker suitable for a step, however much room it has.
+struct WorkerRequirements {
     std::string service;
     std::string requiredLabel; ///< As in StepSpec.
     std::string dataRack; ///< As in StepSpec.
-    Resources need;
-    std::optional<std::pair<JobId, StepIndex>> onlyStep; ///< Set if they depend on the step's own tasks, tickets or reservations.
+    std::optional<std::pair<JobId, StepIndex>> onlyStep; ///< Set if it depends on the step's own tasks, tickets or reservations.
+
+    auto operator<=>(const WorkerRequirements &) const = default;
+};
+
+/// All that decides which workers may run a step, except for the limits of single tasks. If no worker has room for one of two steps with equal requirements,
+/// none has room for the other.
+struct PlacementRequirements {
+    WorkerRequirements worker;
+    Resources need; ///< Compared last, so that the groups with equal worker requirements follow each other by the processor capacity that they need.
 
     auto operator<=>(const PlacementRequirements &) const = default;
 };
@@ -178,6 +185,13 @@
     Base::MonoTime askedAt{};
 };
 
+/// How much work the scheduling rounds have done, for metrics and for tests of their cost.
+struct RoundCounts {
+    std::uint64_t rounds = 0;
+    std::uint64_t steps = 0; ///< Waiting steps that were looked at.
+    std::uint64_t workerSearches = 0; ///< Searches of a worker for a task, each over all agents.
+};
+
 /// The state of the owner's reducer.
 struct OwnerState {
     OwnerSettings settings;
@@ -236,6 +250,8 @@
     std::vector<Base::Endpoint> entries;
     std::unordered_map<std::string, Demand> demands; ///< By service.
     bool schedulingDue = false;
+    RoundCounts roundCounts;
+    Base::MonoTime waitsCheckedAt{}; ///< When a round last looked at all waiting steps, to log long waits.
     std::optional<Base::MonoTime> rescheduleAt; ///< When the next scheduling round is due although nothing else happens.
     std::unordered_map<std::string, std::uint32_t> unstarted; ///< By queue: number of accepted jobs of which no task has started.
 };
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -304,12 +304,12 @@
         if (!acceptsWork(agent, state.now) || !canPlace(state, job, stepIndex, index)) {
             continue;
         }
+        const double groupCost = placementCost(state, step, agent);
+        choice.leastCost = choice.othersMayFit || choice.keptOut ? std::min(choice.leastCost, groupCost) : groupCost;
         if (!reservations.allow(state, step, index, {})) {
             choice.keptOut = true;
             continue;
         }
-        const double groupCost = placementCost(state, step, agent);
-        choice.leastCost = choice.othersMayFit ? std::min(choice.leastCost, groupCost) : groupCost;
         choice.othersMayFit = true;
         const bool otherRack = step.sameRack && hasTasksOnOtherRack(state, job, stepIndex, agent.worker->rack);
         const double cost = groupCost * (otherRack ? state.settings.remoteFactor : 1.0);
@@ -351,7 +351,7 @@
 bool isServed(const OwnerState &state, const PlacementRequirements &requirements)
 {
     return std::any_of(state.agents.begin(), state.agents.end(), [&](const Agent &agent) {
-        return acceptsWork(agent, state.now) && agent.worker->service == requirements.service && hasLabel(*agent.worker, requirements.requiredLabel)
+        return acceptsWork(agent, state.now) && agent.worker->service == requirements.worker.service && hasLabel(*agent.worker, requirements.worker.requiredLabel)
                && isWithin(requirements.need, agent.worker->capacity);
     });
 }
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -13,7 +13,7 @@
     /// A worker has room for tasks like this one. If none is chosen, this task has failed there or would end too late.
     bool othersMayFit = false;
     bool keptOut = false; ///< No worker is chosen as all room is reserved until the task would have ended. A shorter one may run there.
-    double leastCost = 0.0; ///< If othersMayFit: no worker with room has a lower cost, as for maxCostInTime().
+    double leastCost = 0.0; ///< If othersMayFit or keptOut: no worker with room has a lower cost, as for maxCostInTime(), reserved room included.
 };
 
 /// Chooses a worker for the task. \a flat is the task's position in Job::tasks. A cost above \a maxCost is too high.
--- a/src/libs/jobs/waitingsteps.cpp
+++ b/src/libs/jobs/waitingsteps.cpp
@@ -31,9 +31,9 @@
 PlacementRequirements placementRequirements(const Job &job, StepIndex step)
 {
     const StepSpec &spec = stepSpec(job, step);
-    PlacementRequirements requirements{job.rules.service, spec.requiredLabel, spec.dataRack, spec.need, std::nullopt};
+    PlacementRequirements requirements{{job.rules.service, spec.requiredLabel, spec.dataRack, std::nullopt}, spec.need};
     if (hasOwnGroup(job, spec)) {
-        requirements.onlyStep.emplace(job.id, step);
+        requirements.worker.onlyStep.emplace(job.id, step);
     }
     return requirements;
 }
