jobs: the owner handles events in turns

Callers saw: the more jobs arrive and the more workers there are, the later all answers, up to almost none in time once the owner's processor is full.

Cause: each report of an agent and each call led to two passes of the reducer, each of which goes through all agents several times, places tasks and sends orders: the cost of an event grows with the fleet, and the cost per second with the rate of events.

Change: reduce() is split into handleEvent() and endTurn(). The process ends a turn once per batch of events of its loop, at most once in 1 ms (TurnTimer), with the time passed right before, so that no order goes out after the authority has ended. An idle owner ends the turn at once, as before.

--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -118,11 +118,30 @@
     if (!owner_) {
         return;
     }
-    Jobs::OwnerEffects effects = Jobs::reduce(*owner_, Jobs::TimePassed{Base::monoNow(), Base::wallNow()});
-    if (!std::holds_alternative<Jobs::TimePassed>(event)) {
-        Jobs::OwnerEffects more = Jobs::reduce(*owner_, event);
-        std::move(more.begin(), more.end(), std::back_inserter(effects));
+    if (!std::holds_alternative<Jobs::TimePassed>(event) && Base::monoNow() - owner_->now >= ownerTurnInterval) {
+        carryOut(Jobs::handleEvent(*owner_, Jobs::TimePassed{Base::monoNow(), Base::wallNow()}));
     }
+    if (owner_) {
+        carryOut(Jobs::handleEvent(*owner_, event));
+        ownerTurns_.request();
+    }
+}
+
+void EntryProcess::endOwnerTurn()
+{
+    if (!owner_) {
+        return;
+    }
+    // The process may have been suspended since the last event, and its authority may have ended meanwhile.
+    carryOut(Jobs::handleEvent(*owner_, Jobs::TimePassed{Base::monoNow(), Base::wallNow()}));
+    if (owner_) {
+        carryOut(Jobs::endTurn(*owner_));
+    }
+    timer_.arm();
+}
+
+void EntryProcess::carryOut(Jobs::OwnerEffects effects)
+{
     for (Jobs::OwnerEffect &effect : effects) {
         // An earlier effect may have ended the ownership.
         if (!owner_ && !std::holds_alternative<Jobs::Decision>(effect) && !std::holds_alternative<Jobs::Reply>(effect)) {
@@ -130,7 +149,6 @@
         }
         std::visit([this](auto &what) { carryOut(what); }, effect);
     }
-    timer_.arm();
 }
 
 void EntryProcess::carryOut(Jobs::Reply &reply)
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -81,6 +81,7 @@
           loop_,
           [this] { return nextDue(); },
           [this] { onTimer(); })
+    , ownerTurns_(loop_, ownerTurnInterval, [this] { endOwnerTurn(); })
 {
 }
 
@@ -217,7 +218,8 @@
     due.consider(EntryNode::nextDue(rulesExchange_));
     due.consider(router_.nextDue());
     due.consider(awaitingRules_.nextDue());
-    if (owner_) {
+    // The end of a turn that is requested handles what is due.
+    if (owner_ && !ownerTurns_.isRequested()) {
         due.consider(Jobs::nextDue(*owner_));
     }
     return due.time();
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -4,6 +4,7 @@
 #include "duetimer.h"
 #include "nodeprocess.h"
 #include "storetimeout.h"
+#include "turntimer.h"
 
 #include "entrynode/callrouter.h"
 #include "entrynode/ownership.h"
@@ -124,7 +125,10 @@
     void loaded();
 
     // The owner's reducer.
+    /// Handles an event of the owner. Its tasks and orders follow at the end of the turn.
     void feedOwner(const Jobs::OwnerEvent &event);
+    void endOwnerTurn();
+    void carryOut(Jobs::OwnerEffects effects);
     void carryOut(Jobs::Reply &reply);
     void carryOut(Jobs::SendOrders &orders);
     void carryOut(Jobs::StartCommit &commit);
@@ -208,6 +212,7 @@
     EntryNode::RulesExchangeState rulesExchange_;
     AwaitingRequests awaitingRules_;
     DueTimer timer_;
+    TurnTimer ownerTurns_;
     bool steppingDown_ = false;
     Base::MonoTime stepDownBy_{};
     Base::MonoTime stopNotBefore_{};
--- a/src/app/laburnumnode/nodeconstants.h
+++ b/src/app/laburnumnode/nodeconstants.h
@@ -19,6 +19,7 @@
 constexpr long maxWorkerConnections = 8;
 constexpr unsigned maxMetricsConnections = 8;
 constexpr Base::Duration returnedCallRetryDelay = 80ms; ///< delay before a call that its receiver returned is forwarded again
+constexpr Base::Duration ownerTurnInterval = 1ms; ///< between two ends of the owner's turns, each of which goes through all agents
 constexpr Base::Duration stepDownCheckInterval = 5ms;
 constexpr Base::Duration stepDownTimeout = 600ms; ///< time for recording pending changes before the owner steps down
 constexpr Base::Duration minEntryDrainTime = 2500ms; ///< a load balancer that checks readiness once a second may send connections until then
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -7,6 +7,7 @@
 #include "base/earliest.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace LaburnumFlow::Jobs {
@@ -282,11 +283,18 @@
     return state;
 }
 
-OwnerEffects reduce(OwnerState &state, const OwnerEvent &event)
+OwnerEffects handleEvent(OwnerState &state, const OwnerEvent &event)
 {
     OwnerEffects effects;
     Context context{state, effects};
     std::visit([&context](const auto &concreteEvent) { handle(context, concreteEvent); }, event);
+    return effects;
+}
+
+OwnerEffects endTurn(OwnerState &state)
+{
+    OwnerEffects effects;
+    Context context{state, effects};
     startCommit(context);
     Internal::schedule(context);
     sendOrders(context);
@@ -294,6 +302,14 @@
     return effects;
 }
 
+OwnerEffects reduce(OwnerState &state, const OwnerEvent &event)
+{
+    OwnerEffects effects = handleEvent(state, event);
+    OwnerEffects more = endTurn(state);
+    std::move(more.begin(), more.end(), std::back_inserter(effects));
+    return effects;
+}
+
 std::optional<Base::MonoTime> nextDue(const OwnerState &state)
 {
     Base::Earliest due;
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -351,8 +351,8 @@
 bool isServed(const OwnerState &state, const PlacementRequirements &requirements)
 {
     return std::any_of(state.agents.begin(), state.agents.end(), [&](const Agent &agent) {
-        return acceptsWork(agent, state.now) && agent.worker->service == requirements.worker.service && hasLabel(*agent.worker, requirements.worker.requiredLabel)
-               && isWithin(requirements.need, agent.worker->capacity);
+        return acceptsWork(agent, state.now) && agent.worker->service == requirements.worker.service
+               && hasLabel(*agent.worker, requirements.worker.requiredLabel) && isWithin(requirements.need, agent.worker->capacity);
     });
 }
 
