--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -137,9 +137,23 @@
     if (owner_) {
         carryOut(Jobs::endTurn(*owner_));
     }
+    measureOwnerTurn();
     timer_.arm();
 }
 
+void EntryProcess::measureOwnerTurn()
+{
+    const Base::MonoTime now = Base::monoNow();
+    // The events were ready when the loop's current batch of callbacks began, or before.
+    const Base::Duration turn = now - loop_.now();
+    longestOwnerTurn_ = std::max(longestOwnerTurn_, turn);
+    if (turn < busyOwnerTurn || now - busyReportedAt_ < busyOwnerReportInterval) {
+        return;
+    }
+    busyReportedAt_ = now;
+    logDecision("owner.busy", {{"turn_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(turn).count())}});
+}
+
 void EntryProcess::carryOut(Jobs::OwnerEffects effects)
 {
     for (Jobs::OwnerEffect &effect : effects) {
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -299,6 +299,7 @@
     metrics_.set(Metrics::Gauge::OwnerEpoch, owner_ ? static_cast<double>(owner_->epoch) : 0);
     metrics_.set(Metrics::Gauge::OpenJobs, owner_ ? static_cast<double>(owner_->jobs.size()) : 0);
     metrics_.set(Metrics::Gauge::WaitingJobs, owner_ ? static_cast<double>(owner_->ready.size()) : 0);
+    metrics_.set(Metrics::Gauge::OwnerTurnSeconds, std::chrono::duration<double>(std::exchange(longestOwnerTurn_, {})).count());
     metrics_.set(Metrics::Gauge::LinkedAgents, static_cast<double>(agentLinks_.size()));
     metrics_.set(Metrics::Gauge::LinkedEntries, static_cast<double>(peerLinks_.size()));
     metrics_.set(Metrics::Gauge::OpenRequests, static_cast<double>(requests_.size()));
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -128,6 +128,8 @@
     /// Handles an event of the owner. Its tasks and orders follow at the end of the turn.
     void feedOwner(const Jobs::OwnerEvent &event);
     void endOwnerTurn();
+    /// Notes how long the events of the owner's turn have waited at most, and logs from time to time that this was long.
+    void measureOwnerTurn();
     void carryOut(Jobs::OwnerEffects effects);
     void carryOut(Jobs::Reply &reply);
     void carryOut(Jobs::SendOrders &orders);
@@ -213,6 +215,8 @@
     AwaitingRequests awaitingRules_;
     DueTimer timer_;
     TurnTimer ownerTurns_;
+    Base::Duration longestOwnerTurn_{}; ///< since the metrics were last read
+    Base::MonoTime busyReportedAt_{};
     bool steppingDown_ = false;
     Base::MonoTime stepDownBy_{};
     Base::MonoTime stopNotBefore_{};
--- a/src/app/laburnumnode/turntimer.cpp
+++ b/src/app/laburnumnode/turntimer.cpp
@@ -28,8 +28,9 @@
 void TurnTimer::end()
 {
     requested_ = false;
-    endTurn_();
+    // A request by the callback itself waits for the interval, so that the loop handles other events before.
     lastAt_ = Base::monoNow();
+    endTurn_();
 }
 
 } // namespace LaburnumFlow::Node
--- a/src/libs/metrics/processmetrics.h
+++ b/src/libs/metrics/processmetrics.h
@@ -15,6 +15,7 @@
     OwnerEpoch, ///< Fencing epoch of the owner; 0 while this process does not own the jobs
     OpenJobs, ///< Jobs that were accepted and have not ended
     WaitingJobs, ///< Open jobs with tasks that are ready to start and have no worker yet
+    OwnerTurnSeconds, ///< Longest turn of the owner since the metrics were last read
     LinkedAgents,
     LinkedEntries,
     OpenRequests, ///< Requests of callers without an answer yet
