jobs: jobs that a reservation keeps out share one search

Cause: what a round learns of reserved room was kept per group of equal resources, so each waiting job with other needs led to a search of all workers in each round.

--- a/src/libs/jobs/knownroom.cpp
+++ b/src/libs/jobs/knownroom.cpp
@@ -6,8 +6,7 @@
 
 namespace {
 
-/// More would cost more to search than they save.
-constexpr std::size_t maxKnown = 8;
+constexpr std::size_t maxKnown = 8; ///< Of each kind, as a search of more would cost more than it saves.
 
 /// Returns whether what is known for \a known holds for \a need. The share of background tasks changes the cost in both directions.
 bool holdsFor(const Resources &known, const Resources &need)
@@ -33,11 +32,24 @@
     }
 }
 
+void KnownRoom::noteKeptOut(const Resources &need, std::uint32_t estimateMs)
+{
+    std::erase_if(keptOut_, [&](const KeptOut &known) { return holdsFor(need, known.need) && estimateMs <= known.estimateMs; });
+    if (keptOut_.size() < maxKnown) {
+        keptOut_.push_back({need, estimateMs});
+    }
+}
+
 bool KnownRoom::isMissingFor(const Resources &need) const
 {
     return std::any_of(missing_.begin(), missing_.end(), [&need](const Resources &known) { return holdsFor(known, need); });
 }
 
+bool KnownRoom::isKeptOut(const Resources &need, std::uint32_t estimateMs) const
+{
+    return std::any_of(keptOut_.begin(), keptOut_.end(), [&](const KeptOut &known) { return holdsFor(known.need, need) && known.estimateMs <= estimateMs; });
+}
+
 double KnownRoom::leastCost(const Resources &need) const
 {
     double least = 0.0;
--- a/src/libs/jobs/knownroom.h
+++ b/src/libs/jobs/knownroom.h
@@ -2,12 +2,13 @@
 
 #include "job.h"
 
+#include <cstdint>
 #include <vector>
 
 namespace LaburnumFlow::Jobs {
 
 /// What a scheduling round has found out about the room on the workers that meet certain requirements. It holds for the rest of the round, as workers only get
-/// fuller, and for all tasks that need as much or more.
+/// fuller, and for all tasks that need as much or more, for as long or longer.
 class KnownRoom
 {
 public:
@@ -17,9 +18,15 @@
     /// No worker with room for a task with this need has a lower cost.
     void noteLeastCost(const Resources &need, double cost);
 
+    /// Reservations keep a task with this need and estimate out of all workers with room.
+    void noteKeptOut(const Resources &need, std::uint32_t estimateMs);
+
     /// Returns whether it is known that no worker has room for a task with this need.
     bool isMissingFor(const Resources &need) const;
 
+    /// Returns whether it is known that reservations keep out a task with this need and estimate.
+    bool isKeptOut(const Resources &need, std::uint32_t estimateMs) const;
+
     /// Returns a lower bound of the cost of a task with this need; 0 if none is known.
     double leastCost(const Resources &need) const;
 
@@ -29,7 +36,13 @@
         double least = 0.0;
     };
 
+    struct KeptOut {
+        Resources need;
+        std::uint32_t estimateMs = 0;
+    };
+
     std::vector<Resources> missing_;
+    std::vector<KeptOut> keptOut_;
     std::vector<Cost> costs_;
 };
 
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -32,7 +32,6 @@
     WaitingStep next;
     const std::set<WaitingStep> *steps = nullptr; ///< All steps of the group.
     KnownRoom *knownRoom = nullptr; ///< Shared by the groups with equal worker requirements.
-    std::uint32_t leastKeptOutMs = std::numeric_limits<std::uint32_t>::max(); ///< Reservations keep out steps of the group with this estimate.
 };
 
 /// Sorts a heap so that the step that comes first in the queue is at its front.
@@ -277,7 +276,7 @@
 }
 
 /// Places the ready tasks of the step one by one. Returns whether workers may have room for another step of its group.
-bool placeTasksSingly(Round &round, Job &job, GroupHead &head)
+bool placeTasksSingly(Round &round, Job &job, const GroupHead &head)
 {
     const StepIndex step = head.next.step;
     const StepSpec &spec = stepSpec(job, step);
@@ -286,7 +285,7 @@
     if (head.knownRoom->isMissingFor(spec.need)) {
         return false;
     }
-    if (maxCost < head.knownRoom->leastCost(spec.need) || estimateMs >= head.leastKeptOutMs) {
+    if (maxCost < head.knownRoom->leastCost(spec.need) || head.knownRoom->isKeptOut(spec.need, estimateMs)) {
         awaitSlowerWorkers(round, job);
         return true;
     }
@@ -318,7 +317,9 @@
         } else {
             head.knownRoom->noteMissing(spec.need);
         }
-        head.leastKeptOutMs = choice.keptOut ? std::min(head.leastKeptOutMs, estimateMs) : head.leastKeptOutMs;
+        if (choice.keptOut) {
+            head.knownRoom->noteKeptOut(spec.need, estimateMs);
+        }
     }
     if (spec.longRunning && !allPlaced) {
         reserveAndPreempt(round, job, step);
@@ -367,7 +368,7 @@
 }
 
 /// Places ready tasks of the step. Returns whether workers may have room for another step of its group.
-bool placeStep(Round &round, GroupHead &head)
+bool placeStep(Round &round, const GroupHead &head)
 {
     OwnerState &state = round.context.state;
     Job &job = state.jobs.at(head.next.place.job);
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -185,7 +185,7 @@
     Base::MonoTime askedAt{};
 };
 
-/// How much work the scheduling rounds have done, for metrics and for tests of their cost.
+/// How much work the scheduling rounds have done. Tests of their cost count this rather than time.
 struct RoundCounts {
     std::uint64_t rounds = 0;
     std::uint64_t steps = 0; ///< Waiting steps that were looked at.
--- a/tests/auto/jobs/tst_roundcost.cpp
+++ b/tests/auto/jobs/tst_roundcost.cpp
@@ -42,6 +42,19 @@
     health.lastSampleAt = owner.state.now;
 }
 
+/// Returns the agent that was ordered to start the job's only task.
+std::string startedOn(const OwnerHarness &owner, JobId job)
+{
+    for (const Agent &agent : owner.state.agents) {
+        for (const RunRef &run : owner.orderedStarts(agent.name)) {
+            if (run.task.job == job) {
+                return agent.name;
+            }
+        }
+    }
+    return {};
+}
+
 /// Returns a ready task of a waiting job that a worker could take now; empty if there is none. Looks at all of them.
 std::string startableTask(const OwnerState &state)
 {
@@ -64,6 +77,7 @@
     CPPUNIT_TEST_SUITE(TestRoundCost);
     CPPUNIT_TEST(jobsWithoutRoomAreLeftOut);
     CPPUNIT_TEST(jobsThatAwaitFasterWorkersShareOneSearch);
+    CPPUNIT_TEST(jobsKeptOutByReservationsShareOneSearch);
     CPPUNIT_TEST(roundsLeaveNoTaskThatCouldStart);
     CPPUNIT_TEST_SUITE_END();
 
@@ -107,6 +121,27 @@
         CPPUNIT_ASSERT_LESSEQUAL(before.workerSearches + fewSteps, owner.state.roundCounts.workerSearches);
     }
 
+    /// Load: a backlog of jobs with different needs while all room is reserved for a gang. Guards against a search of all workers for each of them in each round.
+    void jobsKeptOutByReservationsShareOneSearch()
+    {
+        OwnerHarness owner({"agent-1", "agent-2"});
+        owner.join("agent-1", workerMilli);
+        owner.join("agent-2", workerMilli);
+        owner.submit(1, bestEffort(1, 2, 5000, 16'500));
+        owner.submit(2, bestEffort(2, 1, 5000, 500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), owner.orderedStartCount());
+        owner.submit(3, gang(bestEffort(3, 2, 10'000, 30'000)));
+        owner.advanceTimeWithReports(400ms);
+        submitWithDifferentNeeds(owner, 7000, 20'000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), owner.orderedStartCount());
+        const RoundCounts before = owner.state.roundCounts;
+        const std::string agent = startedOn(owner, 2);
+        owner.reportEnd(agent, owner.orderedStarts(agent).back(), RunOutcome::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), owner.orderedStartCount());
+        CPPUNIT_ASSERT(owner.state.roundCounts.rounds > before.rounds);
+        CPPUNIT_ASSERT_LESSEQUAL(before.workerSearches + fewSteps, owner.state.roundCounts.workerSearches);
+    }
+
     /// Guards against steps that are left out of a round although a worker would take them: after each event, a plain search for each waiting task must find none.
     void roundsLeaveNoTaskThatCouldStart()
     {
