--- a/review/standins-2/case-gang.cpp
+++ b/review/standins-2/case-gang.cpp
@@ -1,4 +1,4 @@
-// Case 6: gangs, while workers leave a share of their orders unanswered and carry them out late.
+// Case 7: gangs, while workers leave a share of their orders unanswered and carry them out late.
 // Exits with 1 if an accepted job is lost, 0 if none is, 2 if the case couldn't run.
 
 #include "site.h"
@@ -61,7 +61,9 @@
     }
     const nlohmann::json body{
         {"Spec", "gang"},
-        {"Steps", nlohmann::json::array({{{"Count", members}, {"Cpu", kind.need.cpu}, {"MemMb", kind.need.memMb}, {"EstimateMs", workMs}, {"Gang", true}, {"MaxPerServer", 1}}})}};
+        {"Steps",
+         nlohmann::json::array(
+             {{{"Count", members}, {"Cpu", kind.need.cpu}, {"MemMb", kind.need.memMb}, {"EstimateMs", workMs}, {"Gang", true}, {"MaxPerServer", 1}}})}};
     std::vector<std::string> accepted;
     const int trafficMs = warmUpMs + windows * (troubleMs + pauseMs);
     const unsigned seed = argc > 2 ? static_cast<unsigned>(std::atoi(argv[2])) : static_cast<unsigned>(std::time(nullptr));
@@ -104,11 +106,11 @@
         const auto idle = std::chrono::duration_cast<std::chrono::milliseconds>(now - std::max(last.end, begin)).count();
         const bool isLost = !last.running && idle > idleMs && (state == "queued" || state == "running" || state.empty());
         lost += isLost ? 1 : 0;
-        site.record.line((isLost ? "LOST " : "open ") + id + " is " + state + ", nothing of it has run for " + std::to_string(idle) + " ms; " + std::to_string(busy)
-                         + " tasks run on all workers");
+        site.record.line((isLost ? "LOST " : "open ") + id + " is " + state + ", nothing of it has run for " + std::to_string(idle) + " ms; "
+                         + std::to_string(busy) + " tasks run on all workers");
     }
-    const std::string result = std::to_string(accepted.size()) + " gangs accepted, " + std::to_string(completed) + " completed, " + std::to_string(lost) + " lost, "
-                               + std::to_string(site.workers.unanswered()) + " starts left unanswered";
+    const std::string result = std::to_string(accepted.size()) + " gangs accepted, " + std::to_string(completed) + " completed, " + std::to_string(lost)
+                               + " lost, " + std::to_string(site.workers.unanswered()) + " starts left unanswered";
     site.record.line(result);
     std::puts(result.c_str());
     if (accepted.empty() || (trouble() && site.workers.unanswered() == 0)) {
--- a/review/standins-2/site.cpp
+++ b/review/standins-2/site.cpp
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <netinet/in.h>
+#include <random>
 #include <set>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -21,21 +22,24 @@
 namespace {
 
 constexpr auto heartbeatMs = 1500;
+constexpr std::size_t valueBytes = 1'048'576; ///< ValueBytes
 
+/// Returns a free port below those that the kernel gives to outgoing connections.
 int freePort()
 {
     static std::set<int> given;
+    static std::mt19937 random(std::random_device{}());
     for (;;) {
-        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        const int port = std::uniform_int_distribution<int>(12'000, 32'000)(random);
+        const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address{};
         address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        const bool bound = bind(socket, reinterpret_cast<sockaddr *>(&address), size) == 0;
-        getsockname(socket, reinterpret_cast<sockaddr *>(&address), &size);
+        const bool bound = bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
         close(socket);
-        if (bound && given.insert(ntohs(address.sin_port)).second) {
-            return ntohs(address.sin_port);
+        if (bound && given.insert(port).second) {
+            return port;
         }
     }
 }
@@ -103,7 +107,8 @@
     if (pid_ > 0) {
         int status = 0;
         waitpid(pid_, &status, 0);
-        record_.line("end of " + name_ + ", " + (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status)) : "status " + std::to_string(WEXITSTATUS(status))));
+        record_.line("end of " + name_ + ", "
+                     + (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status)) : "status " + std::to_string(WEXITSTATUS(status))));
         pid_ = 0;
     }
 }
@@ -119,7 +124,8 @@
     return pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == 0;
 }
 
-Site::Site(const std::string &recordFile) : record(recordFile), workers(record)
+Site::Site(const std::string &recordFile)
+    : record(recordFile), workers(record), storeFront_([this](const PlatformSite::StandInRequest &request) { return answerStore(request); })
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "review-2-XXXXXX").string();
     folder_ = mkdtemp(pattern.data());
@@ -140,6 +146,24 @@
     std::filesystem::remove_all(folder_);
 }
 
+PlatformSite::StandInReply Site::answerStore(const PlatformSite::StandInRequest &request)
+{
+    if (request.path == "/kv-txn" && request.body.size() > valueBytes) {
+        const json transaction = json::parse(request.body);
+        for (const json &write : transaction["Writes"]) {
+            const std::size_t size = write["Value"].get_ref<const std::string &>().size() / 4 * 3;
+            if (size > valueBytes) {
+                if (tooLarge_ == 0) {
+                    record.line("the store refuses a value of " + std::to_string(size) + " bytes for " + write["Key"].get<std::string>());
+                }
+                tooLarge_ = size;
+                return {413, "{}"};
+            }
+        }
+    }
+    return store.answer(request);
+}
+
 bool Site::start(std::size_t entryCount, const std::vector<WorkerShape> &shapes, bool guards)
 {
     store.put("op/config",
@@ -164,7 +188,7 @@
         std::ofstream(folder_ / (name + ".yaml")) << "role: entry\nname: \"" << name << "\"\nfailureDomain: \"zone-" << i
                                                   << "\"\nprocessorShare: 0.25\nlinkMbps: 1000.0\nstopSeconds: 6\nremoteFactor: 1.5\nfinalStateSeconds: 120\n"
                                                   << "resubmitDelayMs: 1300\ncallers: \"" << fronts[i] << "\"\nready: \"" << readies_[i] << "\"\npeers: \""
-                                                  << freeEndpoint() << "\"\nmetrics: \"" << metrics_[i] << "\"\nstore:\n  address: \"" << store.endpoint()
+                                                  << freeEndpoint() << "\"\nmetrics: \"" << metrics_[i] << "\"\nstore:\n  address: \"" << storeFront_.endpoint()
                                                   << "\"\n  shortestLeaseMs: 1000\n";
         entries.push_back(std::make_unique<Node>(name, folder_ / (name + ".yaml"), folder_ / (name + ".log"), record));
     }
@@ -175,7 +199,7 @@
         std::ofstream(folder_ / (name + ".yaml")) << "role: agent\nname: \"" << name << "\"\nfailureDomain: \"zone-" << i % 3
                                                   << "\"\nprocessorShare: 0.15\nstopSeconds: 6\nregistration: \"" << controls_[i] << "\"\nworker: \""
                                                   << workers.endpoint(i) << "\"\npeers: \"" << freeEndpoint() << "\"\nmetrics: \"" << freeEndpoint()
-                                                  << "\"\nstore:\n  address: \"" << store.endpoint() << "\"\n  shortestLeaseMs: 1000\n";
+                                                  << "\"\nstore:\n  address: \"" << storeFront_.endpoint() << "\"\n  shortestLeaseMs: 1000\n";
         agents.push_back(std::make_unique<Node>(name, folder_ / (name + ".yaml"), folder_ / (name + ".log"), record));
     }
     for (const auto &node : entries) {
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -51,6 +51,12 @@
     /// Starts all processes. Returns whether they are ready in time.
     bool start(std::size_t entries, const std::vector<WorkerShape> &shapes, bool guards = true);
 
+    /// Largest value, in bytes, of which the store was asked to keep more than ValueBytes allows; 0 if there was none.
+    std::size_t tooLarge() const
+    {
+        return tooLarge_;
+    }
+
     /// Index of the entry that owns the jobs.
     std::optional<std::size_t> owner();
 
@@ -62,6 +68,12 @@
     Answer query(std::size_t entry, const std::string &id, int deadlineMs = 1500);
     std::string state(std::size_t entry, const std::string &id);
 
+    /// Where the agent takes heartbeats.
+    const std::string &controls(std::size_t agent) const
+    {
+        return controls_[agent];
+    }
+
     static std::string jobId(std::uint64_t number);
 
     Record record;
@@ -73,7 +85,10 @@
 
 private:
     void beat(std::size_t worker);
+    PlatformSite::StandInReply answerStore(const PlatformSite::StandInRequest &request);
 
+    std::atomic<std::size_t> tooLarge_ = 0;
+    PlatformSite::StandInServer storeFront_; ///< in front of the store: refuses values that are too large
     std::filesystem::path folder_;
     std::vector<std::string> readies_;
     std::vector<std::string> metrics_;
--- a/review/standins-2/worker.cpp
+++ b/review/standins-2/worker.cpp
@@ -12,7 +12,9 @@
 namespace {
 
 constexpr std::int64_t holdMaxMs = 1000;
+constexpr std::size_t maxListedEnds = 500;
 constexpr auto gangTime = std::chrono::milliseconds(3000); ///< GangMs
+constexpr std::int64_t checkpointMs = 500; ///< CheckpointIntervalS
 constexpr auto paceTime = std::chrono::milliseconds(100); ///< PaceMs
 constexpr auto startupTime = std::chrono::milliseconds(200); ///< of a task that lasts
 
@@ -27,6 +29,24 @@
     return task.substr(0, task.find('.'));
 }
 
+int stepNumber(const std::string &task)
+{
+    const std::size_t occurrenceEnd = task.find('.', task.find('.') + 1);
+    return std::atoi(task.c_str() + occurrenceEnd + 1);
+}
+
+/// A checkpoint like those of the pages, of 16 characters.
+std::string checkpointOf(const std::string &task, std::int64_t workedMs)
+{
+    char text[32];
+    std::snprintf(text,
+                  sizeof text,
+                  "%08llx%08x",
+                  static_cast<unsigned long long>(workedMs / checkpointMs * checkpointMs),
+                  static_cast<unsigned>(std::hash<std::string>()(task)));
+    return workedMs < checkpointMs ? std::string() : text;
+}
+
 std::string stepOf(const std::string &task)
 {
     return task.substr(0, task.rfind('.'));
@@ -198,9 +218,8 @@
     if (!order.is_object()) {
         return {400, {}};
     }
-    if (request.path == "/run-start" || request.path == "/run-stop") {
-        std::this_thread::sleep_for(workers_[worker]->shape.startAnswer);
-    }
+    const WorkerShape &shape = workers_[worker]->shape;
+    std::this_thread::sleep_for(request.path == "/run-start" || request.path == "/run-stop" ? shape.startAnswer : shape.holdAnswer);
     std::unique_lock lock(mutex_);
     settle();
     if (request.path == "/run-start") {
@@ -274,12 +293,15 @@
     run.worker = index;
     run.fence = order["Fence"];
     run.kind = known->second;
+    if (const auto work = run.kind.stepWorkMs.find(stepNumber(task)); work != run.kind.stepWorkMs.end()) {
+        run.kind.workMs = work->second;
+    }
     run.begin = Clock::now();
     if (run.kind.workMs > 0 && run.kind.gangCount == 0) {
         run.end = run.begin + std::chrono::milliseconds(run.kind.workMs);
     }
-    const std::string text = "worker " + std::to_string(index) + (late ? " starts late " : " starts ") + task + " run " + std::to_string(number) + ", cpu in use "
-                             + std::to_string(used.cpu) + " of " + std::to_string(worker.shape.capacity.cpu);
+    const std::string text = "worker " + std::to_string(index) + (late ? " starts late " : " starts ") + task + " run " + std::to_string(number)
+                             + ", cpu in use " + std::to_string(used.cpu) + " of " + std::to_string(worker.shape.capacity.cpu);
     record_.line(text + (over ? " OVER CAPACITY" : ""));
     if (over) {
         overCapacity_.push_back(text);
@@ -433,11 +455,20 @@
             percent = static_cast<int>(std::clamp<std::int64_t>(100 - 100 * left / run.kind.workMs, 0, 99));
         }
         const double usage = run.kind.targetMs > 0 ? latencyOf(index) : run.kind.need.cpu * run.pace / 100.0;
-        running.push_back({run.task, run.number, "", percent, static_cast<int>(usage)});
+        const auto workedMs = std::chrono::duration_cast<std::chrono::milliseconds>(now - run.begin).count();
+        running.push_back({run.task, run.number, run.kind.checkpoints ? checkpointOf(run.task, workedMs) : "", percent, static_cast<int>(usage)});
     }
     json ends = json::array();
     for (const std::size_t run : worker.ended) {
-        ends.push_back({runs_[run].endNumber, runs_[run].task, runs_[run].number, runs_[run].how, ""});
+        if (ends.size() == maxListedEnds) {
+            break;
+        }
+        const auto workedMs = std::chrono::duration_cast<std::chrono::milliseconds>(runs_[run].end - runs_[run].begin).count();
+        ends.push_back({runs_[run].endNumber,
+                        runs_[run].task,
+                        runs_[run].number,
+                        runs_[run].how,
+                        runs_[run].kind.checkpoints ? checkpointOf(runs_[run].task, workedMs) : ""});
     }
     return {200, json{{"ClockMs", clockMs(worker)}, {"born", worker.bornMs}, {"Running", running}, {"Ended", ends}}.dump()};
 }
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -30,6 +30,8 @@
     std::uint32_t gangCount = 0; ///< tasks of the gang; 0: no gang
     bool fills = false;
     std::uint32_t targetMs = 0;
+    bool checkpoints = false;
+    std::map<int, int> stepWorkMs = {}; ///< by step, if it isn't workMs
 };
 
 struct Run {
@@ -66,7 +68,8 @@
     Need capacity{8000, 16384};
     std::vector<std::string> labels{"a", "r1-1"};
     bool guards = true; ///< AdmissionCheck
-    std::chrono::milliseconds startAnswer{0}; ///< time in which an order is answered
+    std::chrono::milliseconds startAnswer{0}; ///< time in which a start or a stop is answered
+    std::chrono::milliseconds holdAnswer{0}; ///< the same for other calls
 };
 
 /// All workers of a service. One mutex guards them all.
