--- a/review/standins-2/case-limit.cpp
+++ b/review/standins-2/case-limit.cpp
@@ -1,4 +1,4 @@
-// Case 9: all processes of the system are killed at once and start again while workers that guard nothing are full of jobs that needn't be kept.
+// Case 10: all processes of the system are killed at once and start again while workers that guard nothing are full of jobs that needn't be kept.
 // Exits with 1 if a start brings a worker over its capacity, 0 if none does, 2 if the case couldn't run.
 
 #include "site.h"
--- a/review/standins-2/site.cpp
+++ b/review/standins-2/site.cpp
@@ -11,6 +11,7 @@
 #include <netinet/in.h>
 #include <random>
 #include <set>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -85,6 +86,8 @@
     const int log = open(logFile_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     pid_ = fork();
     if (pid_ == 0) {
+        // It ends with the case, however that ends.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         dup2(log, 1);
         dup2(log, 2);
         execve(program, arguments, variables.data());
--- a/review/standins-2/worker.cpp
+++ b/review/standins-2/worker.cpp
@@ -148,6 +148,14 @@
     latency_ = std::move(latency);
 }
 
+void Workers::setFailing(std::size_t worker, bool fails)
+{
+    const std::lock_guard lock(mutex_);
+    settle();
+    workers_[worker]->fails = fails;
+    record_.line("worker " + std::to_string(worker) + (fails ? " fails all calls from now on" : " fails no calls any more"));
+}
+
 std::vector<Run> Workers::runs()
 {
     const std::lock_guard lock(mutex_);
@@ -222,6 +230,9 @@
     std::this_thread::sleep_for(request.path == "/run-start" || request.path == "/run-stop" ? shape.startAnswer : shape.holdAnswer);
     std::unique_lock lock(mutex_);
     settle();
+    if (workers_[worker]->fails) {
+        return {503, "{}"};
+    }
     if (request.path == "/run-start") {
         if (unansweredShare_ > 0.0 && static_cast<double>(nextRandom(random_) % 100'000) < unansweredShare_ * 100'000) {
             ++unanswered_;
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -96,6 +96,8 @@
     /// A share of the starts gets no answer and is carried out 2 to 12 s later, as long as it is above 0.
     void setUnansweredShare(double share, unsigned seed);
     void setLatency(Latency latency);
+    /// A worker that fails answers each call 503 and does nothing; its heartbeats go on.
+    void setFailing(std::size_t worker, bool fails);
 
     std::vector<Run> runs();
     /// Starts that brought a worker over its capacity.
@@ -117,6 +119,7 @@
         std::vector<std::size_t> active;
         std::vector<std::size_t> ended; ///< listed until acknowledged
         std::uint64_t lastNumber = 0;
+        bool fails = false;
     };
 
     PlatformSite::StandInReply answer(std::size_t worker, const PlatformSite::StandInRequest &request);
