--- a/review/standins-2/case-cancel.cpp
+++ b/review/standins-2/case-cancel.cpp
@@ -1,4 +1,4 @@
-// Case 9: a job that needn't be kept is cancelled at the entry that owns the jobs, while that entry stands still and another one takes over.
+// Case 10: a job that needn't be kept is cancelled at the entry that owns the jobs, while that entry stands still and another one takes over.
 // Exits with 1 if a task of the job starts, or works on, too long after the acknowledged cancelling, 0 if none does, 2 if the case couldn't run.
 
 #include "site.h"
--- a/review/standins-2/case-gang.cpp
+++ b/review/standins-2/case-gang.cpp
@@ -1,4 +1,4 @@
-// Case 8: gangs, while workers leave a share of their orders unanswered and carry them out late.
+// Case 9: gangs, while workers leave a share of their orders unanswered and carry them out late.
 // Exits with 1 if an accepted job is lost, 0 if none is, 2 if the case couldn't run.
 
 #include "site.h"
--- a/review/standins-2/case-repeat.cpp
+++ b/review/standins-2/case-repeat.cpp
@@ -1,4 +1,4 @@
-// Case 6: a job that runs many times, as its tasks add up. Exits with 1 if other accepted jobs are lost, 0 if none is, 2 if the case couldn't run.
+// Case 7: a job that runs many times, as its tasks add up. Exits with 1 if other accepted jobs are lost, 0 if none is, 2 if the case couldn't run.
 
 #include "site.h"
 
--- a/review/standins-2/case-silent.cpp
+++ b/review/standins-2/case-silent.cpp
@@ -1,4 +1,4 @@
-// Case 7: a worker without an end so far fails all calls for a while, with good heartbeats, and is never used again.
+// Case 8: a worker without an end so far fails all calls for a while, with good heartbeats, and is never used again.
 // Exits with 1 if accepted jobs that need it are lost, 0 if none is, 2 if the case couldn't run.
 
 #include "site.h"
--- a/review/standins-2/site.cpp
+++ b/review/standins-2/site.cpp
@@ -122,14 +122,28 @@
     wait();
 }
 
+long Node::peakMemoryMb() const
+{
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmHWM:")) {
+            return std::atol(line.c_str() + std::strlen("VmHWM:")) / 1024;
+        }
+    }
+    return 0;
+}
+
 bool Node::runs()
 {
     return pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == 0;
 }
 
-Site::Site(const std::string &recordFile)
+Site::Site(const std::string &recordFile, bool paged)
     : record(recordFile), workers(record), storeFront_([this](const PlatformSite::StandInRequest &request) { return answerStore(request); })
 {
+    if (paged) {
+        pagedStore = std::make_unique<PagedStore>();
+    }
     std::string pattern = (std::filesystem::temp_directory_path() / "review-2-XXXXXX").string();
     folder_ = mkdtemp(pattern.data());
 }
@@ -167,22 +181,31 @@
     return store.answer(request);
 }
 
+std::string Site::storeEndpoint() const
+{
+    return pagedStore ? pagedStore->endpoint() : storeFront_.endpoint();
+}
+
 bool Site::start(std::size_t entryCount, const std::vector<WorkerShape> &shapes, bool guards)
 {
-    store.put("op/config",
-              json{{"Version", 1},
-                   {"Routes",
-                    json::array({{{"Name", "queue"},
-                                  {"Host", "queue.example"},
-                                  {"Prefix", "/queue/"},
-                                  {"Service", "service"},
-                                  {"Priority", 0},
-                                  {"MaxAttempts", 4},
-                                  {"Stretch", 1.6},
-                                  {"TargetDurationMs", 100}}})},
-                   {"Services", json::array({{{"Name", "service"}, {"AdmissionCheck", guards}}})},
-                   {"Limits", json::object()}}
-                  .dump());
+    const std::string config = json{
+        {"Version", 1},
+        {"Routes",
+         json::array({{{"Name", "queue"},
+                       {"Host", "queue.example"},
+                       {"Prefix", "/queue/"},
+                       {"Service", "service"},
+                       {"Priority", 0},
+                       {"MaxAttempts", 4},
+                       {"Stretch", 1.6},
+                       {"TargetDurationMs", 100}}})},
+        {"Services", json::array({{{"Name", "service"}, {"AdmissionCheck", guards}}})},
+        {"Limits", json::object()}}.dump();
+    if (pagedStore) {
+        pagedStore->put("op/config", config);
+    } else {
+        store.put("op/config", config);
+    }
     for (std::size_t i = 0; i < entryCount; ++i) {
         const std::string name = "entry-" + std::to_string(i);
         fronts.push_back(freeEndpoint());
@@ -191,7 +214,7 @@
         std::ofstream(folder_ / (name + ".yaml")) << "role: entry\nname: \"" << name << "\"\nfailureDomain: \"zone-" << i
                                                   << "\"\nprocessorShare: 0.25\nlinkMbps: 1000.0\nstopSeconds: 6\nremoteFactor: 1.5\nfinalStateSeconds: 120\n"
                                                   << "resubmitDelayMs: 1300\ncallers: \"" << fronts[i] << "\"\nready: \"" << readies_[i] << "\"\npeers: \""
-                                                  << freeEndpoint() << "\"\nmetrics: \"" << metrics_[i] << "\"\nstore:\n  address: \"" << storeFront_.endpoint()
+                                                  << freeEndpoint() << "\"\nmetrics: \"" << metrics_[i] << "\"\nstore:\n  address: \"" << storeEndpoint()
                                                   << "\"\n  shortestLeaseMs: 1000\n";
         entries.push_back(std::make_unique<Node>(name, folder_ / (name + ".yaml"), folder_ / (name + ".log"), record));
     }
@@ -202,7 +225,7 @@
         std::ofstream(folder_ / (name + ".yaml")) << "role: agent\nname: \"" << name << "\"\nfailureDomain: \"zone-" << i % 3
                                                   << "\"\nprocessorShare: 0.15\nstopSeconds: 6\nregistration: \"" << controls_[i] << "\"\nworker: \""
                                                   << workers.endpoint(i) << "\"\npeers: \"" << freeEndpoint() << "\"\nmetrics: \"" << freeEndpoint()
-                                                  << "\"\nstore:\n  address: \"" << storeFront_.endpoint() << "\"\n  shortestLeaseMs: 1000\n";
+                                                  << "\"\nstore:\n  address: \"" << storeEndpoint() << "\"\n  shortestLeaseMs: 1000\n";
         agents.push_back(std::make_unique<Node>(name, folder_ / (name + ".yaml"), folder_ / (name + ".log"), record));
     }
     for (const auto &node : entries) {
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pagedstore.h"
 #include "worker.h"
 
 #include "platformstandin.h"
@@ -27,6 +28,8 @@
     void wait();
     void kill();
     bool runs();
+    /// Peak memory in MB.
+    long peakMemoryMb() const;
 
     const std::string &name() const
     {
@@ -45,7 +48,8 @@
 class Site
 {
 public:
-    explicit Site(const std::string &recordFile);
+    /// With \a paged, the store answers as PagedStore does.
+    explicit Site(const std::string &recordFile, bool paged = false);
     ~Site();
 
     /// Starts all processes. Returns whether they are ready in time.
@@ -78,6 +82,7 @@
 
     Record record;
     PlatformSite::PlatformStandIn store;
+    std::unique_ptr<PagedStore> pagedStore; ///< used in place of the other if set
     Workers workers;
     std::vector<std::unique_ptr<Node>> entries;
     std::vector<std::unique_ptr<Node>> agents;
@@ -85,6 +90,7 @@
 
 private:
     void beat(std::size_t worker);
+    std::string storeEndpoint() const;
     PlatformSite::StandInReply answerStore(const PlatformSite::StandInRequest &request);
 
     std::atomic<std::size_t> tooLarge_ = 0;
