--- a/review/standins-3/site.cpp
+++ b/review/standins-3/site.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <future>
 #include <random>
 #include <sstream>
@@ -211,6 +212,10 @@
         if (run->endMs >= 0) {
             continue; // It has ended with another member of its gang.
         }
+        if (run->stopMs >= 0 && now >= run->stopMs) {
+            finish(*run, "stopped", now);
+            continue;
+        }
         if (!run->gang.empty()) {
             const auto &members = site_.gangs[run->gang];
             const auto present = std::count_if(members.begin(), members.end(), [](const auto &member) { return member.second->endMs < 0; });
@@ -434,7 +439,11 @@
             if (run->step.value("Checkpointing", false)) {
                 run->saved = run->task + "/" + std::to_string(static_cast<int>(run->doneMs)) + "/" + std::to_string(run->run);
             }
-            finish(*run, "stopped", nowMs());
+            if (stopTakesMs > 0) {
+                run->stopMs = run->stopMs < 0 ? nowMs() + stopTakesMs : run->stopMs;
+            } else {
+                finish(*run, "stopped", nowMs());
+            }
         }
     }
     return {200, reply(json::object()).dump()};
@@ -577,7 +586,7 @@
 
 Site::Site(const Shape &shape, const std::string &recordFile) : shape_(shape), record_(recordFile)
 {
-    std::string name = "/tmp/laburnumflow-review-XXXXXX";
+    std::string name = (std::filesystem::temp_directory_path() / "laburnumflow-review-XXXXXX").string();
     if (mkdtemp(name.data()) == nullptr) {
         throw std::runtime_error("no temporary folder");
     }
@@ -713,6 +722,10 @@
         worker->isUp = false;
         worker->server_.close();
     }
+    if (std::getenv("KEEP_LOGS") == nullptr) {
+        std::error_code ignored;
+        std::filesystem::remove_all(folder, ignored);
+    }
 }
 
 void Site::log(const std::string &line)
--- a/review/standins-3/site.h
+++ b/review/standins-3/site.h
@@ -71,6 +71,7 @@
     double untilSaveMs = 500;
     int pace = 100;
     double cpu = 0;
+    std::int64_t stopMs = -1; ///< when a stop takes effect
     std::int64_t presentMs = -1; ///< of a gang: when all were there
     json step = json::object(); ///< of the job
     std::string gang; ///< the step and the run, if the step is a gang
@@ -106,6 +107,7 @@
     std::string agent; ///< address of its agent
     std::atomic<bool> isUp = false;
     std::atomic<int> startTakesMs = 0; ///< how long it sets a task up before it answers the start
+    std::atomic<int> stopTakesMs = 0; ///< from a stop to the end of the run
     std::atomic<int> firstBeatMs = 0; ///< how long after its start the worker announces itself
     std::function<int(const Worker &, const Run &)> usage; ///< the fifth entry of a row of Running
 
