--- a/review/14/case.cpp
+++ b/review/14/case.cpp
@@ -1,20 +1,17 @@
-// Jobs with tasks that take minutes, as estimated. Accepted jobs never end.
-
+// A client hands in a job that repeats, with a first time that is long ago. The entry that owns the jobs hangs, and so does each of its successors. Accepted
+// jobs get no answer.
 #include "site.h"
 
 #include <iostream>
-#include <thread>
 
 using namespace Review;
 
 namespace {
-
-constexpr int jobs = 3;
-constexpr int estimateMs = 3000; ///< the tasks of the class
-constexpr int longer = 60; ///< poison, how long: x times as long
-constexpr int idleMs = 3000;
-constexpr int watchMs = 90'000;
-
+constexpr int times = 100'000;
+constexpr int intervalMs = 60'000;
+constexpr int finishMs = 14'000;
+constexpr int askMs = 20'000;
+constexpr int patienceMs = 1500;
 } // namespace
 
 int main(int argc, const char **argv)
@@ -26,65 +23,44 @@
     try {
         Site site({.entries = 3, .workers = 11, .cpu = 16'000, .racks = 4, .guards = true, .advice = {}, .routeExtra = json::object()}, argv[1]);
         site.begin();
-        const int work = trouble ? longer * estimateMs : estimateMs;
         std::vector<std::string> accepted;
-        for (int i = 0; i < jobs; ++i) {
-            char id[17];
-            std::snprintf(id, sizeof id, "5c0e7a21d94b%04x", i);
-            const json body{{"Spec", R"({"w":)" + std::to_string(work) + "}"}, {"Steps", {{{"Count", 2}, {"Cpu", 1000}, {"MemMb", 64}, {"EstimateMs", work}}}}};
-            if (site.submit(id, body) == 200) {
-                accepted.emplace_back(id);
-            }
-        }
-        // finish_s = 14 after the end of the traffic and later: for 3 s, a job has nothing running while a task's turn has come and the workers are idle.
-        sleepMs(14'000);
-        std::map<std::string, std::int64_t> idleSince;
-        std::map<std::string, std::int64_t> longest;
-        const std::int64_t end = nowMs() + (trouble ? watchMs : 5000);
-        while (nowMs() < end) {
-            {
-                const std::lock_guard lock(site.mutex);
-                std::set<std::string> running;
-                for (const auto &each : site.workers) {
-                    for (const Run *run : each->active()) {
-                        running.insert(run->task.substr(0, 16));
-                    }
-                }
-                for (const std::string &id : accepted) {
-                    if (running.contains(id)) {
-                        idleSince.erase(id);
-                    } else {
-                        const std::int64_t since = idleSince.try_emplace(id, nowMs()).first->second;
-                        longest[id] = std::max(longest[id], nowMs() - since);
-                    }
+        const auto send = [&](int count) {
+            for (int i = 0; i < count; ++i) {
+                char id[17];
+                std::snprintf(id, sizeof id, "5c0e7a21d94b%04zx", accepted.size() + 1);
+                if (site.submit(id, {{"Spec", R"({"w":200})"}, {"Steps", {{{"Count", 4}, {"Cpu", 1000}, {"MemMb", 64}, {"EstimateMs", 200}}}}}) == 200) {
+                    accepted.emplace_back(id);
                 }
+                sleepMs(50);
             }
-            sleepMs(20);
-        }
-        int lost = 0;
-        for (const std::string &id : accepted) {
-            const std::string state = site.state(id);
-            int stopped = 0;
-            int otherwise = 0;
-            {
-                const std::lock_guard lock(site.mutex);
-                for (const auto &worker : site.workers) {
-                    for (const auto &run : worker->runs) {
-                        if (run->task.starts_with(id)) {
-                            ++(run->how == "stopped" ? stopped : otherwise);
-                        }
-                    }
+        };
+        send(80);
+        const std::int64_t first = trouble ? unixMs() - std::int64_t(times) * intervalMs : unixMs() + 600'000;
+        const json repeated{{"Spec", R"({"w":50})"},
+                            {"RepeatCount", times},
+                            {"FirstMs", first},
+                            {"IntervalMs", intervalMs},
+                            {"Steps", {{{"Count", 1}, {"Cpu", 100}, {"MemMb", 16}, {"EstimateMs", 50}}}}};
+        site.submit("5c0e7a21d94bffff", repeated, patienceMs, 1, 0);
+        site.log("end of the traffic");
+        sleepMs(finishMs);
+        // Each job is asked for at each entry, for a while.
+        const std::int64_t end = nowMs() + askMs;
+        std::set<std::string> open(accepted.begin(), accepted.end());
+        while (!open.empty() && nowMs() < end) {
+            for (int entry = 0; entry < 3 && !open.empty(); ++entry) {
+                if (!site.state(*open.begin(), patienceMs, entry).empty()) {
+                    open.erase(open.begin());
                 }
             }
-            if (state != "completed" && longest[id] >= idleMs) {
-                ++lost;
-                site.log("LOST " + id + ": shown as '" + state + "', " + std::to_string(stopped) + " runs were stopped, " + std::to_string(otherwise)
-                         + " others, nothing running for " + std::to_string(longest[id]) + " ms");
-            }
         }
-        std::cout << accepted.size() << " jobs accepted, " << lost << " of them not ended and idle for 3 s" << std::endl;
+        for (const std::string &id : open) {
+            site.log("LOST " + id + ": no answer");
+        }
+        std::cout << accepted.size() << " jobs accepted, " << open.size() << " of them not answered for from " << finishMs << " to " << finishMs + askMs
+                  << " ms after the end of the traffic" << std::endl;
         site.end();
-        std::quick_exit(lost > 0 ? 1 : 0);
+        std::quick_exit(!open.empty() ? 1 : 0);
     } catch (const std::exception &fault) {
         std::cerr << fault.what() << std::endl;
         std::quick_exit(2);
