--- a/review/standins-3/site.cpp
+++ b/review/standins-3/site.cpp
@@ -317,8 +317,16 @@
         sleepMs(lateMs);
         return {0, {}, true};
     }
-    if (request.path == "/run-start") {
+    if (request.path == "/run-start" && startTakesMs > 0) {
+        const auto life = [this] {
+            const std::lock_guard lock(site_.mutex);
+            return isUp ? born : -1;
+        };
+        const std::int64_t before = life();
         sleepMs(startTakesMs);
+        if (life() != before) {
+            return {0, {}, true};
+        }
     }
     return carryOut(request.path, order, false);
 }
