--- a/review/standins-3/site.cpp
+++ b/review/standins-3/site.cpp
@@ -337,6 +337,9 @@
         return hold(order);
     }
     const std::lock_guard lock(site_.mutex);
+    if (!isUp) {
+        return {0, {}, true};
+    }
     site_.advanceAll();
     if (path == "/run-start") {
         return start(order, late);
@@ -476,6 +479,9 @@
 Reply Worker::hold(const json &order)
 {
     std::unique_lock lock(site_.mutex);
+    if (!isUp) {
+        return {0, {}, true};
+    }
     site_.advanceAll();
     const std::uint64_t fence = order.value("Fence", std::uint64_t(0));
     if (fence < fence_) {
