--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,10 +4,10 @@
 cd "$(dirname "$0")/.."
 out=target/review-3
 mkdir -p "$out"
-compile=(g++ -std=c++20 -O1 -Wall -Wextra -I review/standins-3)
+compile=(g++ -std=c++20 -O1 -Wall -Wextra -I review/11/standins)
 pids=()
 for part in net store site; do
-    "${compile[@]}" -c "review/standins-3/$part.cpp" -o "$out/$part.o" &
+    "${compile[@]}" -c "review/11/standins/$part.cpp" -o "$out/$part.o" &
     pids+=($!)
 done
 for pid in "${pids[@]}"; do
