Repeated jobs: begin overdue occurrences over many turns, and hold only the open ones

Cause: beginDueOccurrences() began all due occurrences in one turn of the event loop and looked at the whole job for each, so the owner stood still, and each successor after it. The end of any task, each start, and a reported run of a late occurrence went through all that had begun too, and the record held them all for the job's life.

Change: a job holds the tasks of its open occurrences (OccurrencePositions), 4,096 at most or one occurrence; the position of one that is done is used again. At most 500 tasks begin in a turn. Counts of tasks by phase are kept by step in one place (setPhase()), so that an end looks only at its own occurrence, and the queue at the steps that changed. A record whose occurrences aren't simply the first ones in order is a RepeatedJobRecord; all others are stored as before.

--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -69,6 +69,11 @@
 constexpr Base::Duration defaultFinalStateRetention = 130s; ///< Callers may ask for final states for 120 s; the rest is slack.
 constexpr Base::Duration commitStallTimeout = 700ms; ///< The owner refuses new stored jobs while a commit has been pending for longer.
 
+/// Tasks of the occurrences that a repeated job holds at a time. Further occurrences that are due wait for the end of earlier ones, which bounds the job's record
+/// and the steps of the event loop, however many occurrences are due. One occurrence may have more tasks.
+constexpr std::size_t maxTasksOfRepeatedJob = 4096;
+constexpr std::size_t maxTasksBegunPerTurn = 500; ///< Of occurrences that are due, so that the owner answers calls and renews its lease in between.
+
 /// Number of runs that a task can have under one owner. It spaces the run numbers of successive owners so that they always rise, also for long-running tasks
 /// that restart often.
 constexpr std::uint32_t runsPerEpoch = 65'536;
--- a/src/libs/jobs/jobshape.h
+++ b/src/libs/jobs/jobshape.h
@@ -8,25 +8,38 @@
 /// Creates a job with its tasks. Those of a repeated job are added by beginOccurrence().
 Job makeJob(JobId id, QueueRules rules, JobSpec spec, Base::MonoTime arrivedAt);
 
-/// Adds the tasks of the next occurrence.
-void beginOccurrence(Job &job);
+/// Adds the tasks of an occurrence that hasn't begun, in place of those of an occurrence that is done if there is one. Returns its position.
+OccurrencePosition beginOccurrence(Job &job, std::uint32_t occurrence);
 
-/// Returns the number of occurrences that have begun. A job that isn't repeated has one.
-std::uint32_t occurrencesBegun(const Job &job);
+/// Adds the tasks of a repeated job that had begun these occurrences, at the positions in which they are given.
+void restoreOccurrences(Job &job, std::uint32_t next, std::vector<std::uint32_t> occurrences);
 
-/// Returns when the next occurrence is due; nothing if all have begun.
+/// Returns the number of tasks of one occurrence.
+std::uint32_t countTasks(const JobSpec &spec);
+
+/// Returns when the next occurrence is due; nothing if all have begun, or if the job has so many open tasks that an earlier one must end first.
 std::optional<Base::WallTime> nextOccurrenceAt(const Job &job);
 
+/// Returns whether all tasks of the occurrence at the position are done.
+bool isOccurrenceDone(const Job &job, OccurrencePosition position);
+
 /// Returns whether all tasks of all occurrences are done.
 bool isComplete(const Job &job);
 
 const StepSpec &stepSpec(const Job &job, StepIndex step);
-StepIndex findStepIndex(const Job &job, const TaskRef &task);
 
-/// Returns whether the task's occurrence has begun and contains the task.
+/// Returns whether the job holds the task: its occurrence has begun and isn't forgotten.
 bool hasTask(const Job &job, const TaskRef &task);
 
-/// Conversions from and to positions in Job::tasks. The task must exist.
+/// Returns whether the task is one of the step.
+bool isOfStep(const Job &job, const TaskRef &task, StepIndex step);
+
+/// Returns the first step of the occurrence at the position.
+StepIndex firstStepAt(const Job &job, OccurrencePosition position);
+OccurrencePosition positionOfStep(const Job &job, StepIndex step);
+
+/// Conversions from and to positions in Job::tasks. The job must hold the task.
+StepIndex findStepIndex(const Job &job, const TaskRef &task);
 std::uint32_t flatIndex(const Job &job, const TaskRef &task);
 StepIndex findStepIndex(const Job &job, std::uint32_t flat);
 /// Returns the step of one of the job's tasks.
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace LaburnumFlow::Jobs {
@@ -185,28 +186,56 @@
     }
 }
 
-Job restoreJob(JobRecord record, const FailedRunsRecord &failedRuns, Base::MonoTime now, std::size_t &tasksInDoubt)
+/// Returns the occurrences that the record of a job without RepeatedJobRecord is about: the first ones, in order.
+std::vector<std::uint32_t> occurrencesInOrder(const JobRecord &record)
 {
-    Job job = makeJob(record.id, std::move(record.rules), std::move(record.spec), now);
-    job.stored = true;
-    job.failedRuns.insert(failedRuns.runs.begin(), failedRuns.runs.end());
-    while (job.tasks.size() < record.done.size() && nextOccurrenceAt(job)) {
-        beginOccurrence(job);
+    const std::size_t perOccurrence = std::max<std::size_t>(1, countTasks(record.spec));
+    const std::size_t begun = (record.done.size() + perOccurrence - 1) / perOccurrence;
+    std::vector<std::uint32_t> numbers(std::min<std::size_t>(begun, record.spec.repetition.count));
+    std::iota(numbers.begin(), numbers.end(), 0U);
+    return numbers;
+}
+
+std::optional<RepeatedJobRecord> decodeAnyJobRecord(std::string_view text)
+{
+    if (std::optional<RepeatedJobRecord> repeated = decodeRepeatedJobRecord(text)) {
+        return repeated;
+    }
+    std::optional<JobRecord> record = decodeJobRecord(text);
+    if (!record) {
+        return std::nullopt;
     }
+    std::vector<std::uint32_t> occurrences = occurrencesInOrder(*record);
+    const auto next = static_cast<std::uint32_t>(occurrences.size());
+    return RepeatedJobRecord{std::move(*record), next, std::move(occurrences)};
+}
+
+/// Restores what is recorded of the job's tasks. A former owner may have started any of those that aren't done, also those of steps that look blocked, as it may not
+/// have recorded the latest ends.
+void restoreTasks(OwnerState &state, Job &job, JobRecord &record)
+{
     for (std::size_t flat = 0; flat < job.tasks.size(); ++flat) {
         Task &task = job.tasks[flat];
+        const bool isDone = flat < record.done.size() && record.done[flat] != 0;
         task.failures = flat < record.failures.size() ? record.failures[flat] : 0;
         task.checkpoint = flat < record.checkpoints.size() ? std::move(record.checkpoints[flat]) : std::string();
-        if (flat < record.done.size() && record.done[flat] != 0) {
-            task.phase = Task::Phase::Done;
-            ++job.doneTasks;
-        }
+        Internal::setPhase(state, job, task, isDone ? Task::Phase::Done : Task::Phase::InDoubt);
+    }
+}
+
+Job restoreJob(OwnerState &state, RepeatedJobRecord stored, const FailedRunsRecord &failedRuns)
+{
+    JobRecord &record = stored.job;
+    Job job = makeJob(record.id, std::move(record.rules), std::move(record.spec), state.now);
+    job.stored = true;
+    job.failedRuns.insert(failedRuns.runs.begin(), failedRuns.runs.end());
+    if (job.spec.repetition.count > 0) {
+        restoreOccurrences(job, stored.nextOccurrence, std::move(stored.occurrences));
     }
-    // A former owner may have started any of the other tasks, also those of steps that look blocked, as it may not have recorded the latest ends.
-    for (Task &task : job.tasks) {
-        if (task.phase != Task::Phase::Done) {
-            task.phase = Task::Phase::InDoubt;
-            ++tasksInDoubt;
+    restoreTasks(state, job, record);
+    for (OccurrencePosition position = 0; position < job.occurrences.numbers().size(); ++position) {
+        if (isOccurrenceDone(job, position)) {
+            job.occurrences.release(position);
         }
     }
     return job;
@@ -225,12 +254,12 @@
                 failedRuns = std::move(*runs);
                 continue;
             }
-            std::optional<JobRecord> record = decodeJobRecord(text);
+            std::optional<RepeatedJobRecord> record = decodeAnyJobRecord(text);
             const FailedRunsRecord runsOfJob = std::exchange(failedRuns, {});
-            if (!record || state.finished.contains(record->id) || state.jobs.contains(record->id)) {
+            if (!record || state.finished.contains(record->job.id) || state.jobs.contains(record->job.id)) {
                 continue;
             }
-            Job job = restoreJob(std::move(*record), runsOfJob, state.now, state.tasksInDoubt);
+            Job job = restoreJob(state, std::move(*record), runsOfJob);
             ++state.unstarted[job.rules.name];
             live.push_back(job.id);
             Job &kept = state.jobs.emplace(job.id, std::move(job)).first->second;
--- a/src/libs/jobs/owneradvice.cpp
+++ b/src/libs/jobs/owneradvice.cpp
@@ -31,7 +31,7 @@
 {
     OwnerState &state = context.state;
     AskAdvice call{++state.adviceCalls, firstTaskRef(job, step), {}, {}};
-    PendingAdvice pending{call.number, {job.id, step}, {}, state.now};
+    PendingAdvice pending{call.number, {job.id, step}, call.step.occurrence, {}, state.now};
     for (const AgentIndex index : agents) {
         const WorkerInfo &worker = *state.agents[index].worker;
         call.workers.push_back(worker.id);
@@ -57,6 +57,12 @@
     std::stable_sort(steps.begin(), steps.end(), [&lastCall](const AdvisedStep &left, const AdvisedStep &right) { return lastCall(left) < lastCall(right); });
 }
 
+/// Returns whether the call's step is still at its index. That of an occurrence that is done may have been used again.
+bool isStillHeld(const Job &job, const PendingAdvice &pending)
+{
+    return pending.step.second < job.steps.size() && job.occurrences.numbers()[positionOfStep(job, pending.step.second)] == pending.occurrence;
+}
+
 } // namespace
 
 void askAdvice(Context &context, std::vector<AdvisedStep> steps)
@@ -101,7 +107,7 @@
         return;
     }
     state.adviceRetryDelay = {};
-    if (job == nullptr || !job->rules.advice) {
+    if (job == nullptr || !job->rules.advice || !isStillHeld(*job, pending)) {
         return;
     }
     // The validity counts from the call, as the service may have issued the tickets right after it.
@@ -128,4 +134,12 @@
     state.adviceAskedLast.erase(firstCall, std::find_if(firstCall, state.adviceAskedLast.end(), ofOtherJob));
 }
 
+void dropAdvice(OwnerState &state, const Job &job, OccurrencePosition position)
+{
+    const AdvisedStep first{job.id, firstStepAt(job, position)};
+    const AdvisedStep end{job.id, firstStepAt(job, position + 1)};
+    state.advice.erase(state.advice.lower_bound(first), state.advice.lower_bound(end));
+    state.adviceAskedLast.erase(state.adviceAskedLast.lower_bound(first), state.adviceAskedLast.lower_bound(end));
+}
+
 } // namespace LaburnumFlow::Jobs::Internal
--- a/src/libs/jobs/owneragents.cpp
+++ b/src/libs/jobs/owneragents.cpp
@@ -3,6 +3,7 @@
 #include "jobsconstants.h"
 
 #include <algorithm>
+#include <set>
 #include <unordered_set>
 
 namespace LaburnumFlow::Jobs::Internal {
@@ -135,8 +136,12 @@
     if (!formerRunsResolved(context.state)) {
         return;
     }
+    std::set<JobId> jobs;
     for (const PossibleRun &possible : report.running) {
-        if (Job *job = findJob(context.state, possible.run.task.job)) {
+        jobs.insert(possible.run.task.job);
+    }
+    for (const JobId id : jobs) {
+        if (Job *job = findJob(context.state, id)) {
             breakPartialGangs(context, *job);
         }
     }
--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -112,9 +112,8 @@
     logDecision(context, "job.begun", {{"id", formatId(job.id)}, {"queue", job.rules.name}, {"tasks", std::to_string(job.tasks.size())}});
     if (!formerRunsResolved(state)) {
         for (Task &task : job.tasks) {
-            task.phase = Task::Phase::InDoubt;
+            setPhase(state, job, task, Task::Phase::InDoubt);
         }
-        state.tasksInDoubt += job.tasks.size();
     }
     updateNextOccurrence(state, job, true);
     adoptOrphans(context, job);
--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -80,21 +80,18 @@
 /// Handles the end of a run that was done.
 void handleTaskDone(Context &context, Job &job, Task &task, AgentIndex agent, const EndAck &endAck)
 {
-    leavePhase(context.state, job, task);
-    task.phase = Task::Phase::Done;
-    ++job.doneTasks;
-    handleProgress(context, job, agent, endAck);
+    setPhase(context.state, job, task, Task::Phase::Done);
+    handleProgress(context, job, stepOfTask(job, task), agent, endAck);
 }
 
 void handleTaskFailed(Context &context, Job &job, const RunRef &run, AgentIndex agent, const EndAck &endAck)
 {
     Task &task = job.tasks[flatIndex(job, run.task)];
-    leavePhase(context.state, job, task);
     countFailedRun(job, run);
     avoidAgent(context.state, task, agent);
     if (task.failures >= job.rules.maxAttempts) {
         // finishJob() stops active tasks, but the run of this one has ended.
-        task.phase = Task::Phase::Blocked;
+        setPhase(context.state, job, task, Task::Phase::Blocked);
         finishJob(context, job, JobState::Failed, {endAck});
         return;
     }
@@ -238,16 +235,29 @@
     releaseTask(context, job, task);
 }
 
+/// Lets the later steps of the occurrence start, or the next occurrence begin in its place.
+void handleStepDone(Context &context, Job &job, OccurrencePosition position)
+{
+    unblockOccurrence(context, job, position);
+    if (isOccurrenceDone(job, position)) {
+        job.occurrences.release(position);
+        updateNextOccurrence(context.state, job, true);
+    }
+}
+
 } // namespace
 
-void handleProgress(Context &context, Job &job, AgentIndex agent, const EndAck &endAck)
+void handleProgress(Context &context, Job &job, StepIndex step, AgentIndex agent, const EndAck &endAck)
 {
     if (isComplete(job)) {
         finishJob(context, job, JobState::Completed, {endAck});
         return;
     }
     acknowledgeWithRecord(context, job, agent, endAck, context.state.now + progressCommitDelay);
-    unblockSteps(context, job);
+    if (job.steps[step].doneTasks == stepSpec(job, step).count) {
+        handleStepDone(context, job, positionOfStep(job, step));
+    }
+    requeue(context, job);
 }
 
 void acknowledgeWithRecord(Context &context, Job &job, AgentIndex agent, const EndAck &endAck, Base::MonoTime due)
--- a/src/libs/jobs/ownergangs.cpp
+++ b/src/libs/jobs/ownergangs.cpp
@@ -32,13 +32,8 @@
 /// Handles the end of a member's run. Until all runs of former owners are resolved, another run of it may be running, so the member is in doubt.
 void releaseMember(Context &context, Job &job, Task &task)
 {
-    leavePhase(context.state, job, task);
     task.agent = noAgent;
-    task.phase = Task::Phase::Blocked;
-    if (!formerRunsResolved(context.state)) {
-        task.phase = Task::Phase::InDoubt;
-        ++context.state.tasksInDoubt;
-    }
+    setPhase(context.state, job, task, formerRunsResolved(context.state) ? Task::Phase::Blocked : Task::Phase::InDoubt);
 }
 
 } // namespace
@@ -47,12 +42,10 @@
 {
     for (Task &task : gangMembers(job, step)) {
         if (task.phase != Task::Phase::Done) {
-            leavePhase(context.state, job, task);
-            task.phase = Task::Phase::Done;
-            ++job.doneTasks;
+            setPhase(context.state, job, task, Task::Phase::Done);
         }
     }
-    handleProgress(context, job, agent, endAck);
+    handleProgress(context, job, step, agent, endAck);
 }
 
 void handleGangFailure(Context &context, Job &job, const RunRef &run, AgentIndex agent, const EndAck &endAck)
@@ -74,12 +67,11 @@
     releaseMember(context, job, job.tasks[flatIndex(job, task)]);
     for (Task &member : gangMembers(job, findStepIndex(job, task))) {
         if (member.phase == Task::Phase::Ready) {
-            leavePhase(context.state, job, member);
-            member.phase = Task::Phase::Blocked;
+            setPhase(context.state, job, member, Task::Phase::Blocked);
         }
     }
     stopMembers(context, job, findStepIndex(job, task));
-    unblockSteps(context, job);
+    unblockOccurrence(context, job, positionOfStep(job, findStepIndex(job, task)));
 }
 
 void breakPartialGangs(Context &context, Job &job)
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -58,8 +58,7 @@
 {
     for (Task &task : job.tasks) {
         if (task.phase == Task::Phase::InDoubt) {
-            --state.tasksInDoubt;
-            task.phase = Task::Phase::Blocked;
+            setPhase(state, job, task, Task::Phase::Blocked);
         }
     }
 }
@@ -96,6 +95,7 @@
 void removeJob(OwnerState &state, Job &job)
 {
     leaveQueue(state, job);
+    clearTasksInDoubt(state, job);
     scheduleTimelinessChange(state, job, false);
     updateNextOccurrence(state, job, false);
     dropAdvice(state, job.id);
@@ -156,9 +156,21 @@
     return record;
 }
 
+/// A job whose occurrences are at the positions of their numbers is encoded as a JobRecord, which also earlier versions can read.
+std::string encodeJob(const Job &job)
+{
+    const std::vector<std::uint32_t> &numbers = job.occurrences.numbers();
+    std::uint32_t expected = 0;
+    const bool inOrder = std::all_of(numbers.begin(), numbers.end(), [&expected](std::uint32_t number) { return number == expected++; });
+    if (inOrder && job.occurrences.next() == numbers.size()) {
+        return encodeRecord(makeJobRecord(job));
+    }
+    return encodeRecord(RepeatedJobRecord{makeJobRecord(job), job.occurrences.next(), numbers});
+}
+
 PutJob makePutJob(const Job &job)
 {
-    PutJob put{job.id, encodeRecord(makeJobRecord(job))};
+    PutJob put{job.id, encodeJob(job)};
     if (!job.failedRuns.empty()) {
         put.failedRuns = encodeRecord(FailedRunsRecord{job.id, {job.failedRuns.begin(), job.failedRuns.end()}});
     }
@@ -181,47 +193,42 @@
     job.state = JobState::Running;
 }
 
-void unblockSteps(Context &context, Job &job)
+void unblockOccurrence(Context &context, Job &job, OccurrencePosition position)
 {
-    const auto isDone = [&job](StepIndex step) {
-        for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U]; ++flat) {
-            if (job.tasks[flat].phase != Task::Phase::Done) {
-                return false;
-            }
-        }
-        return true;
-    };
-    for (StepIndex step = 0; step < job.steps.size(); ++step) {
-        const auto first = job.tasks.begin() + job.firstTask[step];
-        const auto last = job.tasks.begin() + job.firstTask[step + 1U];
-        if (std::none_of(first, last, [](const Task &task) { return task.phase == Task::Phase::Blocked; })) {
-            continue;
-        }
+    const StepIndex firstStep = firstStepAt(job, position);
+    const auto isDone = [&job](StepIndex step) { return job.steps[step].doneTasks == stepSpec(job, step).count; };
+    for (StepIndex step = firstStep; step < firstStepAt(job, position + 1); ++step) {
+        const StepSpec &spec = stepSpec(job, step);
+        const std::uint32_t blocked = job.steps[step].blockedTasks;
         // The members of a gang start together, once no earlier run of any member is left.
-        if (stepSpec(job, step).gang && !std::all_of(first, last, [](const Task &task) { return task.phase == Task::Phase::Blocked; })) {
+        if (blocked == 0 || (spec.gang && blocked < spec.count)) {
             continue;
         }
-        const auto &after = stepSpec(job, step).after;
-        const StepIndex firstOfOccurrence = step - step % static_cast<StepIndex>(job.spec.steps.size());
-        if (!std::all_of(after.begin(), after.end(), [&](std::uint16_t earlier) { return isDone(firstOfOccurrence + earlier); })) {
+        if (!std::all_of(spec.after.begin(), spec.after.end(), [&](std::uint16_t earlier) { return isDone(firstStep + earlier); })) {
             continue;
         }
         job.steps[step].readySince = context.state.now;
-        for (auto task = first; task != last; ++task) {
-            if (task->phase == Task::Phase::Blocked) {
-                setReady(context, job, *task);
+        for (std::uint32_t flat = job.firstTask[step]; flat < job.firstTask[step + 1U]; ++flat) {
+            if (job.tasks[flat].phase == Task::Phase::Blocked) {
+                setReady(context, job, job.tasks[flat]);
             }
         }
     }
     requeue(context, job);
 }
 
+void unblockSteps(Context &context, Job &job)
+{
+    const auto positions = static_cast<OccurrencePosition>(job.occurrences.numbers().size());
+    for (OccurrencePosition position = 0; position < positions; ++position) {
+        unblockOccurrence(context, job, position);
+    }
+}
+
 void setReady(Context &context, Job &job, Task &task)
 {
-    task.phase = Task::Phase::Ready;
+    setPhase(context.state, job, task, Task::Phase::Ready);
     task.agent = noAgent;
-    ++job.readyTasks;
-    ++job.steps[stepOfTask(job, task)].readyTasks;
     context.state.schedulingDue = true;
 }
 
@@ -293,7 +300,6 @@
             state.expiring.erase(state.expiring.begin());
         } else if (job->abandoned) {
             markStarted(state, *job);
-            clearTasksInDoubt(state, *job);
             removeJob(state, *job);
         } else {
             abandonJob(context, *job);
--- a/src/libs/jobs/owneroccurrences.cpp
+++ b/src/libs/jobs/owneroccurrences.cpp
@@ -1,5 +1,7 @@
 #include "ownersteps.h"
 
+#include "jobsconstants.h"
+
 namespace LaburnumFlow::Jobs::Internal {
 
 namespace {
@@ -15,20 +17,23 @@
     job.starved = false;
 }
 
-void beginNextOccurrence(Context &context, Job &job)
+/// Begins the occurrence, and its steps that wait for no others.
+void begin(Context &context, Job &job, std::uint32_t occurrence)
 {
     OwnerState &state = context.state;
     restartObjective(state, job);
-    const std::size_t first = job.tasks.size();
-    beginOccurrence(job);
-    logDecision(context, "job.occurrence", {{"id", formatId(job.id)}, {"occurrence", std::to_string(occurrencesBegun(job) - 1)}});
+    const OccurrencePosition position = beginOccurrence(job, occurrence);
+    dropAdvice(state, job, position);
+    logDecision(context, "job.occurrence", {{"id", formatId(job.id)}, {"occurrence", std::to_string(occurrence)}});
+    updateNextOccurrence(state, job, true);
     if (formerRunsResolved(state)) {
+        unblockOccurrence(context, job, position);
         return;
     }
     // The occurrence may have been due earlier by the clock of a former owner, which may have started its tasks.
-    for (std::size_t flat = first; flat < job.tasks.size(); ++flat) {
-        job.tasks[flat].phase = Task::Phase::InDoubt;
-        ++state.tasksInDoubt;
+    const std::uint32_t end = job.firstTask[firstStepAt(job, position + 1)];
+    for (std::uint32_t flat = job.firstTask[firstStepAt(job, position)]; flat < end; ++flat) {
+        setPhase(state, job, job.tasks[flat], Task::Phase::InDoubt);
     }
 }
 
@@ -37,22 +42,18 @@
 void beginDueOccurrences(Context &context)
 {
     OwnerState &state = context.state;
-    while (!state.occurrences.empty() && state.occurrences.begin()->first <= state.wall) {
+    std::size_t begunTasks = 0;
+    while (!state.occurrences.empty() && state.occurrences.begin()->first <= state.wall && begunTasks < maxTasksBegunPerTurn) {
         Job &job = state.jobs.at(state.occurrences.begin()->second);
-        beginNextOccurrence(context, job);
-        updateNextOccurrence(state, job, true);
-        unblockSteps(context, job);
+        begunTasks += countTasks(job.spec);
+        begin(context, job, job.occurrences.next());
     }
 }
 
 bool ensureOccurrenceBegun(Context &context, Job &job, const TaskRef &task)
 {
-    if (task.occurrence < job.spec.repetition.count && occurrencesBegun(job) <= task.occurrence) {
-        while (occurrencesBegun(job) <= task.occurrence) {
-            beginNextOccurrence(context, job);
-        }
-        updateNextOccurrence(context.state, job, true);
-        unblockSteps(context, job);
+    if (task.occurrence < job.spec.repetition.count && !job.occurrences.hasBegun(task.occurrence)) {
+        begin(context, job, task.occurrence);
     }
     return hasTask(job, task);
 }
--- a/src/libs/jobs/ownerschedule.cpp
+++ b/src/libs/jobs/ownerschedule.cpp
@@ -76,8 +76,7 @@
     OwnerState &state = round.context.state;
     Agent &agent = state.agents[index];
     Task &task = job.tasks[flat];
-    leavePhase(state, job, task);
-    task.phase = Task::Phase::Active;
+    setPhase(state, job, task, Task::Phase::Active);
     task.agent = index;
     task.starts = starts;
     task.run = static_cast<std::uint32_t>((state.epoch - 1) * runsPerEpoch) + starts;
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -2,6 +2,7 @@
 
 #include "fleet.h"
 #include "messages.h"
+#include "occurrencepositions.h"
 #include "ownersettings.h"
 #include "recorder.h"
 
@@ -50,12 +51,14 @@
     std::optional<Base::MonoTime> givenUpAt;
 };
 
-/// Index of a step among those of all occurrences that have begun, in order. For a job that isn't repeated it is the index in the spec.
+/// Index of a step among those of all occurrences that the job holds, in the order of their positions. For a job that isn't repeated it is the index in the spec.
 using StepIndex = std::uint32_t;
 
 struct StepProgress {
     Base::MonoTime readySince{}; ///< When tasks of the step last became ready.
+    std::uint32_t blockedTasks = 0; ///< Counts of its tasks by phase; setPhase() keeps them.
     std::uint32_t readyTasks = 0;
+    std::uint32_t doneTasks = 0;
     bool waiting = false; ///< It is among OwnerState::waitingSteps.
     Base::MonoTime waitLoggedAt{}; ///< When a long wait of its tasks was last logged.
 };
@@ -90,11 +93,13 @@
     bool stored = false; ///< The store holds the job, or it is best-effort; its tasks may start.
     bool finishing = false; ///< Its final state is being recorded.
     bool cancelRequested = false; ///< A cancellation came before the job was stored.
-    std::vector<Task> tasks; ///< Tasks of all occurrences that have begun, in the order of the steps.
+    OccurrencePositions occurrences; ///< Which occurrences the job holds tasks of.
+    std::vector<Task> tasks; ///< Tasks of these occurrences, in the order of the steps.
     std::vector<std::uint32_t> firstTask; ///< Position in tasks of the first task of each StepIndex, followed by the number of tasks.
     std::vector<StepProgress> steps; ///< By StepIndex.
+    std::vector<StepIndex> stepsToRequeue; ///< Steps that have begun or ceased to have ready tasks since the last requeue().
     std::set<FailedRun> failedRuns; ///< Runs that the tasks' failures count. An agent reports an end again until it is acknowledged.
-    std::optional<Base::WallTime> nextOccurrence; ///< When the next occurrence begins, if the owner waits for it.
+    std::optional<Base::WallTime> nextOccurrence; ///< When the next occurrence begins, if the owner waits for it and not for the end of an earlier one.
     bool longRunning = false; ///< It has tasks that run until it is cancelled.
     std::uint32_t doneTasks = 0;
     std::uint32_t readyTasks = 0;
@@ -181,6 +186,7 @@
 
     std::uint64_t number = 0;
     AdvisedStep step;
+    std::uint32_t occurrence = 0; ///< Of the step.
     std::vector<AskedWorker> workers; ///< Workers named in the call.
     Base::MonoTime askedAt{};
 };
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -3,6 +3,7 @@
 #include "jobshape.h"
 #include "jobtext.h"
 #include "ownerstate.h"
+#include "taskphase.h"
 
 #include <string>
 #include <vector>
@@ -31,10 +32,10 @@
 /// Sets a stored queued job to running and removes it from the count of unstarted jobs. Called when a task starts or the job ends.
 void markStarted(OwnerState &state, Job &job);
 
-/// Begins all occurrences that are due.
+/// Begins occurrences that are due, maxTasksBegunPerTurn at a time.
 void beginDueOccurrences(Context &context);
 
-/// Begins the job's occurrences up to that of a task that an agent has reported. Returns whether the job has the task.
+/// Begins the occurrence of a task that an agent has reported, unless it has begun. Returns whether the job holds the task.
 bool ensureOccurrenceBegun(Context &context, Job &job, const TaskRef &task);
 
 /// Updates when the job's next occurrence begins. \a enabled is false if the job has ended.
@@ -43,6 +44,9 @@
 /// Makes the tasks of those steps ready whose earlier steps are done.
 void unblockSteps(Context &context, Job &job);
 
+/// The same for the steps of one occurrence, without a look at the others.
+void unblockOccurrence(Context &context, Job &job, OccurrencePosition position);
+
 void setReady(Context &context, Job &job, Task &task);
 
 /// Adds the job to the ready queue or removes it, depending on whether it has tasks that may start.
@@ -141,9 +145,6 @@
 /// Returns whether every run of a former owner is known or has ended.
 bool formerRunsResolved(const OwnerState &state);
 
-/// Updates the counts of ready tasks and of tasks in doubt. Called before the task moves to another phase.
-void leavePhase(OwnerState &state, Job &job, const Task &task);
-
 /// Handles the end of a task's run. The task becomes ready, or in doubt if another run of it by a former owner may still be running.
 void releaseTask(Context &context, Job &job, Task &task);
 
@@ -208,8 +209,12 @@
 /// Drops all advice for the job's steps.
 void dropAdvice(OwnerState &state, JobId job);
 
-/// Finishes the job if all its tasks are done. Otherwise records the progress and unblocks further steps. \a endAck is the end of the task that was done.
-void handleProgress(Context &context, Job &job, AgentIndex agent, const EndAck &endAck);
+/// Drops the advice for the steps of the occurrence at the position.
+void dropAdvice(OwnerState &state, const Job &job, OccurrencePosition position);
+
+/// Finishes the job if all its tasks are done. Otherwise records the progress and unblocks further steps. \a step is that of the task that was done, and
+/// \a endAck the end of its run.
+void handleProgress(Context &context, Job &job, StepIndex step, AgentIndex agent, const EndAck &endAck);
 
 /// Acknowledges an end once the job's next record is stored; immediately for a best-effort job, which isn't stored.
 void acknowledgeWithRecord(Context &context, Job &job, AgentIndex agent, const EndAck &endAck, Base::MonoTime due);
--- a/src/libs/jobs/ownertakeover.cpp
+++ b/src/libs/jobs/ownertakeover.cpp
@@ -14,19 +14,36 @@
     return isAdopted(state, task) && task.run < run.run && !stepSpecOfTask(job, flatIndex(job, run.task)).gang;
 }
 
-} // namespace
-
-void leavePhase(OwnerState &state, Job &job, const Task &task)
+/// Treats the agents that have not reported in time as if they ran nothing any more.
+void stopAwaitingAgents(Context &context)
 {
-    if (task.phase == Task::Phase::InDoubt) {
-        --state.tasksInDoubt;
+    OwnerState &state = context.state;
+    logDecision(context, "owner.unreported", {{"agents", std::to_string(state.awaitedAgents.size())}});
+    state.lateAgents.insert(state.awaitedAgents.begin(), state.awaitedAgents.end());
+    if (!state.formerOwnersFenced) {
+        state.givenUpAgents = state.awaitedAgents;
     }
-    if (task.phase == Task::Phase::Ready) {
-        --job.readyTasks;
-        --job.steps[stepOfTask(job, task)].readyTasks;
+    state.awaitedAgents.clear();
+    state.agentsChanged = true;
+}
+
+/// Unblocks the job's tasks in doubt.
+void resolveJob(Context &context, Job &job, bool agentsUnreported)
+{
+    for (Task &task : job.tasks) {
+        if (task.phase == Task::Phase::InDoubt) {
+            setPhase(context.state, job, task, Task::Phase::Blocked);
+            if (agentsUnreported) {
+                task.givenUpAt = context.state.now;
+            }
+        }
     }
+    breakPartialGangs(context, job);
+    unblockSteps(context, job);
 }
 
+} // namespace
+
 void releaseTask(Context &context, Job &job, Task &task)
 {
     if (formerRunsResolved(context.state)) {
@@ -35,9 +52,8 @@
         requeue(context, job);
         return;
     }
-    task.phase = Task::Phase::InDoubt;
+    setPhase(context.state, job, task, Task::Phase::InDoubt);
     task.agent = noAgent;
-    ++context.state.tasksInDoubt;
 }
 
 bool isAdopted(const OwnerState &state, const Task &task)
@@ -73,8 +89,7 @@
     if (replaces) {
         stopOtherRuns(state, job, run);
     }
-    leavePhase(state, job, task);
-    task.phase = Task::Phase::Active;
+    setPhase(state, job, task, Task::Phase::Active);
     task.agent = index;
     task.run = run.run;
     markStarted(state, job);
@@ -167,14 +182,8 @@
 {
     OwnerState &state = context.state;
     const bool agentsUnreported = !state.awaitedAgents.empty();
-    if (formerRunsResolved(state) && agentsUnreported) {
-        logDecision(context, "owner.unreported", {{"agents", std::to_string(state.awaitedAgents.size())}});
-        state.lateAgents.insert(state.awaitedAgents.begin(), state.awaitedAgents.end());
-        if (!state.formerOwnersFenced) {
-            state.givenUpAgents = state.awaitedAgents;
-        }
-        state.awaitedAgents.clear();
-        state.agentsChanged = true;
+    if (agentsUnreported && formerRunsResolved(state)) {
+        stopAwaitingAgents(context);
     }
     if (!state.givenUpAgents.empty() && state.now >= state.tookOverAt + formerOwnerRetention) {
         state.givenUpAgents.clear();
@@ -184,18 +193,8 @@
         return;
     }
     logDecision(context, "owner.certain", {{"tasks", std::to_string(state.tasksInDoubt)}});
-    state.tasksInDoubt = 0;
     for (auto &[id, job] : state.jobs) {
-        for (Task &task : job.tasks) {
-            if (task.phase == Task::Phase::InDoubt) {
-                task.phase = Task::Phase::Blocked;
-                if (agentsUnreported) {
-                    task.givenUpAt = state.now;
-                }
-            }
-        }
-        breakPartialGangs(context, job);
-        unblockSteps(context, job);
+        resolveJob(context, job, agentsUnreported);
     }
 }
 
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -19,8 +19,8 @@
 
 std::uint32_t countRunsOfStep(const Agent &agent, const Job &job, StepIndex step)
 {
-    return static_cast<std::uint32_t>(std::count_if(
-        agent.runs.begin(), agent.runs.end(), [&](const auto &run) { return run.first.task.job == job.id && findStepIndex(job, run.first.task) == step; }));
+    return static_cast<std::uint32_t>(
+        std::count_if(agent.runs.begin(), agent.runs.end(), [&](const auto &run) { return isOfStep(job, run.first.task, step); }));
 }
 
 /// What a placement in progress counts on the workers: the load there and the tasks that it has assigned to them.
@@ -64,7 +64,7 @@
                 continue;
             }
             load.used[index] += active.need;
-            load.tasks[index] += run.task.job == job.id && findStepIndex(job, run.task) == step ? 1 : 0;
+            load.tasks[index] += isOfStep(job, run.task, step) ? 1 : 0;
         }
     }
     return load;
--- a/src/libs/jobs/records.cpp
+++ b/src/libs/jobs/records.cpp
@@ -62,6 +62,11 @@
     return encodeText(record);
 }
 
+std::string encodeRecord(const RepeatedJobRecord &record)
+{
+    return encodeText(record);
+}
+
 std::string encodeRecord(const FailedRunsRecord &record)
 {
     return encodeText(record);
@@ -97,6 +102,11 @@
     return decodeText<JobRecord>(bytes);
 }
 
+std::optional<RepeatedJobRecord> decodeRepeatedJobRecord(std::string_view bytes)
+{
+    return decodeText<RepeatedJobRecord>(bytes);
+}
+
 std::optional<FailedRunsRecord> decodeFailedRunsRecord(std::string_view bytes)
 {
     return decodeText<FailedRunsRecord>(bytes);
--- a/src/libs/jobs/records.h
+++ b/src/libs/jobs/records.h
@@ -76,6 +76,19 @@
     }
 };
 
+/// A repeated job that doesn't hold just its first occurrences in order. Earlier versions can't read it, and would take its tasks for those of others.
+struct RepeatedJobRecord {
+    JobRecord job; ///< Its elements per task are those of the occurrences below, in their order.
+    std::uint32_t nextOccurrence = 0; ///< First occurrence that hasn't begun.
+    std::vector<std::uint32_t> occurrences; ///< Occurrences that have begun; those that are neither here nor due to begin are done.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(job, nextOccurrence, occurrences);
+    }
+};
+
 /// A run that ended failed and counts as an attempt.
 struct FailedRun {
     std::uint32_t task = 0; ///< Position of the task in the order of the steps; of a gang, that of its first member.
@@ -105,7 +118,7 @@
 /// The records of several jobs under one key.
 struct JobPack {
     std::int64_t writtenMs = 0; ///< Unix time in milliseconds.
-    std::vector<std::string> records; ///< Encoded as JobRecord, followed by the FailedRunsRecord if the job has any.
+    std::vector<std::string> records; ///< Encoded as JobRecord or RepeatedJobRecord, followed by the FailedRunsRecord if the job has any.
 
     template<class Archive>
     void serialize(Archive &archive)
@@ -168,6 +181,7 @@
 std::string encodeRecord(const OwnerRecord &record);
 std::string encodeRecord(const ConfirmerRecord &record);
 std::string encodeRecord(const JobRecord &record);
+std::string encodeRecord(const RepeatedJobRecord &record);
 std::string encodeRecord(const FailedRunsRecord &record);
 std::string encodeRecord(const JobPack &record);
 std::string encodeRecord(const FinishedSegment &record);
@@ -177,6 +191,7 @@
 std::optional<OwnerRecord> decodeOwnerRecord(std::string_view bytes);
 std::optional<ConfirmerRecord> decodeConfirmerRecord(std::string_view bytes);
 std::optional<JobRecord> decodeJobRecord(std::string_view bytes);
+std::optional<RepeatedJobRecord> decodeRepeatedJobRecord(std::string_view bytes);
 std::optional<FailedRunsRecord> decodeFailedRunsRecord(std::string_view bytes);
 std::optional<JobPack> decodeJobPack(std::string_view bytes);
 std::optional<FinishedSegment> decodeFinishedSegment(std::string_view bytes);
--- a/src/libs/jobs/waitingsteps.cpp
+++ b/src/libs/jobs/waitingsteps.cpp
@@ -1,5 +1,7 @@
 #include "waitingsteps.h"
 
+#include <utility>
+
 namespace LaburnumFlow::Jobs {
 
 namespace {
@@ -26,6 +28,16 @@
     }
 }
 
+void listStepsWithReadyTasks(Job &job)
+{
+    job.stepsToRequeue.clear();
+    for (StepIndex step = 0; step < job.steps.size(); ++step) {
+        if (job.steps[step].readyTasks > 0) {
+            job.stepsToRequeue.push_back(step);
+        }
+    }
+}
+
 } // namespace
 
 PlacementRequirements placementRequirements(const Job &job, StepIndex step)
@@ -44,9 +56,12 @@
     if (job.queuedAt && *job.queuedAt != place) {
         leaveQueue(state, job);
     }
-    job.queuedAt = place;
-    state.ready.insert(place);
-    for (StepIndex step = 0; step < job.steps.size(); ++step) {
+    if (!job.queuedAt) {
+        job.queuedAt = place;
+        state.ready.insert(place);
+        listStepsWithReadyTasks(job);
+    }
+    for (const StepIndex step : std::exchange(job.stepsToRequeue, {})) {
         updateWaiting(state, job, step, job.steps[step].readyTasks > 0);
     }
 }
--- a/tests/auto/jobs/ownerharness.cpp
+++ b/tests/auto/jobs/ownerharness.cpp
@@ -56,6 +56,29 @@
     state = takeOver(std::move(stored), now_, Base::WallTime(1'000'000));
 }
 
+OwnerHarness OwnerHarness::successorOf(const OwnerHarness &former)
+{
+    OwnerHarness successor({});
+    successor.now_ = former.now_;
+    successor.state = takeOver(former.storedForSuccessor(), former.now_, former.state.wall);
+    return successor;
+}
+
+StoredJobs OwnerHarness::storedForSuccessor() const
+{
+    StoredJobs stored;
+    stored.owner = {state.epoch + 1, 0, "entry-2", 1, state.recorder.recordedAgents()};
+    stored.ownerRevision = revision_;
+    for (const Commit &commit : commits) {
+        for (const Commit::Write &write : commit.writes) {
+            if (write.key.starts_with(jobPrefix)) {
+                stored.packs.push_back({write.key, decodeJobPack(write.value).value()});
+            }
+        }
+    }
+    return stored;
+}
+
 void OwnerHarness::advanceTime(Base::Duration time)
 {
     now_ += time;
--- a/tests/auto/jobs/ownerharness.h
+++ b/tests/auto/jobs/ownerharness.h
@@ -33,6 +33,12 @@
     /// Creates an owner that takes over the jobs, with an owner record that names the agents.
     explicit OwnerHarness(std::vector<std::string> recordedAgents, std::uint64_t epoch = 1, const std::vector<JobRecord> &jobs = {});
 
+    /// Creates the owner of the next epoch, which takes over what the commits of \a former have written.
+    static OwnerHarness successorOf(const OwnerHarness &former);
+
+    /// Returns what the commits of this owner have written, as the owner of the next epoch finds it. None of their keys must have been removed.
+    StoredJobs storedForSuccessor() const;
+
     void advanceTime(Base::Duration time);
 
     /// Advances the time by timePerEvent, then handles the event.
--- a/tests/auto/jobs/tst_formerruns.cpp
+++ b/tests/auto/jobs/tst_formerruns.cpp
@@ -106,7 +106,7 @@
         former.reportEnd("agent-1", {{7, 0, 0}, 1}, RunOutcome::Failed);
         former.commitAll();
         OwnerHarness owner({"agent-1"}, 2);
-        owner.state = takeOver(storedJobs(former), owner.state.now, owner.state.wall);
+        owner.state = takeOver(former.storedForSuccessor(), owner.state.now, owner.state.wall);
         CPPUNIT_ASSERT_EQUAL(1, static_cast<int>(owner.state.jobs.at(7).tasks[0].failures));
         owner.join("agent-1", 8000, {}, {{1, {{7, 0, 0}, 1}, RunOutcome::Failed, 10}});
         CPPUNIT_ASSERT_EQUAL(1, static_cast<int>(owner.state.jobs.at(7).tasks[0].failures));
@@ -144,21 +144,6 @@
     }
 
 private:
-    /// Returns the jobs as the commits of the owner have stored them.
-    static StoredJobs storedJobs(const OwnerHarness &owner)
-    {
-        StoredJobs stored;
-        stored.owner = {2, 0, "entry-2", 1, {"agent-1"}};
-        for (const Commit &commit : owner.commits) {
-            for (const Commit::Write &write : commit.writes) {
-                if (write.key.starts_with(jobPrefix)) {
-                    stored.packs.push_back({write.key, decodeJobPack(write.value).value()});
-                }
-            }
-        }
-        return stored;
-    }
-
     static void refuse(OwnerHarness &owner, const std::string &agent, const RunRef &run)
     {
         AgentReport refused = owner.report(agent);
