Takeover: resolve tasks in doubt over many turns

Once the last agent has reported, a new owner unblocked the tasks of all stored jobs in one turn of its event loop, however many there are.

That agents had not reported is kept with the list, as it decides when the tasks may start.

--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -354,7 +354,7 @@
         due.consider(state.timelinessChanges.begin()->first);
     }
     if (state.tasksInDoubt > 0) {
-        due.consider(state.formerRunsResolvedBy);
+        due.consider(state.resolution.jobs.empty() ? state.formerRunsResolvedBy : state.now + Base::Duration(1));
     }
     if (!state.orphans.empty() && state.now < state.orphansUntil) {
         due.consider(state.orphansUntil);
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -238,6 +238,13 @@
     bool agentsChanged = true; ///< Set if the list of agents to record may have changed since agentsListedAt.
     Base::MonoTime agentsListedAt{};
     std::size_t tasksInDoubt = 0;
+    /// Jobs whose tasks in doubt are unblocked over several turns, once no run of a former owner is unknown.
+    struct Resolution {
+        std::deque<JobId> jobs;
+        std::optional<Base::MonoTime> givenUpAt; ///< Task::givenUpAt of these tasks; set if agents had not reported.
+    };
+
+    Resolution resolution;
     Base::MonoTime formerRunsResolvedBy{}; ///< From then on no unreported run of a former owner can still be running.
     Base::MonoTime authorityUntil = Base::MonoTime::max(); ///< No orders are sent from then on, as another entry may own the jobs.
     bool confirmedByStore = true; ///< As in AuthorityRenewed.
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -175,7 +175,7 @@
 /// meanwhile must wait for that.
 void stopOrphans(Context &context);
 
-/// Unblocks the tasks in doubt once none of the former owners' unreported runs can be running any more.
+/// Unblocks the tasks in doubt, maxTasksResolvedPerTurn at a time, once none of the former owners' unreported runs can be running any more.
 void resolveTasksInDoubt(Context &context);
 
 // Gangs: steps whose tasks run together or not at all.
--- a/src/libs/jobs/ownertakeover.cpp
+++ b/src/libs/jobs/ownertakeover.cpp
@@ -27,19 +27,30 @@
     state.agentsChanged = true;
 }
 
-/// Unblocks the job's tasks in doubt.
-void resolveJob(Context &context, Job &job, bool agentsUnreported)
+/// Lists the jobs that may have tasks in doubt.
+void beginResolution(Context &context)
 {
+    OwnerState &state = context.state;
+    logDecision(context, "owner.certain", {{"tasks", std::to_string(state.tasksInDoubt)}});
+    for (const auto &[id, job] : state.jobs) {
+        state.resolution.jobs.push_back(id);
+    }
+}
+
+/// Unblocks the job's tasks in doubt. Returns how many there were.
+std::size_t resolveJob(Context &context, Job &job)
+{
+    OwnerState &state = context.state;
+    const std::size_t before = state.tasksInDoubt;
     for (Task &task : job.tasks) {
         if (task.phase == Task::Phase::InDoubt) {
-            setPhase(context.state, job, task, Task::Phase::Blocked);
-            if (agentsUnreported) {
-                task.givenUpAt = context.state.now;
-            }
+            setPhase(state, job, task, Task::Phase::Blocked);
+            task.givenUpAt = state.resolution.givenUpAt ? state.resolution.givenUpAt : task.givenUpAt;
         }
     }
     breakPartialGangs(context, job);
     unblockSteps(context, job);
+    return before - state.tasksInDoubt;
 }
 
 } // namespace
@@ -181,20 +192,30 @@
 void resolveTasksInDoubt(Context &context)
 {
     OwnerState &state = context.state;
-    const bool agentsUnreported = !state.awaitedAgents.empty();
-    if (agentsUnreported && formerRunsResolved(state)) {
+    OwnerState::Resolution &resolution = state.resolution;
+    if (!state.awaitedAgents.empty() && formerRunsResolved(state)) {
         stopAwaitingAgents(context);
+        resolution = {{}, state.now};
     }
     if (!state.givenUpAgents.empty() && state.now >= state.tookOverAt + formerOwnerRetention) {
         state.givenUpAgents.clear();
         state.agentsChanged = true;
     }
     if (state.tasksInDoubt == 0 || !formerRunsResolved(state)) {
+        resolution = {};
         return;
     }
-    logDecision(context, "owner.certain", {{"tasks", std::to_string(state.tasksInDoubt)}});
-    for (auto &[id, job] : state.jobs) {
-        resolveJob(context, job, agentsUnreported);
+    if (resolution.jobs.empty()) {
+        beginResolution(context);
+    }
+    std::size_t resolved = 0;
+    while (!resolution.jobs.empty() && resolved < maxTasksResolvedPerTurn) {
+        // Also a job without such tasks counts, as there may be many.
+        ++resolved;
+        if (Job *job = findJob(state, resolution.jobs.front())) {
+            resolved += resolveJob(context, *job);
+        }
+        resolution.jobs.pop_front();
     }
 }
 
