Owner: rewrite old records a few at a time

Every 5 s the owner encoded the records of all stored jobs older than 30 s in one turn of its event loop, and new jobs waited until all of them were written.

Change: the jobs are listed, and their records added to the queue of the store only while fewer than 200 changes wait there.

--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -74,6 +74,7 @@
 constexpr std::size_t maxTasksOfRepeatedJob = 4096;
 constexpr std::size_t maxTasksBegunPerTurn = 500; ///< Of occurrences that are due, so that the owner answers calls and renews its lease in between.
 constexpr std::size_t maxTasksResolvedPerTurn = 2000; ///< Of tasks in doubt, for the same reason.
+constexpr std::size_t maxRewritesWaiting = 200; ///< Old records are rewritten only while fewer changes wait for the store.
 
 /// Number of runs that a task can have under one owner. It spaces the run numbers of successive owners so that they always rise, also for long-running tasks
 /// that restart often.
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -344,12 +344,15 @@
 void rewriteOldRecords(Context &context)
 {
     OwnerState &state = context.state;
-    if (state.now - state.packsCheckedAt < packRewriteInterval) {
-        return;
-    }
-    state.packsCheckedAt = state.now;
-    for (const JobId id : state.recorder.jobsToRewrite(state.wall)) {
-        const Job *job = findJob(state, id);
+    if (state.jobsToRewrite.empty() && state.now - state.packsCheckedAt >= packRewriteInterval) {
+        state.packsCheckedAt = state.now;
+        const std::vector<JobId> jobs = state.recorder.jobsToRewrite(state.wall);
+        state.jobsToRewrite.assign(jobs.begin(), jobs.end());
+    }
+    // New jobs must not wait until all these records are written.
+    while (!state.jobsToRewrite.empty() && state.recorder.waiting() < maxRewritesWaiting) {
+        const Job *job = findJob(state, state.jobsToRewrite.front());
+        state.jobsToRewrite.pop_front();
         if (job != nullptr && !job->finishing) {
             state.recorder.add({makePutJob(*job), {}});
         }
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -209,6 +209,7 @@
     std::unordered_map<JobId, JobState> finished; ///< Recorded final states.
     std::deque<std::pair<Base::MonoTime, JobId>> finishedOrder; ///< Entries of finished by the time at which they were added, oldest first.
     Base::MonoTime packsCheckedAt{};
+    std::deque<JobId> jobsToRewrite; ///< Jobs whose old records are rewritten over several turns.
     std::unordered_map<JobId, JobState> recentBestEffort; ///< Final states of best-effort jobs, for callers that missed the answer.
     std::set<std::pair<Base::MonoTime, JobId>> recentUntil; ///< When entries of recentBestEffort are removed.
     std::set<std::pair<Base::MonoTime, JobId>> expiring; ///< Best-effort jobs by expiresAt.
--- a/tests/auto/jobs/tst_manystoredjobs.cpp
+++ b/tests/auto/jobs/tst_manystoredjobs.cpp
@@ -3,6 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <set>
+#include <span>
 #include <vector>
 
 using namespace LaburnumFlow;
@@ -30,6 +32,7 @@
     CPPUNIT_TEST_SUITE(TestManyStoredJobs);
     CPPUNIT_TEST(tasksInDoubtAreResolvedOverManyTurns);
     CPPUNIT_TEST(laterTurnsKnowOfUnreportedAgents);
+    CPPUNIT_TEST(oldRecordsAreRewrittenAFewAtATime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,6 +69,42 @@
         const auto isGivenUp = [](const auto &entry) { return entry.second.tasks.front().givenUpAt.has_value(); };
         CPPUNIT_ASSERT(std::all_of(owner.state.jobs.begin(), owner.state.jobs.end(), isGivenUp));
     }
+
+    /// Guards against a turn that encodes the records of all stored jobs, and against new jobs that wait until all of them are written.
+    void oldRecordsAreRewrittenAFewAtATime()
+    {
+        OwnerHarness owner({"agent-1"}, 2, manyRecords());
+        owner.feed(AgentLinked{"agent-1"});
+        owner.advanceTime(packRewriteAge + packRewriteInterval);
+        const std::size_t commitsBefore = owner.commits.size();
+        std::set<JobId> rewritten;
+        for (int turn = 0; turn < 200 && rewritten.size() < storedJobs; ++turn) {
+            CPPUNIT_ASSERT(owner.state.recorder.waiting() <= maxRewritesWaiting);
+            owner.advanceTime(commitInterval);
+            owner.commit();
+            addRecordedJobs(std::span(owner.commits).subspan(commitsBefore), rewritten);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(storedJobs), rewritten.size());
+    }
+
+private:
+    static void addRecordedJobs(std::span<const Commit> commits, std::set<JobId> &jobs)
+    {
+        for (const Commit &commit : commits) {
+            for (const Commit::Write &write : commit.writes) {
+                if (write.key.starts_with(jobPrefix)) {
+                    addRecordedJobs(decodeJobPack(write.value).value(), jobs);
+                }
+            }
+        }
+    }
+
+    static void addRecordedJobs(const JobPack &pack, std::set<JobId> &jobs)
+    {
+        for (const std::string &record : pack.records) {
+            jobs.insert(decodeJobRecord(record).value().id);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestManyStoredJobs);
