--- a/tests/auto/platform/tst_dialects.cpp
+++ b/tests/auto/platform/tst_dialects.cpp
@@ -125,6 +125,7 @@
             R"({"Steps":[{"Count":4,"Cpu":-1}]})",
             R"({"Steps":[{"Count":4,"Cpu":1e300}]})",
             R"({"Steps":[{"Count":99999999999999999999}]})",
+            R"({"Steps":[{"Count":100000},{"Count":1}]})",
             R"({"Steps":[{"Count":1,"After":[0]}]})",
             R"({"Steps":[{"Count":1,"After":"0"}]})",
             R"({"Steps":[7]})",
