Cancellations: acknowledge only what the store remembers

Cause: the owner acknowledged the cancelling of a job that it didn't know, and remembered nothing of it. The same held for best-effort jobs: the cancelling was known to that owner alone, and a successor ran the job when an entry forwarded its call again.

Change: such a cancellation is committed as a final state of its own, Withdrawn, and acknowledged once the store holds it, so that the commit's guard keeps former owners from acknowledging any. A job that is submitted later under the id is accepted as cancelled and never starts. Callers see no job until then. It is kept as long as a final state; 20,000 are kept at most, and while the store stalls or the bound is reached the call is refused as retryable at once. Runs of best-effort jobs are stopped at once as before.

TestResubmissions::refusedJobsNeverRun expected the answer to a cancelled best-effort job without a commit; it now asks for it after one, all else as before.

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -155,11 +155,12 @@
     Completed, ///< All tasks are done.
     Failed, ///< A task has failed as often as its queue allows.
     Cancelled,
+    Withdrawn, ///< Cancelled when no such job was known. Callers see no job, and one that is submitted later never starts.
 };
 
 inline bool isFinal(JobState state)
 {
-    return state == JobState::Completed || state == JobState::Failed || state == JobState::Cancelled;
+    return state != JobState::Queued && state != JobState::Running;
 }
 
 /// Identifies a task of a job.
--- a/src/libs/jobs/jobsconstants.h
+++ b/src/libs/jobs/jobsconstants.h
@@ -67,7 +67,9 @@
 constexpr Base::Duration commitRetryDelayMax = 300ms;
 constexpr Base::Duration progressCommitDelay = 400ms; ///< Ends of tasks of an unfinished job are recorded after this time, by which most jobs have finished.
 constexpr Base::Duration defaultFinalStateRetention = 130s; ///< Callers may ask for final states for 120 s; the rest is slack.
-constexpr Base::Duration commitStallTimeout = 700ms; ///< The owner refuses new stored jobs while a commit has been pending for longer.
+constexpr Base::Duration commitStallTimeout = 700ms; ///< The owner refuses what it must record first while a commit has been pending for longer.
+constexpr std::uint32_t storeRetryAfterS = 1; ///< In these refusals.
+constexpr std::size_t maxWithdrawnJobs = 20'000; ///< Bounds the memory for cancellations of jobs that aren't known; each is kept as long as a final state.
 
 /// Tasks of the occurrences that a repeated job holds at a time. Further occurrences that are due wait for the end of earlier ones, which bounds the job's record
 /// and the steps of the event loop, however many occurrences are due. One occurrence may have more tasks.
--- a/src/libs/jobs/owner.cpp
+++ b/src/libs/jobs/owner.cpp
@@ -301,8 +301,7 @@
     for (const StoredJobs::Segment &segment : stored.finished) {
         state.recorder.adoptSegment(segment.key, segment.content.newestMs);
         for (const FinishedJob &job : segment.content.jobs) {
-            state.finished[job.id] = job.state;
-            state.finishedOrder.emplace_back(now, job.id);
+            Internal::keepFinalState(state, job.id, job.state);
         }
     }
     restoreJobs(state, std::move(stored.packs));
--- a/src/libs/jobs/ownercalls.cpp
+++ b/src/libs/jobs/ownercalls.cpp
@@ -10,13 +10,6 @@
 
 namespace {
 
-constexpr std::uint32_t storeRetryAfterS = 1; ///< While a commit is stalled.
-
-void reply(Context &context, CallId call, CallAnswer answer)
-{
-    context.effects.push_back(Reply{call, answer});
-}
-
 /// Returns whether the owner's rules are newer than those of the call and no longer have its queue. The entry that forwarded the call may be cut off from
 /// the store.
 bool isQueueWithdrawn(const OwnerState &state, const SubmitCall &call)
@@ -137,14 +130,18 @@
         }
         return;
     }
-    if (state.finished.contains(call.job)) {
-        reply(context, id, {.kind = CallAnswer::Kind::Accepted});
-        return;
-    }
     if (const auto recent = state.recentBestEffort.find(call.job); call.bestEffort && recent != state.recentBestEffort.end()) {
         reply(context, id, {.kind = CallAnswer::Kind::State, .state = recent->second});
         return;
     }
+    if (isWithdrawn(state, call.job)) {
+        submitWithdrawn(context, id, call);
+        return;
+    }
+    if (state.finished.contains(call.job)) {
+        reply(context, id, {.kind = CallAnswer::Kind::Accepted});
+        return;
+    }
     Job job = makeJob(call.job, activeRules(state, call), call.spec, state.now);
     if (job.spec.repetition.count == 0) {
         addDemand(state, job);
@@ -182,7 +179,7 @@
         return;
     }
     const auto finished = state.finished.find(call.job);
-    if (finished == state.finished.end()) {
+    if (finished == state.finished.end() || finished->second == JobState::Withdrawn) {
         reply(context, id, {.kind = CallAnswer::Kind::NotFound});
         return;
     }
@@ -191,19 +188,7 @@
 
 void handle(Context &context, CallId id, const CancelCall &call)
 {
-    OwnerState &state = context.state;
-    Job *job = findJob(state, call.job);
-    if (job == nullptr) {
-        reply(context, id, {.kind = state.finished.contains(call.job) ? CallAnswer::Kind::Accepted : CallAnswer::Kind::NotFound});
-        return;
-    }
-    logDecision(context, "job.cancel", {{"id", formatId(job->id)}, {"queue", job->rules.name}});
-    job->waitingForCancel.push_back(id);
-    if (!job->stored) {
-        job->cancelRequested = true;
-        return;
-    }
-    finishJob(context, *job, JobState::Cancelled, {});
+    handleCancel(context, id, call);
 }
 
 void handle(Context &context, CallId id, const CountCall &call)
@@ -214,6 +199,11 @@
 
 } // namespace
 
+void reply(Context &context, CallId call, CallAnswer answer)
+{
+    context.effects.push_back(Reply{call, answer});
+}
+
 void handleCall(Context &context, const CallArrived &arrived)
 {
     std::visit([&](const auto &call) { handle(context, arrived.id, call); }, arrived.call);
--- a/src/libs/jobs/ownerjobs.cpp
+++ b/src/libs/jobs/ownerjobs.cpp
@@ -90,6 +90,17 @@
     extendExpiry(state, job, state.now + job.resubmitWindow);
 }
 
+void handleFinalStateRecorded(Context &context, const FinishJob &finish)
+{
+    // The store holds no job that is withdrawn. One that the owner knows under its id is a later submission.
+    Job *job = finish.state == JobState::Withdrawn ? nullptr : findJob(context.state, finish.job);
+    if (job != nullptr) {
+        handleJobFinished(context, *job, finish.state);
+    } else {
+        keepFinalState(context.state, finish.job, finish.state);
+    }
+}
+
 } // namespace
 
 void removeJob(OwnerState &state, Job &job)
@@ -134,8 +145,7 @@
         owner.recentBestEffort[job.id] = state;
         owner.recentUntil.emplace(owner.now + job.resubmitWindow, job.id);
     } else {
-        owner.finished[job.id] = state;
-        owner.finishedOrder.emplace_back(owner.now, job.id);
+        keepFinalState(owner, job.id, state);
     }
     acknowledgeEnds(context, job.unrecordedEnds);
     removeJob(owner, job);
@@ -306,7 +316,9 @@
         }
     }
     while (!state.finishedOrder.empty() && state.now - state.finishedOrder.front().first > state.settings.finalStateRetention) {
-        state.finished.erase(state.finishedOrder.front().second);
+        const auto expired = state.finished.find(state.finishedOrder.front().second);
+        state.withdrawnJobs -= expired->second == JobState::Withdrawn ? 1 : 0;
+        state.finished.erase(expired);
         state.finishedOrder.pop_front();
     }
     while (!state.recentUntil.empty() && state.recentUntil.begin()->first < state.now) {
@@ -359,6 +371,23 @@
     }
 }
 
+void keepFinalState(OwnerState &state, JobId job, JobState finalState)
+{
+    state.withdrawing.erase(job);
+    const auto [kept, added] = state.finished.emplace(job, finalState);
+    if (added) {
+        state.finishedOrder.emplace_back(state.now, job);
+        state.withdrawnJobs += finalState == JobState::Withdrawn ? 1 : 0;
+        return;
+    }
+    // The job was cancelled again after its final state was recorded.
+    if (finalState == JobState::Withdrawn) {
+        return;
+    }
+    state.withdrawnJobs -= kept->second == JobState::Withdrawn ? 1 : 0;
+    kept->second = finalState;
+}
+
 void handleRecordedChanges(Context &context, const std::vector<Change> &changes)
 {
     for (const Change &change : changes) {
@@ -367,11 +396,11 @@
             if (Job *job = findJob(context.state, put->job)) {
                 handleJobStored(context, *job);
             }
-            continue;
+        } else {
+            handleFinalStateRecorded(context, std::get<FinishJob>(change.operation));
         }
-        const auto &finish = std::get<FinishJob>(change.operation);
-        if (Job *job = findJob(context.state, finish.job)) {
-            handleJobFinished(context, *job, finish.state);
+        for (const AnswerWhenRecorded &waiting : change.answers) {
+            reply(context, waiting.call, waiting.answer);
         }
     }
 }
--- a/src/libs/jobs/ownerstate.h
+++ b/src/libs/jobs/ownerstate.h
@@ -15,15 +15,13 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <variant>
 #include <vector>
 
 namespace LaburnumFlow::Jobs {
 
-/// Identifies a call that awaits its answer. Chosen by whoever forwards the call to the owner.
-using CallId = std::uint64_t;
-
 using AgentIndex = std::uint32_t;
 constexpr AgentIndex noAgent = 0xFFFFFFFFU;
 
@@ -206,7 +204,9 @@
     Base::WallTime wall{};
     Recorder recorder;
     std::unordered_map<JobId, Job> jobs; ///< Jobs that aren't final or whose final state isn't recorded yet.
-    std::unordered_map<JobId, JobState> finished; ///< Recorded final states.
+    std::unordered_map<JobId, JobState> finished; ///< Recorded final states. Changed only by keepFinalState() and when they expire.
+    std::size_t withdrawnJobs = 0; ///< Number of withdrawn jobs among them.
+    std::unordered_set<JobId> withdrawing; ///< Jobs that are withdrawn, but not recorded as such yet.
     std::deque<std::pair<Base::MonoTime, JobId>> finishedOrder; ///< Entries of finished by the time at which they were added, oldest first.
     Base::MonoTime packsCheckedAt{};
     std::deque<JobId> jobsToRewrite; ///< Jobs whose old records are rewritten over several turns.
--- a/src/libs/jobs/ownersteps.h
+++ b/src/libs/jobs/ownersteps.h
@@ -86,11 +86,24 @@
 /// Rewrites the records of jobs under old keys.
 void rewriteOldRecords(Context &context);
 
+/// Keeps a recorded final state for queries and submissions of the job.
+void keepFinalState(OwnerState &state, JobId job, JobState finalState);
+
 /// Handles changes that the store has recorded.
 void handleRecordedChanges(Context &context, const std::vector<Change> &changes);
 
 // Calls.
 void handleCall(Context &context, const CallArrived &arrived);
+void reply(Context &context, CallId call, CallAnswer answer);
+
+// Cancellations. Each is in the store before it is acknowledged: a successor must know it, and so must an owner that is given the job's submission only then.
+void handleCancel(Context &context, CallId id, const CancelCall &call);
+
+/// Returns whether the job was cancelled when it was not known, or while it was a best-effort job.
+bool isWithdrawn(const OwnerState &state, JobId job);
+
+/// Answers the submission of a withdrawn job, which is cancelled from the start.
+void submitWithdrawn(Context &context, CallId id, const SubmitCall &call);
 
 // Agents.
 Agent &findOrAddAgent(OwnerState &state, const std::string &name);
--- a/src/libs/jobs/recorder.h
+++ b/src/libs/jobs/recorder.h
@@ -2,6 +2,7 @@
 
 #include "jobpacks.h"
 #include "jobsconstants.h"
+#include "messages.h"
 #include "records.h"
 
 #include "base/types.h"
@@ -15,6 +16,15 @@
 
 namespace LaburnumFlow::Jobs {
 
+/// Identifies a call that awaits its answer. Chosen by whoever forwards the call to the owner.
+using CallId = std::uint64_t;
+
+/// An answer that is true only once a change is recorded.
+struct AnswerWhenRecorded {
+    CallId call = 0;
+    CallAnswer answer;
+};
+
 /// Identifies an end that may be acknowledged to its worker once a change is recorded.
 struct EndAck {
     std::string agent;
@@ -31,16 +41,17 @@
     std::string failedRuns = {}; ///< Encoded FailedRunsRecord; empty if there are none.
 };
 
-/// Replaces the record of a job by its final state.
+/// Replaces the record of a job, if there is one, by its final state.
 struct FinishJob {
     JobId job = 0;
     JobState state = JobState::Completed;
 };
 
-/// A change to one job, together with the ends that it allows to acknowledge.
+/// A change to one job, together with the ends that it allows to acknowledge and the calls that it answers.
 struct Change {
     std::variant<PutJob, FinishJob> operation;
-    std::vector<EndAck> endAcks;
+    std::vector<EndAck> endAcks = {};
+    std::vector<AnswerWhenRecorded> answers = {};
 };
 
 /// A transaction that succeeds only if the owner record still has the expected revision.
--- a/src/tools/laburnumload/callforms.cpp
+++ b/src/tools/laburnumload/callforms.cpp
@@ -112,6 +112,7 @@
         return {JobEnd::Cancelled, "cancelled"};
     case Jobs::JobState::Queued:
     case Jobs::JobState::Running:
+    case Jobs::JobState::Withdrawn:
         break;
     }
     return {};
--- a/tests/auto/jobs/ownerharness.cpp
+++ b/tests/auto/jobs/ownerharness.cpp
@@ -73,6 +73,8 @@
         for (const Commit::Write &write : commit.writes) {
             if (write.key.starts_with(jobPrefix)) {
                 stored.packs.push_back({write.key, decodeJobPack(write.value).value()});
+            } else if (write.key.starts_with(finishedPrefix)) {
+                stored.finished.push_back({write.key, decodeFinishedSegment(write.value).value()});
             }
         }
     }
--- a/tests/auto/jobs/tst_resubmissions.cpp
+++ b/tests/auto/jobs/tst_resubmissions.cpp
@@ -64,6 +64,8 @@
         owner.feed(CallArrived{100, CancelCall{jobs}});
         owner.feed(CallArrived{101, QueryCall{2}});
         owner.advanceTimeWithReports(100ms);
+        // A cancellation is answered once it is recorded.
+        CPPUNIT_ASSERT(owner.commit());
         CPPUNIT_ASSERT(owner.answerTo(100).has_value());
         CPPUNIT_ASSERT(owner.answerTo(101).has_value());
         std::vector<JobId> refused;
