Entry: hand on no call whose caller has gone

Cause: the entry never looked at the connection of a request before it handed the call to the owner. libmicrohttpd reads the request and the end of the stream, and tells of the latter only once an answer is written.

Change: before a call is handed on, also after it has waited for newer rules, the entry looks whether its client has closed the connection (a peek at the socket). If so the call is answered as not run, and call.dropped logged. Cancellations are handed on in any case.

--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -4,6 +4,7 @@
 
 #include "base/earliest.h"
 #include "base/timerservice.h"
+#include "jobs/jobtext.h"
 #include "platform/callerdialect.h"
 
 #include <nlohmann/json.hpp>
@@ -13,6 +14,7 @@
 #include <cstdlib>
 #include <limits>
 #include <random>
+#include <type_traits>
 
 namespace LaburnumFlow::Node {
 
@@ -63,6 +65,20 @@
     }
 };
 
+/// Returns the id of the job that the call is about; empty if it is about none.
+std::string jobOf(const Jobs::Call &call)
+{
+    return std::visit(
+        [](const auto &what) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(what)>, Jobs::CountCall>) {
+                return std::string();
+            } else {
+                return Jobs::formatId(what.job);
+            }
+        },
+        call);
+}
+
 } // namespace
 
 EntryProcess::EntryProcess(const Settings::NodeSettings &settings, std::string settingsFile)
@@ -127,6 +143,10 @@
     }
     auto &call = std::get<Jobs::Call>(decoded);
     open.kind = std::visit(CallName{}, call);
+    if (const auto reason = EntryNode::whyUnattended(call, {callers_.isClientGone(request.id)})) {
+        dropCall(request.id, call, *reason);
+        return;
+    }
     if (auto *submit = std::get_if<Jobs::SubmitCall>(&call); submit != nullptr && stopping_ && !endsBeforeStop(*submit)) {
         answerCaller(request.id, Platform::encodeAnswer(EntryNode::answerWithoutOwner(call)));
         return;
@@ -142,6 +162,13 @@
     timer_.arm();
 }
 
+void EntryProcess::dropCall(HttpIo::RequestId request, const Jobs::Call &call, EntryNode::Unattended reason)
+{
+    logDecision("call.dropped",
+                {{"call", std::string(std::visit(CallName{}, call))}, {"id", jobOf(call)}, {"reason", std::string(EntryNode::toString(reason))}});
+    answerCaller(request, Platform::encodeAnswer(EntryNode::answerWithoutOwner(call)));
+}
+
 void EntryProcess::answerCaller(HttpIo::RequestId request, HttpIo::ServerResponse response)
 {
     if (const auto open = requests_.find(request); open != requests_.end()) {
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -6,6 +6,7 @@
 #include "storetimeout.h"
 #include "turntimer.h"
 
+#include "entrynode/attendance.h"
 #include "entrynode/callrouter.h"
 #include "entrynode/ownership.h"
 #include "entrynode/rulesexchange.h"
@@ -89,6 +90,8 @@
 
     // Callers.
     void handleRequest(const HttpIo::ServerRequest &request);
+    /// Answers a call that nobody waits for any more instead of handing it to the owner.
+    void dropCall(HttpIo::RequestId request, const Jobs::Call &call, EntryNode::Unattended reason);
     void answerCaller(HttpIo::RequestId request, HttpIo::ServerResponse response);
     void handleReady(const HttpIo::ServerRequest &request);
     void carryOut(EntryNode::RouterEffects effects);
--- a/src/libs/httpio/httpfront.cpp
+++ b/src/libs/httpio/httpfront.cpp
@@ -1,5 +1,7 @@
 #include "httpfront.h"
 
+#include "peersocket.h"
+
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -40,6 +42,11 @@
     return value == nullptr ? std::string() : std::string(value);
 }
 
+int socketOf(MHD_Connection *connection)
+{
+    return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+}
+
 /// A request that is being read or waits for its answer.
 struct Exchange {
     RequestId id = 0;
@@ -279,6 +286,12 @@
     }
 }
 
+bool HttpFront::isClientGone(RequestId request) const
+{
+    const auto found = d_->open_.find(request);
+    return found == d_->open_.end() || isClosedByPeer(socketOf(found->second->connection));
+}
+
 void HttpFront::closeConnectionsAfterAnswers()
 {
     d_->closing_ = true;
--- a/src/libs/httpio/httpfront.h
+++ b/src/libs/httpio/httpfront.h
@@ -61,6 +61,9 @@
     /// Ignored if the request's connection is gone.
     void answer(RequestId request, ServerResponse response);
 
+    /// Returns whether the client of an open request has closed its connection, or shut down its sending side, as clients do that have stopped waiting.
+    bool isClientGone(RequestId request) const;
+
     /// From now on each response asks the client to close its connection.
     void closeConnectionsAfterAnswers();
 
--- a/tests/auto/node/site.cpp
+++ b/tests/auto/node/site.cpp
@@ -203,6 +203,11 @@
     return call("POST", callers, "/" + queue + "/" + id, body, {"Host: " + queue + ".example", "X-Deadline-Ms: 50000"}, timeoutMs);
 }
 
+HttpResult Site::cancel(int index, const std::string &id) const
+{
+    return call("DELETE", entries_.at(static_cast<std::size_t>(index)).callers, "/q/" + id, {}, {"Host: q.example"});
+}
+
 std::string Site::jobState(int index, const std::string &id) const
 {
     const HttpResult result = call("GET", entries_.at(static_cast<std::size_t>(index)).callers, "/q/" + id, {}, {"Host: q.example"});
--- a/tests/auto/node/site.h
+++ b/tests/auto/node/site.h
@@ -65,6 +65,8 @@
     /// The same to the queue of this name.
     SystemTest::HttpResult
     submitTo(const std::string &queue, int index, const std::string &id, int tasks, int workMs, bool bestEffort, long timeoutMs = 60'000) const;
+    /// Cancels the job at the entry and returns its response.
+    SystemTest::HttpResult cancel(int index, const std::string &id) const;
     /// Returns the state of the job in the entry's response; empty if it has none.
     std::string jobState(int index, const std::string &id) const;
     std::string entryMetrics(int index) const;
