Entry: hand on no call whose deadline has passed

A request that had waited unread in a suspended entry got its whole timeout once more when it was read: it was handed to the owner although its deadline had passed, when its client had not closed the connection (or the network had lost the end of it), and the owner kept a best-effort job for that much longer.

Change: the kernel tells how long ago the last bytes of the request arrived (TCP_INFO); the entry counts that, and the time for which a request waits for newer rules, as waited. A call past its deadline is answered as not run; what is left of the timeout is what the router and the owner get. Where the system doesn't tell, the time counts from the reading as before. Callers that state no deadline are not concerned.

--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -65,6 +65,14 @@
     }
 };
 
+/// Returns how long the caller says that it waits; empty if it doesn't say, or nothing plausible.
+std::optional<Base::Duration> statedTimeout(const HttpIo::ServerRequest &request)
+{
+    constexpr std::int64_t maxTimeoutMs = 3'600'000;
+    const bool isPlausible = request.deadlineMs && *request.deadlineMs > 0 && *request.deadlineMs < maxTimeoutMs;
+    return isPlausible ? std::optional<Base::Duration>(std::chrono::milliseconds(*request.deadlineMs)) : std::nullopt;
+}
+
 /// Returns the id of the job that the call is about; empty if it is about none.
 std::string jobOf(const Jobs::Call &call)
 {
@@ -137,13 +145,10 @@
         answerCaller(request.id, std::move(*response));
         return;
     }
-    std::optional<Base::Duration> callerTimeout;
-    if (request.deadlineMs && *request.deadlineMs > 0 && *request.deadlineMs < 3'600'000) {
-        callerTimeout = std::chrono::milliseconds(*request.deadlineMs);
-    }
     auto &call = std::get<Jobs::Call>(decoded);
     open.kind = std::visit(CallName{}, call);
-    if (const auto reason = EntryNode::whyUnattended(call, {callers_.isClientGone(request.id)})) {
+    const EntryNode::Attendance attendance{callers_.isClientGone(request.id), request.waited + (Base::monoNow() - open.startedAt), statedTimeout(request)};
+    if (const auto reason = EntryNode::whyUnattended(call, attendance)) {
         dropCall(request.id, call, *reason);
         return;
     }
@@ -155,8 +160,9 @@
         answerCaller(request.id, Platform::encodeAnswer({.kind = Jobs::CallAnswer::Kind::Unsupported}));
         return;
     }
+    const std::optional<Base::Duration> callerTimeout = EntryNode::remainingTimeout(attendance);
     if (auto *submit = std::get_if<Jobs::SubmitCall>(&call); submit != nullptr && callerTimeout) {
-        submit->callerTimeoutMs = static_cast<std::uint32_t>(*request.deadlineMs);
+        submit->callerTimeoutMs = static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(*callerTimeout).count());
     }
     carryOut(router_.accept(request.id, std::move(call), callerTimeout, loop_.now()));
     timer_.arm();
--- a/src/libs/httpio/httpfront.cpp
+++ b/src/libs/httpio/httpfront.cpp
@@ -166,6 +166,7 @@
     request.host = headerOf(exchange.connection, MHD_HTTP_HEADER_HOST);
     request.body = std::move(exchange.body);
     request.deadlineMs = parseNumber(MHD_lookup_connection_value(exchange.connection, MHD_HEADER_KIND, "X-Deadline-Ms"));
+    request.waited = sinceLastArrival(socketOf(exchange.connection));
     open_.emplace(exchange.id, &exchange);
     handler_(std::move(request));
 }
--- a/src/libs/httpio/httpfront.h
+++ b/src/libs/httpio/httpfront.h
@@ -23,6 +23,7 @@
     std::string host;
     std::string body;
     std::optional<std::int64_t> deadlineMs; ///< from the header X-Deadline-Ms
+    Base::Duration waited{}; ///< how long the request has been complete in the server's socket; zero if the system doesn't tell
 };
 
 struct ServerResponse {
--- a/tests/auto/entrynode/tst_attendance.cpp
+++ b/tests/auto/entrynode/tst_attendance.cpp
@@ -4,11 +4,13 @@
 
 using namespace LaburnumFlow;
 using namespace LaburnumFlow::EntryNode;
+using namespace std::chrono_literals;
 
 class TestAttendance : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestAttendance);
     CPPUNIT_TEST(callsOfGoneCallersAreDropped);
+    CPPUNIT_TEST(callsPastTheirDeadlineAreDropped);
     CPPUNIT_TEST(cancellationsAreHandedOn);
     CPPUNIT_TEST_SUITE_END();
 
@@ -22,10 +24,22 @@
         }
     }
 
+    /// Guards against jobs that are handed in although their callers don't wait any more, and against timeouts that begin anew when the entry reads the call.
+    void callsPastTheirDeadlineAreDropped()
+    {
+        const Jobs::Call call = Jobs::SubmitCall{};
+        CPPUNIT_ASSERT(!whyUnattended(call, {.waited = 1499ms, .callerTimeout = 1500ms}));
+        CPPUNIT_ASSERT(remainingTimeout({.waited = 1499ms, .callerTimeout = 1500ms}) == Base::Duration(1ms));
+        CPPUNIT_ASSERT(whyUnattended(call, {.waited = 1500ms, .callerTimeout = 1500ms}) == Unattended::DeadlinePassed);
+        CPPUNIT_ASSERT(!whyUnattended(call, {.waited = 1h}));
+        CPPUNIT_ASSERT(!remainingTimeout({.waited = 1h}));
+    }
+
     /// Guards against cancellations that are lost because their callers don't wait for the answer.
     void cancellationsAreHandedOn()
     {
         CPPUNIT_ASSERT(!whyUnattended(Jobs::CancelCall{7}, {.callerGone = true}));
+        CPPUNIT_ASSERT(!whyUnattended(Jobs::CancelCall{7}, {.waited = 2s, .callerTimeout = 1s}));
     }
 };
 
--- a/tests/auto/httpio/tst_unreadrequests.cpp
+++ b/tests/auto/httpio/tst_unreadrequests.cpp
@@ -2,63 +2,23 @@
 #include "httpio/httpfront.h"
 
 #include "../freeport.h"
+#include "../rawclient.h"
 
-#include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 
 using namespace LaburnumFlow;
 using namespace LaburnumFlow::HttpIo;
+using Testing::RawClient;
 using namespace std::chrono_literals;
 
 namespace {
 
 constexpr std::string_view request = "POST /p/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\n{}";
 
-/// A client whose bytes are in the server's socket before the server reads any.
-class RawClient
-{
-public:
-    explicit RawClient(std::uint16_t port) : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        CPPUNIT_ASSERT_EQUAL(0, ::connect(fd_, reinterpret_cast<const sockaddr *>(&address), sizeof address));
-    }
-
-    ~RawClient()
-    {
-        close();
-    }
-
-    RawClient(const RawClient &) = delete;
-    RawClient &operator=(const RawClient &) = delete;
-
-    void send(std::string_view bytes) const
-    {
-        CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(bytes.size()), ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL));
-    }
-
-    void close()
-    {
-        if (fd_ >= 0) {
-            ::close(std::exchange(fd_, -1));
-        }
-    }
-
-private:
-    int fd_;
-};
-
 /// A server that notes what it knows of the client when a request is passed on.
 class Server
 {
@@ -101,6 +61,7 @@
     CPPUNIT_TEST(clientThatHasSentMoreIsThere);
     CPPUNIT_TEST(clientThatLeavesMeanwhileIsGone);
     CPPUNIT_TEST(answeredRequestHasNoClient);
+    CPPUNIT_TEST(tellsHowLongARequestWasUnread);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -157,6 +118,19 @@
         server.front.answer(server.seen->id, {});
         CPPUNIT_ASSERT(server.front.isClientGone(server.seen->id));
     }
+
+    /// Guards against a deadline that counts from when the request is read, although it has waited unread for long.
+    void tellsHowLongARequestWasUnread()
+    {
+        Server server;
+        const RawClient client(server.port);
+        client.send(request);
+        EventLoop::Loop otherLoop;
+        otherLoop.callAfter(300ms, [&otherLoop] { otherLoop.stop(); });
+        otherLoop.run();
+        server.run();
+        CPPUNIT_ASSERT(server.seen->waited >= 290ms);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestUnreadRequests);
--- a/tests/auto/node/site.cpp
+++ b/tests/auto/node/site.cpp
@@ -26,6 +26,12 @@
 const std::string testRoute = R"({"Name":"q","Host":"q.example","Prefix":"/q/","Service":"service","MaxAttempts":3,)"
                               R"("Stretch":1.6,"TargetDurationMs":60})";
 
+/// Returns the port of an address "ADDRESS:PORT".
+std::uint16_t portOf(const std::string &address)
+{
+    return static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+}
+
 std::string otherRoute(int number)
 {
     const std::string name = "other-" + std::to_string(number);
@@ -219,10 +225,14 @@
     return call("GET", entries_.at(static_cast<std::size_t>(index)).metrics, "/metrics").body;
 }
 
+std::uint16_t Site::callersPort(int index) const
+{
+    return portOf(entries_.at(static_cast<std::size_t>(index)).callers);
+}
+
 std::uint16_t Site::peersPort(int index) const
 {
-    const std::string &peers = entries_.at(static_cast<std::size_t>(index)).peers;
-    return static_cast<std::uint16_t>(std::stoi(peers.substr(peers.find(':') + 1)));
+    return portOf(entries_.at(static_cast<std::size_t>(index)).peers);
 }
 
 nlohmann::json Site::entryStatus(int index) const
--- a/tests/auto/node/site.h
+++ b/tests/auto/node/site.h
@@ -70,6 +70,8 @@
     /// Returns the state of the job in the entry's response; empty if it has none.
     std::string jobState(int index, const std::string &id) const;
     std::string entryMetrics(int index) const;
+    /// Returns the port at which the entry accepts requests of callers.
+    std::uint16_t callersPort(int index) const;
     /// Returns the port at which the entry accepts links.
     std::uint16_t peersPort(int index) const;
     nlohmann::json entryStatus(int index) const;
--- a/tests/auto/node/tst_suspendedentry.cpp
+++ b/tests/auto/node/tst_suspendedentry.cpp
@@ -1,5 +1,6 @@
 #include "site.h"
 
+#include "../rawclient.h"
 #include "../system/waiting.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -24,12 +25,21 @@
     return std::any_of(runs.begin(), runs.end(), [&job](const auto &run) { return run.task.starts_with(job); });
 }
 
+/// Returns a request that submits job1 as a stored job.
+std::string submissionWithDeadline(int deadlineMs)
+{
+    const std::string body = R"({"Spec":"50","Steps":[{"Count":1,"Cpu":1000}]})";
+    return std::string("POST /q/") + job1 + " HTTP/1.1\r\nHost: q.example\r\nX-Deadline-Ms: " + std::to_string(deadlineMs)
+           + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 } // namespace
 
 class TestSuspendedEntry : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestSuspendedEntry);
     CPPUNIT_TEST(jobOfAGoneCallerNeverRuns);
+    CPPUNIT_TEST(jobWhoseDeadlineHasPassedNeverRuns);
     CPPUNIT_TEST(jobThatIsCancelledMeanwhileNeverRuns);
     CPPUNIT_TEST_SUITE_END();
 
@@ -47,6 +57,23 @@
         CPPUNIT_ASSERT(!hasRun(site, job1));
     }
 
+    /// Guards against a job that is handed in by an entry that was suspended, although its deadline has passed. Its caller has left without a word.
+    void jobWhoseDeadlineHasPassedNeverRuns()
+    {
+        Site site(2);
+        const int suspended = suspendOtherThanOwner(site);
+        const LaburnumFlow::Testing::RawClient caller(site.callersPort(suspended));
+        caller.send(submissionWithDeadline(100));
+        // The deadline passes while the owner works on other jobs.
+        for (const char *job : {"00000000000000b1", "00000000000000b2", "00000000000000b3"}) {
+            CPPUNIT_ASSERT_EQUAL(200L, site.submit(1 - suspended, job, 1, 100, true).status);
+        }
+        site.entry(suspended).signal(SIGCONT);
+        CPPUNIT_ASSERT(caller.receive().starts_with("HTTP/1.1 503"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), site.jobState(1 - suspended, job1));
+        CPPUNIT_ASSERT(!hasRun(site, job1));
+    }
+
     /// Guards against a job that runs although its cancelling was acknowledged while its submission waited in a suspended entry.
     void jobThatIsCancelledMeanwhileNeverRuns()
     {
