Call router: forward no call again whose caller has gone or whose timeout has passed

A call that an entry keeps for the next owner, or that its receiver has returned, was forwarded again without a look at its caller. An entry that wakes handles the news of a new owner before it expires calls, so it handed in jobs whose callers had stopped waiting, and may have cancelled them, while it stood still.

Change: route() and retry() take the time and leave calls past their timeout to expire(). Before, the entry drops the calls whose clients have closed their connections, with what is known of their outcome. Cancellations are forwarded in any case.

--- a/src/app/laburnumnode/entryjobs.cpp
+++ b/src/app/laburnumnode/entryjobs.cpp
@@ -434,7 +434,7 @@
         return;
     }
     router_.handleReturned(answer.number, answer.handled);
-    loop_.callAfter(returnedCallRetryDelay, [this, number = answer.number] { carryOut(router_.retry(number)); });
+    loop_.callAfter(returnedCallRetryDelay, [this, number = answer.number] { retryCall(number); });
 }
 
 void EntryProcess::handle(Net::LinkId /*link*/, Jobs::OwnerOrders & /*orders*/) { }
--- a/src/app/laburnumnode/entryprocess.cpp
+++ b/src/app/laburnumnode/entryprocess.cpp
@@ -149,7 +149,8 @@
     open.kind = std::visit(CallName{}, call);
     const EntryNode::Attendance attendance{callers_.isClientGone(request.id), request.waited + (Base::monoNow() - open.startedAt), statedTimeout(request)};
     if (const auto reason = EntryNode::whyUnattended(call, attendance)) {
-        dropCall(request.id, call, *reason);
+        logDropped(call, *reason);
+        answerCaller(request.id, Platform::encodeAnswer(EntryNode::answerWithoutOwner(call)));
         return;
     }
     if (auto *submit = std::get_if<Jobs::SubmitCall>(&call); submit != nullptr && stopping_ && !endsBeforeStop(*submit)) {
@@ -168,11 +169,10 @@
     timer_.arm();
 }
 
-void EntryProcess::dropCall(HttpIo::RequestId request, const Jobs::Call &call, EntryNode::Unattended reason)
+void EntryProcess::logDropped(const Jobs::Call &call, EntryNode::Unattended reason)
 {
     logDecision("call.dropped",
                 {{"call", std::string(std::visit(CallName{}, call))}, {"id", jobOf(call)}, {"reason", std::string(EntryNode::toString(reason))}});
-    answerCaller(request, Platform::encodeAnswer(EntryNode::answerWithoutOwner(call)));
 }
 
 void EntryProcess::answerCaller(HttpIo::RequestId request, HttpIo::ServerResponse response)
@@ -240,7 +240,33 @@
     } else if (hasRoute()) {
         route = EntryNode::PeerRoute{ownerName_};
     }
-    carryOut(router_.route(std::move(route)));
+    dropUnattendedCalls();
+    carryOut(router_.route(std::move(route), Base::monoNow()));
+}
+
+void EntryProcess::dropUnattendedCalls()
+{
+    for (const EntryNode::DroppedCall &dropped : router_.dropUnattended([this](EntryNode::CallNumber number) { return callers_.isClientGone(number); })) {
+        answerDropped(dropped);
+    }
+}
+
+void EntryProcess::answerDropped(const EntryNode::DroppedCall &dropped)
+{
+    logDropped(dropped.call, EntryNode::Unattended::CallerGone);
+    answerCaller(dropped.number, Platform::encodeAnswer(dropped.answer));
+}
+
+void EntryProcess::retryCall(EntryNode::ForwardId forwardId)
+{
+    const std::optional<EntryNode::CallNumber> number = router_.callOf(forwardId);
+    if (number && callers_.isClientGone(*number)) {
+        if (const auto dropped = router_.drop(*number)) {
+            answerDropped(*dropped);
+            return;
+        }
+    }
+    carryOut(router_.retry(forwardId, Base::monoNow()));
 }
 
 std::optional<Base::MonoTime> EntryProcess::nextDue() const
--- a/src/app/laburnumnode/entryprocess.h
+++ b/src/app/laburnumnode/entryprocess.h
@@ -90,8 +90,7 @@
 
     // Callers.
     void handleRequest(const HttpIo::ServerRequest &request);
-    /// Answers a call that nobody waits for any more instead of handing it to the owner.
-    void dropCall(HttpIo::RequestId request, const Jobs::Call &call, EntryNode::Unattended reason);
+    void logDropped(const Jobs::Call &call, EntryNode::Unattended reason);
     void answerCaller(HttpIo::RequestId request, HttpIo::ServerResponse response);
     void handleReady(const HttpIo::ServerRequest &request);
     void carryOut(EntryNode::RouterEffects effects);
@@ -101,6 +100,11 @@
     bool endsBeforeStop(const Jobs::SubmitCall &submit) const;
     bool hasRoute() const;
     void updateRoute();
+    /// Answers the pending calls that nobody waits for any more, so that they aren't forwarded again.
+    void dropUnattendedCalls();
+    void answerDropped(const EntryNode::DroppedCall &dropped);
+    /// Forwards a call again that its receiver has returned, if anybody waits for it.
+    void retryCall(EntryNode::ForwardId forwardId);
 
     // Ownership.
     void feedOwnership(const EntryNode::OwnershipEvent &event);
--- a/src/libs/entrynode/callrouter.cpp
+++ b/src/libs/entrynode/callrouter.cpp
@@ -29,6 +29,11 @@
     return answer;
 }
 
+bool isCancellation(const Jobs::Call &call)
+{
+    return std::holds_alternative<Jobs::CancelCall>(call);
+}
+
 /// Returns whether the answer stays true whatever other owners do.
 bool isDefinitive(const Jobs::CallAnswer &answer)
 {
@@ -38,8 +43,7 @@
 Jobs::CallAnswer timeoutAnswer(const Jobs::Call &call, bool everForwarded)
 {
     const bool submits = std::holds_alternative<Jobs::SubmitCall>(call);
-    const bool cancels = std::holds_alternative<Jobs::CancelCall>(call);
-    if (everForwarded && (submits || cancels)) {
+    if (everForwarded && (submits || isCancellation(call))) {
         return {.kind = Jobs::CallAnswer::Kind::OutcomeUnknown};
     }
     return answerWithoutOwner(call);
@@ -56,9 +60,10 @@
     return {.kind = Jobs::CallAnswer::Kind::Unavailable, .retryAfterS = retryAfterS};
 }
 
-std::optional<RouterEffect> CallRouter::forward(CallNumber number, Pending &pending)
+std::optional<RouterEffect> CallRouter::forward(CallNumber number, Pending &pending, Base::MonoTime now)
 {
-    if (std::holds_alternative<NoRoute>(route_)) {
+    const bool isLate = now >= pending.answerBy && !isCancellation(pending.call);
+    if (isLate || std::holds_alternative<NoRoute>(route_)) {
         return std::nullopt;
     }
     auto *submit = std::get_if<Jobs::SubmitCall>(&pending.call);
@@ -89,20 +94,20 @@
     pending.answerBy = now + wait;
     pending.refuseAt = now + submitTimeout;
     RouterEffects effects;
-    if (auto effect = forward(number, pending)) {
+    if (auto effect = forward(number, pending, now)) {
         effects.push_back(std::move(*effect));
     }
     due_.emplace(dueTime(pending), number);
     return effects;
 }
 
-RouterEffects CallRouter::route(Route route)
+RouterEffects CallRouter::route(Route route, Base::MonoTime now)
 {
     route_ = std::move(route);
     RouterEffects effects;
     for (auto &[number, pending] : calls_) {
         due_.erase({dueTime(pending), number});
-        if (auto effect = forward(number, pending)) {
+        if (auto effect = forward(number, pending, now)) {
             effects.push_back(std::move(*effect));
         }
         due_.emplace(dueTime(pending), number);
@@ -110,6 +115,41 @@
     return effects;
 }
 
+std::optional<CallNumber> CallRouter::callOf(ForwardId forwardId) const
+{
+    const auto found = callsByForwardId_.find(forwardId);
+    return found == callsByForwardId_.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<DroppedCall> CallRouter::drop(CallNumber number)
+{
+    Pending &pending = calls_.at(number);
+    if (isCancellation(pending.call)) {
+        return std::nullopt;
+    }
+    const Jobs::CallAnswer answer = timeoutAnswer(pending.call, pending.forwardId != 0);
+    DroppedCall dropped{number, std::move(pending.call), answer};
+    remove(number);
+    return dropped;
+}
+
+std::vector<DroppedCall> CallRouter::dropUnattended(const std::function<bool(CallNumber)> &isCallerGone)
+{
+    std::vector<CallNumber> gone;
+    for (const auto &[number, pending] : calls_) {
+        if (isCallerGone(number)) {
+            gone.push_back(number);
+        }
+    }
+    std::vector<DroppedCall> dropped;
+    for (const CallNumber number : gone) {
+        if (std::optional<DroppedCall> call = drop(number)) {
+            dropped.push_back(std::move(*call));
+        }
+    }
+    return dropped;
+}
+
 void CallRouter::remove(CallNumber number)
 {
     const auto found = calls_.find(number);
@@ -146,7 +186,7 @@
     pending.returned |= pending.forwardId == forwardId;
 }
 
-RouterEffects CallRouter::retry(ForwardId forwardId)
+RouterEffects CallRouter::retry(ForwardId forwardId, Base::MonoTime now)
 {
     const auto attempt = callsByForwardId_.find(forwardId);
     const auto found = attempt == callsByForwardId_.end() ? calls_.end() : calls_.find(attempt->second);
@@ -155,7 +195,7 @@
     }
     const CallNumber number = found->first;
     due_.erase({dueTime(found->second), number});
-    std::optional<RouterEffect> effect = forward(number, found->second);
+    std::optional<RouterEffect> effect = forward(number, found->second, now);
     due_.emplace(dueTime(found->second), number);
     return effect ? RouterEffects{std::move(*effect)} : RouterEffects{};
 }
--- a/src/libs/entrynode/callrouter.h
+++ b/src/libs/entrynode/callrouter.h
@@ -5,6 +5,7 @@
 #include "base/types.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -54,6 +55,13 @@
     Jobs::CallAnswer answer;
 };
 
+/// A call that the router has removed without an answer of an owner.
+struct DroppedCall {
+    CallNumber number = 0;
+    Jobs::Call call;
+    Jobs::CallAnswer answer; ///< what is known of its outcome
+};
+
 using RouterEffect = std::variant<HandleLocally, SendToPeer, AnswerCaller>;
 using RouterEffects = std::vector<RouterEffect>;
 
@@ -69,8 +77,12 @@
     /// Takes a call and forwards it if there is a route. callerTimeout is how long the caller waits, without a value defaultCallerTimeout.
     RouterEffects accept(CallNumber number, Jobs::Call call, std::optional<Base::Duration> callerTimeout, Base::MonoTime now);
 
-    /// Sets the route and forwards all pending calls along it, including those that were forwarded before.
-    RouterEffects route(Route route);
+    /// Sets the route and forwards all pending calls along it, including those that were forwarded before. Calls whose timeout has passed stay for expire(): the
+    /// process may have been suspended, and jobs of such calls may have been cancelled elsewhere.
+    RouterEffects route(Route route, Base::MonoTime now);
+
+    /// Removes the calls whose callers have gone, but for cancellations. Must precede route().
+    std::vector<DroppedCall> dropUnattended(const std::function<bool(CallNumber)> &isCallerGone);
 
     /// Handles an owner's answer. One that another owner may contradict, such as a refusal, only counts for the latest attempt, as a later
     /// owner may have accepted the call.
@@ -80,8 +92,14 @@
     /// handled tells whether the receiver had accepted the call while it was the owner.
     void handleReturned(ForwardId forwardId, bool handled);
 
+    /// Returns the pending call of this attempt; nothing if it has been answered.
+    std::optional<CallNumber> callOf(ForwardId forwardId) const;
+
+    /// Removes one call whose caller has gone. Returns nothing if it is a cancellation, which stays. The call must be pending.
+    std::optional<DroppedCall> drop(CallNumber number);
+
     /// Forwards a returned call again along the current route.
-    RouterEffects retry(ForwardId forwardId);
+    RouterEffects retry(ForwardId forwardId, Base::MonoTime now);
 
     /// Answers the calls whose timeout has passed.
     RouterEffects expire(Base::MonoTime now);
@@ -107,7 +125,7 @@
         bool handled = false; ///< a former owner has, or may have, accepted the call
     };
 
-    std::optional<RouterEffect> forward(CallNumber number, Pending &pending);
+    std::optional<RouterEffect> forward(CallNumber number, Pending &pending, Base::MonoTime now);
     Base::MonoTime dueTime(const Pending &pending) const;
     void remove(CallNumber number);
 
--- a/tests/auto/entrynode/tst_callrouter.cpp
+++ b/tests/auto/entrynode/tst_callrouter.cpp
@@ -39,6 +39,8 @@
     CPPUNIT_TEST(refusalOfFormerOwnerDoesNotCount);
     CPPUNIT_TEST(bestEffortRefusalAfterAnotherOwnerIsUnknown);
     CPPUNIT_TEST(tellsTheNextOwnerThatItMayHaveRun);
+    CPPUNIT_TEST(callPastItsTimeoutIsNotForwardedAgain);
+    CPPUNIT_TEST(callOfAGoneCallerIsNotForwardedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -47,7 +49,7 @@
     {
         CallRouter router;
         CPPUNIT_ASSERT(router.accept(1, submit(7), 2s, 100s).empty());
-        const RouterEffects effects = router.route(PeerRoute{"entry-2"});
+        const RouterEffects effects = router.route(PeerRoute{"entry-2"}, 100s);
         CPPUNIT_ASSERT(onlyEffect<SendToPeer>(effects) != nullptr);
         CPPUNIT_ASSERT_EQUAL(std::string("entry-2"), onlyEffect<SendToPeer>(effects)->name);
     }
@@ -85,9 +87,9 @@
     void outcomeIsUnknownOnceForwarded()
     {
         CallRouter router;
-        router.route(PeerRoute{"entry-2"});
+        router.route(PeerRoute{"entry-2"}, 100s);
         router.accept(1, submit(7), 2s, 100s);
-        router.route(NoRoute{});
+        router.route(NoRoute{}, 100s);
         CPPUNIT_ASSERT(router.expire(100s + submitTimeout).empty());
         const RouterEffects effects = router.expire(102s);
         CPPUNIT_ASSERT(onlyEffect<AnswerCaller>(effects) != nullptr);
@@ -98,10 +100,10 @@
     void forwardsAgainToTheNextOwner()
     {
         CallRouter router;
-        router.route(PeerRoute{"entry-2"});
+        router.route(PeerRoute{"entry-2"}, 100s);
         router.accept(1, submit(7), 2s, 100s);
-        CPPUNIT_ASSERT(router.route(NoRoute{}).empty());
-        const RouterEffects effects = router.route(LocalRoute{});
+        CPPUNIT_ASSERT(router.route(NoRoute{}, 100s).empty());
+        const RouterEffects effects = router.route(LocalRoute{}, 100s);
         CPPUNIT_ASSERT(onlyEffect<HandleLocally>(effects) != nullptr);
         CPPUNIT_ASSERT(onlyEffect<HandleLocally>(effects)->forwardId > 1);
     }
@@ -110,18 +112,18 @@
     void returnedCallIsRetried()
     {
         CallRouter router;
-        router.route(PeerRoute{"entry-2"});
+        router.route(PeerRoute{"entry-2"}, 100s);
         router.accept(1, submit(7), 2s, 100s);
-        CPPUNIT_ASSERT(router.retry(1).empty());
+        CPPUNIT_ASSERT(router.retry(1, 100s).empty());
         router.handleReturned(1, false);
-        CPPUNIT_ASSERT(onlyEffect<SendToPeer>(router.retry(1)) != nullptr);
+        CPPUNIT_ASSERT(onlyEffect<SendToPeer>(router.retry(1, 100s)) != nullptr);
     }
 
     /// Guards against two answers to one request.
     void answersOnce()
     {
         CallRouter router;
-        router.route(LocalRoute{});
+        router.route(LocalRoute{}, 100s);
         router.accept(1, submit(7), 2s, 100s);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), router.handleAnswer(1, {}).size());
         CPPUNIT_ASSERT(router.handleAnswer(1, {}).empty());
@@ -133,9 +135,9 @@
     void refusalOfFormerOwnerDoesNotCount()
     {
         CallRouter router;
-        router.route(PeerRoute{"entry-2"});
+        router.route(PeerRoute{"entry-2"}, 100s);
         const RouterEffects first = router.accept(1, submit(7), 2s, 100s);
-        const RouterEffects second = router.route(PeerRoute{"entry-3"});
+        const RouterEffects second = router.route(PeerRoute{"entry-3"}, 100s);
         const ForwardId former = onlyEffect<SendToPeer>(first)->call.number;
         const ForwardId latest = onlyEffect<SendToPeer>(second)->call.number;
         CPPUNIT_ASSERT(router.handleAnswer(former, {.kind = Kind::Unavailable}).empty());
@@ -153,7 +155,7 @@
         RouterEffects effects = router.answerAll();
         CPPUNIT_ASSERT(onlyEffect<AnswerCaller>(effects) != nullptr);
         CPPUNIT_ASSERT(onlyEffect<AnswerCaller>(effects)->answer.kind == Kind::Unavailable);
-        router.route(PeerRoute{"entry-2"});
+        router.route(PeerRoute{"entry-2"}, 100s);
         router.accept(2, submit(8), 2s, 100s);
         effects = router.answerAll();
         CPPUNIT_ASSERT(onlyEffect<AnswerCaller>(effects) != nullptr);
@@ -172,9 +174,9 @@
             call.bestEffort = bestEffort;
             for (const Kind refusal : {Kind::Overloaded, Kind::Unavailable, Kind::Unsupported, Kind::UnknownQueue}) {
                 CallRouter router;
-                router.route(PeerRoute{"entry-2"});
+                router.route(PeerRoute{"entry-2"}, 100s);
                 router.accept(1, call, 2s, 100s);
-                const RouterEffects second = router.route(PeerRoute{"entry-3"});
+                const RouterEffects second = router.route(PeerRoute{"entry-3"}, 100s);
                 const RouterEffects effects = router.handleAnswer(onlyEffect<SendToPeer>(second)->call.number, {.kind = refusal});
                 CPPUNIT_ASSERT(onlyEffect<AnswerCaller>(effects) != nullptr);
                 CPPUNIT_ASSERT(onlyEffect<AnswerCaller>(effects)->answer.kind == (bestEffort ? Kind::OutcomeUnknown : refusal));
@@ -192,16 +194,46 @@
         };
         for (const Case former : {Case{false, true}, Case{true, false}, Case{true, true}}) {
             CallRouter router;
-            router.route(PeerRoute{"entry-2"});
+            router.route(PeerRoute{"entry-2"}, 100s);
             const RouterEffects first = router.accept(1, submit(7), 2s, 100s);
             CPPUNIT_ASSERT(!std::get<Jobs::SubmitCall>(onlyEffect<SendToPeer>(first)->call.call).mayHaveRun);
             if (former.returned) {
                 router.handleReturned(onlyEffect<SendToPeer>(first)->call.number, former.handled);
             }
-            const RouterEffects second = router.route(PeerRoute{"entry-3"});
+            const RouterEffects second = router.route(PeerRoute{"entry-3"}, 100s);
             CPPUNIT_ASSERT_EQUAL(former.handled, std::get<Jobs::SubmitCall>(onlyEffect<SendToPeer>(second)->call.call).mayHaveRun);
         }
     }
+
+    /// Guards against a job that an entry hands to the next owner although its caller has stopped waiting, as the entry was suspended meanwhile.
+    void callPastItsTimeoutIsNotForwardedAgain()
+    {
+        CallRouter router;
+        router.accept(1, submit(7), 2s, 100s);
+        router.accept(2, Jobs::CancelCall{8}, 2s, 100s);
+        const RouterEffects effects = router.route(PeerRoute{"entry-2"}, 104s);
+        CPPUNIT_ASSERT(onlyEffect<SendToPeer>(effects) != nullptr);
+        CPPUNIT_ASSERT(std::holds_alternative<Jobs::CancelCall>(onlyEffect<SendToPeer>(effects)->call.call));
+        const RouterEffects answers = router.expire(104s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), answers.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), router.pending());
+    }
+
+    /// Guards against a job that an entry hands to the next owner although its caller has left.
+    void callOfAGoneCallerIsNotForwardedAgain()
+    {
+        CallRouter router;
+        router.route(PeerRoute{"entry-2"}, 100s);
+        router.accept(1, submit(7), 9s, 100s);
+        router.accept(2, submit(8), 9s, 100s);
+        router.accept(3, Jobs::CancelCall{9}, 9s, 100s);
+        const std::vector<DroppedCall> dropped = router.dropUnattended([](CallNumber number) { return number != 2; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), dropped.size());
+        CPPUNIT_ASSERT_EQUAL(CallNumber(1), dropped[0].number);
+        // The former owner may have accepted it.
+        CPPUNIT_ASSERT(dropped[0].answer.kind == Kind::OutcomeUnknown);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), router.route(PeerRoute{"entry-3"}, 101s).size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestCallRouter);
