Repeated jobs: a late end of an occurrence that is forgotten needs a lapse

An agent that was cut off for longer than the owner waits may list the end of a former owner's run of such an occurrence, whose task has run again since. The owner took the task for one that never was, and acknowledged the end at once, so that the platform counted both ends (TWICE).

Change: a task of a forgotten occurrence counts as done, as it did while the job held it; such an end is acknowledged only after the worker's lease has ended.

Evidence: jobs.overdueoccurrences, lateEndOfAForgottenOccurrenceNeedsALapse failed before.

--- a/src/libs/jobs/jobshape.cpp
+++ b/src/libs/jobs/jobshape.cpp
@@ -116,6 +116,11 @@
     return job.occurrences.find(task.occurrence) && task.step < job.spec.steps.size() && task.index < job.spec.steps[task.step].count;
 }
 
+bool isForgotten(const Job &job, const TaskRef &task)
+{
+    return job.occurrences.hasBegun(task.occurrence) && !job.occurrences.find(task.occurrence);
+}
+
 bool isOfStep(const Job &job, const TaskRef &task, StepIndex step)
 {
     return task.job == job.id && task.step == step % job.spec.steps.size() && task.occurrence == job.occurrences.numbers()[positionOfStep(job, step)];
--- a/src/libs/jobs/jobshape.h
+++ b/src/libs/jobs/jobshape.h
@@ -31,6 +31,9 @@
 /// Returns whether the job holds the task: its occurrence has begun and isn't forgotten.
 bool hasTask(const Job &job, const TaskRef &task);
 
+/// Returns whether the task's occurrence is done and the job no longer holds it.
+bool isForgotten(const Job &job, const TaskRef &task);
+
 /// Returns whether the task is one of the step.
 bool isOfStep(const Job &job, const TaskRef &task, StepIndex step);
 
--- a/src/libs/jobs/ownerends.cpp
+++ b/src/libs/jobs/ownerends.cpp
@@ -169,7 +169,7 @@
         return true;
     }
     if (!hasTask(*job, end.run.task)) {
-        return false;
+        return isForgotten(*job, end.run.task);
     }
     const Task &task = job->tasks[flatIndex(*job, end.run.task)];
     return task.starts > 0 || task.phase == Task::Phase::Done;
--- a/tests/auto/jobs/tst_overdueoccurrences.cpp
+++ b/tests/auto/jobs/tst_overdueoccurrences.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST(occurrenceThatBeganEarlyRunsOnce);
     CPPUNIT_TEST(slowOccurrenceDoesNotHoldUpOthers);
     CPPUNIT_TEST(failuresOfADoneOccurrenceAreForgotten);
+    CPPUNIT_TEST(lateEndOfAForgottenOccurrenceNeedsALapse);
     CPPUNIT_TEST(cancelledWhileSomeWait);
     CPPUNIT_TEST_SUITE_END();
 
@@ -270,6 +271,25 @@
         CPPUNIT_ASSERT(owner.state.finished.at(repeatedJob) == JobState::Completed);
     }
 
+    /// Guards against an end that is acknowledged although its task has started again: an agent was cut off for longer than the owner waits, and lists an end of a
+    /// former owner's run when the job holds the occurrence no longer.
+    void lateEndOfAForgottenOccurrenceNeedsALapse()
+    {
+        SubmitCall call = overdueJob(3);
+        constexpr std::uint32_t intervalMs = 20'000; // longer than the owner waits for the agent
+        call.spec.repetition = {3, harnessStartMs, intervalMs};
+        OwnerHarness owner({"agent-1", "agent-2"}, 2, {{repeatedJob, call.rules, call.spec, {0}, {0}, {}}});
+        owner.join("agent-1");
+        owner.advanceTimeWithReports(unfencedRunExpiryTimeout + 100ms);
+        owner.reportEnd("agent-1", owner.orderedStarts("agent-1").at(0), RunOutcome::Done);
+        owner.commitAll();
+        owner.advanceTimeWithReports(std::chrono::milliseconds(intervalMs) - unfencedRunExpiryTimeout);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), owner.orderedStarts("agent-1").at(1).task.occurrence);
+        owner.join("agent-2", 8000, {}, {{1, {{repeatedJob, 0, 0, 0}, 1}, RunOutcome::Done, 10}});
+        owner.commitAll();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), owner.endsToLapse.at("agent-2"));
+    }
+
     /// Guards against occurrences that begin after their job was cancelled while they waited for earlier ones.
     void cancelledWhileSomeWait()
     {
