Cancellations: refuse the submission of a withdrawn job at once while the store stalls

Such a submission is answered once the job is recorded as cancelled. While the store stalled it waited for its deadline, and each repetition added a change to the queue.

Change: it is refused as retryable, as other submissions are then. That it has not run and never runs stays true.

Evidence: jobs.withdrawnjobs, submissionIsRefusedAtOnceWhileTheStoreIsStalled, written after the change and not run without it.

--- a/src/libs/jobs/ownercancels.cpp
+++ b/src/libs/jobs/ownercancels.cpp
@@ -6,10 +6,15 @@
 
 namespace {
 
+bool isStoreStalled(const OwnerState &state)
+{
+    return state.recorder.pendingCommitAge(state.now) > commitStallTimeout;
+}
+
 /// Returns why a cancellation can't be recorded at present; empty if it can.
 std::string_view obstacleToRecord(const OwnerState &state)
 {
-    if (state.recorder.pendingCommitAge(state.now) > commitStallTimeout) {
+    if (isStoreStalled(state)) {
         return "store";
     }
     return state.withdrawnJobs + state.withdrawing.size() >= maxWithdrawnJobs ? "too-many" : "";
@@ -77,6 +82,10 @@
         reply(context, id, {.kind = CallAnswer::Kind::State, .state = JobState::Cancelled});
         return;
     }
+    if (isStoreStalled(context.state)) {
+        reply(context, id, {.kind = CallAnswer::Kind::Unavailable, .retryAfterS = storeRetryAfterS});
+        return;
+    }
     context.state.recorder.add({FinishJob{call.job, JobState::Cancelled}, {}, {{id, {.kind = CallAnswer::Kind::Accepted}}}});
 }
 
--- a/tests/auto/jobs/tst_withdrawnjobs.cpp
+++ b/tests/auto/jobs/tst_withdrawnjobs.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(successorRunsNoCancelledBestEffortJob);
     CPPUNIT_TEST(formerOwnerAcknowledgesNoBestEffortJob);
     CPPUNIT_TEST(refusedAtOnceWhileTheStoreIsStalled);
+    CPPUNIT_TEST(submissionIsRefusedAtOnceWhileTheStoreIsStalled);
     CPPUNIT_TEST(numberIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -181,6 +182,16 @@
         CPPUNIT_ASSERT(owner.answerTo(2)->retryAfterS > 0);
     }
 
+    /// Guards against submissions of cancelled jobs that wait, and fill the queue of changes, although they can't be recorded.
+    void submissionIsRefusedAtOnceWhileTheStoreIsStalled()
+    {
+        OwnerHarness owner({"agent-1"});
+        cancel(owner, 1, 7);
+        owner.advanceTime(commitStallTimeout + 10ms);
+        owner.submit(2, submission(7, 1));
+        checkAnswer(Kind::Unavailable, owner.answerTo(2));
+    }
+
     /// Guards against cancellations of unknown jobs that fill the memory, and against a bound that holds for ever.
     void numberIsBounded()
     {
