--- a/tests/auto/jobs/ownerharness.cpp
+++ b/tests/auto/jobs/ownerharness.cpp
@@ -60,14 +60,15 @@
 {
     OwnerHarness successor({});
     successor.now_ = former.now_;
-    successor.state = takeOver(former.storedForSuccessor(), former.now_, former.state.wall);
+    successor.inherited_ = former.storedForSuccessor();
+    successor.state = takeOver(successor.inherited_, former.now_, former.state.wall);
     return successor;
 }
 
 StoredJobs OwnerHarness::storedForSuccessor() const
 {
-    StoredJobs stored;
-    stored.owner = {state.epoch + 1, 0, "entry-2", 1, state.recorder.recordedAgents()};
+    StoredJobs stored = inherited_;
+    stored.owner = {state.epoch + 1, 0, "entry-2", 1, state.recorder.owner().agents};
     stored.ownerRevision = revision_;
     for (const Commit &commit : commits) {
         for (const Commit::Write &write : commit.writes) {
@@ -151,6 +152,7 @@
     full.running = std::move(running);
     full.ends = std::move(ends);
     full.endsIncomplete = endsIncomplete;
+    full.formerEpoch = formerEpoch;
     for (const RunEnd &end : full.ends) {
         lastEndNumber_[agent] = std::max(lastEndNumber_[agent], end.number);
     }
--- a/tests/auto/jobs/ownerharness.h
+++ b/tests/auto/jobs/ownerharness.h
@@ -33,10 +33,11 @@
     /// Creates an owner that takes over the jobs, with an owner record that names the agents.
     explicit OwnerHarness(std::vector<std::string> recordedAgents, std::uint64_t epoch = 1, const std::vector<JobRecord> &jobs = {});
 
-    /// Creates the owner of the next epoch, which takes over what the commits of \a former have written.
+    /// Creates the owner of the next epoch, which takes over what storedForSuccessor() returns.
     static OwnerHarness successorOf(const OwnerHarness &former);
 
-    /// Returns what the commits of this owner have written, as the owner of the next epoch finds it. None of their keys must have been removed.
+    /// Returns what the commits of this owner, and of those before it, have written, as the owner of the next epoch finds it. Keys that they have removed are
+    /// still there, which must make no difference.
     StoredJobs storedForSuccessor() const;
 
     void advanceTime(Base::Duration time);
@@ -84,6 +85,7 @@
 
     OwnerState state;
     Base::Duration timePerEvent = std::chrono::milliseconds(1);
+    std::uint64_t formerEpoch = 0; ///< As in the full reports that join() sends.
     std::vector<Commit> commits;
     std::optional<StepDown> steppedDown;
     std::vector<RunRequirements> runRequirements; ///< As sent to the agents
@@ -106,6 +108,7 @@
     std::map<std::string, std::uint64_t> lastEndNumber_;
     std::map<std::string, std::uint64_t> ordersSeen_;
     std::int64_t revision_ = 100;
+    StoredJobs inherited_; ///< What this owner has taken over; empty for the first one.
     bool isCommitPending_ = false;
 };
 
--- a/tests/auto/jobs/tst_overdueoccurrences.cpp
+++ b/tests/auto/jobs/tst_overdueoccurrences.cpp
@@ -88,6 +88,8 @@
     CPPUNIT_TEST(occurrenceThatBeganEarlyRunsOnce);
     CPPUNIT_TEST(slowOccurrenceDoesNotHoldUpOthers);
     CPPUNIT_TEST(failuresOfADoneOccurrenceAreForgotten);
+    CPPUNIT_TEST(failuresCountForEachOccurrence);
+    CPPUNIT_TEST(restoredOccurrencesThatAreDoneMakeRoom);
     CPPUNIT_TEST(lateEndOfAForgottenOccurrenceNeedsALapse);
     CPPUNIT_TEST(cancelledWhileSomeWait);
     CPPUNIT_TEST_SUITE_END();
@@ -271,6 +273,44 @@
         CPPUNIT_ASSERT(owner.state.finished.at(repeatedJob) == JobState::Completed);
     }
 
+    /// Guards against more attempts than the queue allows, because a failed run of an earlier occurrence at the same position had the same number.
+    void failuresCountForEachOccurrence()
+    {
+        OwnerHarness owner({"agent-1"});
+        owner.join("agent-1");
+        SubmitCall call = overdueJob(2);
+        call.spec.repetition = {2, harnessStartMs, 5000};
+        owner.submit(1, call);
+        owner.commit();
+        std::size_t seen = 0;
+        std::map<std::uint32_t, int> starts;
+        for (int turn = 0; turn < 400 && owner.state.jobs.contains(repeatedJob); ++turn) {
+            owner.advanceTimeWithReports(50ms);
+            owner.commit();
+            const std::vector<RunRef> ordered = owner.orderedStarts("agent-1");
+            for (; seen < ordered.size(); ++seen) {
+                const std::uint32_t occurrence = ordered[seen].task.occurrence;
+                const bool isSecondRunOfFirst = ++starts[occurrence] == 2 && occurrence == 0;
+                owner.reportEnd("agent-1", ordered[seen], isSecondRunOfFirst ? RunOutcome::Done : RunOutcome::Failed);
+            }
+        }
+        CPPUNIT_ASSERT(owner.state.finished.at(repeatedJob) == JobState::Failed);
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(call.rules.maxAttempts), starts[1]);
+    }
+
+    /// Guards against a job that stands still after a takeover, as the occurrences that were done before still take all its room.
+    void restoredOccurrencesThatAreDoneMakeRoom()
+    {
+        const SubmitCall call = overdueJob(maxTasksOfRepeatedJob + 1);
+        const std::vector<std::uint8_t> done(maxTasksOfRepeatedJob, 1);
+        const std::vector<std::uint8_t> failures(maxTasksOfRepeatedJob, 0);
+        OwnerHarness owner({"agent-1"}, 2, {{repeatedJob, call.rules, call.spec, done, failures, {}}});
+        joinWorker(owner);
+        owner.advanceTimeWithReports(100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), owner.orderedStartCount());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(maxTasksOfRepeatedJob), owner.orderedStarts("agent-1").front().task.occurrence);
+    }
+
     /// Guards against an end that is acknowledged although its task has started again: an agent was cut off for longer than the owner waits, and lists an end of a
     /// former owner's run when the job holds the occurrence no longer.
     void lateEndOfAForgottenOccurrenceNeedsALapse()
