Owner: two steps less for each start and end

Change: the list of steps to requeue keeps its memory, and the only occurrence of a job that isn't repeated is found without a division.

--- a/src/libs/jobs/jobshape.cpp
+++ b/src/libs/jobs/jobshape.cpp
@@ -133,7 +133,8 @@
 
 OccurrencePosition positionOfStep(const Job &job, StepIndex step)
 {
-    return step / static_cast<StepIndex>(job.spec.steps.size());
+    const auto steps = static_cast<StepIndex>(job.spec.steps.size());
+    return step < steps ? 0 : step / steps;
 }
 
 StepIndex findStepIndex(const Job &job, const TaskRef &task)
@@ -165,8 +166,8 @@
 TaskRef taskRef(const Job &job, std::uint32_t flat)
 {
     const StepIndex step = findStepIndex(job, flat);
-    const std::uint32_t occurrence = job.occurrences.numbers()[positionOfStep(job, step)];
-    return {job.id, static_cast<std::uint16_t>(step % job.spec.steps.size()), flat - job.firstTask[step], occurrence};
+    const OccurrencePosition position = positionOfStep(job, step);
+    return {job.id, static_cast<std::uint16_t>(step - firstStepAt(job, position)), flat - job.firstTask[step], job.occurrences.numbers()[position]};
 }
 
 std::uint32_t effectiveEstimateMs(const StepSpec &step)
--- a/src/libs/jobs/waitingsteps.cpp
+++ b/src/libs/jobs/waitingsteps.cpp
@@ -1,7 +1,5 @@
 #include "waitingsteps.h"
 
-#include <utility>
-
 namespace LaburnumFlow::Jobs {
 
 namespace {
@@ -61,9 +59,10 @@
         state.ready.insert(place);
         listStepsWithReadyTasks(job);
     }
-    for (const StepIndex step : std::exchange(job.stepsToRequeue, {})) {
+    for (const StepIndex step : job.stepsToRequeue) {
         updateWaiting(state, job, step, job.steps[step].readyTasks > 0);
     }
+    job.stepsToRequeue.clear();
 }
 
 void leaveQueue(OwnerState &state, Job &job)
