--- a/tests/auto/jobs/tst_repetitionschedules.cpp
+++ b/tests/auto/jobs/tst_repetitionschedules.cpp
@@ -18,6 +18,7 @@
 
 constexpr JobId repeatedJob = 7;
 constexpr std::uint32_t occurrences = 40;
+constexpr std::size_t tasks = 120; ///< Of all occurrences
 constexpr std::int64_t firstMs = 1'100'000; ///< Wall clock of the harness at its start
 constexpr std::uint32_t intervalMs = 100;
 constexpr std::uint32_t milliCoresPerTask = 1000;
@@ -80,7 +81,7 @@
         if (fault_.empty() && !isCompleted()) {
             return "the job is not completed";
         }
-        return fault_.empty() && done_.size() < occurrences * 3 ? "a task was left out" : fault_;
+        return fault_.empty() && done_.size() < tasks ? "a task was left out" : fault_;
     }
 
 private:
